Add the kernel: ids, states, jobs, tables, settings, plug-in registry

Cause: the repository is empty; the modules of the scheduler need shared types before they can be written side by side. Conclusion: no behaviour yet; interfaces for the parts that follow.

--- /dev/null
+++ b/hornbeamramp/clock.py
@@ -0,0 +1,90 @@
+"""Clock interface, the system clock and a clock that tests advance by hand."""
+
+import asyncio
+import heapq
+import itertools
+import time
+from abc import ABC, abstractmethod
+from datetime import UTC, datetime, timedelta
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
+
+
+class Clock(ABC):
+    """Source of time for everything that waits or measures."""
+
+    @abstractmethod
+    def now(self) -> datetime:
+        """Returns the wall-clock time in UTC. For display and records only."""
+
+    @abstractmethod
+    def boot_time(self) -> timedelta:
+        """Returns the time since boot, suspension included. Leases and proofs use this."""
+
+    @abstractmethod
+    async def sleep(self, duration: timedelta) -> None:
+        """Returns after ``duration``."""
+
+
+class SystemClock(Clock):
+    """Clock of the machine.
+
+    `boot_time` reads CLOCK_BOOTTIME: CLOCK_MONOTONIC stands still while a VM is suspended, so a
+    lease measured with it would outlive the store's view of it.
+    """
+
+    def now(self) -> datetime:
+        return datetime.now(UTC)
+
+    def boot_time(self) -> timedelta:
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+    async def sleep(self, duration: timedelta) -> None:
+        await asyncio.sleep(max(duration.total_seconds(), 0.0))
+
+
+class ManualClock(Clock):
+    """Clock that stands still until `advance` is called. Sleepers wake in order of their time."""
+
+    def __init__(self, start: datetime = datetime(2026, 1, 1, tzinfo=UTC)) -> None:
+        self._start = start
+        self._elapsed = timedelta(0)
+        self._sequence = itertools.count()
+        self._sleepers: list[tuple[timedelta, int, asyncio.Future[None]]] = []
+
+    def now(self) -> datetime:
+        return self._start + self._elapsed
+
+    def boot_time(self) -> timedelta:
+        return self._elapsed
+
+    async def sleep(self, duration: timedelta) -> None:
+        if duration <= timedelta(0):
+            await asyncio.sleep(0)
+            return
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._sleepers, (self._elapsed + duration, next(self._sequence), future))
+        await future
+
+    def set(self, elapsed: timedelta) -> None:
+        """Moves the time without waking sleepers, for code that never sleeps."""
+        self._elapsed = elapsed
+
+    async def advance(self, duration: timedelta) -> None:
+        """Moves the time forward and runs each sleeper at its own time."""
+        target = self._elapsed + duration
+        await self._settle()
+        while self._sleepers and self._sleepers[0][0] <= target:
+            wake_at, _, future = heapq.heappop(self._sleepers)
+            self._elapsed = max(self._elapsed, wake_at)
+            if not future.done():
+                future.set_result(None)
+            await self._settle()
+        self._elapsed = target
+        await self._settle()
+
+    @staticmethod
+    async def _settle() -> None:
+        # Tasks woken by a sleeper may themselves need several passes of the loop.
+        for _ in range(20):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/hornbeamramp/ids.py
@@ -0,0 +1,53 @@
+"""Identifier types. All are opaque; equality is the only operation callers rely on."""
+
+from typing import NewType
+
+__all__ = [
+    "AttemptId",
+    "ChangeId",
+    "DataCentreId",
+    "Epoch",
+    "JobId",
+    "LeaseId",
+    "PoolName",
+    "RackId",
+    "Revision",
+    "RouteName",
+    "ShardId",
+    "TeamId",
+    "UpstreamId",
+    "VmId",
+    "shard_id",
+    "split_shard_id",
+]
+
+AttemptId = NewType("AttemptId", str)
+ChangeId = NewType("ChangeId", str)
+DataCentreId = NewType("DataCentreId", str)
+Epoch = NewType("Epoch", int)
+JobId = NewType("JobId", str)
+LeaseId = NewType("LeaseId", str)
+PoolName = NewType("PoolName", str)
+RackId = NewType("RackId", str)
+Revision = NewType("Revision", int)
+RouteName = NewType("RouteName", str)
+ShardId = NewType("ShardId", str)
+TeamId = NewType("TeamId", str)
+UpstreamId = NewType("UpstreamId", str)
+VmId = NewType("VmId", str)
+
+
+def shard_id(pool: PoolName, data_centre: DataCentreId) -> ShardId:
+    """Returns the id of the shard that serves ``pool`` in ``data_centre``."""
+    return ShardId(f"{pool}@{data_centre}")
+
+
+def split_shard_id(shard: ShardId) -> tuple[PoolName, DataCentreId]:
+    """Returns the pool and the data centre of a shard id.
+
+    Raises ``ValueError`` if ``shard`` is not of the form ``pool@data_centre``.
+    """
+    pool, separator, data_centre = shard.partition("@")
+    if not (pool and separator and data_centre):
+        raise ValueError(f"not a shard id: {shard!r}")
+    return PoolName(pool), DataCentreId(data_centre)
--- /dev/null
+++ b/hornbeamramp/jobs.py
@@ -0,0 +1,136 @@
+"""Jobs, their tasks' results and the three outcomes a caller can be told."""
+
+import hashlib
+from datetime import timedelta
+
+import msgspec
+
+from hornbeamramp.ids import (
+    AttemptId,
+    DataCentreId,
+    Epoch,
+    JobId,
+    PoolName,
+    RouteName,
+    TeamId,
+    UpstreamId,
+)
+from hornbeamramp.resources import Resources
+from hornbeamramp.states import Band, RefusalReason
+
+__all__ = [
+    "BatchJob",
+    "Completed",
+    "GangJob",
+    "Job",
+    "NotRun",
+    "Outcome",
+    "ServiceJob",
+    "TaskResult",
+    "Unknown",
+    "attempt_id",
+    "payload_digest",
+]
+
+
+def payload_digest(payload: bytes) -> str:
+    """Returns the SHA-256 digest of ``payload`` as lower-case hexadecimal."""
+    return hashlib.sha256(payload).hexdigest()
+
+
+def attempt_id(job_id: JobId, task: int, epoch: Epoch, number: int) -> AttemptId:
+    """Returns the id of one attempt. The owner's epoch makes ids of different owners distinct."""
+    return AttemptId(f"{job_id}.{task}.{epoch}.{number}")
+
+
+class Job(msgspec.Struct, frozen=True, tag_field="kind", kw_only=True):
+    """Work a caller submitted. Base of `BatchJob`, `ServiceJob` and `GangJob`.
+
+    `resources`
+        What each task takes.
+    `deadline`
+        Time from acceptance until the answer is of no more use, or ``None``.
+    `declared_run`
+        The caller's guess of one task's run time on an upstream of speed 1.0.
+    `idempotent`
+        Whether the job may be attempted again once an attempt is known to be over.
+    `asynchronous`
+        Whether the caller fetches the answer later instead of waiting on the connection.
+    `key`
+        The caller's idempotency key, or ``None``.
+    """
+
+    id: JobId
+    route: RouteName
+    pool: PoolName
+    team: TeamId
+    band: Band = Band.NORMAL
+    tasks: int = 1
+    resources: Resources = Resources()
+    payload: bytes = b""
+    deadline: timedelta | None = None
+    declared_run: timedelta = timedelta(seconds=1)
+    idempotent: bool = True
+    asynchronous: bool = False
+    key: str | None = None
+
+    def digest(self) -> str:
+        """Returns a digest over what the caller asked for, without the job id."""
+        parts = msgspec.msgpack.encode(
+            [self.route, self.team, self.tasks, self.resources, self.payload, self.idempotent]
+        )
+        return payload_digest(parts)
+
+
+class BatchJob(Job, tag="batch", frozen=True, kw_only=True):
+    """Independent tasks that each end with an answer."""
+
+
+class ServiceJob(Job, tag="service", frozen=True, kw_only=True):
+    """Standing tasks that run until cancelled. Spread over racks, restarted when they end."""
+
+
+class GangJob(Job, tag="gang", frozen=True, kw_only=True):
+    """Tasks that must all run at once."""
+
+
+class TaskResult(msgspec.Struct, frozen=True):
+    """Answer of one task. ``length`` and ``digest`` are those the upstream stated."""
+
+    attempt_id: AttemptId
+    upstream_id: UpstreamId
+    payload: bytes
+    length: int
+    digest: str
+
+    def is_whole(self) -> bool:
+        """Tells whether the payload has the stated length and digest."""
+        return len(self.payload) == self.length and payload_digest(self.payload) == self.digest
+
+
+class Completed(msgspec.Struct, frozen=True, tag="completed"):
+    """The job ran to its answer. ``results`` has one entry per task, in task order."""
+
+    job_id: JobId
+    results: list[TaskResult]
+    data_centre: DataCentreId
+    failed: bool = False
+
+
+class NotRun(msgspec.Struct, frozen=True, tag="not_run"):
+    """No task of the job ran. ``retry_after`` is a hint, ``None`` if a retry can't help."""
+
+    job_id: JobId
+    reason: RefusalReason
+    detail: str
+    retry_after: timedelta | None = None
+
+
+class Unknown(msgspec.Struct, frozen=True, tag="unknown"):
+    """It can't be told whether the job ran."""
+
+    job_id: JobId
+    detail: str
+
+
+Outcome = Completed | NotRun | Unknown
--- /dev/null
+++ b/hornbeamramp/messages.py
@@ -0,0 +1,209 @@
+"""Typed messages between entry VMs. Encoded as msgpack by msgspec."""
+
+from datetime import timedelta
+
+import msgspec
+
+from hornbeamramp.ids import DataCentreId, Epoch, JobId, Revision, ShardId, VmId
+from hornbeamramp.jobs import BatchJob, GangJob, Outcome, ServiceJob
+from hornbeamramp.states import Band, JobState, MemberState
+from hornbeamramp.tables import Change, Tables
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "AskOwnerReply",
+    "AskOwnerRequest",
+    "CancelReply",
+    "CancelRequest",
+    "ConfigDeltaReply",
+    "ConfigDeltaRequest",
+    "GetJobReply",
+    "GetJobRequest",
+    "HandOverReply",
+    "HandOverRequest",
+    "Heartbeat",
+    "HeartbeatReply",
+    "HelloReply",
+    "HelloRequest",
+    "Misdirected",
+    "PromiseReply",
+    "PromiseRequest",
+    "ResolveReply",
+    "ResolveRequest",
+    "ShardBeat",
+    "StatusReply",
+    "StatusRequest",
+    "SubmitReply",
+    "SubmitRequest",
+]
+
+PROTOCOL_VERSION = 1
+
+
+class HelloRequest(msgspec.Struct, frozen=True):
+    """First message on a channel. A peer with another major version is refused."""
+
+    version: int
+    vm: VmId
+    data_centre: DataCentreId
+
+
+class HelloReply(msgspec.Struct, frozen=True):
+    version: int
+    vm: VmId
+    data_centre: DataCentreId
+
+
+class ShardBeat(msgspec.Struct, frozen=True):
+    """What a heartbeat tells about a shard: its epoch and the expected wait by band."""
+
+    epoch: Epoch
+    serving: bool
+    wait_by_band: dict[Band, timedelta] = {}
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    vm: VmId
+    data_centre: DataCentreId
+    state: MemberState
+    revision: Revision
+    shards: dict[ShardId, ShardBeat] = {}
+
+
+class HeartbeatReply(msgspec.Struct, frozen=True):
+    revision: Revision
+    state: MemberState
+
+
+class SubmitRequest(msgspec.Struct, frozen=True):
+    """A job for a shard. ``deadline`` in the job is the time left when this was sent.
+
+    `home`
+        Whether the receiver must look up the job's idempotency key, as the key's home.
+    `traceparent`
+        W3C trace context of the sender's span.
+    """
+
+    shard: ShardId
+    job: BatchJob | ServiceJob | GangJob
+    home: bool = True
+    traceparent: str | None = None
+
+
+class Misdirected(msgspec.Struct, frozen=True, tag="misdirected"):
+    """The receiver does not own the shard. ``owner`` is whom it believes to own it."""
+
+    owner: VmId | None = None
+    recovering: bool = False
+
+
+class SubmitReply(msgspec.Struct, frozen=True):
+    """``accepted`` tells that an asynchronous job is in the journal; then there is no outcome."""
+
+    outcome: Outcome | Misdirected | None
+    accepted: JobId | None = None
+
+
+class ResolveRequest(msgspec.Struct, frozen=True):
+    """Asks for the fate of a submit whose reply was lost.
+
+    With ``refuse_unseen`` an owner that has not seen the id records it as refused first.
+    """
+
+    shard: ShardId
+    job_id: JobId
+    refuse_unseen: bool = True
+    wait: timedelta = timedelta(0)
+
+
+class ResolveReply(msgspec.Struct, frozen=True):
+    """``state`` is ``None`` if the receiver does not own the shard or still recovers it."""
+
+    state: JobState | None
+    outcome: Outcome | None = None
+
+
+class GetJobRequest(msgspec.Struct, frozen=True):
+    shard: ShardId
+    job_id: JobId
+
+
+class GetJobReply(msgspec.Struct, frozen=True):
+    state: JobState | None
+    outcome: Outcome | None = None
+
+
+class CancelRequest(msgspec.Struct, frozen=True):
+    shard: ShardId
+    job_id: JobId
+
+
+class CancelReply(msgspec.Struct, frozen=True):
+    state: JobState | None
+    outcome: Outcome | None = None
+
+
+class AskOwnerRequest(msgspec.Struct, frozen=True):
+    """A candidate asks the owner on record whether it still serves the shard."""
+
+    shard: ShardId
+    candidate: VmId
+
+
+class AskOwnerReply(msgspec.Struct, frozen=True):
+    """``promised_for`` is how long a promise the receiver gave to another still runs."""
+
+    serving: bool
+    epoch: Epoch
+    promised_for: timedelta = timedelta(0)
+    promised_to: VmId | None = None
+
+
+class PromiseRequest(msgspec.Struct, frozen=True):
+    """An owner asks a peer not to claim its shards for ``duration``."""
+
+    owner: VmId
+    shards: dict[ShardId, Epoch]
+    duration: timedelta
+
+
+class PromiseReply(msgspec.Struct, frozen=True):
+    """``granted`` are the shards that the peer promised not to claim."""
+
+    granted: list[ShardId]
+
+
+class HandOverRequest(msgspec.Struct, frozen=True):
+    """A leaving owner gives a shard to a successor, which claims it without waiting."""
+
+    shard: ShardId
+    epoch: Epoch
+    owner: VmId
+
+
+class HandOverReply(msgspec.Struct, frozen=True):
+    accepted: bool
+
+
+class ConfigDeltaRequest(msgspec.Struct, frozen=True):
+    """Asks for the changes after ``after``."""
+
+    after: Revision
+
+
+class ConfigDeltaReply(msgspec.Struct, frozen=True):
+    """Either the changes, or the whole tables if the changes are no longer kept."""
+
+    revision: Revision
+    changes: list[Change] = []
+    tables: Tables | None = None
+
+
+class StatusRequest(msgspec.Struct, frozen=True):
+    pass
+
+
+class StatusReply(msgspec.Struct, frozen=True):
+    """``document`` is the JSON status of the receiver."""
+
+    document: bytes
--- /dev/null
+++ b/hornbeamramp/resources.py
@@ -0,0 +1,60 @@
+"""Resource vectors: what an upstream has and what a task asks for."""
+
+import msgspec
+
+__all__ = ["ZERO", "Resources"]
+
+
+class Resources(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Amounts of each kind of resource; all are at least 0.
+
+    `processors_milli`
+        Thousandths of a processor core.
+    `memory_mib`
+        Memory in MiB.
+    `accelerators`
+        Whole accelerators.
+    `slots`
+        Task slots of an upstream. A task usually takes one.
+    `connections`
+        Connections to an upstream. A task usually takes one.
+    """
+
+    processors_milli: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+    slots: int = 1
+    connections: int = 1
+
+    def __post_init__(self) -> None:
+        if min(self.as_tuple()) < 0:
+            raise ValueError(f"resources must not be negative: {self}")
+
+    def as_tuple(self) -> tuple[int, int, int, int, int]:
+        return (
+            self.processors_milli,
+            self.memory_mib,
+            self.accelerators,
+            self.slots,
+            self.connections,
+        )
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(*(a + b for a, b in zip(self.as_tuple(), other.as_tuple(), strict=True)))
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        """Returns the difference. Raises ``ValueError`` if any amount would be negative."""
+        return Resources(*(a - b for a, b in zip(self.as_tuple(), other.as_tuple(), strict=True)))
+
+    def fits_in(self, other: "Resources") -> bool:
+        """Tells whether each amount is at most that of ``other``."""
+        return (
+            self.processors_milli <= other.processors_milli
+            and self.memory_mib <= other.memory_mib
+            and self.accelerators <= other.accelerators
+            and self.slots <= other.slots
+            and self.connections <= other.connections
+        )
+
+
+ZERO = Resources(0, 0, 0, 0, 0)
--- /dev/null
+++ b/hornbeamramp/tables.py
@@ -0,0 +1,144 @@
+"""The operators' two tables, routes and pools, and the checks on their join."""
+
+from collections.abc import Mapping
+
+import msgspec
+from result import Err, Ok, Result
+
+from hornbeamramp.ids import ChangeId, DataCentreId, PoolName, Revision, RouteName, TeamId
+from hornbeamramp.resources import Resources
+from hornbeamramp.states import Band, JobKind
+
+__all__ = [
+    "Change",
+    "Pool",
+    "PoolUpstream",
+    "Quota",
+    "Route",
+    "TableError",
+    "Tables",
+    "check_join",
+]
+
+
+class Quota(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a team may hold in a pool at one time in one data centre.
+
+    `weight`
+        Share relative to other teams of the same band; more than 0.
+    `limit`
+        Most resources in use at once, or ``None`` for no limit.
+    """
+
+    weight: float = 1.0
+    limit: Resources | None = None
+
+    def __post_init__(self) -> None:
+        if not self.weight > 0:
+            raise ValueError("weight must be more than 0")
+
+
+class PoolUpstream(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An upstream of a pool: where it answers and in which data centre it stands."""
+
+    id: str
+    data_centre: DataCentreId
+    address: str
+
+
+class Pool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A row of the table of pools: upstreams of one kind, with quotas by team."""
+
+    name: PoolName
+    upstreams: list[PoolUpstream] = []
+    quotas: dict[TeamId, Quota] = {}
+    adapter: str = "http"
+    policy: str = "default"
+
+    def data_centres(self) -> set[DataCentreId]:
+        """Returns the data centres in which the pool has upstreams."""
+        return {upstream.data_centre for upstream in self.upstreams}
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A row of the table of routes: names a kind of job and the pool that runs it.
+
+    `kind`
+        ``batch``, ``service`` or ``gang``.
+    `band`
+        Urgency of the route's jobs, 0 (urgent) to 3 (bulk).
+    `run_ms`
+        Declared run time of a task on an upstream of speed 1.0, in milliseconds.
+    """
+
+    name: RouteName
+    pool: PoolName
+    kind: JobKind = JobKind.BATCH
+    band: Band = Band.NORMAL
+    resources: Resources = Resources(processors_milli=1000, memory_mib=1024)
+    run_ms: int = 1000
+    idempotent: bool = True
+
+    def __post_init__(self) -> None:
+        if self.run_ms <= 0:
+            raise ValueError("run_ms must be more than 0")
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One accepted change: a row written (``route`` or ``pool``) or deleted (neither set).
+
+    `row_version`
+        Version of the row after the change, the same as the revision of the change.
+    """
+
+    id: ChangeId
+    revision: Revision
+    table: str
+    name: str
+    route: Route | None = None
+    pool: Pool | None = None
+
+
+class TableError(msgspec.Struct, frozen=True):
+    """A change that would break the join of the tables. ``names`` are the rows in the way."""
+
+    message: str
+    names: list[str] = []
+
+
+class Tables(msgspec.Struct):
+    """Both tables at one revision, each row with the revision that last wrote it."""
+
+    revision: Revision = Revision(0)
+    route_by_name: dict[RouteName, Route] = {}
+    pool_by_name: dict[PoolName, Pool] = {}
+    route_version_by_name: dict[RouteName, Revision] = {}
+    pool_version_by_name: dict[PoolName, Revision] = {}
+
+    def apply(self, change: Change) -> "Tables":
+        """Returns the tables with the change applied. Does not check the join."""
+        routes, route_versions = dict(self.route_by_name), dict(self.route_version_by_name)
+        pools, pool_versions = dict(self.pool_by_name), dict(self.pool_version_by_name)
+        rows, versions, row = (
+            (routes, route_versions, change.route)
+            if change.table == "routes"
+            else (pools, pool_versions, change.pool)
+        )
+        if row is None:
+            rows.pop(change.name, None)
+            versions.pop(change.name, None)
+        else:
+            rows[change.name] = row
+            versions[change.name] = change.revision
+        return Tables(change.revision, routes, pools, route_versions, pool_versions)
+
+
+def check_join(
+    route_by_name: Mapping[RouteName, Route], pool_by_name: Mapping[PoolName, Pool]
+) -> Result[None, TableError]:
+    """Checks that each route names a pool that exists."""
+    missing = sorted(r.name for r in route_by_name.values() if r.pool not in pool_by_name)
+    if missing:
+        pools = sorted({route_by_name[RouteName(name)].pool for name in missing})
+        return Err(TableError(f"no such pool: {', '.join(pools)}", list(missing)))
+    return Ok(None)
--- /dev/null
+++ b/hornbeamramp/upstreams/_mapping.py
@@ -0,0 +1,7 @@
+"""Upstream adapters shipped with the package."""
+
+__all__ = ["PLUGINS"]
+
+PLUGINS = {
+    "HttpUpstream": ("hornbeamramp.upstreams.http", "http", ("worker",)),
+}
