--- /dev/null
+++ b/hornbeamramp/http_client.py
@@ -0,0 +1,261 @@
+"""HTTP/1.1 client for one address, used by the HTTP adapters of upstreams and the platform.
+
+Connections that stop answering while new ones work are met in four ways: TCP keepalive and
+TCP_USER_TIMEOUT end a connection whose peer acknowledges nothing; a connection idle for longer
+than the idle limit is never reused; after a failed request all pooled connections are given up, so
+the next request opens a new one; and no request is ever repeated by the library.
+"""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable, Mapping
+from datetime import timedelta
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import hdrs, payload
+
+from hornbeamramp.clock import Clock
+
+__all__ = ["HttpClient", "HttpReply", "RequestFailedError"]
+
+# Connections of the stand-ins and of common servers stay open for longer than this when idle.
+IDLE_LIMIT = timedelta(seconds=5)
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_INTERVAL_SECONDS = 2
+KEEPALIVE_PROBES = 3
+
+
+class HttpReply(msgspec.Struct, frozen=True):
+    """A complete answer. Header names are case-insensitive."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class RequestFailedError(Exception):
+    """No complete answer. ``sent`` is false only if no byte of the request was written."""
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class _NotAllowedError(Exception):
+    """The caller's check returned false."""
+
+
+class _DisconnectedError(Exception):
+    """The connection closed before the answer."""
+
+
+class _Attempt:
+    """State of one request: whether it was written, and the check that precedes the write."""
+
+    def __init__(self, check: Callable[[], bool] | None) -> None:
+        self.sent = False
+        self.allowed = True
+        self._check = check
+
+    def confirm(self) -> None:
+        """Runs the check. Raises `_NotAllowedError` if it returns false."""
+        if self._check is not None and not self._check():
+            self.allowed = False
+            raise _NotAllowedError
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest,
+    handler: Callable[[aiohttp.ClientRequest], Awaitable[aiohttp.ClientResponse]],
+) -> aiohttp.ClientResponse:
+    """Client middleware that keeps the library from sending a request twice.
+
+    aiohttp sends GET, PUT and DELETE again if a reused connection closes before the answer. The
+    first one may have taken effect, so a compare-and-swap would then report a conflict with its
+    own write. The library does not repeat on an error of another type.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _DisconnectedError(_describe(error)) from error
+
+
+class _CheckedBody(payload.BytesPayload):
+    """Request body that runs the attempt's check right before headers and body are written."""
+
+    def __init__(self, body: bytes, attempt: _Attempt, content_type: str) -> None:
+        super().__init__(body, content_type=content_type)
+        self._attempt = attempt
+
+    async def write_with_length(self, writer: Any, content_length: int | None) -> None:
+        # The library holds the headers back until the first part of the body is written.
+        self._attempt.confirm()
+        self._attempt.sent = True
+        await writer.write(self._value)
+
+
+class HttpClient:
+    """Requests to one address over pooled connections.
+
+    `address`
+        ``ip:port`` of the server.
+    `timeout`
+        Longest time for a whole exchange, connecting included.
+    `clock`
+        Measures idle time. Its boot time goes on while the VM is suspended, unlike the time by
+        which the library expires idle connections.
+    """
+
+    def __init__(self, address: str, timeout: timedelta, clock: Clock) -> None:
+        self.address = address
+        self._timeout = timeout
+        self._clock = clock
+        self._session: aiohttp.ClientSession | None = None
+        self._retired: set[aiohttp.ClientSession] = set()
+        self._pending_by_session: dict[aiohttp.ClientSession, int] = {}
+        self._last_used = clock.boot_time()
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        wait: timedelta = timedelta(0),
+        check: Callable[[], bool] | None = None,
+        content_type: str = "application/json",
+    ) -> HttpReply:
+        """Sends one request and returns the complete answer, whatever its status.
+
+        ``path`` includes the query and is already percent-encoded. ``wait`` is added to the
+        timeout for requests that the server holds back. ``check`` needs a body; it is called
+        once connected, right before the request is handed to the transport, and the request is
+        not sent if it returns false. Raises `RequestFailedError`.
+        """
+        if check is not None and body is None:
+            raise ValueError("a request with a check needs a body")
+        attempt = _Attempt(check)
+        session = self._take_session()
+        limit = (self._timeout + wait).total_seconds()
+        try:
+            async with asyncio.timeout(limit):
+                return await self._exchange(
+                    session, attempt, method, path, body, headers, content_type
+                )
+        except TimeoutError as error:
+            self._retire(session)
+            raise RequestFailedError(f"no answer within {limit:.3f} s", attempt.sent) from error
+        except (aiohttp.ClientError, OSError, _DisconnectedError) as error:
+            self._retire(session)
+            message = "no longer allowed to send" if not attempt.allowed else _describe(error)
+            raise RequestFailedError(message, attempt.sent) from error
+        finally:
+            await self._release(session)
+
+    async def close(self) -> None:
+        """Closes all connections. Pending requests fail."""
+        sessions = {self._session, *self._retired} - {None}
+        self._session = None
+        self._retired.clear()
+        for session in sessions:
+            await session.close()
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        attempt: _Attempt,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+        content_type: str,
+    ) -> HttpReply:
+        data = None if body is None else _CheckedBody(body, attempt, content_type)
+        async with session.request(
+            method,
+            f"http://{self.address}{path}",
+            data=data,
+            headers={hdrs.ACCEPT_ENCODING: "identity", **(headers or {})},
+            allow_redirects=False,
+            middlewares=(_send_once,),
+            trace_request_ctx=attempt if data is None else None,
+        ) as response:
+            received = bytearray()
+            async for part in response.content.iter_any():
+                received += part
+                if len(received) > ANSWER_LIMIT_BYTES:
+                    raise aiohttp.ClientPayloadError(
+                        f"answer is larger than {ANSWER_LIMIT_BYTES} bytes"
+                    )
+            return HttpReply(response.status, response.headers, bytes(received))
+
+    def _take_session(self) -> aiohttp.ClientSession:
+        now = self._clock.boot_time()
+        if self._session is not None and now - self._last_used > IDLE_LIMIT:
+            self._retire(self._session)
+        self._last_used = now
+        if self._session is None:
+            self._session = self._open_session()
+        self._pending_by_session[self._session] = self._pending_by_session.get(self._session, 0) + 1
+        return self._session
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=IDLE_LIMIT.total_seconds(),
+            socket_factory=self._open_socket,
+        )
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_note_headers_sent)
+        return aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+            trace_configs=[trace],
+        )
+
+    def _open_socket(self, address: tuple[Any, ...]) -> socket.socket:
+        family, kind, protocol, _, _ = address
+        sock = socket.socket(family, kind, protocol)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        limit_ms = max(int(self._timeout.total_seconds() * 1000), 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+        return sock
+
+    def _retire(self, session: aiohttp.ClientSession) -> None:
+        """Takes no further requests on the session's connections; pending ones go on."""
+        if self._session is session:
+            self._session = None
+            self._retired.add(session)
+
+    async def _release(self, session: aiohttp.ClientSession) -> None:
+        left = self._pending_by_session[session] - 1
+        if left:
+            self._pending_by_session[session] = left
+            return
+        del self._pending_by_session[session]
+        if session in self._retired:
+            self._retired.discard(session)
+            await session.close()
+
+
+async def _note_headers_sent(
+    session: aiohttp.ClientSession, context: Any, params: aiohttp.TraceRequestHeadersSentParams
+) -> None:
+    # Requests with a body write their headers together with it and note that themselves.
+    attempt = context.trace_request_ctx
+    if attempt is not None:
+        attempt.sent = True
+
+
+def _describe(error: Exception) -> str:
+    if isinstance(error, _DisconnectedError):
+        return str(error)
+    return f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
