--- a/hornbeamramp/standins/serving.py
+++ b/hornbeamramp/standins/serving.py
@@ -42,12 +42,20 @@
         The aiohttp application.
     `address`
         ``ip:port``; port 0 takes a free one. `address` holds the real one after `start`.
+    `cancel_handlers`
+        Whether a handler is cancelled when its client disconnects (default: false).
     """
 
-    def __init__(self, application: web.Application, address: str) -> None:
+    def __init__(
+        self, application: web.Application, address: str, cancel_handlers: bool = False
+    ) -> None:
         self._host, self._port = split_address(address)
         self._runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS, keepalive_timeout=75
+            application,
+            access_log=None,
+            handler_cancellation=cancel_handlers,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            keepalive_timeout=75,
         )
         self.address = address
 
--- /dev/null
+++ b/hornbeamramp/standins/worker_task.py
@@ -0,0 +1,139 @@
+"""One task of the simulated worker: its progress, lease and simulated behaviour."""
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+
+from hornbeamramp.ids import Epoch
+from hornbeamramp.resources import Resources
+from hornbeamramp.states import TaskState
+from hornbeamramp.upstreams.base import ListedTask, StartRequest, UsageReport
+
+__all__ = ["Simulation", "WorkerTask", "read_simulation"]
+
+
+class Simulation(msgspec.Struct, frozen=True):
+    """How a task really behaves. ``run`` is on speed 1.0; ``None`` takes the declared run."""
+
+    run: timedelta | None
+    usage: Resources
+    fails: bool = False
+
+
+class _SimulateField(msgspec.Struct, frozen=True):
+    run_ms: float | None = None
+    usage: Resources | None = None
+    fails: bool = False
+
+
+class _SimulatedPayload(msgspec.Struct, frozen=True):
+    simulate: _SimulateField
+
+
+def read_simulation(payload: bytes, declared: Resources) -> Simulation:
+    """Returns how a task with this payload behaves.
+
+    A payload that is a JSON object with a field ``simulate`` (``run_ms`` in milliseconds on
+    speed 1.0, ``usage`` as resources, ``fails``) departs from the declared values; any other
+    payload behaves as declared.
+    """
+    if b'"simulate"' not in payload:
+        return Simulation(None, declared)
+    try:
+        field = msgspec.json.decode(payload, type=_SimulatedPayload).simulate
+    except (msgspec.ValidationError, msgspec.DecodeError):
+        return Simulation(None, declared)
+    run = None if field.run_ms is None else timedelta(milliseconds=field.run_ms)
+    return Simulation(run, field.usage or declared, field.fails)
+
+
+class WorkerTask:
+    """A task under a lease. Work is measured as run time on speed 1.0."""
+
+    def __init__(
+        self, request: StartRequest, simulation: Simulation, speed: float, now: timedelta
+    ) -> None:
+        self.request = request
+        self.state = TaskState.RUNNING
+        self.resources = request.resources
+        self.started_at = now
+        self.ended_at: timedelta | None = None
+        self.ended = asyncio.Event()
+        self._simulation = simulation
+        self._speed = speed
+        self._work = request.run if simulation.run is None else simulation.run
+        self._lease_ends = now + request.lease
+        self._renewed_at = now
+        self._epoch = request.labels.epoch
+        # Time, work done by then and rate from then on, for each change of the rate.
+        self._phases: list[tuple[timedelta, timedelta, float]] = [(now, timedelta(0), speed)]
+
+    def ends_at(self) -> timedelta:
+        """Returns the boot time at which the task ends by itself or its lease does."""
+        return min(self._finishes_at(), self._lease_ends)
+
+    def natural_end(self) -> tuple[TaskState, str]:
+        """Returns state and reason of the end at `ends_at`."""
+        if self._lease_ends < self._finishes_at():
+            return TaskState.STOPPED, "lease"
+        if self._simulation.fails:
+            return TaskState.FAILED, "failed"
+        return TaskState.SUCCEEDED, "finished"
+
+    def end(self, at: timedelta, state: TaskState) -> None:
+        """Marks the task as ended and wakes those who wait for it."""
+        self.state = state
+        self.ended_at = at
+        self.ended.set()
+
+    def renew(self, now: timedelta, lease: timedelta, epoch: Epoch) -> None:
+        """Lets the lease run for ``lease`` from now on."""
+        self._lease_ends = now + lease
+        self._renewed_at = now
+        self._epoch = max(self._epoch, epoch)
+
+    def throttle(self, now: timedelta, resources: Resources) -> None:
+        """Changes the allocation; the task's rate changes in proportion to its processors."""
+        declared = self.request.resources.processors_milli
+        share = resources.processors_milli / declared if declared else 1.0
+        self._phases.append((now, self._work_at(now), self._speed * share))
+        self.resources = resources
+
+    def listed(self, now: timedelta, labelled: bool) -> ListedTask:
+        """Returns the row of the task list; an ended task has no lease left."""
+        left = self._lease_ends - now if self.state is TaskState.RUNNING else timedelta(0)
+        labels = msgspec.structs.replace(self.request.labels, epoch=self._epoch)
+        return ListedTask(
+            self.request.attempt_id,
+            self.state,
+            self.resources,
+            left,
+            now - self._renewed_at,
+            labels if labelled else None,
+        )
+
+    def was_running(self, at: timedelta) -> bool:
+        """Tells whether the task ran at the boot time ``at``."""
+        return self.started_at <= at and (self.ended_at is None or at < self.ended_at)
+
+    def usage(self, at: timedelta) -> UsageReport:
+        """Returns use and progress (0 to 1) at the boot time ``at``."""
+        standing = self.request.standing or not self._work
+        progress = 0.0 if standing else min(self._work_at(at) / self._work, 1.0)
+        return UsageReport(self.request.attempt_id, self._simulation.usage, progress)
+
+    def _finishes_at(self) -> timedelta:
+        since, done, rate = self._phases[-1]
+        never = timedelta.max
+        if self.request.standing and not self._simulation.fails:
+            return never
+        return since + max(self._work - done, timedelta(0)) / rate if rate > 0 else never
+
+    def _work_at(self, at: timedelta) -> timedelta:
+        phase = self._phases[0]
+        for candidate in self._phases:
+            if candidate[0] <= at:
+                phase = candidate
+        since, done, rate = phase
+        return done + max(at - since, timedelta(0)) * rate
--- a/hornbeamramp/upstreams/base.py
+++ b/hornbeamramp/upstreams/base.py
@@ -1,6 +1,7 @@
 """Contract of upstream adapters."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
 
@@ -106,8 +107,16 @@
         """Returns running tasks and those that ended recently."""
 
     @abstractmethod
-    async def start(self, request: StartRequest) -> StartReply:
-        """Starts a task. The same attempt id again is answered without a second start."""
+    async def start(
+        self, request: StartRequest, *, check: Callable[[], bool] | None = None
+    ) -> StartReply:
+        """Starts a task. The same attempt id again is answered without a second start.
+
+        ``check`` tells whether the caller may still start work. It is called as late as possible
+        before the request is written, and must not block; if it returns false nothing is sent and
+        `UnreachableError` is raised with ``sent`` false. Adapters say in their docstring what
+        remains between the check and the write.
+        """
 
     @abstractmethod
     async def result(self, attempt_id: AttemptId, wait: timedelta) -> TaskResult | TaskState | None:
--- /dev/null
+++ b/hornbeamramp/upstreams/wire.py
@@ -0,0 +1,115 @@
+"""Messages of the upstream protocol: JSON over HTTP. Durations are whole milliseconds, payloads
+base64. Shared by the adapter and the stand-in.
+"""
+
+from datetime import timedelta
+
+import msgspec
+
+from hornbeamramp.ids import AttemptId, Epoch, ShardId, UpstreamId
+from hornbeamramp.resources import Resources
+from hornbeamramp.states import TaskState
+from hornbeamramp.upstreams.base import StartReply, TaskLabels
+
+__all__ = [
+    "TIME_HEADER",
+    "FenceBody",
+    "RenewalBody",
+    "RenewalReply",
+    "ResultReply",
+    "StartBody",
+    "StartReplyBody",
+    "StopReply",
+    "TaskRow",
+    "TasksReply",
+    "from_ms",
+    "to_ms",
+]
+
+# Upstream's wall-clock time in milliseconds since 1970, on every answer. Senders need it to state
+# `StartBody.not_after_at_ms` in the upstream's own time.
+TIME_HEADER = "Upstream-Time-Ms"
+
+
+def to_ms(duration: timedelta) -> int:
+    """Returns the duration in whole milliseconds, rounded down."""
+    return duration // timedelta(milliseconds=1)
+
+
+def from_ms(milliseconds: int) -> timedelta:
+    """Returns a duration of whole milliseconds."""
+    return timedelta(milliseconds=milliseconds)
+
+
+class StartBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of ``PUT /v1/tasks/{attempt}``.
+
+    `not_after_at_ms`
+        Time by the upstream's wall clock, in milliseconds since 1970, after which the task must
+        not start.
+    """
+
+    payload: bytes
+    resources: Resources
+    lease_ms: int
+    run_ms: int
+    not_after_at_ms: int
+    labels: TaskLabels
+    standing: bool = False
+
+
+class StartReplyBody(msgspec.Struct, frozen=True):
+    """Answer to a start: status 200 if started, else 409."""
+
+    reply: StartReply
+
+
+class TaskRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A row of ``GET /v1/tasks``."""
+
+    attempt_id: AttemptId
+    state: TaskState
+    resources: Resources
+    lease_left_ms: int
+    renewed_ago_ms: int
+    labels: TaskLabels | None = None
+
+
+class TasksReply(msgspec.Struct, frozen=True):
+    tasks: list[TaskRow]
+
+
+class ResultReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to ``GET /v1/tasks/{attempt}``. The last three fields belong to a succeeded task."""
+
+    attempt_id: AttemptId
+    upstream_id: UpstreamId
+    state: TaskState
+    payload: bytes = b""
+    length: int = 0
+    digest: str = ""
+
+
+class RenewalBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/renewals``."""
+
+    attempts: list[AttemptId]
+    epoch: Epoch
+    lease_ms: int
+
+
+class RenewalReply(msgspec.Struct, frozen=True):
+    renewed: list[AttemptId]
+
+
+class StopReply(msgspec.Struct, frozen=True):
+    """Answer to ``DELETE /v1/tasks/{attempt}``; status 404 without a state if it is unknown."""
+
+    state: TaskState
+
+
+class FenceBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/fence``. Status 501 if the upstream can't fence."""
+
+    shard: ShardId
+    epoch: Epoch
