--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -92,6 +92,8 @@
 
     async def write_with_length(self, writer: Any, content_length: int | None) -> None:
         # The library holds the headers back until the first part of the body is written.
+        if writer.transport is None or writer.transport.is_closing():
+            raise ConnectionResetError("the connection closed before the request was written")
         self._attempt.confirm()
         self._attempt.sent = True
         await writer.write(self._value)
@@ -149,9 +151,10 @@
             self._retire(session)
             raise RequestFailedError(f"no answer within {limit:.3f} s", attempt.sent) from error
         except (aiohttp.ClientError, OSError, _DisconnectedError) as error:
+            if not attempt.allowed:
+                raise RequestFailedError("no longer allowed to send", attempt.sent) from error
             self._retire(session)
-            message = "no longer allowed to send" if not attempt.allowed else _describe(error)
-            raise RequestFailedError(message, attempt.sent) from error
+            raise RequestFailedError(_describe(error), attempt.sent) from error
         finally:
             await self._release(session)
 
--- a/hornbeamramp/standins/platform.py
+++ b/hornbeamramp/standins/platform.py
@@ -5,12 +5,12 @@
 (body `PlatformFaults`, replaces all faults) and ``GET /v1/calls``.
 """
 
-import argparse
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
+import cyclopts
 import msgspec
 from aiohttp import web
 
@@ -284,12 +284,16 @@
     await server.stop()
 
 
-def main() -> None:
-    """Runs the stand-in platform until SIGTERM."""
-    parser = argparse.ArgumentParser(prog="python -m hornbeamramp.standins.platform")
-    parser.add_argument("--address", required=True, help="ip:port; port 0 takes a free one")
-    asyncio.run(_serve(parser.parse_args().address))
+def main(*, address: str) -> None:
+    """Run the stand-in platform until SIGTERM.
+
+    Parameters
+    ----------
+    address
+        ip:port to listen on; port 0 takes a free one.
+    """
+    asyncio.run(_serve(address))
 
 
 if __name__ == "__main__":
-    main()
+    cyclopts.run(main)
--- a/hornbeamramp/standins/upstream.py
+++ b/hornbeamramp/standins/upstream.py
@@ -11,12 +11,12 @@
 ``none``), ``usage_lag_ms``.
 """
 
-import argparse
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any, TypeVar
 
+import cyclopts
 import msgspec
 from aiohttp import web
 
@@ -282,14 +282,16 @@
     await asyncio.gather(*(server.stop() for server in servers))
 
 
-def main() -> None:
-    """Runs the stand-in workers until SIGTERM."""
-    parser = argparse.ArgumentParser(prog="python -m hornbeamramp.standins.upstream")
-    parser.add_argument(
-        "--worker", action="append", required=True, help="id=w1,address=127.0.0.1:0,rack=r1,..."
-    )
-    asyncio.run(_serve(parser.parse_args().worker))
+def main(*, worker: list[str]) -> None:
+    """Run stand-in workers until SIGTERM.
+
+    Parameters
+    ----------
+    worker
+        id=w1,address=127.0.0.1:0,rack=r1 and further settings; may be repeated.
+    """
+    asyncio.run(_serve(worker))
 
 
 if __name__ == "__main__":
-    main()
+    cyclopts.run(main)
