--- /dev/null
+++ b/tests/cell.py
@@ -0,0 +1,366 @@
+"""A cell of entry processes in one event loop: network, store access, upstreams and pauses.
+
+All failures are switched on by the test. Time passes only by `ManualClock.advance`.
+"""
+
+import asyncio
+from datetime import timedelta
+
+from hornbeamramp.clock import Clock, ManualClock
+from hornbeamramp.errors import StoreUnavailableError, UnreachableError
+from hornbeamramp.evidence import WitnessReport
+from hornbeamramp.ids import DataCentreId, Epoch, Revision, ShardId, VmId
+from hornbeamramp.membership import Membership
+from hornbeamramp.messages import (
+    AskOwnerRequest,
+    HandOverRequest,
+    Heartbeat,
+    PromiseRequest,
+    ShardBeat,
+)
+from hornbeamramp.ownership import Ownership
+from hornbeamramp.platforms.memory import MemoryPlatform
+from hornbeamramp.settings import PlatformSettings, Settings, TimingSettings
+from hornbeamramp.states import Step
+
+SECOND = timedelta(seconds=1)
+STORE_TIMEOUT = timedelta(seconds=1)
+DC = DataCentreId("gebze")
+SHARD = ShardId("weigh@gebze")
+
+
+class Pause:
+    """Stops a process at its next wait: `passed` returns only while it is not paused."""
+
+    def __init__(self) -> None:
+        self._running = asyncio.Event()
+        self._running.set()
+
+    @property
+    def is_paused(self) -> bool:
+        return not self._running.is_set()
+
+    def pause(self) -> None:
+        self._running.clear()
+
+    def resume(self) -> None:
+        self._running.set()
+
+    async def passed(self) -> None:
+        await self._running.wait()
+
+
+class ProcessClock(Clock):
+    """Clock of one process, which does not wake while the process is paused."""
+
+    def __init__(self, clock: ManualClock, pause: Pause) -> None:
+        self._clock = clock
+        self._pause = pause
+
+    def now(self):
+        return self._clock.now()
+
+    def boot_time(self) -> timedelta:
+        return self._clock.boot_time()
+
+    async def sleep(self, duration: timedelta) -> None:
+        await self._clock.sleep(duration)
+        await self._pause.passed()
+
+
+class StoreAccess:
+    """The store as one process reaches it.
+
+    `cut`
+        Calls get no answer and take no effect.
+    `lose_answers`
+        Number of the next calls that take effect and get no answer.
+    """
+
+    def __init__(self, store: MemoryPlatform, clock: ManualClock, pause: Pause) -> None:
+        self._store = store
+        self._clock = clock
+        self._pause = pause
+        self.cut = False
+        self.lose_answers = 0
+
+    def __getattr__(self, name):
+        method = getattr(self._store, name)
+
+        async def call(*arguments):
+            try:
+                if self.cut:
+                    raise StoreUnavailableError(Step.RENEW, "store", f"{name}: cut off", sent=False)
+                result = await method(*arguments)
+                if name != "watch" and self.lose_answers > 0:
+                    self.lose_answers -= 1
+                    raise StoreUnavailableError(Step.RENEW, "store", f"{name}: answer lost")
+                if self.cut:
+                    raise StoreUnavailableError(Step.RENEW, "store", f"{name}: cut off")
+            except StoreUnavailableError:
+                await self._clock.sleep(STORE_TIMEOUT)
+                await self._pause.passed()
+                raise
+            await self._pause.passed()
+            return result
+
+        return call
+
+
+class Network:
+    """Connects processes by address. Pairs can be cut; messages delayed, doubled or dropped."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self.process_by_address: dict[str, Process] = {}
+        self.cut: set[frozenset[VmId]] = set()
+        self.delay_by_pair: dict[frozenset[VmId], timedelta] = {}
+        self.duplicate = False
+        self.drop_replies: set[frozenset[VmId]] = set()
+
+    async def call(self, sender: "Process", address: str, request, timeout: timedelta, step: Step):
+        target = self.process_by_address.get(address)
+        reply = asyncio.get_running_loop().create_future()
+        delivery = asyncio.ensure_future(self._deliver(sender, target, request, reply))
+        expiry = asyncio.ensure_future(self._clock.sleep(timeout))
+        await asyncio.wait({reply, expiry}, return_when=asyncio.FIRST_COMPLETED)
+        expiry.cancel()
+        await sender.pause.passed()
+        if not reply.done():
+            # The request may still arrive: its delivery is not cancelled.
+            sender.stray.add(delivery)
+            raise UnreachableError(step, address, "no answer in time")
+        return reply.result()
+
+    async def _deliver(self, sender, target, request, reply: asyncio.Future) -> None:
+        if target is None:
+            return
+        pair = frozenset((sender.vm, target.vm))
+        if pair in self.cut:
+            return
+        for _ in range(2 if self.duplicate else 1):
+            await self._clock.sleep(self.delay_by_pair.get(pair, timedelta(0)))
+            await target.pause.passed()
+            if not target.is_running:
+                return
+            answer = await target.handle(request)
+            await target.pause.passed()
+            if pair not in self.cut and pair not in self.drop_replies and not reply.done():
+                reply.set_result(answer)
+
+
+class Peers:
+    """Caller of peers for one process."""
+
+    def __init__(self, network: Network, process: "Process") -> None:
+        self._network = network
+        self._process = process
+
+    async def call(self, address: str, request, timeout: timedelta, step: Step):
+        return await self._network.call(self._process, address, request, timeout, step)
+
+
+class Upstreams:
+    """Upstreams of all shards, as `ShardWitness` for each process.
+
+    `fences`, `labelled`
+        Whether they support fences and show labels.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self.fences = True
+        self.labelled = True
+        self.all_answered = True
+        self.fence_by_shard: dict[ShardId, Epoch] = {}
+        self.renewed_at_by_epoch: dict[Epoch, timedelta] = {}
+        self.calls = 0
+
+    async def observe(self, shard: ShardId) -> WitnessReport:
+        self.calls += 1
+        await asyncio.sleep(0)
+        now = self._clock.boot_time()
+        return WitnessReport(
+            highest_epoch=max(self.renewed_at_by_epoch, default=Epoch(0)),
+            since_renewal_by_epoch={e: now - t for e, t in self.renewed_at_by_epoch.items()},
+            all_answered=self.all_answered,
+            all_labelled=self.labelled,
+            answered=1,
+        )
+
+    async def fence(self, shard: ShardId, epoch: Epoch) -> bool:
+        self.calls += 1
+        await asyncio.sleep(0)
+        if not self.fences or epoch < self.fence_by_shard.get(shard, Epoch(0)):
+            return False
+        self.fence_by_shard[shard] = epoch
+        return True
+
+
+class Witness:
+    """The upstreams as one process reaches them; its calls end only while it is not paused."""
+
+    def __init__(self, upstreams: Upstreams, pause: Pause) -> None:
+        self._upstreams = upstreams
+        self._pause = pause
+
+    async def observe(self, shard: ShardId) -> WitnessReport:
+        report = await self._upstreams.observe(shard)
+        await self._pause.passed()
+        return report
+
+    async def fence(self, shard: ShardId, epoch: Epoch) -> bool:
+        fenced = await self._upstreams.fence(shard, epoch)
+        await self._pause.passed()
+        return fenced
+
+
+class Process:
+    """One entry process: membership and ownership, wired as `entry.py` does."""
+
+    def __init__(self, cell: "Cell", name: str, data_centre: DataCentreId, size: float) -> None:
+        self.vm = VmId(name)
+        self.cell = cell
+        self.pause = Pause()
+        self.stray: set[asyncio.Future] = set()
+        self.is_running = True
+        self.revision = Revision(1)
+        self.events: list[tuple] = []
+        self.clock = ProcessClock(cell.clock, self.pause)
+        self.store = StoreAccess(cell.store, cell.clock, self.pause)
+        settings = Settings(
+            vm=self.vm,
+            data_centre=data_centre,
+            caller_address=f"{name}:80",
+            peer_address=f"{name}:90",
+            platform=PlatformSettings(address="memory"),
+            size=size,
+            timing=cell.timing,
+        )
+        peers = Peers(cell.network, self)
+        self.membership = Membership(settings, self.store, peers, self.clock, self._content)
+        self.ownership = Ownership(
+            self.membership,
+            self.store,
+            peers,
+            self.clock,
+            cell.timing,
+            lambda: [s for s in cell.shards if s.endswith("@" + data_centre)],
+            self._gained,
+            self._lost,
+            Witness(cell.upstreams, self.pause) if cell.upstreams else None,
+        )
+        cell.network.process_by_address[f"{name}:90"] = self
+        self._tasks = [
+            asyncio.ensure_future(self.membership.run()),
+            asyncio.ensure_future(self.ownership.run()),
+        ]
+
+    def _content(self) -> tuple[Revision, dict[ShardId, ShardBeat]]:
+        beats = {s: ShardBeat(e, True) for s, e in self.ownership.owned.items()}
+        return self.revision, beats
+
+    async def _gained(self, shard: ShardId, epoch: Epoch) -> None:
+        self.events.append(("gained", shard, epoch))
+
+    async def _lost(self, shard: ShardId) -> None:
+        self.events.append(("lost", shard))
+
+    async def handle(self, request):
+        match request:
+            case Heartbeat():
+                return self.membership.on_heartbeat(request)
+            case AskOwnerRequest():
+                return self.ownership.on_ask_owner(request)
+            case PromiseRequest():
+                return self.ownership.on_promise(request)
+            case HandOverRequest():
+                return await self.ownership.on_hand_over(request)
+        raise AssertionError(f"unexpected request {request!r}")
+
+    def may_start(self, shard: ShardId = SHARD) -> bool:
+        """What the process would find if it ran now. A paused process may check on resumption."""
+        return self.is_running and self.ownership.may_start(shard)
+
+    def kill(self) -> None:
+        self.is_running = False
+        for task in self._tasks:
+            task.cancel()
+        self.pause.resume()
+
+    def failures(self) -> list[BaseException]:
+        """Returns the errors that ended one of the process's main tasks."""
+        return [
+            t.exception() for t in self._tasks if t.done() and not t.cancelled() and t.exception()
+        ]
+
+
+class Cell:
+    """Processes, their store, network and upstreams."""
+
+    def __init__(self, clock: ManualClock, store: MemoryPlatform, witness: bool = True) -> None:
+        self.clock = clock
+        self.store = store
+        self.timing = TimingSettings()
+        self.network = Network(clock)
+        self.upstreams = Upstreams(clock) if witness else None
+        self.shards = [SHARD]
+        self.process_by_vm: dict[VmId, Process] = {}
+        self.killed: list[Process] = []
+
+    def start(self, name: str, data_centre: DataCentreId = DC, size: float = 1.0) -> Process:
+        """Starts a process; one of the same name must have been killed before."""
+        process = Process(self, name, data_centre, size)
+        self.process_by_vm[process.vm] = process
+        return process
+
+    def kill(self, name: str) -> None:
+        process = self.process_by_vm.pop(VmId(name))
+        process.kill()
+        self.killed.append(process)
+
+    def cut(self, *names: str) -> None:
+        self.network.cut.add(frozenset(names))
+
+    def heal(self) -> None:
+        self.network.cut.clear()
+        for process in self.process_by_vm.values():
+            process.store.cut = False
+
+    def serving(self, shard: ShardId = SHARD) -> list[VmId]:
+        """Returns the processes that may start work of the shard now."""
+        return [vm for vm, p in self.process_by_vm.items() if p.may_start(shard)]
+
+    def owners(self, shard: ShardId = SHARD) -> list[VmId]:
+        return [vm for vm, p in self.process_by_vm.items() if shard in p.ownership.owned]
+
+    async def advance(self, duration: timedelta, step: timedelta = SECOND / 10) -> None:
+        """Advances the clock and checks at each step that at most one process may start work."""
+        left = duration
+        while left > timedelta(0):
+            await self.clock.advance(min(step, left))
+            left -= step
+            self.check()
+
+    async def wait_until_served(self, limit: timedelta, shard: ShardId = SHARD) -> timedelta:
+        """Advances until a process may start work. Fails after ``limit``."""
+        began = self.clock.boot_time()
+        while not self.serving(shard):
+            assert self.clock.boot_time() - began < limit, f"{shard} not served within {limit}"
+            await self.advance(SECOND / 10)
+        return self.clock.boot_time() - began
+
+    def check(self) -> None:
+        for shard in self.shards:
+            serving = self.serving(shard)
+            assert len(serving) <= 1, f"{serving} may all start work of {shard}"
+        for process in self.process_by_vm.values():
+            assert not process.failures()
+
+    async def stop(self) -> None:
+        for process in list(self.process_by_vm.values()):
+            process.kill()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
