--- /dev/null
+++ b/hornbeamramp/admin_client.py
@@ -0,0 +1,86 @@
+"""Client of the admin API, used by the command line."""
+
+from typing import Any
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+__all__ = ["AdminClient", "AdminProblem"]
+
+TIMEOUT_S = 20.0
+
+
+class AdminProblem(msgspec.Struct, frozen=True):
+    """A refusal of the admin API, or that it did not answer (status 0)."""
+
+    status: int
+    detail: str
+    body: dict[str, Any] = {}
+
+
+class AdminClient:
+    """Calls the admin API of one entry VM.
+
+    `base_url`
+        For instance ``http://10.0.0.5:8082``.
+    `token`
+        Bearer token.
+    """
+
+    def __init__(self, base_url: str, token: str) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._headers = {"Authorization": f"Bearer {token}"}
+
+    async def list_rows(self, table: str) -> Result[dict[str, Any], AdminProblem]:
+        return await self._request("GET", f"/v1/{table}")
+
+    async def get_row(self, table: str, name: str) -> Result[dict[str, Any], AdminProblem]:
+        return await self._request("GET", f"/v1/{table}/{name}")
+
+    async def put_row(
+        self, table: str, name: str, row: dict[str, Any], version: int | None
+    ) -> Result[dict[str, Any], AdminProblem]:
+        """Writes a row. ``version`` is the one to replace, ``None`` to create the row."""
+        headers = _precondition(version)
+        return await self._request("PUT", f"/v1/{table}/{name}", row, headers)
+
+    async def delete_row(
+        self, table: str, name: str, version: int
+    ) -> Result[dict[str, Any], AdminProblem]:
+        return await self._request("DELETE", f"/v1/{table}/{name}", None, _precondition(version))
+
+    async def status(self) -> Result[dict[str, Any], AdminProblem]:
+        return await self._request("GET", "/v1/status")
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Result[dict[str, Any], AdminProblem]:
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(
+                    method,
+                    self._base_url + path,
+                    json=body,
+                    headers={**self._headers, **(headers or {})},
+                ) as response,
+            ):
+                document = msgspec.json.decode(await response.read(), type=dict[str, Any])
+                if response.status >= 400:
+                    detail = str(document.get("detail", response.reason))
+                    return Err(AdminProblem(response.status, detail, document))
+                return Ok(document)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(AdminProblem(0, f"{self._base_url}: {error!r}"))
+        except msgspec.MsgspecError as error:
+            return Err(AdminProblem(0, f"{self._base_url}: not a JSON document: {error}"))
+
+
+def _precondition(version: int | None) -> dict[str, str]:
+    return {"If-None-Match": "*"} if version is None else {"If-Match": f'"{version}"'}
--- /dev/null
+++ b/hornbeamramp/caller_api.py
@@ -0,0 +1,289 @@
+"""HTTP API for callers: submit, look up and cancel jobs."""
+
+import base64
+from collections.abc import Callable
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any
+
+import logbook
+import msgspec
+from opentelemetry import propagate, trace
+from sanic import HTTPResponse, Request, Sanic
+from sanic import json as json_response
+from sanic.exceptions import NotFound, PayloadTooLarge, SanicException
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.errors import SchedulerError
+from hornbeamramp.forwarding import Forwarder
+from hornbeamramp.http_server import new_app
+from hornbeamramp.ids import JobId, RouteName, TeamId
+from hornbeamramp.jobs import (
+    BatchJob,
+    Completed,
+    GangJob,
+    Job,
+    NotRun,
+    Outcome,
+    ServiceJob,
+    TaskResult,
+    Unknown,
+)
+from hornbeamramp.problems import not_run_response, problem, unknown_response
+from hornbeamramp.resources import Resources
+from hornbeamramp.settings import Settings
+from hornbeamramp.states import JobKind, JobState, RefusalReason
+from hornbeamramp.tables import Route, Tables
+from hornbeamramp.telemetry import Metrics
+
+__all__ = ["JobBody", "RequestCount", "caller_app"]
+
+KEY_LIMIT = 200
+JOB_TYPE_BY_KIND = {
+    JobKind.BATCH: BatchJob,
+    JobKind.SERVICE: ServiceJob,
+    JobKind.GANG: GangJob,
+}
+
+_log = logbook.Logger("entry")
+_tracer = trace.get_tracer(__name__)
+
+
+class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/jobs``. What is left out is taken from the route.
+
+    `payload`
+        Any JSON value; passed to the upstream as it is.
+    `deadline_ms`
+        Time in milliseconds after which the job is not started any more.
+    """
+
+    route: RouteName
+    payload: msgspec.Raw = msgspec.Raw(b"null")
+    resources: Resources | None = None
+    tasks: int = 1
+    deadline_ms: int | None = None
+    idempotent: bool | None = None
+    team: TeamId = TeamId("default")
+    run_ms: int | None = None
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.tasks <= 1000:
+            raise ValueError("tasks must be from 1 to 1000")
+        if self.deadline_ms is not None and self.deadline_ms <= 0:
+            raise ValueError("deadline_ms must be more than 0")
+        if self.run_ms is not None and self.run_ms <= 0:
+            raise ValueError("run_ms must be more than 0")
+
+
+class RequestCount:
+    """Number of submits in flight."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
+def caller_app(
+    settings: Settings,
+    clock: Clock,
+    metrics: Metrics,
+    forwarder: Forwarder,
+    tables: Callable[[], Tables],
+    is_ready: Callable[[], bool],
+    refuses: Callable[[], bool],
+) -> tuple[Sanic, RequestCount]:
+    """Returns the application of the listener for callers and its count of submits in flight.
+
+    `is_ready`
+        Whether the balancer may send requests here.
+    `refuses`
+        Whether new jobs are turned away because the process shuts down.
+    """
+    app = new_app(f"callers-{settings.vm}", settings.limits)
+    api = _CallerApi(settings, clock, metrics, forwarder, tables, is_ready, refuses)
+    app.add_route(api.submit, "/v1/jobs", methods=["POST"])
+    app.add_route(api.get, "/v1/jobs/<job_id:str>", methods=["GET"])
+    app.add_route(api.cancel, "/v1/jobs/<job_id:str>", methods=["DELETE"])
+    app.add_route(api.live, "/livez")
+    app.add_route(api.ready, "/readyz")
+    app.error_handler.add(Exception, _on_exception)
+    return app, api.requests
+
+
+class _CallerApi:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        metrics: Metrics,
+        forwarder: Forwarder,
+        tables: Callable[[], Tables],
+        is_ready: Callable[[], bool],
+        refuses: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._forwarder = forwarder
+        self._tables = tables
+        self._is_ready = is_ready
+        self._refuses = refuses
+        self.requests = RequestCount()
+
+    async def submit(self, request: Request) -> HTTPResponse:
+        """``POST /v1/jobs``."""
+        if self._refuses():
+            return _refusal(RefusalReason.SHUTTING_DOWN, "this VM is shutting down", 1)
+        if self.requests.count >= self._settings.limits.waiting_requests:
+            return _refusal(RefusalReason.OVERLOAD, "too many requests wait on this VM", 1)
+        self.requests.count += 1
+        started_at = self._clock.boot_time()
+        parent = propagate.extract(dict(request.headers))
+        try:
+            with _tracer.start_as_current_span("caller request", context=parent) as span:
+                response, label, route = await self._submit(request)
+                span.set_attribute("outcome", label)
+        finally:
+            self.requests.count -= 1
+        self._metrics.requests.add(1, {"route": route, "outcome": label})
+        elapsed = self._clock.boot_time() - started_at
+        self._metrics.request_time.record(elapsed.total_seconds(), {"route": route})
+        if self._refuses():
+            # The connection must not be reused for a request that would be turned away.
+            response.headers["Connection"] = "close"
+        return response
+
+    async def get(self, request: Request, job_id: str) -> HTTPResponse:
+        """``GET /v1/jobs/{id}``."""
+        reply = await self._forwarder.get_job(JobId(job_id))
+        return _job_response(JobId(job_id), reply.state, reply.outcome)
+
+    async def cancel(self, request: Request, job_id: str) -> HTTPResponse:
+        """``DELETE /v1/jobs/{id}``."""
+        reply = await self._forwarder.cancel(JobId(job_id))
+        if reply.state is None:
+            return problem(HTTPStatus.NOT_FOUND, f"no job {job_id}")
+        return json_response({"id": job_id, "state": reply.state.value}, status=HTTPStatus.ACCEPTED)
+
+    async def live(self, request: Request) -> HTTPResponse:
+        """``GET /livez``."""
+        return json_response({"live": True})
+
+    async def ready(self, request: Request) -> HTTPResponse:
+        """``GET /readyz``."""
+        ready = self._is_ready()
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return json_response({"ready": ready}, status=status)
+
+    async def _submit(self, request: Request) -> tuple[HTTPResponse, str, str]:
+        """Returns the response, the outcome's label and the route for the metrics."""
+        try:
+            body = msgspec.json.decode(request.body, type=JobBody)
+        except msgspec.MsgspecError as error:
+            return _refusal(RefusalReason.MALFORMED, str(error)), "not_run", ""
+        key = request.headers.get("idempotency-key")
+        if key is not None and not 1 <= len(key) <= KEY_LIMIT:
+            detail = f"Idempotency-Key must have from 1 to {KEY_LIMIT} characters"
+            return _refusal(RefusalReason.MALFORMED, detail), "not_run", ""
+        tables = self._tables()
+        route = tables.route_by_name.get(body.route)
+        if route is None:
+            detail = f"no route named {body.route!r}"
+            return _refusal(RefusalReason.UNKNOWN_ROUTE, detail), "not_run", ""
+        respond_async = "respond-async" in request.headers.get("prefer", "")
+        job = _job(body, route, key, respond_async)
+        reply = await self._forwarder.submit(job, tables.pool_by_name[route.pool])
+        if reply.accepted is not None:
+            return _accepted(reply.accepted), "accepted", route.name
+        response, label = _outcome_response(reply.outcome, job)
+        return response, label, route.name
+
+
+def _job(body: JobBody, route: Route, key: str | None, asynchronous: bool) -> Job:
+    deadline = None if body.deadline_ms is None else timedelta(milliseconds=body.deadline_ms)
+    return JOB_TYPE_BY_KIND[route.kind](
+        id=JobId(""),
+        route=route.name,
+        pool=route.pool,
+        team=body.team,
+        band=route.band,
+        tasks=body.tasks,
+        resources=body.resources or route.resources,
+        payload=bytes(body.payload),
+        deadline=deadline,
+        declared_run=timedelta(milliseconds=body.run_ms or route.run_ms),
+        # A route marked non-idempotent stays so, whatever the caller says.
+        idempotent=route.idempotent and body.idempotent is not False,
+        asynchronous=asynchronous,
+        key=key,
+    )
+
+
+def _outcome_response(outcome: Outcome | None, job: Job) -> tuple[HTTPResponse, str]:
+    if isinstance(outcome, NotRun):
+        return not_run_response(outcome), "not_run"
+    if isinstance(outcome, Completed):
+        status = HTTPStatus.CREATED if isinstance(job, ServiceJob) else HTTPStatus.OK
+        return json_response(_completed_body(outcome), status=status), "completed"
+    if isinstance(outcome, Unknown):
+        return unknown_response(outcome), "unknown"
+    return unknown_response(Unknown(job.id, "the owner gave no outcome")), "unknown"
+
+
+def _job_response(job_id: JobId, state: JobState | None, outcome: Outcome | None) -> HTTPResponse:
+    if isinstance(outcome, Completed):
+        return json_response(_completed_body(outcome))
+    if isinstance(outcome, NotRun):
+        return not_run_response(outcome)
+    if isinstance(outcome, Unknown):
+        return unknown_response(outcome)
+    if state is None:
+        return problem(HTTPStatus.NOT_FOUND, f"no job {job_id}")
+    return json_response({"id": job_id, "state": state.value})
+
+
+def _completed_body(outcome: Completed) -> dict[str, Any]:
+    return {
+        "id": outcome.job_id,
+        "state": "failed" if outcome.failed else "completed",
+        "data_centre": outcome.data_centre,
+        "answers": [_answer_body(result) for result in outcome.results],
+    }
+
+
+def _answer_body(result: TaskResult) -> dict[str, Any]:
+    try:
+        payload = {"payload": msgspec.json.decode(result.payload)}
+    except msgspec.MsgspecError:
+        payload = {"payload_base64": base64.b64encode(result.payload).decode()}
+    return {"upstream": result.upstream_id, **payload}
+
+
+def _accepted(job_id: JobId) -> HTTPResponse:
+    return json_response(
+        {"id": job_id, "state": "accepted"},
+        status=HTTPStatus.ACCEPTED,
+        headers={"Location": f"/v1/jobs/{job_id}", "Preference-Applied": "respond-async"},
+    )
+
+
+def _refusal(reason: RefusalReason, detail: str, retry_after_s: int | None = None) -> HTTPResponse:
+    retry_after = None if retry_after_s is None else timedelta(seconds=retry_after_s)
+    return not_run_response(NotRun(JobId(""), reason, detail, retry_after))
+
+
+def _on_exception(request: Request, error: Exception) -> HTTPResponse:
+    submits = request.method == "POST"
+    if isinstance(error, KeyError | NotFound):
+        return problem(HTTPStatus.NOT_FOUND, "no such job or page")
+    if isinstance(error, PayloadTooLarge):
+        return problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, str(error), outcome="not_run")
+    if isinstance(error, SanicException):
+        # Raised by the HTTP layer before a handler ran.
+        return problem(HTTPStatus(error.status_code), str(error), outcome="not_run")
+    if isinstance(error, SchedulerError):
+        extra = {"outcome": "unknown"} if submits else {}
+        return problem(HTTPStatus.SERVICE_UNAVAILABLE, str(error), {"Retry-After": "1"}, **extra)
+    _log.error("a request failed: {!r}", error)
+    extra = {"outcome": "unknown"} if submits else {}
+    return problem(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error", **extra)
--- /dev/null
+++ b/hornbeamramp/cli.py
@@ -0,0 +1,152 @@
+"""Command line. Each command translates to calls of the library."""
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import uvloop
+from cyclopts import App, Parameter
+from result import Err, Result
+from rich.console import Console
+
+from hornbeamramp import __version__
+from hornbeamramp.admin_client import AdminClient, AdminProblem
+from hornbeamramp.settings import load_settings
+from hornbeamramp.status_view import print_rows, print_status
+
+__all__ = ["main"]
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+
+app = App(name="hornbeamramp", version=__version__, help="Cluster scheduler.")
+route_app = App(name="route", help="Read and write the table of routes.")
+pool_app = App(name="pool", help="Read and write the table of pools.")
+app.command(route_app)
+app.command(pool_app)
+app.register_install_completion_command()
+
+
+class Connection(msgspec.Struct, frozen=True):
+    """Where the admin API answers and the file that holds the bearer token."""
+
+    admin: str
+    token_file: Path
+
+    def client(self) -> AdminClient:
+        return AdminClient(self.admin, self.token_file.read_text().strip())
+
+
+AdminUrl = Annotated[
+    str, Parameter(env_var="HORNBEAMRAMP_ADMIN", help="Base URL of the admin API.")
+]
+TokenFile = Annotated[
+    Path, Parameter(env_var="HORNBEAMRAMP_TOKEN_FILE", help="File with the bearer token.")
+]
+Json = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
+
+
+@app.command
+def serve(*, config: Path) -> None:
+    """Run one entry process until SIGTERM."""
+    from hornbeamramp.entry import serve as run_entry
+
+    settings = load_settings(config)
+    if isinstance(settings, Err):
+        _fail(f"{settings.err_value.file}: {settings.err_value.message}", EXIT_USAGE)
+    uvloop.run(run_entry(settings.unwrap()))
+
+
+@app.command
+def check(file: Path) -> None:
+    """Check a settings file, or a JSON or YAML file with tables, without starting."""
+    from hornbeamramp.checks import check_file
+
+    result = check_file(file)
+    if isinstance(result, Err):
+        _fail(f"{file}: {result.err_value}", EXIT_REFUSED)
+    print(f"{file}: {result.ok_value}")
+
+
+@app.command
+def demo(*, verbose: bool = False) -> None:
+    """Start entry processes and stand-ins on loopback and send jobs of every kind."""
+    from hornbeamramp.demo import run_demo
+
+    sys.exit(asyncio.run(run_demo(verbose)))
+
+
+@app.command
+def status(*, admin: AdminUrl, token_file: TokenFile, as_json: Json = False) -> None:
+    """Show data centres, shards, revisions, queues and upstreams that are set aside."""
+    document = _ask(Connection(admin, token_file).client().status())
+    if as_json:
+        _print_json(document)
+    else:
+        print_status(document, Console())
+
+
+def _add_table_commands(table_app: App, table: str) -> None:
+    @table_app.command(name="list")
+    def list_rows(*, admin: AdminUrl, token_file: TokenFile, as_json: Json = False) -> None:
+        """List all rows."""
+        document = _ask(Connection(admin, token_file).client().list_rows(table))
+        if as_json:
+            _print_json(document)
+        else:
+            print_rows(document[table], Console())
+
+    @table_app.command(name="get")
+    def get_row(name: str, *, admin: AdminUrl, token_file: TokenFile) -> None:
+        """Print one row as JSON."""
+        _print_json(_ask(Connection(admin, token_file).client().get_row(table, name)))
+
+    @table_app.command(name="set")
+    def set_row(
+        name: str,
+        file: Path,
+        *,
+        admin: AdminUrl,
+        token_file: TokenFile,
+        version: int | None = None,
+    ) -> None:
+        """Write a row from a JSON or YAML file. Without --version the row is created."""
+        row = msgspec.yaml.decode(file.read_bytes(), type=dict[str, Any])
+        client = Connection(admin, token_file).client()
+        _print_json(_ask(client.put_row(table, name, row, version)))
+
+    @table_app.command(name="delete")
+    def delete_row(name: str, *, version: int, admin: AdminUrl, token_file: TokenFile) -> None:
+        """Delete a row of the given version."""
+        _print_json(_ask(Connection(admin, token_file).client().delete_row(table, name, version)))
+
+
+_add_table_commands(route_app, "routes")
+_add_table_commands(pool_app, "pools")
+
+
+def main() -> None:
+    """Runs the command line."""
+    app()
+
+
+def _ask(call: Any) -> dict[str, Any]:
+    result: Result[dict[str, Any], AdminProblem] = asyncio.run(call)
+    if isinstance(result, Err):
+        problem = result.err_value
+        if problem.body:
+            print(json.dumps(problem.body, indent=2))
+        _fail(problem.detail, EXIT_REFUSED)
+    return result.unwrap()
+
+
+def _print_json(document: Any) -> None:
+    print(json.dumps(document, indent=2))
+
+
+def _fail(message: str, status_code: int) -> None:
+    print(f"hornbeamramp: {message}", file=sys.stderr)
+    sys.exit(status_code)
--- /dev/null
+++ b/hornbeamramp/forwarding.py
@@ -0,0 +1,240 @@
+"""Sends a job from the entry VM to the owner of a shard and resolves lost replies."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any, Protocol
+
+import logbook
+import msgspec
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.errors import ProtocolError, UnreachableError
+from hornbeamramp.idempotency import home_data_centre
+from hornbeamramp.ids import JobId, ShardId, VmId, shard_id
+from hornbeamramp.job_ids import new_job_id, shard_of
+from hornbeamramp.jobs import Job, NotRun, Unknown
+from hornbeamramp.messages import (
+    CancelReply,
+    CancelRequest,
+    GetJobReply,
+    GetJobRequest,
+    Misdirected,
+    ResolveReply,
+    ResolveRequest,
+    ShardBeat,
+    SubmitReply,
+    SubmitRequest,
+)
+from hornbeamramp.routing import order_shards
+from hornbeamramp.settings import Settings
+from hornbeamramp.states import RefusalReason, Step
+from hornbeamramp.tables import Pool
+
+__all__ = ["Forwarder", "Peers"]
+
+NO_OWNER_PATIENCE = timedelta(seconds=12)
+RETRY_PAUSE = timedelta(milliseconds=100)
+SUBMIT_TIMEOUT = timedelta(hours=1)
+RESOLVE_WAIT = timedelta(seconds=10)
+RESOLVE_TIMEOUT = timedelta(seconds=12)
+RESOLVE_PATIENCE = timedelta(minutes=5)
+SHORT_TIMEOUT = timedelta(seconds=5)
+
+# After these refusals another data centre may still take the job.
+TRY_ELSEWHERE = {
+    RefusalReason.OVERLOAD,
+    RefusalReason.DEADLINE,
+    RefusalReason.NO_OWNER,
+    RefusalReason.NEVER_RUNS,
+    RefusalReason.QUOTA,
+    RefusalReason.RESOLVED_ABSENT,
+    RefusalReason.SHUTTING_DOWN,
+}
+
+_log = logbook.Logger("entry")
+
+
+class Peers(Protocol):
+    """What the forwarder knows of the other entry VMs."""
+
+    def owner_of(self, shard: ShardId) -> VmId | None:
+        """Returns the VM that is believed to own the shard."""
+
+    def address_of(self, vm: VmId) -> str | None:
+        """Returns the peer address of a VM."""
+
+    def beat_of(self, shard: ShardId) -> ShardBeat | None:
+        """Returns the latest heartbeat about the shard."""
+
+
+class Forwarder:
+    """Finds the owner of a shard, calls it and makes sure that each submit has one outcome.
+
+    `call`
+        ``call(address, request, timeout, step)`` of the peer client.
+    `handle_locally`
+        Answers a request for a shard that this process owns.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        peers: Peers,
+        call: Callable[[str, Any, timedelta, Step], Awaitable[Any]],
+        handle_locally: Callable[[Any], Awaitable[Any]],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._peers = peers
+        self._call = call
+        self._handle_locally = handle_locally
+
+    async def submit(self, job: Job, pool: Pool) -> SubmitReply:
+        """Runs the job in the best data centre and returns its only outcome.
+
+        ``job.id`` is replaced by an id that names the shard. A refused job is offered to the next
+        data centre; a job with an idempotency key goes to the key's home data centre only.
+        """
+        data_centres = pool.data_centres()
+        if not data_centres:
+            return SubmitReply(
+                NotRun(job.id, RefusalReason.NEVER_RUNS, f"pool {pool.name} has no upstreams")
+            )
+        if job.key is not None:
+            home = home_data_centre(job.key, sorted(data_centres))
+            return await self._submit_to_home(job, shard_id(pool.name, home))
+        shards = order_shards(
+            self._settings, pool.name, data_centres, job.band, self._peers.beat_of
+        )
+        refusal = self._refuse_at_edge(job, shards)
+        if refusal is not None:
+            return SubmitReply(refusal)
+        reply = SubmitReply(NotRun(job.id, RefusalReason.NO_OWNER, "no data centre serves it"))
+        for index, shard in enumerate(shards):
+            patience = NO_OWNER_PATIENCE if index == len(shards) - 1 else timedelta(0)
+            reply = await self._submit_to(job, shard, patience)
+            if not _is_refused_here(reply):
+                return reply
+        return reply
+
+    async def get_job(self, job_id: JobId) -> GetJobReply:
+        """Returns the state of a job, asking its shard's owner."""
+        return await self._ask(job_id, lambda shard: GetJobRequest(shard, job_id), Step.ANSWER)
+
+    async def cancel(self, job_id: JobId) -> CancelReply:
+        """Cancels a job at its shard's owner."""
+        return await self._ask(job_id, lambda shard: CancelRequest(shard, job_id), Step.CANCEL)
+
+    def _refuse_at_edge(self, job: Job, shards: list[ShardId]) -> NotRun | None:
+        """Refuses a job that no owner could start before its deadline, without forwarding it."""
+        if job.deadline is None:
+            return None
+        waits = []
+        for shard in shards:
+            beat = self._peers.beat_of(shard)
+            if beat is None:
+                return None
+            waits.append(beat.wait_by_band.get(job.band, timedelta(0)))
+        least = min(waits)
+        if least <= job.deadline:
+            return None
+        detail = f"the expected wait of {least.total_seconds():.1f} s is past the deadline"
+        return NotRun(job.id, RefusalReason.DEADLINE, detail, retry_after=least)
+
+    async def _submit_to_home(self, job: Job, shard: ShardId) -> SubmitReply:
+        reply = await self._submit_to(job, shard, NO_OWNER_PATIENCE)
+        outcome = reply.outcome
+        if isinstance(outcome, NotRun) and outcome.reason is RefusalReason.NO_OWNER:
+            detail = f"the home of the idempotency key, {shard}, can't be reached"
+            return SubmitReply(
+                NotRun(job.id, RefusalReason.HOME_UNREACHABLE, detail, timedelta(seconds=5))
+            )
+        return reply
+
+    async def _submit_to(self, job: Job, shard: ShardId, patience: timedelta) -> SubmitReply:
+        """Sends the job to one shard. The reply's outcome is final for that shard."""
+        sent_job = msgspec.structs.replace(job, id=new_job_id(shard))
+        started_at = self._clock.boot_time()
+        while True:
+            waited = self._clock.boot_time() - started_at
+            owner = self._peers.owner_of(shard)
+            if owner is not None:
+                request = SubmitRequest(shard, _with_time_left(sent_job, waited))
+                try:
+                    reply = await self._send(owner, request, SUBMIT_TIMEOUT, Step.FORWARD)
+                except UnreachableError as error:
+                    if error.sent:
+                        return await self._resolve(shard, sent_job)
+                except ProtocolError as error:
+                    _log.warning("{}: {}", error.peer, error.message)
+                    return await self._resolve(shard, sent_job)
+                else:
+                    if not isinstance(reply.outcome, Misdirected):
+                        return reply
+                    if reply.outcome.recovering:
+                        return await self._resolve(shard, sent_job)
+            if waited >= _bounded(patience, job.deadline):
+                detail = f"{shard} has no owner that answers"
+                return SubmitReply(
+                    NotRun(sent_job.id, RefusalReason.NO_OWNER, detail, timedelta(seconds=5))
+                )
+            await self._clock.sleep(RETRY_PAUSE)
+
+    async def _resolve(self, shard: ShardId, job: Job) -> SubmitReply:
+        """Asks the present owner for the fate of a submit until it is known."""
+        give_up_at = self._clock.boot_time() + RESOLVE_PATIENCE
+        request = ResolveRequest(shard, job.id, refuse_unseen=True, wait=RESOLVE_WAIT)
+        _log.info("{}: the reply was lost; asking the shard's owner", job.id)
+        while self._clock.boot_time() < give_up_at:
+            reply = await self._try_resolve(shard, request)
+            if reply is not None and reply.outcome is not None:
+                return SubmitReply(reply.outcome)
+            if reply is not None and reply.state is not None and job.asynchronous:
+                return SubmitReply(None, accepted=job.id)
+            await self._clock.sleep(RETRY_PAUSE)
+        return SubmitReply(Unknown(job.id, f"no owner of {shard} could tell its fate"))
+
+    async def _try_resolve(self, shard: ShardId, request: ResolveRequest) -> ResolveReply | None:
+        owner = self._peers.owner_of(shard)
+        if owner is None:
+            return None
+        try:
+            return await self._send(owner, request, RESOLVE_TIMEOUT, Step.FORWARD)
+        except (UnreachableError, ProtocolError):
+            return None
+
+    async def _ask(self, job_id: JobId, request_for: Callable[[ShardId], Any], step: Step) -> Any:
+        """Sends a request about a job to its owner.
+
+        Raises ``KeyError`` for a malformed id and `UnreachableError` if no owner answers.
+        """
+        shard = shard_of(job_id)
+        if shard is None:
+            raise KeyError(job_id)
+        owner = self._peers.owner_of(shard)
+        if owner is None:
+            raise UnreachableError(step, shard, "the shard has no owner", sent=False)
+        return await self._send(owner, request_for(shard), SHORT_TIMEOUT, step)
+
+    async def _send(self, owner: VmId, request: Any, timeout: timedelta, step: Step) -> Any:
+        if owner == self._settings.vm:
+            return await self._handle_locally(request)
+        address = self._peers.address_of(owner)
+        if address is None:
+            raise UnreachableError(step, owner, "the owner's address is not known", sent=False)
+        return await self._call(address, request, timeout, step)
+
+
+def _is_refused_here(reply: SubmitReply) -> bool:
+    return isinstance(reply.outcome, NotRun) and reply.outcome.reason in TRY_ELSEWHERE
+
+
+def _with_time_left(job: Job, waited: timedelta) -> Job:
+    if job.deadline is None:
+        return job
+    return msgspec.structs.replace(job, deadline=max(job.deadline - waited, timedelta(0)))
+
+
+def _bounded(patience: timedelta, deadline: timedelta | None) -> timedelta:
+    return patience if deadline is None else min(patience, deadline)
--- /dev/null
+++ b/hornbeamramp/http_server.py
@@ -0,0 +1,95 @@
+"""Starts Sanic applications on the running event loop, without Sanic's own process manager."""
+
+import asyncio
+import contextlib
+import socket
+import ssl
+from typing import Any
+
+from sanic import Sanic
+
+from hornbeamramp.settings import LimitSettings, TlsSettings
+
+__all__ = ["HttpServer", "new_app", "parse_address"]
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Splits ``ip:port``. Raises ``ValueError`` if it is malformed."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdigit():
+        raise ValueError(f"not an ip:port address: {address!r}")
+    return host.strip("[]"), int(port)
+
+
+def new_app(name: str, limits: LimitSettings) -> Sanic:
+    """Returns an application with the bounds of the settings and without Sanic's log set-up."""
+    app = Sanic(name, configure_logging=False)
+    app.config.REQUEST_MAX_SIZE = limits.body_bytes
+    app.config.REQUEST_MAX_HEADER_SIZE = limits.header_bytes
+    app.config.REQUEST_TIMEOUT = limits.request_timeout_ms / 1000
+    # A job may run for hours; its own deadline and the owner bound the wait for the answer.
+    app.config.RESPONSE_TIMEOUT = 86_400
+    app.config.KEEP_ALIVE_TIMEOUT = 75
+    app.config.GRACEFUL_SHUTDOWN_TIMEOUT = 0.0
+    app.config.FALLBACK_ERROR_FORMAT = "json"
+    # TouchUp rewrites methods of the process, which fails for a second application.
+    app.config.TOUCHUP = False
+    app.config.MOTD = False
+    app.config.ACCESS_LOG = False
+    return app
+
+
+class HttpServer:
+    """One Sanic application on one address.
+
+    `address`
+        ``ip:port`` to listen on; port 0 takes a free one, see `port`.
+    `tls`
+        Key files, or ``None`` for plain HTTP.
+    """
+
+    def __init__(self, app: Sanic, address: str, tls: TlsSettings | None = None) -> None:
+        self._app = app
+        self._address = address
+        self._tls = tls
+        self._server: Any = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Binds and starts serving. Raises ``OSError`` if the address can't be bound."""
+        host, port = parse_address(self._address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.bind((host, port))
+        sock.setblocking(False)
+        self.port = sock.getsockname()[1]
+        self._server = await self._app.create_server(
+            sock=sock, return_asyncio_server=True, ssl=self._ssl_context()
+        )
+        await self._server.startup()
+        await self._server.start_serving()
+
+    def stop_listening(self) -> None:
+        """Accepts no more connections; open ones go on."""
+        if self._server is not None:
+            self._server.close()
+
+    async def stop(self) -> None:
+        """Closes the listener and all connections that are idle."""
+        if self._server is None:
+            return
+        self.stop_listening()
+        for connection in list(self._server.connections):
+            connection.close_if_idle()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._server.wait_closed(), 1.0)
+
+    def _ssl_context(self) -> ssl.SSLContext | None:
+        if self._tls is None:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
+        return context
--- /dev/null
+++ b/hornbeamramp/job_records.py
@@ -0,0 +1,133 @@
+"""What a shard owner remembers about jobs, live and ended, with bounded retention."""
+
+import asyncio
+from collections import OrderedDict
+from datetime import timedelta
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.ids import AttemptId, JobId, UpstreamId
+from hornbeamramp.jobs import Completed, Job, NotRun, Outcome, ServiceJob, TaskResult
+from hornbeamramp.states import JobState
+
+__all__ = ["JobRecord", "JobRecords", "state_of", "task_of"]
+
+# Ended jobs and refused ids stay known this long: longer than any lost reply is resolved.
+RETENTION = timedelta(minutes=10)
+RETAINED_JOBS = 50_000
+
+
+def task_of(attempt_id: AttemptId) -> int:
+    """Returns the task index of an attempt id."""
+    return int(attempt_id.rsplit(".", 3)[1])
+
+
+def state_of(outcome: Outcome) -> JobState:
+    """Returns the state of a job that ended with ``outcome``."""
+    if isinstance(outcome, Completed):
+        return JobState.COMPLETED
+    return JobState.NOT_RUN if isinstance(outcome, NotRun) else JobState.UNKNOWN
+
+
+class JobRecord:
+    """One job as its shard owner knows it.
+
+    `outcome`
+        Future that every waiting submit and resolve shares.
+    `upstream_by_attempt`
+        Attempts that may be running.
+    `uncertain`
+        Whether an attempt was lost, so that a failure can't be told from a success.
+    """
+
+    __slots__ = (
+        "cancelled",
+        "ended_at",
+        "job",
+        "outcome",
+        "result_by_task",
+        "running_tasks",
+        "uncertain",
+        "upstream_by_attempt",
+    )
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.outcome: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        self.result_by_task: dict[int, TaskResult] = {}
+        self.upstream_by_attempt: dict[AttemptId, UpstreamId] = {}
+        self.running_tasks: set[int] = set()
+        self.uncertain = False
+        self.cancelled = False
+        self.ended_at: timedelta | None = None
+
+    def state(self) -> JobState:
+        """Returns the state to report. A service that was answered is running until it ends."""
+        if self.ended_at is None:
+            return JobState.RUNNING if self.running_tasks else JobState.QUEUED
+        return state_of(self.outcome.result())
+
+    def is_live_service(self) -> bool:
+        """Tells whether this is a service that has not been ended."""
+        return isinstance(self.job, ServiceJob) and self.ended_at is None
+
+    def answer(self, outcome: Outcome) -> None:
+        """Gives the outcome to all that wait for it. Later calls have no effect."""
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
+
+
+class JobRecords:
+    """Records by job id. Ended ones are dropped after 10 minutes or beyond 50,000."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._by_id: dict[JobId, JobRecord] = {}
+        self._ended: OrderedDict[JobId, timedelta] = OrderedDict()
+        self._refused: OrderedDict[JobId, timedelta] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def get(self, job_id: JobId) -> JobRecord | None:
+        return self._by_id.get(job_id)
+
+    def live(self) -> list[JobRecord]:
+        """Returns the records of jobs that have not ended."""
+        return [record for record in self._by_id.values() if record.ended_at is None]
+
+    def create(self, job: Job) -> JobRecord:
+        record = JobRecord(job)
+        self._by_id[job.id] = record
+        return record
+
+    def discard(self, job_id: JobId) -> None:
+        """Forgets a job that was refused before it was queued."""
+        self._by_id.pop(job_id, None)
+
+    def end(self, record: JobRecord, outcome: Outcome) -> None:
+        """Marks the job as ended and answers it."""
+        if record.ended_at is not None:
+            return
+        record.ended_at = self._clock.boot_time()
+        self._ended[record.job.id] = record.ended_at
+        record.answer(outcome)
+        self._trim()
+
+    def refuse(self, job_id: JobId) -> None:
+        """Records that a submit with this id must be turned down."""
+        self._refused[job_id] = self._clock.boot_time()
+        self._trim()
+
+    def is_refused(self, job_id: JobId) -> bool:
+        return job_id in self._refused
+
+    def _trim(self) -> None:
+        oldest = self._clock.boot_time() - RETENTION
+        while self._ended and (
+            next(iter(self._ended.values())) < oldest or len(self._ended) > RETAINED_JOBS
+        ):
+            self._by_id.pop(self._ended.popitem(last=False)[0], None)
+        while self._refused and (
+            next(iter(self._refused.values())) < oldest or len(self._refused) > RETAINED_JOBS
+        ):
+            self._refused.popitem(last=False)
--- a/hornbeamramp/messages.py
+++ b/hornbeamramp/messages.py
@@ -80,14 +80,11 @@
 
     `home`
         Whether the receiver must look up the job's idempotency key, as the key's home.
-    `traceparent`
-        W3C trace context of the sender's span.
     """
 
     shard: ShardId
     job: BatchJob | ServiceJob | GangJob
     home: bool = True
-    traceparent: str | None = None
 
 
 class Misdirected(msgspec.Struct, frozen=True, tag="misdirected"):
--- /dev/null
+++ b/hornbeamramp/owner.py
@@ -0,0 +1,520 @@
+"""Runs one shard: admits jobs, carries out the scheduler's decisions, answers for their fate."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any
+
+import logbook
+import msgspec
+from result import Err, Ok, Result
+
+from hornbeamramp.attempts import AttemptRunner
+from hornbeamramp.clock import Clock
+from hornbeamramp.decisions import (
+    CancellationKind,
+    Checkpoint,
+    Decision,
+    Ended,
+    Refusal,
+    Start,
+    Stop,
+    TaskEnd,
+    Throttle,
+)
+from hornbeamramp.durable_jobs import DurableJobs
+from hornbeamramp.errors import ProtocolError, UnreachableError
+from hornbeamramp.ids import AttemptId, Epoch, JobId, ShardId, UpstreamId, VmId, split_shard_id
+from hornbeamramp.job_records import JobRecord, JobRecords, state_of, task_of
+from hornbeamramp.jobs import Completed, Job, NotRun, Outcome, ServiceJob, TaskResult, Unknown
+from hornbeamramp.messages import (
+    CancelReply,
+    CancelRequest,
+    GetJobReply,
+    GetJobRequest,
+    Misdirected,
+    ResolveReply,
+    ResolveRequest,
+    ShardBeat,
+    SubmitReply,
+    SubmitRequest,
+)
+from hornbeamramp.recovery import reconcile
+from hornbeamramp.scheduler import ShardScheduler
+from hornbeamramp.settings import TimingSettings
+from hornbeamramp.states import Band, JobState, RefusalReason, UpstreamState
+from hornbeamramp.tables import Pool, PoolUpstream
+from hornbeamramp.telemetry import Metrics
+from hornbeamramp.upstream_link import UpstreamEvents, UpstreamLink, close_adapters
+from hornbeamramp.upstreams import ListedTask, UpstreamAdapter, UpstreamShape, UsageReport
+
+__all__ = ["ShardOwner"]
+
+DECISION_BATCH = 64
+EXPIRY_INTERVAL = timedelta(milliseconds=250)
+RETRY_AFTER_STORE = timedelta(seconds=5)
+
+_log = logbook.Logger("owner")
+
+
+class ShardOwner:
+    """Runs one `ShardScheduler` against real upstreams, from claim to release.
+
+    `may_start`
+        Synchronous check that this process still owns the shard.
+    `open_upstream`
+        Makes the adapter of an upstream.
+    `durable`
+        The shard's journal and key records.
+    """
+
+    def __init__(
+        self,
+        shard: ShardId,
+        epoch: Epoch,
+        pool: Pool,
+        vm: VmId,
+        clock: Clock,
+        timing: TimingSettings,
+        metrics: Metrics,
+        may_start: Callable[[], bool],
+        open_upstream: Callable[[PoolUpstream], UpstreamAdapter],
+        durable: DurableJobs,
+    ) -> None:
+        self.shard = shard
+        self.epoch = epoch
+        self.records = JobRecords(clock)
+        self.link_by_id: dict[UpstreamId, UpstreamLink] = {}
+        self.scheduler = ShardScheduler(pool, clock, pool.quotas, epoch=epoch)
+        self._data_centre = split_shard_id(shard)[1]
+        self._clock = clock
+        self._timing = timing
+        self._metrics = metrics
+        self._may_start = may_start
+        self._open_upstream = open_upstream
+        self._durable = durable
+        self._accepting = True
+        self._closed = asyncio.Event()
+        self._recovered = asyncio.Event()
+        self._complete_recovery = False
+        self._work = asyncio.Event()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._task_by_upstream: dict[UpstreamId, asyncio.Task[None]] = {}
+        self._events = UpstreamEvents(
+            self._on_listed, self._on_shape, self._on_unreachable, self._on_usage
+        )
+        self._runner = AttemptRunner(
+            shard,
+            epoch,
+            vm,
+            clock,
+            timing,
+            metrics,
+            may_start,
+            durable.record_intent,
+            self._on_started,
+            self._on_ended,
+        )
+        self.update_pool(pool)
+
+    async def run(self) -> None:
+        """Recovers, then decides until `close` is called."""
+        self._spawn(self._bound_recovery())
+        self._spawn(self._expire())
+        self._spawn(self._open_durable())
+        while not self._closed.is_set():
+            await self._work.wait()
+            self._work.clear()
+            if self._accepting and self._may_start():
+                self._decide()
+
+    def update_pool(self, pool: Pool) -> None:
+        """Adds and removes upstreams after a change of the pool's row."""
+        here = {UpstreamId(u.id): u for u in pool.upstreams if u.data_centre == self._data_centre}
+        for upstream_id in self.link_by_id.keys() - here.keys():
+            # Its tasks run on and stay renewed; it only receives no new work.
+            self.scheduler.set_leaving(upstream_id)
+        for upstream_id, upstream in here.items():
+            if upstream_id not in self.link_by_id:
+                self._add_link(upstream_id, self._open_upstream(upstream))
+        self.scheduler.update_quotas(pool.quotas)
+        self._work.set()
+
+    def set_leaving(self, upstream_id: UpstreamId) -> None:
+        """Gives the upstream no new work, on the word of the platform's list of VMs."""
+        if upstream_id in self.link_by_id:
+            self.scheduler.set_leaving(upstream_id)
+
+    async def submit(self, request: SubmitRequest) -> SubmitReply:
+        """Runs a job to its outcome, or accepts it for later execution."""
+        job = request.job
+        record = self.records.get(job.id)
+        if record is None:
+            if self.records.is_refused(job.id):
+                return SubmitReply(_not_run(job, RefusalReason.RESOLVED_ABSENT, "resolved before"))
+            if not self._accepting or not self._may_start():
+                return SubmitReply(Misdirected())
+            accepted = await self._accept(job)
+            if isinstance(accepted, Err):
+                self._metrics.refusals.add(1, {"reason": accepted.err_value.reason.value})
+                return SubmitReply(accepted.err_value)
+            record = accepted.ok_value
+        if job.asynchronous:
+            return SubmitReply(None, accepted=record.job.id)
+        return await self._outcome_of(record)
+
+    async def resolve(self, request: ResolveRequest) -> ResolveReply:
+        """Tells the fate of a job id; one never seen is refused from now on."""
+        record = self.records.get(request.job_id)
+        if record is None:
+            settled = self._recovered.is_set() and self._durable.is_open
+            if not settled or self._closed.is_set():
+                return ResolveReply(None)
+            recorded = self._recorded_outcome(request.job_id)
+            if recorded is not None:
+                return ResolveReply(state_of(recorded), recorded)
+            if not self._complete_recovery:
+                # An upstream that could not be listed may have run it.
+                return ResolveReply(JobState.UNKNOWN, Unknown(request.job_id, "not recovered"))
+            if request.refuse_unseen:
+                self.records.refuse(request.job_id)
+            absent = NotRun(request.job_id, RefusalReason.RESOLVED_ABSENT, "never arrived")
+            return ResolveReply(JobState.NOT_RUN, absent)
+        if not record.outcome.done() and request.wait > timedelta(0):
+            await self._wait(record, request.wait)
+        if self._closed.is_set() and not record.outcome.done():
+            return ResolveReply(None)
+        outcome = record.outcome.result() if record.outcome.done() else None
+        return ResolveReply(record.state(), outcome)
+
+    def _recorded_outcome(self, job_id: JobId) -> Outcome | None:
+        """Returns what the journal tells about a job that no upstream and no record knows."""
+        if self._durable.may_have_run(job_id):
+            detail = "its start was on record, but no upstream knows the attempt"
+            return Unknown(job_id, detail)
+        return self._durable.answer(job_id)
+
+    async def get_job(self, request: GetJobRequest) -> GetJobReply:
+        """Returns the state of a job, ``None`` if it is not known or not recovered yet."""
+        record = self.records.get(request.job_id)
+        if record is None:
+            return GetJobReply(None, self._recorded_outcome(request.job_id))
+        outcome = record.outcome.result() if record.outcome.done() else None
+        return GetJobReply(record.state(), outcome)
+
+    async def cancel(self, request: CancelRequest) -> CancelReply:
+        """Cancels a job: a queued one does not run, a running one is stopped."""
+        record = self.records.get(request.job_id)
+        if record is None:
+            return CancelReply(None)
+        if record.ended_at is None:
+            record.cancelled = True
+            cancellation = self.scheduler.cancel(request.job_id)
+            if cancellation.kind is CancellationKind.QUEUED:
+                self._finish(record, _not_run(record.job, RefusalReason.CANCELLED, "cancelled"))
+            for stop in cancellation.stop:
+                self._apply(stop)
+            self._work.set()
+        outcome = record.outcome.result() if record.outcome.done() else None
+        return CancelReply(record.state(), outcome)
+
+    def beat(self) -> ShardBeat:
+        """Returns what the process's heartbeats tell about this shard."""
+        waits = {band: self.scheduler.expected_wait(band) for band in Band}
+        return ShardBeat(self.epoch, self._accepting and self._recovered.is_set(), waits)
+
+    async def close(self) -> None:
+        """Stops deciding and renewing; waiting submits learn that another owner takes over."""
+        self._accepting = False
+        self._closed.set()
+        self._work.set()
+        tasks = [*self._tasks, *self._task_by_upstream.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._durable.close()
+        await close_adapters(list(self.link_by_id.values()))
+
+    # Acceptance.
+
+    async def _accept(self, job: Job) -> Result[JobRecord, NotRun]:
+        if self._durable.is_needed(job):
+            return await self._accept_durable(job)
+        return self._enqueue(job)
+
+    async def _accept_durable(self, job: Job) -> Result[JobRecord, NotRun]:
+        # Until the recovery ends, a running attempt of the same job may not be known yet.
+        await self._recovered.wait()
+        async with self._durable.key_lock(job):
+            known = self._durable.find_key(job)
+            if isinstance(known, Err):
+                return known
+            known_id = known.ok_value or job.id
+            record = self.records.get(known_id)
+            if record is not None:
+                return Ok(record)
+            if known_id != job.id:
+                return Ok(self._answered(job, known_id))
+            refusal = self.scheduler.check(job)
+            if refusal is not None:
+                return Err(_refused(job, refusal))
+            recorded = await self._durable.record_accepted(job)
+            if isinstance(recorded, Err):
+                return recorded
+            accepted = self._enqueue(job)
+            if isinstance(accepted, Err):
+                await self._durable.forget(job)
+            return accepted
+
+    def _answered(self, job: Job, known_id: JobId) -> JobRecord:
+        """Returns a record with the answer that an idempotency key already has."""
+        record = JobRecord(job)
+        lost = Unknown(known_id, "the answer to the first request with this key is gone")
+        record.answer(self._durable.answer(known_id) or lost)
+        return record
+
+    def _enqueue(self, job: Job) -> Result[JobRecord, NotRun]:
+        admitted = self.scheduler.submit(job)
+        if isinstance(admitted, Err):
+            return Err(_refused(job, admitted.err_value))
+        record = self.records.create(job)
+        self._work.set()
+        return Ok(record)
+
+    async def _outcome_of(self, record: JobRecord) -> SubmitReply:
+        await self._wait(record, None)
+        if record.outcome.done():
+            return SubmitReply(record.outcome.result())
+        return SubmitReply(Misdirected(recovering=True))
+
+    async def _wait(self, record: JobRecord, longest: timedelta | None) -> None:
+        closed = asyncio.ensure_future(self._closed.wait())
+        waits: set[asyncio.Future[Any]] = {record.outcome, closed}
+        if longest is not None:
+            waits.add(asyncio.ensure_future(self._clock.sleep(longest)))
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for future in waits - {record.outcome}:
+                future.cancel()
+
+    # Decisions.
+
+    def _decide(self) -> None:
+        decisions = self.scheduler.decide(DECISION_BATCH)
+        for decision in decisions:
+            self._apply(decision)
+        if len(decisions) == DECISION_BATCH:
+            self._work.set()
+
+    def _apply(self, decision: Decision) -> None:
+        link = self.link_by_id[decision.upstream_id]
+        if isinstance(decision, Start):
+            record = self.records.get(decision.job.id)
+            if record is None:
+                self.scheduler.ended(decision.attempt_id, TaskEnd.NOT_STARTED, None)
+                return
+            record.upstream_by_attempt[decision.attempt_id] = link.id
+            self._spawn(self._runner.run(decision, link))
+        elif isinstance(decision, Stop):
+            self._spawn(self._quietly(link.adapter.stop(decision.attempt_id)))
+        elif isinstance(decision, Checkpoint):
+            self._spawn(self._quietly(link.adapter.checkpoint(decision.attempt_id)))
+        elif isinstance(decision, Throttle):
+            throttle = link.adapter.throttle(decision.attempt_id, decision.resources)
+            self._spawn(self._quietly(throttle))
+
+    async def _quietly(self, call: Coroutine[Any, Any, Any]) -> None:
+        # A failed stop is not retried here: the task ends or its lease lapses, and both are seen.
+        try:
+            await call
+        except (UnreachableError, ProtocolError) as error:
+            _log.info("{}: {}", error.peer, error.message)
+
+    def _on_started(self, attempt_id: AttemptId) -> None:
+        self.scheduler.started(attempt_id)
+        record = self._record_of(attempt_id)
+        if record is None:
+            return
+        record.running_tasks.add(task_of(attempt_id))
+        if isinstance(record.job, ServiceJob) and len(record.running_tasks) == record.job.tasks:
+            record.answer(Completed(record.job.id, [], self._data_centre))
+
+    def _on_ended(self, attempt_id: AttemptId, end: TaskEnd, result: TaskResult | None) -> None:
+        ended = self.scheduler.ended(attempt_id, end, None)
+        self._work.set()
+        record = self._record_of(attempt_id)
+        if record is None:
+            return
+        record.upstream_by_attempt.pop(attempt_id, None)
+        if result is not None:
+            record.result_by_task[task_of(attempt_id)] = result
+        elif ended is not Ended.TASK_DONE:
+            record.running_tasks.discard(task_of(attempt_id))
+        if end is TaskEnd.LOST and not record.job.idempotent:
+            record.uncertain = True
+        self._conclude(record, ended)
+
+    def _conclude(self, record: JobRecord, ended: Ended) -> None:
+        job = record.job
+        if ended is Ended.JOB_DONE:
+            results = [record.result_by_task[task] for task in sorted(record.result_by_task)]
+            self._finish(record, Completed(job.id, results, self._data_centre))
+        elif ended is Ended.JOB_FAILED:
+            self._stop_all(record)
+            if record.uncertain:
+                self._finish(record, Unknown(job.id, "an attempt was lost at its upstream"))
+            else:
+                self._finish(record, Completed(job.id, [], self._data_centre, failed=True))
+        elif ended is Ended.JOB_CANCELLED:
+            self._finish(record, Completed(job.id, [], self._data_centre, failed=True))
+
+    def _stop_all(self, record: JobRecord) -> None:
+        for attempt_id, upstream_id in record.upstream_by_attempt.items():
+            self._apply(Stop(attempt_id, upstream_id))
+
+    def _finish(self, record: JobRecord, outcome: Outcome) -> None:
+        if record.ended_at is not None:
+            return
+        self._spawn(self._durable_finish(record, outcome))
+
+    async def _durable_finish(self, record: JobRecord, outcome: Outcome) -> None:
+        # An answer that must be repeatable is in the journal before the caller sees it. With the
+        # store away the caller still gets it; the journal then holds the intent alone.
+        if self._durable.is_needed(record.job):
+            await self._durable.record_ended(record.job, outcome)
+        self.records.end(record, outcome)
+
+    def _record_of(self, attempt_id: AttemptId) -> JobRecord | None:
+        return self.records.get(attempt_id.rsplit(".", 3)[0])
+
+    # Upstreams.
+
+    def _add_link(self, upstream_id: UpstreamId, adapter: UpstreamAdapter) -> None:
+        link = UpstreamLink(
+            upstream_id,
+            adapter,
+            self.shard,
+            self.epoch,
+            self._clock,
+            self._timing,
+            self._may_start,
+            self._events,
+        )
+        self.link_by_id[upstream_id] = link
+        task = asyncio.get_running_loop().create_task(link.run())
+        self._task_by_upstream[upstream_id] = task
+
+    async def _on_listed(
+        self, link: UpstreamLink, shape: UpstreamShape, tasks: list[ListedTask]
+    ) -> None:
+        first = not link.listed
+        self.scheduler.add_upstream(shape)
+        if shape.leaving:
+            self.scheduler.set_leaving(shape.id)
+        for attempt_id in reconcile(self, link, tasks, first):
+            self._spawn(self._runner.follow(attempt_id, link))
+        link.listed = True
+        self._check_recovered()
+        self._work.set()
+
+    def _on_shape(self, link: UpstreamLink, shape: UpstreamShape) -> None:
+        self.scheduler.add_upstream(shape)
+        if shape.leaving:
+            self.scheduler.set_leaving(shape.id)
+        self._work.set()
+
+    def _on_unreachable(self, link: UpstreamLink) -> None:
+        self.scheduler.set_unreachable(link.id)
+
+    def _on_usage(self, link: UpstreamLink, reports: list[UsageReport]) -> None:
+        for report in reports:
+            self.scheduler.report_usage(report.attempt_id, report.usage)
+        self._work.set()
+
+    # Recovery and periodic work.
+
+    def _check_recovered(self) -> None:
+        if not self._recovered.is_set() and all(x.listed for x in self.link_by_id.values()):
+            self._complete_recovery = True
+            self._recovered.set()
+            _log.info("{}: recovered, epoch {}", self.shard, self.epoch)
+
+    async def _bound_recovery(self) -> None:
+        """Ends the recovery when the leases of unreachable upstreams must have lapsed."""
+        self._check_recovered()
+        margin = self._timing.drift_margin_ms + self._timing.send_bound_ms
+        await self._clock.sleep(timedelta(milliseconds=self._timing.task_lease_ms + margin))
+        if not self._recovered.is_set():
+            missing = sorted(link.id for link in self.link_by_id.values() if not link.listed)
+            _log.warning("{}: recovered without {}", self.shard, ", ".join(missing))
+            self._recovered.set()
+
+    async def _open_durable(self) -> None:
+        """Loads the journal and queues accepted jobs that no upstream runs."""
+        await self._durable.open(self.epoch)
+        await self._recovered.wait()
+        for record in self.records.live():
+            done = set(record.result_by_task)
+            if len(done) + len(record.running_tasks - done) < record.job.tasks:
+                self.scheduler.requeue_missing(record.job.id, done)
+        for job in self._durable.unfinished_jobs():
+            if self.records.get(job.id) is None:
+                self._requeue(job)
+        self._work.set()
+
+    def _requeue(self, job: Job) -> None:
+        if self._durable.may_have_run(job.id):
+            record = self.records.create(job)
+            self._finish(record, self._recorded_outcome(job.id))
+            return
+        accepted = self._enqueue(job)
+        if isinstance(accepted, Err):
+            _log.warning("{}: an accepted job was refused: {}", job.id, accepted.err_value.detail)
+            self._finish(self.records.create(job), accepted.err_value)
+
+    async def _expire(self) -> None:
+        while True:
+            await self._clock.sleep(EXPIRY_INTERVAL)
+            for job_id in self.scheduler.expire():
+                record = self.records.get(job_id)
+                if record is not None:
+                    detail = "the deadline passed before the job was started"
+                    self._finish(record, _not_run(record.job, RefusalReason.EXPIRED, detail))
+            self._work.set()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        with contextlib.suppress(asyncio.CancelledError):
+            error = task.exception()
+            if error is not None:
+                _log.error("{}: a task failed: {!r}", self.shard, error)
+
+    def status(self) -> dict[str, Any]:
+        """Returns the shard's state for operators."""
+        snapshot = msgspec.to_builtins(self.scheduler.snapshot(), str_keys=True)
+        unreachable = {x.id for x in self.link_by_id.values() if not x.reachable}
+        for upstream in snapshot["upstreams"]:
+            if upstream["id"] in unreachable:
+                upstream["state"] = UpstreamState.UNREACHABLE.value
+        return {
+            "shard": self.shard,
+            "epoch": self.epoch,
+            "recovered": self._recovered.is_set(),
+            "jobs_known": len(self.records),
+            **snapshot,
+        }
+
+
+def _not_run(job: Job, reason: RefusalReason, detail: str) -> NotRun:
+    return NotRun(job.id, reason, detail)
+
+
+def _refused(job: Job, refusal: Refusal) -> NotRun:
+    return NotRun(job.id, refusal.reason, refusal.detail, refusal.retry_after)
--- /dev/null
+++ b/hornbeamramp/problems.py
@@ -0,0 +1,68 @@
+"""Problem details (RFC 9457) for callers and operators."""
+
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any
+
+from sanic import HTTPResponse
+from sanic import json as json_response
+
+from hornbeamramp.jobs import NotRun, Unknown
+from hornbeamramp.states import RefusalReason
+
+__all__ = ["not_run_response", "problem", "unknown_response"]
+
+CONTENT_TYPE = "application/problem+json"
+
+STATUS_BY_REASON = {
+    RefusalReason.MALFORMED: HTTPStatus.BAD_REQUEST,
+    RefusalReason.UNKNOWN_ROUTE: HTTPStatus.NOT_FOUND,
+    RefusalReason.NEVER_RUNS: HTTPStatus.UNPROCESSABLE_ENTITY,
+    RefusalReason.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    RefusalReason.QUOTA: HTTPStatus.TOO_MANY_REQUESTS,
+    RefusalReason.OVERLOAD: HTTPStatus.TOO_MANY_REQUESTS,
+    RefusalReason.DEADLINE: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.NO_OWNER: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.HOME_UNREACHABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.STORE_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.SHUTTING_DOWN: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.RESOLVED_ABSENT: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.EXPIRED: HTTPStatus.GATEWAY_TIMEOUT,
+    RefusalReason.CANCELLED: HTTPStatus.CONFLICT,
+}
+
+
+def problem(
+    status: HTTPStatus,
+    detail: str,
+    headers: dict[str, str] | None = None,
+    **extra: Any,
+) -> HTTPResponse:
+    """Returns a response with a problem document; ``extra`` are further members of it."""
+    body = {"type": "about:blank", "title": status.phrase, "status": status, "detail": detail}
+    body.update(extra)
+    return json_response(body, status=status, headers=headers, content_type=CONTENT_TYPE)
+
+
+def not_run_response(outcome: NotRun) -> HTTPResponse:
+    """Returns the response for a job that did not run."""
+    headers = _retry_after(outcome.retry_after)
+    return problem(
+        STATUS_BY_REASON[outcome.reason],
+        outcome.detail,
+        headers,
+        outcome="not_run",
+        reason=outcome.reason.value,
+        job=outcome.job_id,
+    )
+
+
+def unknown_response(outcome: Unknown) -> HTTPResponse:
+    """Returns the response for a job of which can't be told whether it ran."""
+    return problem(HTTPStatus.BAD_GATEWAY, outcome.detail, outcome="unknown", job=outcome.job_id)
+
+
+def _retry_after(wait: timedelta | None) -> dict[str, str] | None:
+    if wait is None:
+        return None
+    return {"Retry-After": str(max(1, round(wait.total_seconds())))}
--- /dev/null
+++ b/hornbeamramp/rpc.py
@@ -0,0 +1,255 @@
+"""gRPC between entry VMs: generic handlers, msgpack messages, one channel for each address."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import grpc
+import grpc.aio
+import logbook
+import msgspec
+from opentelemetry import propagate, trace
+
+from hornbeamramp import messages
+from hornbeamramp.errors import ProtocolError, UnreachableError
+from hornbeamramp.ids import DataCentreId, VmId
+from hornbeamramp.settings import TlsSettings
+from hornbeamramp.states import Step
+
+__all__ = ["PeerClient", "PeerServer"]
+
+SERVICE = "hornbeamramp.Peer"
+MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
+HELLO_TIMEOUT = timedelta(seconds=2)
+
+REPLY_TYPE_BY_REQUEST_TYPE: dict[type, type] = {
+    messages.HelloRequest: messages.HelloReply,
+    messages.Heartbeat: messages.HeartbeatReply,
+    messages.SubmitRequest: messages.SubmitReply,
+    messages.ResolveRequest: messages.ResolveReply,
+    messages.CancelRequest: messages.CancelReply,
+    messages.GetJobRequest: messages.GetJobReply,
+    messages.AskOwnerRequest: messages.AskOwnerReply,
+    messages.PromiseRequest: messages.PromiseReply,
+    messages.HandOverRequest: messages.HandOverReply,
+    messages.ConfigDeltaRequest: messages.ConfigDeltaReply,
+    messages.StatusRequest: messages.StatusReply,
+}
+
+# A connection that has gone silent is found within keepalive time + timeout, in milliseconds.
+CHANNEL_OPTIONS = [
+    ("grpc.keepalive_time_ms", 5_000),
+    ("grpc.keepalive_timeout_ms", 2_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.max_receive_message_length", MESSAGE_LIMIT_BYTES),
+    ("grpc.max_send_message_length", MESSAGE_LIMIT_BYTES),
+    # Without this a replaced channel would share the old channel's silent connection.
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.service_config_disable_resolution", 1),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 2_000),
+]
+
+SERVER_OPTIONS = [
+    ("grpc.max_receive_message_length", MESSAGE_LIMIT_BYTES),
+    ("grpc.max_send_message_length", MESSAGE_LIMIT_BYTES),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.min_ping_interval_without_data_ms", 2_000),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.so_reuseport", 0),
+]
+
+_encode = msgspec.msgpack.encode
+_tracer = trace.get_tracer(__name__)
+_log = logbook.Logger("rpc")
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+def _method_name(request_type: type) -> str:
+    return request_type.__name__.removesuffix("Request")
+
+
+class PeerServer:
+    """Answers calls of other entry VMs.
+
+    `address`
+        ``ip:port`` to listen on; port 0 takes a free one, see `port`.
+    `tls`
+        Key files, or ``None`` for plain TCP. With a CA the peers must show a certificate.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        vm: VmId,
+        data_centre: DataCentreId,
+        tls: TlsSettings | None = None,
+    ) -> None:
+        self._address = address
+        self._vm = vm
+        self._data_centre = data_centre
+        self._tls = tls
+        self._handlers: dict[type, Handler] = {messages.HelloRequest: self._on_hello}
+        self._server: grpc.aio.Server | None = None
+        self.port = 0
+
+    def handle(self, request_type: type, handler: Handler) -> None:
+        """Sets the handler of a message. To be called before `start`."""
+        self._handlers[request_type] = handler
+
+    async def start(self) -> None:
+        """Binds and starts answering. Raises ``OSError`` if the address can't be bound."""
+        self._server = grpc.aio.server(options=SERVER_OPTIONS)
+        methods = {
+            _method_name(request_type): self._method(request_type, handler)
+            for request_type, handler in self._handlers.items()
+        }
+        generic = grpc.method_handlers_generic_handler(SERVICE, methods)
+        self._server.add_generic_rpc_handlers((generic,))
+        try:
+            if self._tls is None:
+                self.port = self._server.add_insecure_port(self._address)
+            else:
+                credentials = _server_credentials(self._tls)
+                self.port = self._server.add_secure_port(self._address, credentials)
+        except RuntimeError as error:
+            raise OSError(f"can't listen on {self._address}: {error}") from error
+        await self._server.start()
+
+    async def stop(self, grace: timedelta) -> None:
+        """Refuses new calls and gives running ones up to ``grace`` to finish."""
+        if self._server is not None:
+            await self._server.stop(grace.total_seconds())
+
+    def _method(self, request_type: type, handler: Handler) -> grpc.RpcMethodHandler:
+        decoder = msgspec.msgpack.Decoder(request_type)
+
+        async def serve(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+            try:
+                request = decoder.decode(data)
+            except msgspec.MsgspecError as error:
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+                raise
+            carrier = {k: v for k, v in context.invocation_metadata() or () if isinstance(v, str)}
+            parent = propagate.extract(carrier)
+            name = f"rpc.server {_method_name(request_type)}"
+            with _tracer.start_as_current_span(name, context=parent):
+                return _encode(await handler(request))
+
+        return grpc.unary_unary_rpc_method_handler(serve)
+
+    async def _on_hello(self, request: messages.HelloRequest) -> messages.HelloReply:
+        return messages.HelloReply(messages.PROTOCOL_VERSION, self._vm, self._data_centre)
+
+
+class PeerClient:
+    """Calls other entry VMs. Opens a channel per address and replaces one that failed."""
+
+    def __init__(self, vm: VmId, data_centre: DataCentreId, tls: TlsSettings | None = None) -> None:
+        self._hello = messages.HelloRequest(messages.PROTOCOL_VERSION, vm, data_centre)
+        self._credentials = None if tls is None else _channel_credentials(tls)
+        self._channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self._greeting_by_address: dict[str, asyncio.Lock] = {}
+        self._greeted: set[str] = set()
+        self._decoder_by_type = {
+            request_type: msgspec.msgpack.Decoder(reply_type)
+            for request_type, reply_type in REPLY_TYPE_BY_REQUEST_TYPE.items()
+        }
+
+    async def call(self, address: str, request: Any, timeout: timedelta, step: Step) -> Any:
+        """Sends a request and returns the reply struct.
+
+        Raises `UnreachableError` if no answer came within ``timeout``; its ``sent`` is false if
+        the request was certainly not sent. Raises `ProtocolError` on another protocol version or
+        a malformed reply.
+        """
+        await self._greet(address, min(timeout, HELLO_TIMEOUT), step)
+        return await self._call(address, request, timeout, step, sent=True)
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        for address in list(self._channel_by_address):
+            await self._drop(address)
+
+    async def _greet(self, address: str, timeout: timedelta, step: Step) -> None:
+        if address in self._greeted:
+            return
+        async with self._greeting_by_address.setdefault(address, asyncio.Lock()):
+            if address in self._greeted:
+                return
+            reply = await self._call(address, self._hello, timeout, step, sent=False)
+            if reply.version != messages.PROTOCOL_VERSION:
+                raise ProtocolError(step, address, f"peer speaks version {reply.version}")
+            self._greeted.add(address)
+
+    async def _call(
+        self, address: str, request: Any, timeout: timedelta, step: Step, sent: bool
+    ) -> Any:
+        method = _method_name(type(request))
+        channel = self._channel(address)
+        stub = channel.unary_unary(f"/{SERVICE}/{method}")
+        with _tracer.start_as_current_span(f"rpc.client {method}") as span:
+            span.set_attribute("peer", address)
+            carrier: dict[str, str] = {}
+            propagate.inject(carrier)
+            try:
+                data = await stub(
+                    _encode(request),
+                    timeout=timeout.total_seconds(),
+                    metadata=tuple(carrier.items()),
+                )
+            except grpc.aio.AioRpcError as error:
+                await self._forget(address, channel, error.code())
+                message = f"{method}: {error.code().name}: {error.details()}"
+                raise UnreachableError(step, address, message, sent) from error
+        try:
+            return self._decoder_by_type[type(request)].decode(data)
+        except msgspec.MsgspecError as error:
+            raise ProtocolError(step, address, f"{method}: {error}") from error
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            if self._credentials is None:
+                channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            else:
+                channel = grpc.aio.secure_channel(
+                    address, self._credentials, options=CHANNEL_OPTIONS
+                )
+            self._channel_by_address[address] = channel
+        return channel
+
+    async def _forget(self, address: str, channel: grpc.aio.Channel, code: grpc.StatusCode) -> None:
+        # A timeout may mean that the connection has gone silent, so the next call opens a new one.
+        lost = code in (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
+        if lost and self._channel_by_address.get(address) is channel:
+            await self._drop(address)
+
+    async def _drop(self, address: str) -> None:
+        self._greeted.discard(address)
+        channel = self._channel_by_address.pop(address, None)
+        if channel is not None:
+            with contextlib.suppress(grpc.RpcError):
+                # Other calls on this channel get time to finish before it is closed.
+                asyncio.get_running_loop().create_task(channel.close(grace=30.0))
+
+
+def _read(path: str) -> bytes:
+    return Path(path).read_bytes()
+
+
+def _server_credentials(tls: TlsSettings) -> grpc.ServerCredentials:
+    pair = (_read(tls.key_file), _read(tls.certificate_file))
+    root = _read(tls.ca_file) if tls.ca_file else None
+    return grpc.ssl_server_credentials([pair], root, require_client_auth=root is not None)
+
+
+def _channel_credentials(tls: TlsSettings) -> grpc.ChannelCredentials:
+    root = _read(tls.ca_file) if tls.ca_file else None
+    return grpc.ssl_channel_credentials(root, _read(tls.key_file), _read(tls.certificate_file))
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -131,6 +131,30 @@
         self._enqueue(state)
         return Ok(Admitted(timedelta(0)))
 
+    def check(self, job: Job) -> Refusal | None:
+        """Returns why the job would be refused now, without queueing it."""
+        if not self._shape_by_id:
+            return Refusal(RefusalReason.OVERLOAD, "no upstreams known yet", timedelta(seconds=1))
+        return None
+
+    def update_quotas(self, quotas_by_team: Mapping[TeamId, Quota]) -> None:
+        """Replaces the quotas after a change of the pool's row."""
+        self._quotas_by_team = quotas_by_team
+
+    def set_unreachable(self, upstream_id: UpstreamId) -> None:
+        """Places no new work until `add_upstream` is called again."""
+        self._leaving.add(upstream_id)
+
+    def requeue_missing(self, job_id: JobId, done: set[int]) -> None:
+        """Queues the tasks of an adopted job that are neither running nor in ``done``."""
+        state = self._job_by_id.get(job_id)
+        if state is None:
+            return
+        state.done = len(done)
+        present = done | {task for task, _ in state.live.values()}
+        state.pending = [task for task in range(state.job.tasks) if task not in present]
+        self._enqueue(state)
+
     def cancel(self, job_id: JobId) -> Cancellation:
         """Removes a queued job, or returns the attempts of a running job to be stopped."""
         state = self._job_by_id.get(job_id)
--- /dev/null
+++ b/hornbeamramp/shards.py
@@ -0,0 +1,206 @@
+"""The shards that this process owns, and the upstreams as witness for those it may claim."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import logbook
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.durable_jobs import DurableJobs
+from hornbeamramp.errors import ProtocolError, UnreachableError
+from hornbeamramp.ids import Epoch, ShardId, UpstreamId, split_shard_id
+from hornbeamramp.messages import (
+    CancelReply,
+    CancelRequest,
+    GetJobReply,
+    GetJobRequest,
+    Misdirected,
+    ResolveReply,
+    ResolveRequest,
+    ShardBeat,
+    SubmitReply,
+    SubmitRequest,
+)
+from hornbeamramp.owner import ShardOwner
+from hornbeamramp.ownership import WitnessReport
+from hornbeamramp.platforms import Platform
+from hornbeamramp.settings import Settings
+from hornbeamramp.states import Capability, Step
+from hornbeamramp.tables import Pool, PoolUpstream, Tables
+from hornbeamramp.telemetry import Metrics
+from hornbeamramp.upstreams import UPSTREAMS, ListedTask, UpstreamAdapter
+
+__all__ = ["OwnedShards", "UpstreamWitness"]
+
+ADAPTER_TIMEOUT = timedelta(seconds=2)
+
+_log = logbook.Logger("owner")
+
+
+def open_adapter(pool: Pool, upstream: PoolUpstream, clock: Clock) -> UpstreamAdapter:
+    """Returns the adapter that the pool's row names, for one upstream."""
+    adapter = UPSTREAMS.find(pool.adapter)
+    return adapter(upstream.address, timeout=ADAPTER_TIMEOUT, clock=clock)
+
+
+class OwnedShards:
+    """One `ShardOwner` for each shard that this process owns.
+
+    `may_start`
+        ``may_start(shard)``: whether this process still owns the shard.
+    `tables`
+        Returns the tables in force.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        platform: Platform,
+        metrics: Metrics,
+        tables: Callable[[], Tables],
+        may_start: Callable[[ShardId], bool],
+    ) -> None:
+        self.owner_by_shard: dict[ShardId, ShardOwner] = {}
+        self._settings = settings
+        self._clock = clock
+        self._platform = platform
+        self._metrics = metrics
+        self._tables = tables
+        self._may_start = may_start
+        self._task_by_shard: dict[ShardId, asyncio.Task[None]] = {}
+
+    async def gained(self, shard: ShardId, epoch: Epoch) -> None:
+        """Starts to serve a shard that was claimed."""
+        pool = self._tables().pool_by_name[split_shard_id(shard)[0]]
+        owner = ShardOwner(
+            shard,
+            epoch,
+            pool,
+            self._settings.vm,
+            self._clock,
+            self._settings.timing,
+            self._metrics,
+            lambda: self._may_start(shard),
+            lambda upstream: open_adapter(pool, upstream, self._clock),
+            DurableJobs(self._platform, self._clock, shard),
+        )
+        self.owner_by_shard[shard] = owner
+        self._task_by_shard[shard] = asyncio.get_running_loop().create_task(owner.run())
+        _log.info("{}: serving with epoch {}", shard, epoch)
+
+    async def lost(self, shard: ShardId) -> None:
+        """Stops serving a shard."""
+        owner = self.owner_by_shard.pop(shard, None)
+        task = self._task_by_shard.pop(shard, None)
+        if owner is not None:
+            await owner.close()
+            _log.info("{}: no longer serving", shard)
+        if task is not None:
+            task.cancel()
+
+    def tables_changed(self) -> None:
+        """Passes changed rows of pools on to the owners."""
+        pool_by_name = self._tables().pool_by_name
+        for shard, owner in self.owner_by_shard.items():
+            pool = pool_by_name.get(split_shard_id(shard)[0])
+            if pool is not None:
+                owner.update_pool(pool)
+
+    def vms_leaving(self, upstream_ids: set[UpstreamId]) -> None:
+        """Gives upstreams no new work that the platform lists as leaving."""
+        for owner in self.owner_by_shard.values():
+            for upstream_id in upstream_ids:
+                owner.set_leaving(upstream_id)
+
+    def beats(self) -> dict[ShardId, ShardBeat]:
+        """Returns what heartbeats tell about the shards."""
+        return {shard: owner.beat() for shard, owner in self.owner_by_shard.items()}
+
+    def status(self) -> list[dict[str, Any]]:
+        """Returns the state of each shard for operators."""
+        return [owner.status() for owner in self.owner_by_shard.values()]
+
+    async def submit(self, request: SubmitRequest) -> SubmitReply:
+        owner = self.owner_by_shard.get(request.shard)
+        return SubmitReply(Misdirected()) if owner is None else await owner.submit(request)
+
+    async def resolve(self, request: ResolveRequest) -> ResolveReply:
+        owner = self.owner_by_shard.get(request.shard)
+        return ResolveReply(None) if owner is None else await owner.resolve(request)
+
+    async def get_job(self, request: GetJobRequest) -> GetJobReply:
+        owner = self.owner_by_shard.get(request.shard)
+        if owner is None:
+            raise UnreachableError(Step.ANSWER, request.shard, "not the owner", sent=False)
+        return await owner.get_job(request)
+
+    async def cancel(self, request: CancelRequest) -> CancelReply:
+        owner = self.owner_by_shard.get(request.shard)
+        if owner is None:
+            raise UnreachableError(Step.CANCEL, request.shard, "not the owner", sent=False)
+        return await owner.cancel(request)
+
+
+class UpstreamWitness:
+    """Reads upstreams' task lists to find out whether another owner still serves a shard."""
+
+    def __init__(self, settings: Settings, clock: Clock, tables: Callable[[], Tables]) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._tables = tables
+
+    async def observe(self, shard: ShardId) -> WitnessReport:
+        """Lists all upstreams of the shard and sums up what their labels show."""
+        replies = await self._for_each(shard, _list_upstream)
+        listed = [reply for reply in replies if reply is not None]
+        renewed_by_epoch: dict[Epoch, timedelta] = {}
+        for _, tasks in listed:
+            for task in tasks:
+                if task.labels is not None and task.labels.shard == shard:
+                    epoch = task.labels.epoch
+                    known = renewed_by_epoch.get(epoch, task.renewed_ago)
+                    renewed_by_epoch[epoch] = min(known, task.renewed_ago)
+        return WitnessReport(
+            highest_epoch=max(renewed_by_epoch, default=Epoch(0)),
+            since_renewal_by_epoch=renewed_by_epoch,
+            all_answered=len(listed) == len(replies),
+            all_labelled=all(Capability.LABELS in capabilities for capabilities, _ in listed),
+            answered=len(listed),
+        )
+
+    async def fence(self, shard: ShardId, epoch: Epoch) -> bool:
+        """Fences the shard's upstreams; true if every reachable one supports it and did."""
+        replies = await self._for_each(shard, lambda adapter: adapter.fence(shard, epoch))
+        reached = [reply for reply in replies if reply is not None]
+        return bool(reached) and all(reached)
+
+    async def _for_each(self, shard: ShardId, call: Callable[[UpstreamAdapter], Any]) -> list[Any]:
+        """Calls every upstream of the shard; ``None`` stands for one that did not answer."""
+        pool_name, data_centre = split_shard_id(shard)
+        pool = self._tables().pool_by_name.get(pool_name)
+        upstreams = [] if pool is None else pool.upstreams
+        calls = [
+            self._call(open_adapter(pool, upstream, self._clock), call)
+            for upstream in upstreams
+            if upstream.data_centre == data_centre
+        ]
+        return list(await asyncio.gather(*calls))
+
+    @staticmethod
+    async def _call(adapter: UpstreamAdapter, call: Callable[[UpstreamAdapter], Any]) -> Any:
+        try:
+            return await call(adapter)
+        except (UnreachableError, ProtocolError):
+            return None
+        finally:
+            await adapter.close()
+
+
+async def _list_upstream(
+    adapter: UpstreamAdapter,
+) -> tuple[frozenset[Capability], list[ListedTask]]:
+    shape = await adapter.shape()
+    return shape.capabilities, await adapter.list_tasks()
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,92 @@
+"""Tests of the gRPC layer over real sockets."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from hornbeamramp import messages
+from hornbeamramp.errors import ProtocolError, UnreachableError
+from hornbeamramp.rpc import PeerClient, PeerServer
+from hornbeamramp.states import JobState, Step
+
+SECOND = timedelta(seconds=1)
+
+
+async def start_server(handler) -> PeerServer:
+    server = PeerServer("127.0.0.1:0", "vm-1", "gebze")
+    server.handle(messages.GetJobRequest, handler)
+    await server.start()
+    return server
+
+
+async def call(client: PeerClient, port: int, timeout: timedelta = 5 * SECOND):
+    request = messages.GetJobRequest("tickets@gebze", "job-1")
+    return await client.call(f"127.0.0.1:{port}", request, timeout, Step.ANSWER)
+
+
+def test_a_call_reaches_its_handler(run):
+    async def scenario():
+        async def handler(request):
+            assert request.job_id == "job-1"
+            return messages.GetJobReply(JobState.RUNNING)
+
+        server = await start_server(handler)
+        client = PeerClient("vm-2", "tuzla")
+        assert (await call(client, server.port)).state is JobState.RUNNING
+        await client.close()
+        await server.stop(timedelta(0))
+
+    run(scenario())
+
+
+def test_a_refused_connection_is_known_not_to_be_sent(run):
+    """Guards against treating a request that never left as one with an unknown fate."""
+
+    async def scenario():
+        client = PeerClient("vm-2", "tuzla")
+        with pytest.raises(UnreachableError) as caught:
+            await call(client, 1)
+        assert not caught.value.sent
+        assert caught.value.step is Step.ANSWER
+        assert caught.value.peer == "127.0.0.1:1"
+        await client.close()
+
+    run(scenario())
+
+
+def test_a_missing_answer_leaves_the_fate_open(run):
+    """Guards against reporting an unanswered request as not sent."""
+
+    async def scenario():
+        async def handler(request):
+            await asyncio.sleep(60)
+
+        server = await start_server(handler)
+        client = PeerClient("vm-2", "tuzla")
+        with pytest.raises(UnreachableError) as caught:
+            await call(client, server.port, timedelta(milliseconds=300))
+        assert caught.value.sent
+        await client.close()
+        await server.stop(timedelta(0))
+
+    run(scenario())
+
+
+def test_another_protocol_version_is_refused(run):
+    """Guards against two versions that misread each other's messages."""
+
+    async def scenario():
+        async def old_hello(request):
+            return messages.HelloReply(0, "vm-1", "gebze")
+
+        server = PeerServer("127.0.0.1:0", "vm-1", "gebze")
+        server.handle(messages.HelloRequest, old_hello)
+        await server.start()
+        client = PeerClient("vm-2", "tuzla")
+        with pytest.raises(ProtocolError, match="version 0"):
+            await call(client, server.port)
+        await client.close()
+        await server.stop(timedelta(0))
+
+    run(scenario())
