Separate the parts of an entry process from its listeners

Cause: the failure tests need whole entry processes on a manual clock without sockets. PUT of a row answers at once; Prefer: wait=N waits for the data centres. Conclusion: the same wiring serves tests and production.

--- a/hornbeamramp/admin_api.py
+++ b/hornbeamramp/admin_api.py
@@ -1,7 +1,9 @@
 """HTTP API for operators: the two tables, status and metrics, behind a bearer token."""
 
 import hmac
+import re
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Any
 
@@ -40,7 +42,7 @@
     token: str,
     configuration: ConfigurationStore,
     status: Callable[[], Awaitable[dict[str, Any]]],
-    in_force: Callable[[Revision], Awaitable[dict[str, bool]]],
+    in_force: Callable[[Revision, timedelta], Awaitable[dict[str, bool]]],
 ) -> Sanic:
     """Returns the application of the listener for operators.
 
@@ -99,7 +101,7 @@
         self,
         configuration: ConfigurationStore,
         status: Callable[[], Awaitable[dict[str, Any]]],
-        in_force: Callable[[Revision], Awaitable[dict[str, bool]]],
+        in_force: Callable[[Revision, timedelta], Awaitable[dict[str, bool]]],
     ) -> None:
         self._configuration = configuration
         self._status = status
@@ -161,7 +163,7 @@
             "accepted": True,
             "change": change.id,
             "revision": change.revision,
-            "in_force": await self._in_force(change.revision),
+            "in_force": await self._in_force(change.revision, _preferred_wait(request)),
         }
         return json_response(body, headers={"ETag": _etag(change.revision)})
 
@@ -196,6 +198,12 @@
     return Revision(int(digits))
 
 
+def _preferred_wait(request: Request) -> timedelta:
+    """Returns how long the caller wants to wait for the change to be in force everywhere."""
+    match = re.search(r"\bwait=(\d{1,3})\b", request.headers.get("prefer", ""))
+    return timedelta(seconds=min(int(match.group(1)), 60) if match else 0)
+
+
 def _decode_row(body: bytes, table: str, name: str) -> Route | Pool:
     """Returns the row of a request body. ``name`` in the body may be left out, ``version`` given.
 
--- a/hornbeamramp/cluster_status.py
+++ b/hornbeamramp/cluster_status.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hornbeamramp.clock import Clock
 from hornbeamramp.configuration import ConfigurationStore
 from hornbeamramp.errors import SchedulerError
 from hornbeamramp.ids import DataCentreId, Revision, VmId, shard_id
@@ -21,8 +22,7 @@
 __all__ = ["ClusterStatus"]
 
 PEER_TIMEOUT = timedelta(seconds=2)
-IN_FORCE_WAIT = timedelta(seconds=3)
-IN_FORCE_POLL_S = 0.1
+IN_FORCE_POLL = timedelta(milliseconds=50)
 
 
 class ClusterStatus:
@@ -31,6 +31,7 @@
     def __init__(
         self,
         settings: Settings,
+        clock: Clock,
         configuration: ConfigurationStore,
         membership: Membership,
         ownership: Ownership,
@@ -40,6 +41,7 @@
         is_ready: Callable[[], bool],
     ) -> None:
         self._settings = settings
+        self._clock = clock
         self._configuration = configuration
         self._membership = membership
         self._ownership = ownership
@@ -81,14 +83,17 @@
             "processes": [local, *peers.values()],
         }
 
-    async def in_force(self, revision: Revision) -> dict[str, bool]:
-        """Waits up to 3 s and tells for each data centre whether all reachable members apply it."""
-        deadline = asyncio.get_running_loop().time() + IN_FORCE_WAIT.total_seconds()
+    async def in_force(self, revision: Revision, wait: timedelta) -> dict[str, bool]:
+        """Tells for each data centre whether all reachable members apply ``revision``.
+
+        Waits up to ``wait`` for all of them.
+        """
+        deadline = self._clock.boot_time() + wait
         while True:
             result = self._in_force_now(revision)
-            if all(result.values()) or asyncio.get_running_loop().time() >= deadline:
+            if all(result.values()) or self._clock.boot_time() >= deadline:
                 return result
-            await asyncio.sleep(IN_FORCE_POLL_S)
+            await self._clock.sleep(IN_FORCE_POLL)
 
     def _in_force_now(self, revision: Revision) -> dict[str, bool]:
         revisions = self._membership.revision_by_vm()
--- /dev/null
+++ b/hornbeamramp/entry_parts.py
@@ -0,0 +1,199 @@
+"""The parts of an entry process without its listeners, wired together."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import logbook
+
+from hornbeamramp import messages
+from hornbeamramp.clock import Clock
+from hornbeamramp.cluster_status import ClusterStatus
+from hornbeamramp.configuration import ConfigurationStore
+from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.forwarding import Forwarder
+from hornbeamramp.ids import Revision, ShardId, UpstreamId, VmId, shard_id
+from hornbeamramp.membership import Membership
+from hornbeamramp.ownership import Ownership
+from hornbeamramp.peers import PeerCaller
+from hornbeamramp.platforms import Platform
+from hornbeamramp.settings import Settings
+from hornbeamramp.shards import OpenUpstream, OwnedShards, UpstreamWitness
+from hornbeamramp.store_budget import BudgetedPlatform
+from hornbeamramp.telemetry import Metrics
+
+__all__ = ["REQUEST_TYPES", "EntryParts"]
+
+VM_LIST_INTERVAL = timedelta(seconds=3)
+
+REQUEST_TYPES: tuple[type, ...] = (
+    messages.Heartbeat,
+    messages.SubmitRequest,
+    messages.ResolveRequest,
+    messages.GetJobRequest,
+    messages.CancelRequest,
+    messages.AskOwnerRequest,
+    messages.PromiseRequest,
+    messages.HandOverRequest,
+    messages.ConfigDeltaRequest,
+    messages.StatusRequest,
+)
+
+_log = logbook.Logger("entry")
+
+
+class EntryParts:
+    """Membership, ownership, configuration, owned shards and forwarding of one process.
+
+    `platform`
+        Platform adapter; wrapped with the process's budget of calls.
+    `peers`
+        Caller of other entry processes.
+    `open_upstream`
+        Makes the adapter of an upstream of a pool.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        platform: Platform,
+        peers: PeerCaller,
+        open_upstream: OpenUpstream,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = Metrics()
+        self.ready = False
+        self.refusing = False
+        self.platform = BudgetedPlatform(platform, clock, settings.platform.calls_per_second)
+        self.configuration = ConfigurationStore(self.platform, clock, settings.vm)
+        self.membership = Membership(settings, self.platform, peers, clock, self._beat_content)
+        self.shards = OwnedShards(
+            settings,
+            clock,
+            self.platform,
+            self.metrics,
+            lambda: self.configuration.tables,
+            lambda shard: self.ownership.may_start(shard),
+            open_upstream,
+        )
+        self.ownership = Ownership(
+            self.membership,
+            self.platform,
+            peers,
+            clock,
+            settings.timing,
+            self._own_shards,
+            self.shards.gained,
+            self.shards.lost,
+            UpstreamWitness(lambda: self.configuration.tables, open_upstream),
+        )
+        self.forwarder = Forwarder(settings, clock, self, peers.call, self.handle)
+        self.cluster_status = ClusterStatus(
+            settings,
+            clock,
+            self.configuration,
+            self.membership,
+            self.ownership,
+            self.shards,
+            self.platform,
+            peers.call,
+            lambda: self.ready,
+        )
+        self.configuration.subscribe(lambda _: self.shards.tables_changed())
+        self._handler_by_type = self._handlers()
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    def start(self) -> None:
+        """Joins the members and begins to serve."""
+        for part in (
+            self.configuration.run(),
+            self.membership.run(),
+            self.ownership.run(),
+            self._follow_vm_list(),
+            self._become_ready(),
+        ):
+            task = asyncio.get_running_loop().create_task(part)
+            task.add_done_callback(_report_failure)
+            self._tasks.append(task)
+
+    def set_leaving(self) -> None:
+        """Tells balancer and peers that this process takes no new work soon."""
+        self.ready = False
+        self.membership.set_leaving()
+
+    async def end(self) -> None:
+        """Stops everything and ends the process lease. Shards should be handed over before."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for shard in list(self.shards.owner_by_shard):
+            await self.shards.lost(shard)
+        with contextlib.suppress(StoreUnavailableError):
+            await self.membership.lease.revoke()
+        await self.platform.close()
+
+    async def handle(self, request: Any) -> Any:
+        """Answers a request of a peer, or of this process's own forwarder."""
+        reply = self._handler_by_type[type(request)](request)
+        return await reply if asyncio.iscoroutine(reply) else reply
+
+    def owner_of(self, shard: ShardId) -> VmId | None:
+        """Returns the VM that is believed to own the shard."""
+        return self.ownership.owner_of(shard)
+
+    def address_of(self, vm: VmId) -> str | None:
+        """Returns the peer address of a VM."""
+        member = self.membership.by_id.get(vm)
+        return member.peer_address if member is not None and member.peer_address else None
+
+    def beat_of(self, shard: ShardId) -> messages.ShardBeat | None:
+        """Returns the latest heartbeat about the shard."""
+        beat = self.membership.beat_of(shard)
+        return None if beat is None else beat[0]
+
+    def _handlers(self) -> dict[type, Callable[[Any], Any]]:
+        return {
+            messages.Heartbeat: self.membership.on_heartbeat,
+            messages.SubmitRequest: self.shards.submit,
+            messages.ResolveRequest: self.shards.resolve,
+            messages.GetJobRequest: self.shards.get_job,
+            messages.CancelRequest: self.shards.cancel,
+            messages.AskOwnerRequest: self.ownership.on_ask_owner,
+            messages.PromiseRequest: self.ownership.on_promise,
+            messages.HandOverRequest: self.ownership.on_hand_over,
+            messages.ConfigDeltaRequest: self.configuration.on_config_delta,
+            messages.StatusRequest: self.cluster_status.reply,
+        }
+
+    def _beat_content(self) -> tuple[Revision, dict[ShardId, messages.ShardBeat]]:
+        return self.configuration.tables.revision, self.shards.beats()
+
+    def _own_shards(self) -> list[ShardId]:
+        own = self.settings.data_centre
+        return [
+            shard_id(pool.name, own)
+            for pool in self.configuration.tables.pool_by_name.values()
+            if own in pool.data_centres()
+        ]
+
+    async def _become_ready(self) -> None:
+        await self.configuration.wait_ready()
+        self.ready = True
+        _log.info("ready with revision {}", self.configuration.tables.revision)
+
+    async def _follow_vm_list(self) -> None:
+        """Gives upstreams that the platform lists as leaving no new work."""
+        while True:
+            with contextlib.suppress(StoreUnavailableError):
+                listed = await self.platform.list_vms()
+                self.shards.vms_leaving({UpstreamId(vm.vm_id) for vm in listed if vm.leaving})
+            await self.clock.sleep(VM_LIST_INTERVAL)
+
+
+def _report_failure(task: asyncio.Task[Any]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("a part of the process failed: {!r}", task.exception())
--- a/hornbeamramp/shards.py
+++ b/hornbeamramp/shards.py
@@ -30,19 +30,14 @@
 from hornbeamramp.states import Capability, Step
 from hornbeamramp.tables import Pool, PoolUpstream, Tables
 from hornbeamramp.telemetry import Metrics
-from hornbeamramp.upstreams import UPSTREAMS, ListedTask, UpstreamAdapter
+from hornbeamramp.upstreams import ListedTask, UpstreamAdapter
 
-__all__ = ["OwnedShards", "UpstreamWitness"]
-
-ADAPTER_TIMEOUT = timedelta(seconds=2)
+__all__ = ["OpenUpstream", "OwnedShards", "UpstreamWitness"]
 
 _log = logbook.Logger("owner")
 
 
-def open_adapter(pool: Pool, upstream: PoolUpstream, clock: Clock) -> UpstreamAdapter:
-    """Returns the adapter that the pool's row names, for one upstream."""
-    adapter = UPSTREAMS.find(pool.adapter)
-    return adapter(upstream.address, timeout=ADAPTER_TIMEOUT, clock=clock)
+OpenUpstream = Callable[[Pool, PoolUpstream], UpstreamAdapter]
 
 
 class OwnedShards:
@@ -52,6 +47,8 @@
         ``may_start(shard)``: whether this process still owns the shard.
     `tables`
         Returns the tables in force.
+    `open_upstream`
+        Makes the adapter of an upstream of a pool.
     """
 
     def __init__(
@@ -62,6 +59,7 @@
         metrics: Metrics,
         tables: Callable[[], Tables],
         may_start: Callable[[ShardId], bool],
+        open_upstream: OpenUpstream,
     ) -> None:
         self.owner_by_shard: dict[ShardId, ShardOwner] = {}
         self._settings = settings
@@ -70,6 +68,7 @@
         self._metrics = metrics
         self._tables = tables
         self._may_start = may_start
+        self._open_upstream = open_upstream
         self._task_by_shard: dict[ShardId, asyncio.Task[None]] = {}
 
     async def gained(self, shard: ShardId, epoch: Epoch) -> None:
@@ -84,7 +83,7 @@
             self._settings.timing,
             self._metrics,
             lambda: self._may_start(shard),
-            lambda upstream: open_adapter(pool, upstream, self._clock),
+            lambda upstream: self._open_upstream(pool, upstream),
             DurableJobs(self._platform, self._clock, shard),
         )
         self.owner_by_shard[shard] = owner
@@ -147,10 +146,9 @@
 class UpstreamWitness:
     """Reads upstreams' task lists to find out whether another owner still serves a shard."""
 
-    def __init__(self, settings: Settings, clock: Clock, tables: Callable[[], Tables]) -> None:
-        self._settings = settings
-        self._clock = clock
+    def __init__(self, tables: Callable[[], Tables], open_upstream: OpenUpstream) -> None:
         self._tables = tables
+        self._open_upstream = open_upstream
 
     async def observe(self, shard: ShardId) -> WitnessReport:
         """Lists all upstreams of the shard and sums up what their labels show."""
@@ -183,7 +181,7 @@
         pool = self._tables().pool_by_name.get(pool_name)
         upstreams = [] if pool is None else pool.upstreams
         calls = [
-            self._call(open_adapter(pool, upstream, self._clock), call)
+            self._call(self._open_upstream(pool, upstream), call)
             for upstream in upstreams
             if upstream.data_centre == data_centre
         ]
