--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import socket
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
@@ -18,7 +19,7 @@
 
 from hornbeamramp.clock import Clock
 
-__all__ = ["HttpClient", "HttpReply", "RequestFailedError"]
+__all__ = ["HttpClient", "HttpReply", "RequestFailedError", "open_socket"]
 
 # Connections of the stand-ins and of common servers stay open for longer than this when idle.
 IDLE_LIMIT = timedelta(seconds=5)
@@ -99,6 +100,23 @@
         await writer.write(self._value)
 
 
+def open_socket(address: tuple[Any, ...], user_timeout: timedelta) -> socket.socket:
+    """Returns a socket for ``address``, an entry of ``getaddrinfo``.
+
+    Keepalive ends an idle connection whose peer is gone after 11 s; ``user_timeout`` bounds the
+    time for which written data may stay unacknowledged. Raises ``OSError``.
+    """
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    limit_ms = max(user_timeout // timedelta(milliseconds=1), 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+    return sock
+
+
 class HttpClient:
     """Requests to one address over pooled connections.
 
@@ -209,7 +227,7 @@
         connector = aiohttp.TCPConnector(
             limit=0,
             keepalive_timeout=IDLE_LIMIT.total_seconds(),
-            socket_factory=self._open_socket,
+            socket_factory=functools.partial(open_socket, user_timeout=self._timeout),
         )
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_note_headers_sent)
@@ -221,17 +239,6 @@
             trace_configs=[trace],
         )
 
-    def _open_socket(self, address: tuple[Any, ...]) -> socket.socket:
-        family, kind, protocol, _, _ = address
-        sock = socket.socket(family, kind, protocol)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        limit_ms = max(int(self._timeout.total_seconds() * 1000), 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
-        return sock
-
     def _retire(self, session: aiohttp.ClientSession) -> None:
         """Takes no further requests on the session's connections; pending ones go on."""
         if self._session is session:
--- a/hornbeamramp/platforms/http.py
+++ b/hornbeamramp/platforms/http.py
@@ -183,4 +183,5 @@
 
 
 def _key_path(key: str) -> str:
-    return f"/v1/kv/{quote(key, safe='/')}"
+    # A key is one path segment: with its slashes left as they are, "a/../b" would name "b".
+    return f"/v1/kv/{quote(key, safe='')}"
