--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -165,6 +165,22 @@
     run(scenario())
 
 
+def test_all_idle_connections_are_given_up_after_a_timeout(run):
+    """Guards against trying one dead connection after the other, each for a whole timeout."""
+
+    async def scenario():
+        script = ("answer", "answer", "silent")
+        async with serving(*script) as server, connected(server.address, SECOND) as client:
+            await asyncio.gather(client.request("GET", "/1"), client.request("GET", "/2"))
+            assert server.connections == 2
+            with pytest.raises(RequestFailedError):
+                await client.request("GET", "/3")
+            await client.request("GET", "/4")
+            assert server.requests[-1][0] == 3
+
+    run(scenario())
+
+
 def test_pending_request_survives_the_failure_of_another(run):
     """Guards against a failed call cutting off answers that other callers wait for."""
 
