--- a/hornbeamramp/standins/load.py
+++ b/hornbeamramp/standins/load.py
@@ -21,6 +21,7 @@
 import aiohttp
 import cyclopts
 import msgspec
+import uvloop
 
 from hornbeamramp.clock import Clock, SystemClock
 from hornbeamramp.resources import Resources
@@ -345,18 +346,21 @@
     json
         Print JSON instead of a table.
     """
-    plan = LoadPlan(
-        addresses=address,
-        routes=[parse_route(text) for text in route],
-        rate=rate,
-        duration=duration,
-        concurrency=concurrency,
-        deadline_ms=deadline_ms,
-        timeout=timeout,
-        payload_bytes=payload_bytes,
-        seed=seed,
-    )
-    report = asyncio.run(run_load(plan))
+    try:
+        plan = LoadPlan(
+            addresses=address,
+            routes=[parse_route(text) for text in route],
+            rate=rate,
+            duration=duration,
+            concurrency=concurrency,
+            deadline_ms=deadline_ms,
+            timeout=timeout,
+            payload_bytes=payload_bytes,
+            seed=seed,
+        )
+        report = uvloop.run(run_load(plan))
+    except ValueError as error:
+        raise SystemExit(f"error: {error}") from error
     print(msgspec.json.encode(report).decode() if json else render_table(report))
 
 
--- a/hornbeamramp/standins/platform.py
+++ b/hornbeamramp/standins/platform.py
@@ -5,13 +5,13 @@
 (body `PlatformFaults`, replaces all faults) and ``GET /v1/calls``.
 """
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
 import cyclopts
 import msgspec
+import uvloop
 from aiohttp import web
 
 from hornbeamramp.clock import Clock, SystemClock
@@ -292,7 +292,7 @@
     address
         ip:port to listen on; port 0 takes a free one.
     """
-    asyncio.run(_serve(address))
+    uvloop.run(_serve(address))
 
 
 if __name__ == "__main__":
--- a/hornbeamramp/standins/upstream.py
+++ b/hornbeamramp/standins/upstream.py
@@ -18,6 +18,7 @@
 
 import cyclopts
 import msgspec
+import uvloop
 from aiohttp import web
 
 from hornbeamramp.clock import Clock, SystemClock
@@ -270,10 +271,9 @@
     return shape, address, lag
 
 
-async def _serve(workers: list[str]) -> None:
+async def _serve(workers: list[tuple[UpstreamShape, str, timedelta]]) -> None:
     servers = []
-    for text in workers:
-        shape, address, lag = parse_worker(text)
+    for shape, address, lag in workers:
         server = UpstreamServer(shape, address, usage_lag=lag)
         await server.start()
         servers.append(server)
@@ -290,7 +290,11 @@
     worker
         id=w1,address=127.0.0.1:0,rack=r1 and further settings; may be repeated.
     """
-    asyncio.run(_serve(worker))
+    try:
+        workers = [parse_worker(text) for text in worker]
+    except ValueError as error:
+        raise SystemExit(f"error: {error}") from error
+    uvloop.run(_serve(workers))
 
 
 if __name__ == "__main__":
