--- a/hornbeamramp/ownership.py
+++ b/hornbeamramp/ownership.py
@@ -133,9 +133,11 @@
         To be called right before the write, with no ``await`` in between.
         """
         proof = self.proof(shard)
-        if proof is None:
+        now = self._clock.boot_time()
+        if proof is None or now + self._send_bound > proof.valid_until:
             return False
-        return self._clock.boot_time() + self._send_bound <= proof.valid_until
+        self._shard_by_id[shard].allowed_at = now
+        return True
 
     def owner_of(self, shard: ShardId) -> VmId | None:
         """Returns the owner by the record or by a later heartbeat, ``None`` if unknown."""
@@ -363,6 +365,8 @@
             return
         epoch = state.epoch
         await self._give_up(state)
+        # A start written just before may still be on its way.
+        await self._clock.sleep(state.allowed_at + self._send_bound - self._clock.boot_time())
         try:
             async with state.lock:
                 await self._write_release(state, epoch)
@@ -407,7 +411,9 @@
         state = self._shard_by_id.get(request.shard)
         if state is not None and state.epoch is not None:
             reaches_store = self._membership.lease.store_available_for() is not None
-            if self.may_start(request.shard) or reaches_store:
+            proof = self.proof(request.shard)
+            proved = proof is not None and self._clock.boot_time() <= proof.valid_until
+            if proved or reaches_store:
                 return AskOwnerReply(serving=True, epoch=state.epoch)
             self._step_down(state, f"{request.candidate} reaches the store")
         left, owner = self._book.raise_barrier(request.shard, request.candidate)
--- a/hornbeamramp/shard_state.py
+++ b/hornbeamramp/shard_state.py
@@ -34,6 +34,8 @@
         Latest record seen.
     `epoch`, `lease`
         Epoch owned by this process and the lease on its confirmed record; ``None`` if not owned.
+    `allowed_at`
+        Boot time at which `Ownership.may_start` last returned true.
     `given_up`
         Highest epoch that this process has owned and stopped to own. It never owns it again.
     `required`
@@ -54,6 +56,7 @@
         self.attempt_by_write: dict[str, Attempt] = {}
         self.claimable_since: timedelta | None = None
         self.not_before = timedelta(0)
+        self.allowed_at = timedelta(0)
         self.gaining: asyncio.Task[None] | None = None
 
     def attempt(self) -> Attempt | None:
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -51,30 +51,37 @@
 
 
 class ProcessClock(Clock):
-    """Clock of one process, which does not wake while the process is paused."""
+    """Clock of one process, which does not wake while the process is paused.
 
-    def __init__(self, clock: ManualClock, pause: Pause) -> None:
+    `rate`
+        How fast it runs against the true time.
+    """
+
+    def __init__(self, clock: ManualClock, pause: Pause, rate: float = 1.0) -> None:
         self._clock = clock
         self._pause = pause
+        self._rate = rate
 
     def now(self):
         return self._clock.now()
 
     def boot_time(self) -> timedelta:
-        return self._clock.boot_time()
+        return self._clock.boot_time() * self._rate
 
     async def sleep(self, duration: timedelta) -> None:
-        await self._clock.sleep(duration)
+        await self._clock.sleep(duration / self._rate)
         await self._pause.passed()
 
 
 class StoreAccess:
-    """The store as one process reaches it.
+    """The store as one process reaches it. A call without an answer fails after a second.
 
     `cut`
         Calls get no answer and take no effect.
     `lose_answers`
         Number of the next calls that take effect and get no answer.
+    `delay`
+        Time after which a call takes effect, even if the process no longer waits for it.
     """
 
     def __init__(self, store: MemoryPlatform, clock: ManualClock, pause: Pause) -> None:
@@ -83,29 +90,42 @@
         self._pause = pause
         self.cut = False
         self.lose_answers = 0
+        self.delay = timedelta(0)
 
     def __getattr__(self, name):
-        method = getattr(self._store, name)
-
         async def call(*arguments):
             try:
-                if self.cut:
-                    raise StoreUnavailableError(Step.RENEW, "store", f"{name}: cut off", sent=False)
-                result = await method(*arguments)
-                if name != "watch" and self.lose_answers > 0:
-                    self.lose_answers -= 1
-                    raise StoreUnavailableError(Step.RENEW, "store", f"{name}: answer lost")
-                if self.cut:
-                    raise StoreUnavailableError(Step.RENEW, "store", f"{name}: cut off")
-            except StoreUnavailableError:
-                await self._clock.sleep(STORE_TIMEOUT)
+                return await self._answer(name, arguments)
+            finally:
                 await self._pause.passed()
-                raise
-            await self._pause.passed()
-            return result
 
         return call
 
+    async def _answer(self, name: str, arguments: tuple):
+        if name == "watch":
+            result = None if self.cut else await self._store.watch(*arguments)
+        else:
+            effect = asyncio.ensure_future(self._take_effect(name, arguments, self.delay))
+            expiry = asyncio.ensure_future(self._clock.sleep(STORE_TIMEOUT))
+            await asyncio.wait({effect, expiry}, return_when=asyncio.FIRST_COMPLETED)
+            expiry.cancel()
+            if effect.done() and not self.cut and self.lose_answers == 0:
+                return effect.result()
+            effect.add_done_callback(lambda task: task.cancelled() or task.exception())
+            self.lose_answers = max(self.lose_answers - 1, 0)
+            result = None
+        if result is None or self.cut:
+            await self._clock.sleep(STORE_TIMEOUT)
+            raise StoreUnavailableError(Step.RENEW, "store", f"{name}: no answer")
+        return result
+
+    async def _take_effect(self, name: str, arguments: tuple, delay: timedelta):
+        if self.cut:
+            raise StoreUnavailableError(Step.RENEW, "store", f"{name}: cut off", sent=False)
+        if delay:
+            await self._clock.sleep(delay)
+        return await getattr(self._store, name)(*arguments)
+
 
 class Network:
     """Connects processes by address. Pairs can be cut; messages delayed, doubled or dropped."""
@@ -218,7 +238,9 @@
 class Process:
     """One entry process: membership and ownership, wired as `entry.py` does."""
 
-    def __init__(self, cell: "Cell", name: str, data_centre: DataCentreId, size: float) -> None:
+    def __init__(
+        self, cell: "Cell", name: str, data_centre: DataCentreId, size: float, rate: float
+    ) -> None:
         self.vm = VmId(name)
         self.cell = cell
         self.pause = Pause()
@@ -226,7 +248,7 @@
         self.is_running = True
         self.revision = Revision(1)
         self.events: list[tuple] = []
-        self.clock = ProcessClock(cell.clock, self.pause)
+        self.clock = ProcessClock(cell.clock, self.pause, rate)
         self.store = StoreAccess(cell.store, cell.clock, self.pause)
         settings = Settings(
             vm=self.vm,
@@ -306,18 +328,18 @@
         self.upstreams = Upstreams(clock) if witness else None
         self.shards = [SHARD]
         self.process_by_vm: dict[VmId, Process] = {}
-        self.killed: list[Process] = []
+        self.allowed_at: dict[tuple[ShardId, Process], timedelta] = {}
 
-    def start(self, name: str, data_centre: DataCentreId = DC, size: float = 1.0) -> Process:
+    def start(
+        self, name: str, data_centre: DataCentreId = DC, size: float = 1.0, rate: float = 1.0
+    ) -> Process:
         """Starts a process; one of the same name must have been killed before."""
-        process = Process(self, name, data_centre, size)
+        process = Process(self, name, data_centre, size, rate)
         self.process_by_vm[process.vm] = process
         return process
 
     def kill(self, name: str) -> None:
-        process = self.process_by_vm.pop(VmId(name))
-        process.kill()
-        self.killed.append(process)
+        self.process_by_vm.pop(VmId(name)).kill()
 
     def cut(self, *names: str) -> None:
         self.network.cut.add(frozenset(names))
@@ -351,9 +373,17 @@
         return self.clock.boot_time() - began
 
     def check(self) -> None:
+        """Fails if two processes may start work, or a start of one may arrive after another's."""
+        now = self.clock.boot_time()
+        bound = timedelta(milliseconds=self.timing.send_bound_ms)
         for shard in self.shards:
-            serving = self.serving(shard)
-            assert len(serving) <= 1, f"{serving} may all start work of {shard}"
+            for vm in self.serving(shard):
+                process = self.process_by_vm[vm]
+                for (other_shard, other), at in self.allowed_at.items():
+                    in_flight = at + bound > now and other_shard == shard
+                    message = f"{now}: {vm} may start work of {shard}, {other.vm} could at {at}"
+                    assert other is process or not in_flight, message
+                self.allowed_at[shard, process] = now
         for process in self.process_by_vm.values():
             assert not process.failures()
 
