--- /dev/null
+++ b/hornbeamramp/capacity_index.py
@@ -0,0 +1,211 @@
+"""Upstreams indexed by free capacity, so that placement never scans the pool."""
+
+from collections.abc import Callable, Iterator
+
+from hornbeamramp.ids import RackId, UpstreamId
+from hornbeamramp.ledger import Vector
+from hornbeamramp.upstreams.base import UpstreamShape
+
+__all__ = ["CapacityIndex", "CapacityTree", "CapacityView"]
+
+_NONE: Vector = (-1, -1, -1, -1, -1)
+
+
+class CapacityTree:
+    """Segment tree over positions; a node holds the maximum of each resource below it.
+
+    `set` is O(log n). `first` is O(log n) unless different leaves hold the maxima of different
+    resources; a subtree is then visited without finding a leaf in it.
+    """
+
+    __slots__ = ("_leaves", "_nodes", "size")
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self._leaves = 1 << max(size - 1, 0).bit_length()
+        self._nodes: list[Vector] = [_NONE] * (2 * self._leaves)
+
+    def fill(self, values: list[Vector]) -> None:
+        """Sets all positions at once, in O(n)."""
+        nodes, leaves = self._nodes, self._leaves
+        nodes[leaves : leaves + len(values)] = values
+        for i in range(leaves - 1, 0, -1):
+            a, b = nodes[2 * i], nodes[2 * i + 1]
+            nodes[i] = a if b is _NONE else tuple(map(max, a, b))  # type: ignore[assignment]
+
+    def set(self, position: int, value: Vector) -> None:
+        nodes = self._nodes
+        i = self._leaves + position
+        if nodes[i] == value:
+            return
+        nodes[i] = value
+        i >>= 1
+        while i:
+            a, b = nodes[2 * i], nodes[2 * i + 1]
+            top = (
+                a[0] if a[0] > b[0] else b[0],
+                a[1] if a[1] > b[1] else b[1],
+                a[2] if a[2] > b[2] else b[2],
+                a[3] if a[3] > b[3] else b[3],
+                a[4] if a[4] > b[4] else b[4],
+            )
+            if top == nodes[i]:
+                return
+            nodes[i] = top
+            i >>= 1
+
+    def get(self, position: int) -> Vector:
+        return self._nodes[self._leaves + position]
+
+    def first(self, amount: Vector, start: int = 0) -> int:
+        """Returns the first position from ``start`` on that has ``amount``, or -1."""
+        if start >= self.size:
+            return -1
+        nodes, leaves = self._nodes, self._leaves
+        a0, a1, a2, a3, a4 = amount
+        i = leaves + start
+        while True:
+            n = nodes[i]
+            if n[0] >= a0 and n[1] >= a1 and n[2] >= a2 and n[3] >= a3 and n[4] >= a4:
+                if i >= leaves:
+                    return i - leaves
+                i *= 2
+                continue
+            while i & 1:
+                i >>= 1
+            if not i:
+                return -1
+            i += 1
+
+
+class CapacityView:
+    """Upstreams in one order of preference, searchable by one kind of capacity.
+
+    `key`
+        Sort key of an upstream, given its shape and the mean speed of its rack.
+    `value`
+        Returns what counts as available on an upstream, or ``None`` to leave it out.
+    """
+
+    def __init__(
+        self,
+        key: Callable[[UpstreamShape, float], tuple],
+        value: Callable[[UpstreamId], Vector | None],
+    ) -> None:
+        self._key = key
+        self._value = value
+        self._tree = CapacityTree(0)
+        self._dirty: set[UpstreamId] = set()
+        self._stale = True
+        self._shape_by_id: dict[UpstreamId, UpstreamShape] = {}
+        self.ids: list[UpstreamId] = []
+        self.position_by_id: dict[UpstreamId, int] = {}
+        self.rack_end: list[int] = []
+
+    def touch(self, upstream_id: UpstreamId) -> None:
+        """Notes that the capacity of an upstream may have changed."""
+        self._dirty.add(upstream_id)
+
+    def invalidate(self, shape_by_id: dict[UpstreamId, UpstreamShape]) -> None:
+        """Notes that upstreams were added, removed or changed their shape."""
+        self._shape_by_id = shape_by_id
+        self._stale = True
+
+    def first(self, amount: Vector, start: int = 0) -> int:
+        """Returns the first position from ``start`` on with room for ``amount``, or -1."""
+        self._refresh()
+        return self._tree.first(amount, start)
+
+    def candidates(self, amount: Vector, start: int = 0) -> Iterator[UpstreamId]:
+        """Yields upstreams with room for ``amount`` in order of preference."""
+        position = self.first(amount, start)
+        while position >= 0:
+            yield self.ids[position]
+            position = self._tree.first(amount, position + 1)
+
+    def available(self, upstream_id: UpstreamId) -> Vector:
+        """Returns the amounts available on an upstream; negative if it is left out."""
+        self._refresh()
+        position = self.position_by_id.get(upstream_id)
+        return self._tree.get(position) if position is not None else _NONE
+
+    def _refresh(self) -> None:
+        if self._stale:
+            self._rebuild()
+        if not self._dirty:
+            return
+        for upstream_id in self._dirty:
+            position = self.position_by_id.get(upstream_id)
+            if position is not None:
+                self._tree.set(position, self._value(upstream_id) or _NONE)
+        self._dirty.clear()
+
+    def _rebuild(self) -> None:
+        speeds: dict[RackId, list[float]] = {}
+        for shape in self._shape_by_id.values():
+            speeds.setdefault(shape.rack, []).append(shape.speed)
+        mean = {rack: sum(values) / len(values) for rack, values in speeds.items()}
+        shapes = sorted(self._shape_by_id.values(), key=lambda s: self._key(s, mean[s.rack]))
+        self.ids = [shape.id for shape in shapes]
+        self.position_by_id = {upstream_id: i for i, upstream_id in enumerate(self.ids)}
+        self.rack_end = [0] * len(shapes)
+        for i in range(len(shapes) - 1, -1, -1):
+            same = i + 1 < len(shapes) and shapes[i + 1].rack == shapes[i].rack
+            self.rack_end[i] = self.rack_end[i + 1] if same else i + 1
+        self._tree = CapacityTree(len(shapes))
+        self._tree.fill([self._value(upstream_id) or _NONE for upstream_id in self.ids])
+        self._dirty.clear()
+        self._stale = False
+
+
+def _speed_key(shape: UpstreamShape, rack_speed: float) -> tuple:
+    return (shape.resources.accelerators > 0, -shape.speed, shape.id)
+
+
+def _rack_key(shape: UpstreamShape, rack_speed: float) -> tuple:
+    accelerators = shape.resources.accelerators > 0
+    return (accelerators, -rack_speed, shape.rack, -shape.speed, shape.id)
+
+
+class CapacityIndex:
+    """The views that placement searches. Upstreams without accelerators come first in each.
+
+    `by_speed`
+        Free capacity, fastest upstream first.
+    `by_rack`
+        Free capacity, upstreams of a rack next to each other.
+    `reclaimable`
+        Free capacity and what preemption could free.
+    `drainable`
+        Capacity not held by tasks without an expected end.
+    """
+
+    def __init__(
+        self,
+        free: Callable[[UpstreamId], Vector | None],
+        reclaimable: Callable[[UpstreamId], Vector | None],
+        drainable: Callable[[UpstreamId], Vector | None],
+    ) -> None:
+        self.shape_by_id: dict[UpstreamId, UpstreamShape] = {}
+        self.by_speed = CapacityView(_speed_key, free)
+        self.by_rack = CapacityView(_rack_key, free)
+        self.reclaimable = CapacityView(_speed_key, reclaimable)
+        self.drainable = CapacityView(_speed_key, drainable)
+        self._views = (self.by_speed, self.by_rack, self.reclaimable, self.drainable)
+
+    def add(self, shape: UpstreamShape) -> None:
+        """Adds an upstream or changes its shape."""
+        self.shape_by_id[shape.id] = shape
+        for view in self._views:
+            view.invalidate(self.shape_by_id)
+
+    def remove(self, upstream_id: UpstreamId) -> None:
+        """Removes an upstream; without effect if it is not known."""
+        self.shape_by_id.pop(upstream_id, None)
+        for view in self._views:
+            view.invalidate(self.shape_by_id)
+
+    def touch(self, upstream_id: UpstreamId) -> None:
+        """Notes that the capacity of an upstream may have changed."""
+        for view in self._views:
+            view.touch(upstream_id)
--- a/hornbeamramp/decisions.py
+++ b/hornbeamramp/decisions.py
@@ -23,6 +23,7 @@
     "Stop",
     "TaskEnd",
     "Throttle",
+    "UNBOUNDED_RUN",
     "UpstreamStatus",
 ]
 
@@ -45,7 +46,7 @@
     """Start a task. Its resources are already reserved in the ledger.
 
     `expected_run`
-        Expected run time on this upstream.
+        Expected run time on this upstream; `UNBOUNDED_RUN` for a task of a service.
     """
 
     attempt_id: AttemptId
@@ -78,6 +79,9 @@
     upstream_id: UpstreamId
 
 
+UNBOUNDED_RUN = timedelta(days=3650)
+"""Expected run time of a task that runs until it is stopped."""
+
 Decision = Start | Throttle | Checkpoint | Stop
 
 
@@ -106,7 +110,8 @@
     `JOB_CANCELLED`
         The last attempt of a cancelled job ended.
     `IGNORED`
-        The attempt was not known.
+        The attempt was not known, or its job has failed or is cancelled and others of its
+        attempts still run or it was reported as failed before.
     """
 
     JOB_DONE = "job_done"
@@ -124,10 +129,16 @@
 
 
 class Cancellation(msgspec.Struct, frozen=True):
-    """Effect of a cancel: removed from the queue, or attempts that must be stopped."""
+    """Effect of a cancel: removed from the queue, or attempts that must be stopped.
+
+    `ran`
+        Whether an earlier attempt of a job that was removed from the queue may have run. Such a
+        job must not be reported as not run.
+    """
 
     kind: CancellationKind
     stop: list[Stop] = []
+    ran: bool = False
 
 
 class UpstreamStatus(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/hornbeamramp/demand.py
@@ -0,0 +1,77 @@
+"""Demand for a kind of resource, learned from use, and its sum over flows."""
+
+from math import sqrt
+
+__all__ = ["Demand", "DemandSum"]
+
+# Demand is covered up to this many standard deviations above its mean.
+DEVIATIONS = 3.0
+# Most of the pool that is kept free for learned demand.
+MOST_HEADROOM = 0.9
+
+
+class Demand:
+    """Learned demand of a flow for one kind of resource, as shares of the pool.
+
+    `share`
+        In use now.
+    `mean`, `variance`
+        Of what was in use while the flow was not backlogged.
+    `capped`
+        The part of ``share`` that lies within the claim.
+    """
+
+    __slots__ = ("capped", "mean", "share", "variance")
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self.mean = 0.0
+        self.variance = 0.0
+        self.capped = 0.0
+
+    def claim(self) -> float:
+        """Returns the share of the pool that covers the learned demand."""
+        return self.mean + DEVIATIONS * sqrt(self.variance)
+
+
+class DemandSum:
+    """Sums over all flows of one kind of demand."""
+
+    __slots__ = ("capped", "mean", "variance")
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self.variance = 0.0
+        self.capped = 0.0
+
+    def learn(self, demand: Demand, weight: float) -> None:
+        difference = demand.share - demand.mean
+        change = weight * difference
+        variance = (1 - weight) * (demand.variance + change * difference)
+        self.mean += change
+        self.variance += variance - demand.variance
+        demand.mean += change
+        demand.variance = variance
+
+    def recap(self, demand: Demand) -> None:
+        # What a flow uses beyond its own claim must not hide that others are below theirs.
+        capped = min(demand.share, demand.claim())
+        self.capped += capped - demand.capped
+        demand.capped = capped
+
+    def without(self, demand: Demand) -> float:
+        """Returns the demand of all other flows, up to ``MOST_HEADROOM``."""
+        variance = self.variance - demand.variance
+        deviation = sqrt(variance) if variance > 0 else 0.0
+        return min(self.mean - demand.mean + DEVIATIONS * deviation, MOST_HEADROOM)
+
+    def headroom(self, demand: Demand) -> float:
+        """Returns the share of the pool to leave free for the other flows."""
+        return max(self.without(demand) - (self.capped - demand.capped), 0.0)
+
+    def sum_up(self, demands: list[Demand]) -> None:
+        self.mean = sum(demand.mean for demand in demands)
+        self.variance = sum(demand.variance for demand in demands)
+        for demand in demands:
+            demand.capped = min(demand.share, demand.claim())
+        self.capped = sum(demand.capped for demand in demands)
--- /dev/null
+++ b/hornbeamramp/dispatcher.py
@@ -0,0 +1,375 @@
+"""Turns queued jobs into starts: placement, gangs' reservations, backfill, preemption, probes."""
+
+import heapq
+from collections import deque
+from datetime import timedelta
+
+from hornbeamramp.decisions import (
+    UNBOUNDED_RUN,
+    Decision,
+    Start,
+    Throttle,
+)
+from hornbeamramp.holds import Hold
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.job_queue import JobQueue
+from hornbeamramp.jobs import GangJob, ServiceJob
+from hornbeamramp.policies.base import PlacementPolicy, PlacementRequest
+from hornbeamramp.policies.gang import times_it_fits
+from hornbeamramp.preemption import plan_tasks
+from hornbeamramp.reservations import expected_room
+from hornbeamramp.resources import Resources
+from hornbeamramp.shares import ShareBook
+from hornbeamramp.states import Band
+from hornbeamramp.task_table import Attempt, JobState, TaskTable
+from hornbeamramp.upstream_health import RetryBudget
+from hornbeamramp.upstream_pool import UpstreamPool
+
+__all__ = ["Dispatcher"]
+
+# Held upstreams tried for one task of backfill.
+BACKFILL_CANDIDATES = 16
+# Seconds after which room that is being preempted is given up.
+PREEMPTION_TIME = 10.0
+# Bounds in seconds of a gang's reservation; it lasts twice as long as its start is expected away.
+SHORTEST_RESERVATION = 30.0
+LONGEST_RESERVATION = 600.0
+# Lanes put in order again with each call; with some hundred lanes all are, several times a second.
+REFRESHED_LANES = 4
+# Retries that are due but for which there is no budget are tried again after this many seconds.
+BUDGET_WAIT = 0.5
+
+
+class Dispatcher:
+    """Decides what starts next. All times are seconds of boot time."""
+
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        tasks: TaskTable,
+        queue: JobQueue,
+        shares: ShareBook,
+        policy: PlacementPolicy,
+    ) -> None:
+        self._pool = pool
+        self._ledger = pool.ledger
+        self._index = pool.index
+        self._health = pool.health
+        self._holds = pool.holds
+        self._tasks = tasks
+        self._queue = queue
+        self._shares = shares
+        self._policy = policy
+        self._budget = RetryBudget()
+        self._outbox: deque[tuple[Decision, Attempt]] = deque()
+        self._delayed: list[tuple[float, int, JobState, int, bool]] = []
+        self._sequence = 0
+        self._reserve_after: dict[JobState, float] = {}
+        # Jobs found to be past their deadline when their turn came.
+        self.late: list[JobState] = []
+
+    def decide(self, limit: int, now: float) -> list[Decision]:
+        """Returns at most ``limit`` actions."""
+        self._release_delayed(now)
+        for hold in self._holds.expired(now):
+            self._give_up(hold, now)
+        if self._policy.fair:
+            self._queue.refresh(now, REFRESHED_LANES)
+        actions: list[Decision] = []
+        while len(actions) < limit:
+            if self._outbox:
+                decision, attempt = self._outbox.popleft()
+                if self._is_current(decision, attempt):
+                    attempt.emitted = True
+                    actions.append(decision)
+                continue
+            hold = self._holds.next_ready()
+            if hold is not None:
+                self._start_hold(hold, now)
+                continue
+            if self._pool.touched:
+                self._unpark()
+            best = self._queue.peek_best(now, self._may_start)
+            if best is None:
+                break
+            self._serve(*best, now)
+        return actions
+
+    def order(self, decision: Decision, attempt: Attempt) -> None:
+        """Has `decide` return an action on a live attempt."""
+        if isinstance(decision, Throttle):
+            attempt.limited_to = decision.resources.as_tuple()
+            attempt.slowed = True
+        else:
+            attempt.stopping = True
+        self._outbox.append((decision, attempt))
+
+    def retry(self, state: JobState, task: int, due: float, budgeted: bool, now: float) -> None:
+        """Queues a task again at ``due``; a budgeted retry waits for the retry budget too."""
+        if due <= now and self._budget.take(now):
+            self.requeue(state, [task])
+            return
+        state.delayed += 1
+        self._sequence += 1
+        heapq.heappush(self._delayed, (due, self._sequence, state, task, budgeted))
+
+    def requeue(self, state: JobState, tasks: list[int]) -> None:
+        """Queues tasks again. An idempotent gang is queued once all its attempts have ended."""
+        for task in tasks:
+            state.put_back(task)
+        if state.lane is not None:
+            self._queue.tasks_added(state, len(tasks))
+            return
+        gang = isinstance(state.job, GangJob) and state.job.idempotent
+        if gang and (state.live or state.delayed or state.holds):
+            return
+        if state.pending:
+            self._queue.push(state)
+
+    def drop(self, state: JobState) -> None:
+        """Takes a job out of the queue and gives up its holds and retries."""
+        self._queue.cancel(state)
+        state.drop_pending()
+        state.delayed = 0
+        for hold in list(state.holds or ()):
+            self._remove_hold(hold)
+        self._reserve_after.pop(state, None)
+
+    def give_up_holds(self, upstream_id: UpstreamId, now: float) -> None:
+        """Gives up the holds on an upstream that may receive no more work."""
+        for hold in self._holds.on_upstream(upstream_id):
+            self._give_up(hold, now, cooldown=False)
+
+    def waiting_elsewhere(self) -> set[JobState]:
+        """Returns jobs without an attempt that wait in a hold or for a retry."""
+        states = {hold.state for hold in self._holds.all}
+        states.update(entry[2] for entry in self._delayed)
+        return {s for s in states if s.lane is None and not s.live and not s.cancelled}
+
+    # One step
+
+    def _is_current(self, decision: Decision, attempt: Attempt) -> bool:
+        if attempt.id not in self._tasks.attempt_by_id:
+            return False
+        # An attempt that ends before its start was returned is recalled, not stopped.
+        return attempt.emitted or isinstance(decision, Start)
+
+    def _release_delayed(self, now: float) -> None:
+        delayed = self._delayed
+        while delayed and delayed[0][0] <= now:
+            _, sequence, state, task, budgeted = heapq.heappop(delayed)
+            if state.cancelled or state.failed:
+                continue
+            if budgeted and not self._budget.take(now):
+                heapq.heappush(delayed, (now + BUDGET_WAIT, sequence, state, task, budgeted))
+                continue
+            state.delayed -= 1
+            self.requeue(state, [task])
+
+    def _unpark(self) -> None:
+        view = self._index.by_speed
+        most = [-1, -1, -1, -1, -1]
+        for upstream_id in self._pool.touched:
+            for i, have in enumerate(view.available(upstream_id)):
+                if have > most[i]:
+                    most[i] = have
+        if any(hold.gang for hold in self._holds.all):
+            # Backfill may use what is free on held upstreams.
+            for upstream_id in self._pool.touched:
+                for i, have in enumerate(self._ledger.free(upstream_id)):
+                    most[i] = max(most[i], have)
+        self._pool.touched.clear()
+        self._queue.unpark(tuple(most))  # type: ignore[arg-type]
+
+    def _may_start(self, state: JobState) -> bool:
+        if isinstance(state.job, GangJob):
+            return self._shares.leaves_headroom_for_gang(state.flow, state.amount, state.pending)
+        return self._shares.leaves_headroom(state.flow, state.amount)
+
+    def _serve(self, state: JobState, first_tier: bool, now: float) -> None:
+        """Starts a task of the job or has the queue skip it until something changes."""
+        if state.is_late(now):
+            self._queue.cancel(state)
+            self.late.append(state)
+            return
+        job = state.job
+        gang = isinstance(job, GangJob)
+        count = state.pending if gang else 1
+        if not state.flow.account.team_use.allows(state.amount, count):
+            self._queue.wait_for_quota(state)
+            return
+        if not gang and self._start_probe(state, now):
+            return
+        request = PlacementRequest(
+            state.amount,
+            count,
+            state.avoid or frozenset(),
+            state.tasks_by_rack or {},
+            state.rack_position,
+        )
+        chosen = self._policy.place(job, request, self._index)
+        if chosen is None and self._policy.fair:
+            if not gang and not isinstance(job, ServiceJob):
+                chosen = self._backfill(state, now)
+            urgent = chosen is None and job.band == Band.URGENT and first_tier
+            if urgent and self._preempt(state, count, now):
+                return
+            if chosen is None and gang and self._reserve(state, count, now):
+                return
+        if chosen is None:
+            self._queue.park(state)
+            return
+        self._start_all(state, self._take_tasks(state, count), chosen, now)
+
+    def _start_all(
+        self, state: JobState, tasks: list[int], chosen: list[UpstreamId], now: float
+    ) -> list[Attempt]:
+        """Reserves room for all tasks or for none; then queues the job again."""
+        attempts: list[Attempt] = []
+        for task, upstream_id in zip(tasks, chosen, strict=True):
+            attempt_id = self._tasks.next_attempt_id(state, task)
+            reserved = self._ledger.reserve_amount(upstream_id, attempt_id, state.amount)
+            if reserved.is_err():
+                for attempt in attempts:
+                    self._ledger.release(attempt.reservation)
+                self.requeue(state, tasks)
+                if state.lane is not None:
+                    self._queue.park(state)
+                return []
+            speed = self._index.shape_by_id[upstream_id].speed
+            reservation = reserved.ok_value
+            attempts.append(Attempt(attempt_id, state, task, reservation, state.run / speed, now))
+        for attempt in attempts:
+            self._emit_start(attempt, now)
+        return attempts
+
+    def _emit_start(self, attempt: Attempt, now: float) -> None:
+        state = attempt.state
+        job, flow, amount = state.job, state.flow, state.amount
+        self._tasks.add(attempt)
+        self._shares.take(flow, amount, now)
+        self._queue.charge(job.band, self._shares.share_of(amount) * state.run)
+        if self._tasks.attempts(state, attempt.task) == 1:
+            self._budget.earn()
+        run = timedelta(seconds=attempt.run)
+        if isinstance(job, ServiceJob):
+            run = UNBOUNDED_RUN
+            self._count_rack(state, attempt.upstream_id)
+        resources = job.resources if job.resources.as_tuple() == amount else Resources(*amount)
+        start = Start(attempt.id, job, attempt.task, attempt.upstream_id, resources, run)
+        self._outbox.append((start, attempt))
+
+    def _count_rack(self, state: JobState, upstream_id: UpstreamId) -> None:
+        view = self._index.by_rack
+        rack = self._index.shape_by_id[upstream_id].rack
+        if state.tasks_by_rack is None:
+            state.tasks_by_rack = {}
+        state.tasks_by_rack[rack] = state.tasks_by_rack.get(rack, 0) + 1
+        position = view.position_by_id.get(upstream_id, 0)
+        end = view.rack_end[position] if position < len(view.rack_end) else 0
+        state.rack_position = end if end < len(view.ids) else 0
+
+    def _start_probe(self, state: JobState, now: float) -> bool:
+        if not self._health.quarantined or not state.job.idempotent:
+            return False
+        if isinstance(state.job, ServiceJob) or state.job.band == Band.URGENT:
+            return False
+        upstream_id = self._health.due_probe(now)
+        if upstream_id is None or upstream_id in (state.avoid or ()):
+            return False
+        if not self._pool.may_probe(upstream_id):
+            return False
+        if not times_it_fits(state.amount, self._ledger.free(upstream_id)):
+            return False
+        for attempt in self._start_all(state, self._take_tasks(state, 1), [upstream_id], now):
+            attempt.probe = True
+            self._health.probe_started(upstream_id)
+        return True
+
+    # Holds
+
+    def _backfill(self, state: JobState, now: float) -> list[UpstreamId] | None:
+        tried = 0
+        for hold in self._holds.all:
+            if not hold.gang:
+                continue
+            for upstream_id in hold.count_by_id:
+                tried += 1
+                if tried > BACKFILL_CANDIDATES:
+                    return None
+                speed = self._index.shape_by_id[upstream_id].speed
+                if now + state.run / speed > hold.start_at:
+                    continue
+                if times_it_fits(state.amount, self._ledger.free(upstream_id)):
+                    return [upstream_id]
+        return None
+
+    def _start_hold(self, hold: Hold, now: float) -> None:
+        chosen = [u for u, count in hold.count_by_id.items() for _ in range(count)]
+        state, tasks = hold.state, hold.tasks
+        self._remove_hold(hold)
+        if not state.flow.account.team_use.allows(state.amount, len(tasks)):
+            self.requeue(state, tasks)
+            return
+        self._start_all(state, tasks, chosen, now)
+
+    def _give_up(self, hold: Hold, now: float, cooldown: bool = True) -> None:
+        self._remove_hold(hold)
+        if hold.gang and cooldown:
+            # Others get their turn before the gang may hold capacity again.
+            self._reserve_after[hold.state] = now + SHORTEST_RESERVATION
+        self.requeue(hold.state, hold.tasks)
+
+    def _remove_hold(self, hold: Hold) -> None:
+        self._holds.remove(hold)
+        for upstream_id in hold.count_by_id:
+            self._index.touch(upstream_id)
+            self._holds.touch(upstream_id)
+            self._pool.touched.add(upstream_id)
+
+    def _add_hold(self, hold: Hold) -> None:
+        self._holds.add(hold)
+        for upstream_id in hold.count_by_id:
+            self._index.touch(upstream_id)
+
+    def _take_tasks(self, state: JobState, count: int) -> list[int]:
+        tasks = [state.take_task() for _ in range(count)]
+        self._queue.tasks_taken(state, count)
+        return tasks
+
+    # Room for urgent work
+
+    def _preempt(self, state: JobState, count: int, now: float) -> bool:
+        plans = plan_tasks(self._pool, self._tasks, self._shares, state, count, now)
+        if len(plans) < count:
+            return False
+        upstream_ids = [plan.upstream_id for plan in plans]
+        tasks = self._take_tasks(state, count)
+        for plan in plans:
+            by_id = {a.id: a for a in plan.stopped} | {a.id: a for a, _ in plan.throttled}
+            for decision in plan.decisions(now):
+                attempt = by_id[decision.attempt_id]
+                self.order(decision, attempt)
+                attempt.limited_at = now
+        self._add_hold(Hold(state, tasks, upstream_ids, now, now + PREEMPTION_TIME, gang=False))
+        return True
+
+    # Reservations of gangs
+
+    def _reserve(self, state: JobState, count: int, now: float) -> bool:
+        if self._reserve_after.get(state, 0.0) > now:
+            return False
+        urgent = state.job.band == Band.URGENT
+        for hold in self._holds.all:
+            if hold.gang and (hold.state.job.band == Band.URGENT) == urgent:
+                return False
+        slots = expected_room(self._pool, self._tasks, state, count, now)
+        if len(slots) < count:
+            return False
+        slots = slots[:count]
+        start_at = slots[-1][0]
+        duration = min(max(2 * (start_at - now), SHORTEST_RESERVATION), LONGEST_RESERVATION)
+        tasks = self._take_tasks(state, count)
+        upstream_ids = [upstream_id for _, _, upstream_id in slots]
+        self._add_hold(Hold(state, tasks, upstream_ids, start_at, now + duration, gang=True))
+        return True
--- /dev/null
+++ b/hornbeamramp/job_queue.py
@@ -0,0 +1,377 @@
+"""Queue of jobs: bands, weighted dominant shares, then expected time with an age bound.
+
+Jobs of one flow and one size class wait in a lane. Lanes of one band and size class form a group,
+ordered by tier, share and the lane's first job. A size class for which there is no room is parked:
+its groups are skipped until capacity of that size is free, so a job that does not fit costs nothing
+while it waits. Cancelled jobs stay in their lane's heap until it is compacted.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable, Iterator
+
+from hornbeamramp.lanes import Group, Lane, SizeClass, class_key
+from hornbeamramp.ledger import Vector
+from hornbeamramp.resources import Resources
+from hornbeamramp.shares import Account, Flow, ShareBook, TeamUse
+from hornbeamramp.states import Band
+from hornbeamramp.task_table import JobState
+
+__all__ = ["AGE_BOUND", "JobQueue"]
+
+# A job is overtaken only by jobs that arrive within this many seconds after it.
+AGE_BOUND = 60.0
+# A job is overtaken by jobs that arrive later by up to this many times their difference in run
+# time.
+RUN_FACTOR = 5.0
+# Share of the work started from more urgent bands that a waiting band is owed.
+GUARANTEED_SHARE = {Band.SERVICE: 0.10, Band.NORMAL: 0.08, Band.BULK: 0.05}
+# Most work a band can be owed, in seconds of the whole pool.
+MOST_CREDIT = 60.0
+# A flow with more sizes than this gets one lane for all others, to bound the work per decision.
+MOST_LANES = 32
+# Cancelled entries a lane keeps before it is compacted, beside as many as it has live ones.
+SLACK_ENTRIES = 32
+
+
+class JobQueue:
+    """Queued jobs of one shard.
+
+    `shares`
+        Use by flow, which decides tier and order of lanes.
+    `fair`
+        If false, jobs are served in order of arrival, whatever their band and team.
+    """
+
+    def __init__(self, shares: ShareBook, fair: bool = True) -> None:
+        self._shares = shares
+        self._fair = fair
+        self._class_by_key: dict[tuple, SizeClass] = {}
+        self._group_by_key: dict[tuple[Band, tuple], Group] = {}
+        self._ready: dict[Band, dict[tuple, Group]] = {band: {} for band in Band}
+        self._parked: dict[tuple, SizeClass] = {}
+        self._ring: deque[Lane] = deque()
+        self._credit = dict.fromkeys(Band, 0.0)
+        self.jobs_by_band = dict.fromkeys(Band, 0)
+        # Sum of the weights of teams with queued jobs.
+        self.waiting_weight = 0.0
+        # Expected work queued, as seconds of the whole pool.
+        self.work_by_band = dict.fromkeys(Band, 0.0)
+
+    def __len__(self) -> int:
+        return sum(self.jobs_by_band.values())
+
+    def push(self, state: JobState) -> None:
+        """Queues a job with tasks to be placed. Its size and run time must be set."""
+        flow = state.flow
+        lane = self._lane_of(state)
+        state.lane = lane
+        if not self._fair:
+            state.key = 0.0
+        else:
+            state.key = state.submitted + min(RUN_FACTOR * state.run, AGE_BOUND)
+            if state.deadline is not None:
+                state.key = min(state.key, state.deadline - state.run)
+        heapq.heappush(lane.heap, (state.key, state.sequence, state))
+        lane.live += 1
+        flow.jobs += 1
+        team_use = flow.account.team_use
+        if not team_use.jobs:
+            self.waiting_weight += team_use.weight
+        team_use.jobs += 1
+        self.jobs_by_band[flow.account.band] += 1
+        self._count(lane, state, state.pending)
+        self._offer(lane)
+
+    def tasks_added(self, state: JobState, count: int) -> None:
+        """Counts tasks that were put back to a queued job."""
+        assert state.lane is not None
+        self._count(state.lane, state, count)
+
+    def cancel(self, state: JobState) -> None:
+        """Removes a job in O(1), amortised; without effect if it is not queued."""
+        lane = state.lane
+        if lane is None:
+            return
+        self._count(lane, state, -state.pending)
+        self._leave(state)
+        if len(lane.heap) > 2 * lane.live + SLACK_ENTRIES:
+            lane.heap = [entry for entry in lane.heap if entry[2].lane is lane]
+            heapq.heapify(lane.heap)
+        if not lane.live:
+            self._drop_lane(lane)
+
+    def tasks_taken(self, state: JobState, count: int) -> None:
+        """Counts tasks taken from a queued job. The job leaves the queue with its last task."""
+        lane = state.lane
+        assert lane is not None
+        self._count(lane, state, -count)
+        if state.pending == 0:
+            self._leave(state)
+            if not lane.live:
+                self._drop_lane(lane)
+
+    def peek_best(
+        self, now: float, may_start: Callable[[JobState], bool]
+    ) -> tuple[JobState, bool] | None:
+        """Returns the job to be served next, without removing it, and whether it is first tier.
+
+        `may_start`
+            Tells whether a second-tier job leaves enough headroom for others.
+        """
+        best: Group | None = None
+        best_key: tuple = ()
+        for band in Band:
+            for group in self._ready[band].values():
+                key = self._top_key(group, now)
+                if key is None:
+                    continue
+                if self._fair and key[0] and best is not None and key >= best_key:
+                    continue
+                if key[0] and not may_start(key[-1].heap[0][2]):
+                    continue
+                if best is None or key < best_key:
+                    best, best_key = group, key
+            if band in GUARANTEED_SHARE and best is not None and best.band < band:
+                owed = self._owed(band, now, may_start)
+                if owed is not None:
+                    return owed
+        if best is None:
+            return None
+        state = best_key[-1].head()
+        return state, not best_key[0]
+
+    def charge(self, band: Band, work: float) -> None:
+        """Notes work started, in seconds of the whole pool, towards the guaranteed shares."""
+        if band in GUARANTEED_SHARE:
+            self._credit[band] = max(self._credit[band] - work, 0.0)
+        for lower, share in GUARANTEED_SHARE.items():
+            if lower > band and self.jobs_by_band[lower]:
+                self._credit[lower] = min(self._credit[lower] + share * work, MOST_CREDIT)
+
+    def park(self, state: JobState) -> None:
+        """Skips the job's size class until `unpark` finds room for it."""
+        lane = state.lane
+        assert lane is not None
+        size_class = lane.group.size_class
+        size_class.needed = state.amount
+        if size_class.parked:
+            return
+        size_class.parked = True
+        self._parked[size_class.key] = size_class
+        for band in Band:
+            self._ready[band].pop(size_class.key, None)
+
+    def unpark(self, free: Vector) -> None:
+        """Makes ready the parked classes that may fit into ``free``."""
+        for size_class in list(self._parked.values()):
+            need = size_class.needed
+            if all(have >= want for have, want in zip(free, need, strict=True)):
+                self._make_ready(size_class)
+
+    def unpark_all(self) -> None:
+        """Makes all parked classes ready."""
+        for size_class in list(self._parked.values()):
+            self._make_ready(size_class)
+
+    def wait_for_quota(self, state: JobState) -> None:
+        """Skips the job's lane until `account_changed` is called for its account."""
+        assert state.lane is not None
+        state.lane.waits_for_quota = True
+
+    def account_changed(self, account: Account, now: float) -> None:
+        """Puts the lanes of an account in order again after its use fell."""
+        for other in account.team_use.accounts if account.team_use.limit else (account,):
+            for lane in other.lanes:
+                lane.waits_for_quota = False
+                self._offer(lane, now)
+
+    def set_quota(
+        self, team_use: TeamUse, weight: float, limit: Resources | None, now: float
+    ) -> None:
+        """Changes the weight and limit of a team."""
+        if team_use.jobs:
+            self.waiting_weight += weight - team_use.weight
+        team_use.weight = weight
+        for account in team_use.accounts:
+            account.weight = weight
+            self.account_changed(account, now)
+        team_use.limit = None if limit is None else limit.as_tuple()
+
+    def refresh(self, now: float, count: int) -> None:
+        """Puts a few lanes in order again; past use decays even if nothing happens."""
+        ring = self._ring
+        for _ in range(min(count, len(ring))):
+            lane = ring.popleft()
+            if lane.live:
+                self._offer(lane, now)
+                ring.append(lane)
+
+    def recount(self) -> None:
+        """Computes queued work anew after the capacity of the pool changed."""
+        self.work_by_band = dict.fromkeys(Band, 0.0)
+        for flow in self._shares.flow_by_key.values():
+            flow.queued = 0.0
+            for lane in flow.lanes.values():
+                share = self._lane_share(lane)
+                flow.queued += share * lane.pending
+                self.work_by_band[flow.account.band] += share * lane.run
+
+    def work_of(self, flow: Flow) -> float:
+        """Returns the expected work queued in a flow, as seconds of the whole pool."""
+        return sum(self._lane_share(lane) * lane.run for lane in flow.lanes.values())
+
+    def is_parked(self, state_key: tuple) -> bool:
+        """Tells whether the size class with this key is parked."""
+        return state_key in self._parked
+
+    def states(self) -> Iterator[JobState]:
+        """Yields the queued jobs, in no particular order."""
+        for flow in self._shares.flow_by_key.values():
+            for lane in flow.lanes.values():
+                for _, _, state in lane.heap:
+                    if state.lane is lane:
+                        yield state
+
+    # Lanes and groups
+
+    def _lane_of(self, state: JobState) -> Lane:
+        flow = state.flow
+        key = class_key(state)
+        lane = flow.lanes.get(key)
+        if lane is not None:
+            return lane
+        if len(flow.lanes) >= MOST_LANES:
+            key = ("other", flow.number)
+            lane = flow.lanes.get(key)
+            if lane is not None:
+                return lane
+        size_class = self._class_by_key.get(key)
+        if size_class is None:
+            size_class = self._class_by_key[key] = SizeClass(key)
+        band = flow.account.band
+        group = self._group_by_key.get((band, key))
+        if group is None:
+            group = self._group_by_key[(band, key)] = Group(band, size_class)
+        lane = flow.lanes[key] = Lane(flow, group, state.amount)
+        flow.account.lanes.add(lane)
+        group.lanes += 1
+        size_class.lanes += 1
+        if not size_class.parked:
+            self._ready[band][key] = group
+        self._ring.append(lane)
+        return lane
+
+    def _drop_lane(self, lane: Lane) -> None:
+        group, flow = lane.group, lane.flow
+        key, band = group.size_class.key, group.band
+        del flow.lanes[key]
+        flow.account.lanes.discard(lane)
+        lane.entry = None
+        lane.heap = []
+        group.lanes -= 1
+        group.size_class.lanes -= 1
+        if not group.lanes:
+            del self._group_by_key[(band, key)]
+            self._ready[band].pop(key, None)
+        if not group.size_class.lanes:
+            del self._class_by_key[key]
+            self._parked.pop(key, None)
+        if not self.jobs_by_band[band]:
+            self._credit[band] = 0.0
+            self.work_by_band[band] = 0.0
+        if not flow.lanes:
+            flow.queued = 0.0
+
+    def _leave(self, state: JobState) -> None:
+        lane = state.lane
+        assert lane is not None
+        state.lane = None
+        lane.live -= 1
+        state.flow.jobs -= 1
+        team_use = state.flow.account.team_use
+        team_use.jobs -= 1
+        if not team_use.jobs:
+            self.waiting_weight -= team_use.weight
+        self.jobs_by_band[state.flow.account.band] -= 1
+
+    def _count(self, lane: Lane, state: JobState, tasks: int) -> None:
+        share = self._lane_share(lane)
+        run = tasks * state.run
+        lane.pending += tasks
+        lane.run += run
+        lane.flow.queued += share * tasks
+        self.work_by_band[lane.group.band] += share * run
+
+    def _lane_share(self, lane: Lane) -> float:
+        return self._shares.share_of(lane.amount)
+
+    def _make_ready(self, size_class: SizeClass) -> None:
+        size_class.parked = False
+        self._parked.pop(size_class.key, None)
+        for band in Band:
+            group = self._group_by_key.get((band, size_class.key))
+            if group is not None:
+                self._ready[band][size_class.key] = group
+
+    # Order
+
+    def _key(self, lane: Lane, now: float) -> tuple | None:
+        if lane.waits_for_quota:
+            return None
+        state = lane.head()
+        if state is None:
+            return None
+        if not self._fair:
+            return (0, 0, 0.0, 0.0, state.sequence, lane)
+        flow = lane.flow
+        tier = 0 if self._shares.first_tier(flow, state.amount) else 1
+        account = flow.account
+        return (tier, account.band, account.score(now), state.key, state.sequence, lane)
+
+    def _offer(self, lane: Lane, now: float | None = None) -> None:
+        key = self._key(lane, lane.flow.account.updated if now is None else now)
+        if key is not None and (lane.entry is None or key[:5] < lane.entry[:5]):
+            lane.entry = key
+            heapq.heappush(lane.group.heap, key)
+
+    def _top_key(self, group: Group, now: float) -> tuple | None:
+        heap = group.heap
+        while heap:
+            entry = heap[0]
+            lane = entry[-1]
+            if lane.entry is not entry:
+                heapq.heappop(heap)
+                continue
+            key = self._key(lane, now)
+            if key is None:
+                heapq.heappop(heap)
+                lane.entry = None
+            elif key[:5] > entry[:5]:
+                lane.entry = key
+                heapq.heapreplace(heap, key)
+            else:
+                return key
+        return None
+
+    def _owed(
+        self, band: Band, now: float, may_start: Callable[[JobState], bool]
+    ) -> tuple[JobState, bool] | None:
+        """Returns the first job of a band that has earned its start by its guaranteed share."""
+        if self._credit[band] <= 0.0:
+            return None
+        best: tuple | None = None
+        for group in self._ready[band].values():
+            key = self._top_key(group, now)
+            if key is not None and (best is None or key < best):
+                best = key
+        if best is None:
+            return None
+        lane = best[-1]
+        state = lane.head()
+        share = self._shares.share_of(state.amount)
+        if self._credit[band] < min(share * state.run, MOST_CREDIT):
+            return None
+        if best[0] and not may_start(state):
+            return None
+        return state, not best[0]
--- /dev/null
+++ b/hornbeamramp/lanes.py
@@ -0,0 +1,98 @@
+"""Lanes, groups and size classes: how queued jobs are kept together."""
+
+import heapq
+
+from hornbeamramp.jobs import GangJob
+from hornbeamramp.ledger import Vector
+from hornbeamramp.shares import Flow
+from hornbeamramp.states import Band
+from hornbeamramp.task_table import JobState
+
+__all__ = ["Group", "Lane", "SizeClass", "class_key"]
+
+# Bounds in seconds between classes of run time; a short task may fit in front of a gang's
+# reservation where a long one doesn't.
+RUN_BOUNDS = (1.0, 10.0, 60.0, 600.0)
+
+
+class SizeClass:
+    """Jobs that need about the same room. ``needed`` is what did not fit when it was parked."""
+
+    __slots__ = ("key", "lanes", "needed", "parked")
+
+    def __init__(self, key: tuple) -> None:
+        self.key = key
+        self.parked = False
+        self.needed: Vector = (0, 0, 0, 0, 0)
+        self.lanes = 0
+
+
+class Lane:
+    """Queued jobs of one flow and size class."""
+
+    __slots__ = (
+        "amount",
+        "entry",
+        "flow",
+        "group",
+        "heap",
+        "live",
+        "pending",
+        "run",
+        "waits_for_quota",
+    )
+
+    def __init__(self, flow: Flow, group: "Group", amount: Vector) -> None:
+        # Sizes in a lane differ by an eighth at most, so that of its first job stands for all.
+        self.amount = amount
+        self.flow = flow
+        self.group = group
+        self.heap: list[tuple[float, int, JobState]] = []
+        self.live = 0
+        # Tasks to be placed, and the sum of their expected run times in seconds.
+        self.pending = 0
+        self.run = 0.0
+        self.entry: tuple | None = None
+        self.waits_for_quota = False
+
+    def __lt__(self, other: "Lane") -> bool:
+        # Entries of one lane may be equal in all but the lane; their order has no effect.
+        return False
+
+    def head(self) -> JobState | None:
+        heap = self.heap
+        while heap:
+            state = heap[0][2]
+            if state.lane is self:
+                return state
+            heapq.heappop(heap)
+        return None
+
+
+class Group:
+    """Lanes of one band and size class, best first."""
+
+    __slots__ = ("band", "heap", "lanes", "size_class")
+
+    def __init__(self, band: Band, size_class: SizeClass) -> None:
+        self.band = band
+        self.size_class = size_class
+        self.heap: list[tuple] = []
+        self.lanes = 0
+
+
+def class_key(state: JobState) -> tuple:
+    """Returns the key of the job's size class.
+
+    Amounts are rounded down to four significant bits, so that sizes in a class differ by an eighth
+    at most and the number of classes stays small.
+    """
+    job = state.job
+    kind = 2 if isinstance(job, GangJob) else 1 if state.standing else 0
+    run = sum(state.run > bound for bound in RUN_BOUNDS) if not kind else 0
+    return (kind, state.pending if kind == 2 else 1, run, *(_rounded(a) for a in state.amount))
+
+
+def _rounded(amount: int) -> int:
+    shift = amount.bit_length() - 4
+    return amount >> shift << shift if shift > 0 else amount
--- /dev/null
+++ b/hornbeamramp/policies/_mapping.py
@@ -0,0 +1,9 @@
+"""Placement policies shipped with the package."""
+
+__all__ = ["PLUGINS"]
+
+PLUGINS = {
+    "DefaultPolicy": ("hornbeamramp.policies.default", "default", ("scored",)),
+    "FifoFirstFitPolicy": ("hornbeamramp.policies.fifo_first_fit", "fifo_first_fit", ("fifo",)),
+    "RandomPolicy": ("hornbeamramp.policies.random", "random", ()),
+}
--- /dev/null
+++ b/hornbeamramp/policies/gang.py
@@ -0,0 +1,34 @@
+"""Placement of gangs: all tasks at once or none."""
+
+from hornbeamramp.capacity_index import CapacityIndex
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.ledger import Vector
+from hornbeamramp.policies.base import PlacementRequest
+
+__all__ = ["place", "times_it_fits"]
+
+
+def times_it_fits(amount: Vector, free: Vector) -> int:
+    """Returns how many tasks of size ``amount`` fit into ``free``; at most 2**31."""
+    times = 1 << 31
+    for need, have in zip(amount, free, strict=True):
+        if need:
+            times = min(times, have // need)
+    return max(times, 0)
+
+
+def place(request: PlacementRequest, index: CapacityIndex) -> list[UpstreamId] | None:
+    """Returns upstreams for all tasks, several to an upstream where they fit, or ``None``."""
+    view, amount = index.by_speed, request.amount
+    avoided: list[UpstreamId] = []
+    chosen: list[UpstreamId] = []
+    for upstream_id in view.candidates(amount):
+        times = times_it_fits(amount, view.available(upstream_id))
+        if upstream_id in request.avoid:
+            avoided.extend([upstream_id] * min(times, request.count))
+            continue
+        chosen.extend([upstream_id] * min(times, request.count - len(chosen)))
+        if len(chosen) == request.count:
+            return chosen
+    chosen.extend(avoided[: request.count - len(chosen)])
+    return chosen if len(chosen) == request.count else None
--- /dev/null
+++ b/hornbeamramp/reservations.py
@@ -0,0 +1,52 @@
+"""Where and when a gang that does not fit now is expected to fit."""
+
+from math import inf
+
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.policies.gang import times_it_fits
+from hornbeamramp.task_table import JobState, TaskTable
+from hornbeamramp.upstream_pool import UpstreamPool
+
+__all__ = ["expected_room"]
+
+# Upstreams compared for a gang's reservation, beside a few for each of its tasks.
+RESERVATION_CANDIDATES = 64
+
+
+def expected_room(
+    pool: UpstreamPool, tasks: TaskTable, state: JobState, count: int, now: float
+) -> list[tuple[float, int, UpstreamId]]:
+    """Returns when and on which upstream tasks of the job will fit, earliest first.
+
+    The first of each entry is seconds of boot time. Compares a number of upstreams in proportion
+    to ``count``, whatever the size of the pool.
+    """
+    amount = state.amount
+    found: dict[UpstreamId, None] = {}
+    for number, upstream_id in enumerate(pool.index.by_speed.candidates(amount)):
+        if number >= count:
+            break
+        found[upstream_id] = None
+    most = RESERVATION_CANDIDATES + 4 * count
+    for number, upstream_id in enumerate(pool.index.drainable.candidates(amount)):
+        if number >= most:
+            break
+        found[upstream_id] = None
+    slots: list[tuple[float, int, UpstreamId]] = []
+    for upstream_id in found:
+        free = list(pool.unheld(upstream_id))
+        ends = sorted(
+            (attempt.expected_end(now), attempt.id, attempt.reservation.amount)
+            for attempt in tasks.on_upstream(upstream_id)
+        )
+        known = 0
+        for at, _, freed in [(now, "", (0, 0, 0, 0, 0)), *ends]:
+            if at == inf:
+                break
+            free = [a + b for a, b in zip(free, freed, strict=True)]
+            fits = min(times_it_fits(amount, tuple(free)), count)  # type: ignore[arg-type]
+            for _ in range(known, fits):
+                slots.append((at, len(slots), upstream_id))
+            known = max(known, fits)
+    slots.sort(key=lambda slot: slot[:2])
+    return slots
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -1,11 +1,14 @@
 """Scheduling decisions for one shard, as plain code with a clock and without sockets."""
 
 import heapq
+from collections import Counter
 from collections.abc import Mapping
 from datetime import timedelta
 
 from result import Err, Ok, Result
 
+from hornbeamramp.admission import DEFAULT_QUEUE_BOUND, Admission
+from hornbeamramp.attempt_ends import AttemptEnds
 from hornbeamramp.clock import Clock
 from hornbeamramp.decisions import (
     Admitted,
@@ -15,41 +18,48 @@
     Ended,
     Refusal,
     SchedulerStatus,
-    Start,
     Stop,
     TaskEnd,
-    UpstreamStatus,
 )
+from hornbeamramp.dispatcher import Dispatcher
+from hornbeamramp.estimates import Estimates, Expectation
 from hornbeamramp.ids import AttemptId, Epoch, JobId, TeamId, UpstreamId
-from hornbeamramp.jobs import GangJob, Job, ServiceJob, attempt_id
-from hornbeamramp.ledger import Ledger, Reservation
-from hornbeamramp.resources import ZERO, Resources
-from hornbeamramp.states import Band, RefusalReason, UpstreamState
+from hornbeamramp.job_queue import JobQueue, class_key
+from hornbeamramp.jobs import Job, ServiceJob
+from hornbeamramp.ledger import Reservation
+from hornbeamramp.policies import POLICIES
+from hornbeamramp.resources import Resources
+from hornbeamramp.shares import ShareBook
+from hornbeamramp.states import Band, RefusalReason
 from hornbeamramp.tables import Pool, Quota
+from hornbeamramp.task_table import Attempt, JobState, TaskTable
+from hornbeamramp.upstream_pool import UpstreamPool
 from hornbeamramp.upstreams.base import UpstreamShape
 
 __all__ = ["ShardScheduler"]
 
 FIRST_EPOCH = Epoch(1)
-MAX_ATTEMPTS = 3
+NO_QUOTA = Quota()
+# A usage report this many seconds after the order to throttle shows whether it took effect.
+USAGE_LAG = 1.0
+# Seconds between removals of idle flows.
+PRUNE_INTERVAL = 10.0
 
 
-class _JobState:
-    __slots__ = ("cancelled", "deadline", "done", "job", "live", "number", "pending", "sequence")
-
-    def __init__(self, job: Job, sequence: int, deadline: timedelta | None) -> None:
-        self.job = job
-        self.sequence = sequence
-        self.deadline = deadline
-        self.pending = list(range(job.tasks))
-        self.number = [0] * job.tasks
-        self.live: dict[AttemptId, tuple[int, Reservation | None]] = {}
-        self.done = 0
-        self.cancelled = False
+class ShardScheduler:
+    """Decides what runs where in one shard. The same calls at the same times decide the same.
 
+    `pool`
+        Row of the pool; its ``policy`` names the placement policy.
+    `quotas_by_team`
+        Weights and limits; a team without one has weight 1 and no limit.
+    `epoch`
+        The owner's epoch, part of each attempt id.
+    `queue_bound`
+        Most jobs in the queue.
 
-class ShardScheduler:
-    """Decides what runs where in one shard. Simple version: bands, first come first served."""
+    Raises `PluginNotFoundError` if the pool's policy is unknown.
+    """
 
     def __init__(
         self,
@@ -58,39 +68,58 @@
         quotas_by_team: Mapping[TeamId, Quota],
         *,
         epoch: Epoch = FIRST_EPOCH,
+        queue_bound: int = DEFAULT_QUEUE_BOUND,
     ) -> None:
-        self._pool = pool
         self._clock = clock
         self._quotas_by_team = quotas_by_team
         self._epoch = epoch
-        self._ledger = Ledger()
-        self._shape_by_id: dict[UpstreamId, UpstreamShape] = {}
-        self._leaving: set[UpstreamId] = set()
-        self._job_by_id: dict[JobId, _JobState] = {}
-        self._job_id_by_attempt: dict[AttemptId, JobId] = {}
-        self._unknown: list[tuple[timedelta, Reservation]] = []
-        self._queue: list[tuple[int, int, JobId]] = []
+        policy = POLICIES.find(pool.policy)()
+        self._tasks = TaskTable(epoch)
+        self._shares = ShareBook()
+        self._upstreams = UpstreamPool(self._tasks, self._shares)
+        self._queue = JobQueue(self._shares, policy.fair)
+        self._admission = Admission(self._queue, self._shares, queue_bound)
+        self._estimates = Estimates()
+        self._dispatcher = Dispatcher(
+            self._upstreams, self._tasks, self._queue, self._shares, policy
+        )
+        self._ends = AttemptEnds(
+            self._tasks,
+            self._shares,
+            self._queue,
+            self._estimates,
+            self._upstreams,
+            self._dispatcher,
+        )
+        self._unknown: dict[AttemptId, Reservation] = {}
+        self._unknown_ends: list[tuple[float, AttemptId]] = []
+        self._deadlines: list[tuple[float, int, JobState]] = []
         self._sequence = 0
-        self._refused: dict[RefusalReason, int] = {}
+        self._prune_at = PRUNE_INTERVAL
+        self._refused: Counter[RefusalReason] = Counter()
+
+    # Upstreams
 
     def add_upstream(self, shape: UpstreamShape) -> None:
-        """Adds an upstream or updates its shape."""
-        self._shape_by_id[shape.id] = shape
-        self._ledger.set_capacity(shape.id, shape.resources)
-        self._leaving.discard(shape.id)
+        """Adds an upstream, or updates the shape and leaving mark of a known one."""
+        self._upstreams.add(shape, self._now())
         if shape.leaving:
-            self._leaving.add(shape.id)
+            self._close(shape.id)
 
     def set_leaving(self, upstream_id: UpstreamId) -> None:
-        """Places no new work on the upstream from now on."""
-        self._leaving.add(upstream_id)
+        """Places no new work on the upstream from now on, not even starts already decided."""
+        self._upstreams.set_leaving(upstream_id)
+        self._close(upstream_id)
 
     def remove_upstream(self, upstream_id: UpstreamId) -> list[AttemptId]:
-        """Removes an upstream. Returns its attempts, whose end is still to be reported."""
-        self._shape_by_id.pop(upstream_id, None)
-        self._leaving.discard(upstream_id)
-        attempts = self._ledger.remove_upstream(upstream_id)
-        return [a for a in attempts if a in self._job_id_by_attempt]
+        """Removes an upstream. Returns its attempts, the end of which is still to be reported."""
+        self._upstreams.set_leaving(upstream_id)
+        self._close(upstream_id)
+        self._upstreams.remove(upstream_id)
+        for attempt_id, reservation in list(self._unknown.items()):
+            if not reservation.active:
+                del self._unknown[attempt_id]
+        return [attempt.id for attempt in self._tasks.on_upstream(upstream_id)]
 
     def hold_unknown(
         self,
@@ -99,226 +128,260 @@
         resources: Resources,
         until: timedelta,
     ) -> None:
-        """Counts capacity as allocated until the boot time ``until``."""
-        held = self._ledger.hold(upstream_id, attempt_id, resources)
-        if isinstance(held, Ok):
-            self._unknown.append((until, held.ok_value))
+        """Counts capacity as allocated until the boot time ``until``, even beyond the shape."""
+        self._hold(upstream_id, attempt_id, resources, until.total_seconds())
 
     def adopt(self, job: Job, attempt_id: AttemptId, upstream_id: UpstreamId) -> None:
-        """Takes over a running attempt of an earlier owner."""
-        state = self._job_by_id.get(job.id)
+        """Takes over a running attempt of an earlier owner, even beyond the upstream's shape.
+
+        Tasks of the job without an attempt are queued only if the job is submitted too. Raises
+        ``ValueError`` if ``attempt_id`` is not an attempt of the job.
+        """
+        job_id, task, epoch, number = _split_attempt_id(attempt_id)
+        if job_id != job.id or not 0 <= task < job.tasks:
+            raise ValueError(f"not an attempt of job {job.id}: {attempt_id}")
+        unknown = self._unknown.pop(attempt_id, None)
+        if unknown is not None:
+            self._upstreams.ledger.release(unknown)
+        now = self._now()
+        state = self._tasks.job_by_id.get(job.id)
         if state is None:
-            state = self._new_state(job)
-            state.pending = []
-            self._job_by_id[job.id] = state
-        task = int(attempt_id.rsplit(".", 3)[1])
-        held = self._ledger.hold(upstream_id, attempt_id, job.resources)
-        state.live[attempt_id] = (task, held.ok_value if isinstance(held, Ok) else None)
-        self._job_id_by_attempt[attempt_id] = job.id
+            state = self._new_state(job, now)
+            state.drop_pending()
+            state.deadline = None
+            state.adopted = True
+            self._know(state)
+        if attempt_id in self._tasks.attempt_by_id:
+            return
+        if state.live and task in state.live:
+            # Two attempts of one task: the other's end decides, this one only holds capacity.
+            self._hold(upstream_id, attempt_id, job.resources, float("inf"))
+            return
+        self._upstreams.know(upstream_id)
+        held = self._upstreams.ledger.hold(upstream_id, attempt_id, job.resources)
+        reservation = held.unwrap()
+        if epoch == self._epoch:
+            state.numbers = (state.numbers or {}) | {task: number}
+        state.ran = True
+        shape = self._upstreams.index.shape_by_id.get(upstream_id)
+        run = state.run / shape.speed if shape is not None else state.run
+        attempt = Attempt(attempt_id, state, task, reservation, run, now)
+        attempt.emitted = True
+        self._tasks.add(attempt)
+        self._shares.take(state.flow, attempt.counted, now)
+        if isinstance(job, ServiceJob) and shape is not None:
+            racks = state.tasks_by_rack = state.tasks_by_rack or {}
+            racks[shape.rack] = racks.get(shape.rack, 0) + 1
+
+    # Jobs
 
     def submit(self, job: Job) -> Result[Admitted, Refusal]:
-        """Queues a job or refuses it."""
-        if job.id in self._job_by_id:
+        """Queues a job or refuses it. A job that is queued or running is not queued again."""
+        now = self._now()
+        self._update_shapes()
+        known = self._tasks.job_by_id.get(job.id)
+        if known is not None:
+            if known.adopted:
+                self._queue_rest(known)
             return Ok(Admitted(timedelta(0)))
-        if not self._shape_by_id:
-            return self._refuse(
-                RefusalReason.OVERLOAD, "no upstreams known yet", timedelta(seconds=1)
-            )
-        if not any(job.resources.fits_in(s.resources) for s in self._shape_by_id.values()):
-            return self._refuse(RefusalReason.NEVER_RUNS, "a task fits on no upstream of the pool")
-        state = self._new_state(job)
-        self._job_by_id[job.id] = state
-        self._enqueue(state)
-        return Ok(Admitted(timedelta(0)))
+        state = self._new_state(job, now)
+        parked = self._queue.is_parked(class_key(state))
+        admitted = self._admission.admit(job, state.flow, self._expect(job), parked)
+        if isinstance(admitted, Err):
+            self._refused[admitted.err_value.reason] += 1
+            return admitted
+        self._know(state)
+        self._queue.push(state)
+        if state.deadline is not None:
+            heapq.heappush(self._deadlines, (state.deadline, state.sequence, state))
+        return admitted
 
     def cancel(self, job_id: JobId) -> Cancellation:
-        """Removes a queued job, or returns the attempts of a running job to be stopped."""
-        state = self._job_by_id.get(job_id)
+        """Removes a queued job, or returns the attempts of a running job that must be stopped."""
+        state = self._tasks.job_by_id.get(job_id)
         if state is None:
             return Cancellation(CancellationKind.UNKNOWN)
         state.cancelled = True
-        state.pending = []
-        if not state.live:
-            del self._job_by_id[job_id]
-            return Cancellation(CancellationKind.QUEUED)
-        stops = [Stop(a, self._upstream_of(a, r)) for a, (_, r) in state.live.items()]
-        return Cancellation(CancellationKind.RUNNING, stops)
+        self._dispatcher.drop(state)
+        stops = []
+        for attempt in list((state.live or {}).values()):
+            if attempt.emitted:
+                attempt.stopping = True
+                stops.append(Stop(attempt.id, attempt.upstream_id))
+            else:
+                self._ends.free(attempt, self._now())
+        if stops:
+            return Cancellation(CancellationKind.RUNNING, stops)
+        self._ends.forget(state)
+        return Cancellation(CancellationKind.QUEUED, ran=state.ran)
 
     def expire(self) -> list[JobId]:
-        """Drops queued jobs whose deadline has passed and returns their ids."""
-        now = self._clock.boot_time()
-        gone = [
-            job_id
-            for job_id, state in self._job_by_id.items()
-            if state.deadline is not None and state.deadline <= now and not state.live
-        ]
-        for job_id in gone:
-            self._job_by_id.pop(job_id).pending = []
+        """Drops queued jobs whose deadline has passed and returns their ids.
+
+        A job that had an attempt is kept: it may have run, so it can't be reported as not run.
+        """
+        now = self._now()
+        late = self._dispatcher.late
+        while self._deadlines and self._deadlines[0][0] <= now:
+            late.append(heapq.heappop(self._deadlines)[2])
+        gone = []
+        for state in late:
+            known = self._tasks.job_by_id.get(state.job.id) is state
+            if known and state.is_late(now):
+                self._dispatcher.drop(state)
+                self._ends.forget(state)
+                gone.append(state.job.id)
+        late.clear()
         return gone
 
     def decide(self, limit: int) -> list[Decision]:
         """Returns at most ``limit`` actions for the owner to carry out."""
-        self._release_unknown()
-        actions: list[Decision] = []
-        skipped: list[tuple[int, int, JobId]] = []
-        while self._queue and len(actions) < limit:
-            entry = heapq.heappop(self._queue)
-            state = self._job_by_id.get(entry[2])
-            if state is None or not state.pending:
-                continue
-            if isinstance(state.job, GangJob):
-                self._place_gang(state, actions, limit)
-            else:
-                while state.pending and len(actions) < limit:
-                    start = self._place(state, state.pending[0])
-                    if start is None:
-                        break
-                    state.pending.pop(0)
-                    actions.append(start)
-            if state.pending:
-                skipped.append(entry)
-        for entry in skipped:
-            heapq.heappush(self._queue, entry)
-        return actions
+        now = self._now()
+        self._update_shapes()
+        while self._unknown_ends and self._unknown_ends[0][0] <= now:
+            self._release_unknown(heapq.heappop(self._unknown_ends)[1])
+        if now >= self._prune_at:
+            self._prune_at = now + PRUNE_INTERVAL
+            self._shares.prune(now)
+        return self._dispatcher.decide(limit, now)
 
     def started(self, attempt_id: AttemptId) -> None:
-        """Reports that the upstream started the attempt."""
+        """Reports that the upstream started the attempt. Run time counts from here."""
+        attempt = self._tasks.attempt_by_id.get(attempt_id)
+        if attempt is not None and attempt.started_at is None:
+            attempt.started_at = self._now()
+
+    def throttled(self, attempt_id: AttemptId) -> None:
+        """Reports that a `Throttle` took effect; the room it frees may then be used."""
+        attempt = self._tasks.attempt_by_id.get(attempt_id)
+        if attempt is None or attempt.limited_to is None:
+            return
+        self._upstreams.ledger.shrink(attempt.reservation, Resources(*attempt.limited_to))
+        attempt.limited_to = None
+        self._ends.recount(attempt, self._now())
 
     def ended(self, attempt_id: AttemptId, end: TaskEnd, usage: Resources | None = None) -> Ended:
-        """Reports the end of an attempt and frees its capacity."""
-        job_id = self._job_id_by_attempt.pop(attempt_id, None)
-        state = self._job_by_id.get(job_id) if job_id is not None else None
-        if state is None or job_id is None:
+        """Reports the end of an attempt, frees its capacity and tells what follows for its job.
+
+        `usage`
+            Highest measured use of the attempt, if known.
+        """
+        now = self._now()
+        attempt = self._tasks.attempt_by_id.get(attempt_id)
+        if attempt is None:
+            self._release_unknown(attempt_id)
             return Ended.IGNORED
-        task, reservation = state.live.pop(attempt_id)
-        if reservation is not None:
-            self._ledger.release(reservation)
-        if state.cancelled:
-            if state.live:
-                return Ended.TASK_DONE
-            del self._job_by_id[job_id]
-            return Ended.JOB_CANCELLED
-        job = state.job
-        if isinstance(job, ServiceJob) or end is TaskEnd.NOT_STARTED:
-            return self._retry(state, task)
-        if end is TaskEnd.SUCCEEDED:
-            state.done += 1
-            if state.live or state.pending:
-                return Ended.TASK_DONE
-            del self._job_by_id[job_id]
-            return Ended.JOB_DONE
-        if job.idempotent and state.number[task] < MAX_ATTEMPTS:
-            return self._retry(state, task)
-        state.pending = []
-        state.cancelled = True
-        if not state.live:
-            del self._job_by_id[job_id]
-        return Ended.JOB_FAILED
+        return self._ends.end(attempt, end, usage, now)
 
     def report_usage(self, attempt_id: AttemptId, usage: Resources) -> None:
-        """Reports the measured use of a running attempt."""
-        job_id = self._job_id_by_attempt.get(attempt_id)
-        if job_id is not None:
-            reservation = self._job_by_id[job_id].live[attempt_id][1]
-            if reservation is not None:
-                self._ledger.grow(reservation, usage)
+        """Reports the measured use of a running attempt. What exceeds its size is accounted."""
+        attempt = self._tasks.attempt_by_id.get(attempt_id)
+        if attempt is None:
+            return
+        measured = usage.as_tuple()
+        peak = attempt.peak
+        attempt.peak = measured if peak is None else tuple(map(max, peak, measured))
+        limit = attempt.limited_to
+        if limit is not None:
+            late = self._now() >= attempt.limited_at + USAGE_LAG
+            if late and measured[0] <= limit[0]:
+                self.throttled(attempt_id)
+            return
+        self._upstreams.ledger.grow(attempt.reservation, usage)
+        self._ends.recount(attempt, self._now())
 
     def expected_wait(self, band: Band) -> timedelta:
         """Returns the expected time in the queue of a job of this band."""
-        return timedelta(0)
+        return timedelta(seconds=self._admission.expected_wait(band))
+
+    def set_quotas(self, quotas_by_team: Mapping[TeamId, Quota]) -> None:
+        """Applies changed weights and limits. Running tasks beyond a lower limit run on."""
+        self._quotas_by_team = quotas_by_team
+        now = self._now()
+        for team, team_use in self._shares.use_by_team.items():
+            quota = quotas_by_team.get(team, NO_QUOTA)
+            self._queue.set_quota(team_use, quota.weight, quota.limit, now)
 
     def snapshot(self) -> SchedulerStatus:
-        """Returns the state for operators."""
-        queued = dict.fromkeys(Band, 0)
-        used: dict[TeamId, Resources] = {}
-        for state in self._job_by_id.values():
-            if state.pending:
-                queued[state.job.band] += 1
-            for _, reservation in state.live.values():
-                if reservation is not None:
-                    team = state.job.team
-                    used[team] = used.get(team, ZERO) + reservation.resources
+        """Returns the state for operators. Takes time in proportion to teams and upstreams."""
+        queued = dict(self._queue.jobs_by_band)
+        for state in self._dispatcher.waiting_elsewhere():
+            queued[state.job.band] += 1
+        used = {t: Resources(*u.used) for t, u in self._shares.use_by_team.items() if any(u.used)}
         return SchedulerStatus(
             queued_by_band=queued,
-            running=len(self._job_id_by_attempt),
+            running=len(self._tasks.attempt_by_id),
             used_by_team=used,
             refused=dict(self._refused),
-            upstreams=[
-                UpstreamStatus(
-                    id=upstream_id,
-                    state=(
-                        UpstreamState.LEAVING
-                        if upstream_id in self._leaving
-                        else UpstreamState.ACTIVE
-                    ),
-                    free=Resources(*self._ledger.free(upstream_id)),
-                    tasks=self._ledger.count(upstream_id),
-                )
-                for upstream_id in self._shape_by_id
-            ],
+            upstreams=self._upstreams.statuses(),
+            at_fault=list(self._ends.at_fault),
         )
 
-    def _new_state(self, job: Job) -> _JobState:
+    # Helpers
+
+    def _now(self) -> float:
+        return self._clock.boot_time().total_seconds()
+
+    def _expect(self, job: Job) -> Expectation:
+        declared = job.declared_run.total_seconds()
+        return self._estimates.expect(job.route, job.team, job.resources, declared)
+
+    def _new_state(self, job: Job, now: float) -> JobState:
+        quota = self._quotas_by_team.get(job.team, NO_QUOTA)
+        flow = self._shares.flow(job.band, job.team, job.route, quota.weight, quota.limit, now)
         self._sequence += 1
-        deadline = None if job.deadline is None else self._clock.boot_time() + job.deadline
-        return _JobState(job, self._sequence, deadline)
-
-    def _enqueue(self, state: _JobState) -> None:
-        heapq.heappush(self._queue, (state.job.band, state.sequence, state.job.id))
-
-    def _refuse(
-        self, reason: RefusalReason, detail: str, retry_after: timedelta | None = None
-    ) -> Err[Refusal]:
-        self._refused[reason] = self._refused.get(reason, 0) + 1
-        return Err(Refusal(reason, detail, retry_after))
-
-    def _retry(self, state: _JobState, task: int) -> Ended:
-        was_queued = bool(state.pending)
-        state.pending.append(task)
-        if not was_queued:
-            self._enqueue(state)
-        return Ended.RETRY
-
-    def _place(self, state: _JobState, task: int) -> Start | None:
-        job = state.job
-        attempt = attempt_id(job.id, task, self._epoch, state.number[task] + 1)
-        for upstream_id, shape in self._shape_by_id.items():
-            if upstream_id in self._leaving:
-                continue
-            reserved = self._ledger.reserve(upstream_id, attempt, job.resources)
-            if isinstance(reserved, Ok):
-                state.number[task] += 1
-                state.live[attempt] = (task, reserved.ok_value)
-                self._job_id_by_attempt[attempt] = job.id
-                run = job.declared_run / shape.speed
-                return Start(attempt, job, task, upstream_id, job.resources, run)
-        return None
-
-    def _place_gang(self, state: _JobState, actions: list[Decision], limit: int) -> None:
-        if len(actions) + len(state.pending) > limit:
+        state = JobState(job, flow, self._sequence, now)
+        expectation = self._expect(job)
+        state.run = expectation.run
+        state.amount = self._admission.clamp(job.resources.as_tuple(), expectation.amount)
+        return state
+
+    def _know(self, state: JobState) -> None:
+        self._tasks.job_by_id[state.job.id] = state
+        state.flow.states += 1
+
+    def _queue_rest(self, state: JobState) -> None:
+        """Queues the tasks of an adopted job for which no attempt was found.
+
+        Only if running them is known to be safe: an earlier attempt may have ended unseen.
+        """
+        state.adopted = False
+        if state.job.idempotent:
+            live = state.live or {}
+            self._dispatcher.requeue(state, [t for t in range(state.job.tasks) if t not in live])
+
+    def _update_shapes(self) -> None:
+        changed = self._upstreams.take_changed_shapes()
+        if changed is not None:
+            self._admission.set_shapes(*changed)
+            self._queue.recount()
+
+    def _close(self, upstream_id: UpstreamId) -> None:
+        """Takes back starts on an upstream that were decided but not returned yet."""
+        now = self._now()
+        for attempt in self._tasks.on_upstream(upstream_id):
+            if not attempt.emitted and attempt.id in self._tasks.attempt_by_id:
+                self._ends.recall(attempt, now)
+        self._dispatcher.give_up_holds(upstream_id, now)
+
+    def _hold(
+        self, upstream_id: UpstreamId, attempt_id: AttemptId, resources: Resources, until: float
+    ) -> None:
+        if attempt_id in self._unknown or attempt_id in self._tasks.attempt_by_id:
             return
-        starts: list[Start] = []
-        for task in state.pending:
-            start = self._place(state, task)
-            if start is None:
-                for placed in starts:
-                    _, reservation = state.live.pop(placed.attempt_id)
-                    del self._job_id_by_attempt[placed.attempt_id]
-                    state.number[placed.task] -= 1
-                    if reservation is not None:
-                        self._ledger.release(reservation)
-                return
-            starts.append(start)
-        state.pending = []
-        actions.extend(starts)
-
-    def _release_unknown(self) -> None:
-        now = self._clock.boot_time()
-        for until, reservation in self._unknown:
-            if until <= now:
-                self._ledger.release(reservation)
-        self._unknown = [(u, r) for u, r in self._unknown if u > now]
-
-    @staticmethod
-    def _upstream_of(attempt: AttemptId, reservation: Reservation | None) -> UpstreamId:
-        return reservation.upstream_id if reservation is not None else UpstreamId("")
+        self._upstreams.know(upstream_id)
+        held = self._upstreams.ledger.hold(upstream_id, attempt_id, resources)
+        self._unknown[attempt_id] = held.unwrap()
+        heapq.heappush(self._unknown_ends, (until, attempt_id))
+
+    def _release_unknown(self, attempt_id: AttemptId) -> None:
+        reservation = self._unknown.pop(attempt_id, None)
+        if reservation is not None:
+            self._upstreams.ledger.release(reservation)
+
+
+def _split_attempt_id(attempt_id: AttemptId) -> tuple[JobId, int, Epoch, int]:
+    parts = attempt_id.rsplit(".", 3)
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        raise ValueError(f"not an attempt id: {attempt_id}")
+    return JobId(parts[0]), int(parts[1]), Epoch(int(parts[2])), int(parts[3])
--- /dev/null
+++ b/hornbeamramp/task_table.py
@@ -0,0 +1,239 @@
+"""Jobs and attempts the scheduler knows, with what it keeps about each."""
+
+from typing import TYPE_CHECKING
+
+from hornbeamramp.ids import AttemptId, Epoch, JobId, RackId, UpstreamId
+from hornbeamramp.jobs import GangJob, Job, ServiceJob, attempt_id
+from hornbeamramp.ledger import Reservation, Vector
+from hornbeamramp.states import Band
+
+if TYPE_CHECKING:
+    from hornbeamramp.holds import Hold
+    from hornbeamramp.job_queue import Lane
+    from hornbeamramp.shares import Flow
+
+__all__ = ["Attempt", "JobState", "TaskTable"]
+
+
+class Attempt:
+    """A live attempt. Times are seconds of boot time, ``run`` is on its upstream."""
+
+    __slots__ = (
+        "counted",
+        "emitted",
+        "id",
+        "limited_at",
+        "limited_to",
+        "peak",
+        "placed_at",
+        "probe",
+        "reservation",
+        "run",
+        "slowed",
+        "started_at",
+        "state",
+        "stopping",
+        "task",
+        "upstream_id",
+    )
+
+    def __init__(
+        self,
+        id: AttemptId,
+        state: "JobState",
+        task: int,
+        reservation: Reservation,
+        run: float,
+        placed_at: float,
+    ) -> None:
+        self.id = id
+        self.state = state
+        self.task = task
+        self.reservation = reservation
+        self.upstream_id = reservation.upstream_id
+        self.run = run
+        self.placed_at = placed_at
+        self.started_at: float | None = None
+        self.peak: Vector | None = None
+        # What the shares count for the attempt.
+        self.counted = reservation.amount
+        # Whether `decide` has returned the start.
+        self.emitted = False
+        # Whether the end of the attempt was ordered.
+        self.stopping = False
+        # Size to which the attempt was ordered to throttle, and when.
+        self.limited_to: Vector | None = None
+        self.limited_at = 0.0
+        # Whether it was ever throttled, so that its run time says nothing about others.
+        self.slowed = False
+        self.probe = False
+
+    def elapsed(self, now: float) -> float:
+        """Returns the seconds since the attempt started."""
+        return now - (self.placed_at if self.started_at is None else self.started_at)
+
+    def expected_end(self, now: float) -> float:
+        """Returns when the attempt is expected to end; infinity for a service.
+
+        An attempt that is over its time is expected to take half as long again.
+        """
+        if self.state.standing:
+            return float("inf")
+        elapsed = self.elapsed(now)
+        return now + (self.run - elapsed if self.run > elapsed else max(elapsed * 0.5, 0.1))
+
+    def preemptible(self) -> bool:
+        """Tells whether the attempt may be stopped for urgent work."""
+        return not self.stopping and self.state.preemptible
+
+    def limitable(self) -> bool:
+        """Tells whether the attempt may be throttled for urgent work."""
+        return not self.stopping and self.limited_to is None and self.state.limitable
+
+
+class JobState:
+    """A job that has not ended.
+
+    `amount`, `run`
+        Expected size and run time in seconds of a task, fixed when the job is queued.
+    `next_task`, `again`
+        Tasks to be placed: those from ``next_task`` on and those in ``again``.
+    `lane`
+        Where the job is queued, or ``None``.
+    """
+
+    __slots__ = (
+        "adopted",
+        "again",
+        "amount",
+        "avoid",
+        "cancelled",
+        "deadline",
+        "delayed",
+        "failed",
+        "failures",
+        "flow",
+        "holds",
+        "job",
+        "key",
+        "lane",
+        "limitable",
+        "live",
+        "next_task",
+        "numbers",
+        "preemptible",
+        "rack_position",
+        "ran",
+        "run",
+        "sequence",
+        "standing",
+        "submitted",
+        "tasks_by_rack",
+    )
+
+    def __init__(self, job: Job, flow: "Flow", sequence: int, now: float) -> None:
+        self.job = job
+        self.flow = flow
+        self.sequence = sequence
+        self.submitted = now
+        self.deadline = None if job.deadline is None else now + job.deadline.total_seconds()
+        self.amount: Vector = (0, 0, 0, 0, 0)
+        self.run = 0.0
+        self.key = 0.0
+        self.next_task = 0
+        self.again: list[int] | None = None
+        self.lane: Lane | None = None
+        self.live: dict[int, Attempt] | None = None
+        self.holds: list[Hold] | None = None
+        self.numbers: dict[int, int] | None = None
+        self.tasks_by_rack: dict[RackId, int] | None = None
+        self.rack_position = 0
+        self.avoid: set[UpstreamId] | None = None
+        # Tasks that wait for their retry.
+        self.delayed = 0
+        self.failures = 0
+        # Whether any attempt may have run.
+        self.ran = False
+        self.cancelled = False
+        self.failed = False
+        self.adopted = False
+        self.standing = isinstance(job, ServiceJob)
+        batch = not isinstance(job, GangJob | ServiceJob)
+        self.limitable = batch and job.band >= Band.NORMAL
+        self.preemptible = self.limitable and job.idempotent
+
+    @property
+    def over(self) -> bool:
+        """Whether no task runs or waits."""
+        return not (self.live or self.holds or self.delayed or self.pending)
+
+    @property
+    def pending(self) -> int:
+        """Number of tasks to be placed."""
+        return self.job.tasks - self.next_task + (len(self.again) if self.again else 0)
+
+    def is_late(self, now: float) -> bool:
+        """Tells whether the deadline has passed and no attempt may have run."""
+        return self.deadline is not None and self.deadline <= now and not (self.ran or self.live)
+
+    def take_task(self) -> int:
+        """Removes and returns the next task to be placed."""
+        if self.again:
+            return self.again.pop()
+        task = self.next_task
+        self.next_task += 1
+        return task
+
+    def put_back(self, task: int) -> None:
+        """Returns a task to those to be placed."""
+        if self.again is None:
+            self.again = []
+        self.again.append(task)
+
+    def drop_pending(self) -> None:
+        """Leaves no task to be placed."""
+        self.next_task = self.job.tasks
+        self.again = None
+
+
+class TaskTable:
+    """Jobs by id and live attempts by id and by upstream."""
+
+    def __init__(self, epoch: Epoch) -> None:
+        self._epoch = epoch
+        self.job_by_id: dict[JobId, JobState] = {}
+        self.attempt_by_id: dict[AttemptId, Attempt] = {}
+        self.attempts_by_upstream: dict[UpstreamId, dict[AttemptId, Attempt]] = {}
+
+    def next_attempt_id(self, state: JobState, task: int) -> AttemptId:
+        """Returns the id of the next attempt of a task and counts it."""
+        if state.numbers is None:
+            state.numbers = {}
+        number = state.numbers[task] = state.numbers.get(task, 0) + 1
+        return attempt_id(state.job.id, task, self._epoch, number)
+
+    def attempts(self, state: JobState, task: int) -> int:
+        """Returns the number of attempts of a task so far."""
+        return state.numbers.get(task, 0) if state.numbers else 0
+
+    def add(self, attempt: Attempt) -> None:
+        state = attempt.state
+        if state.live is None:
+            state.live = {}
+        state.live[attempt.task] = attempt
+        self.attempt_by_id[attempt.id] = attempt
+        self.attempts_by_upstream.setdefault(attempt.upstream_id, {})[attempt.id] = attempt
+
+    def remove(self, attempt: Attempt) -> None:
+        if attempt.state.live is not None:
+            attempt.state.live.pop(attempt.task, None)
+        self.attempt_by_id.pop(attempt.id, None)
+        on_upstream = self.attempts_by_upstream.get(attempt.upstream_id)
+        if on_upstream is not None:
+            on_upstream.pop(attempt.id, None)
+            if not on_upstream:
+                del self.attempts_by_upstream[attempt.upstream_id]
+
+    def on_upstream(self, upstream_id: UpstreamId) -> list[Attempt]:
+        """Returns the live attempts on an upstream."""
+        return list(self.attempts_by_upstream.get(upstream_id, {}).values())
