--- a/hornbeamramp/admission.py
+++ b/hornbeamramp/admission.py
@@ -51,17 +51,27 @@
         self._shapes = shapes
         self._best_speed = best_speed
 
-    def clamp(self, declared: Vector, amount: Vector) -> Vector:
-        """Returns the estimated size, lowered to a machine that has room for the declared one."""
-        if self.fits(amount):
+    def size(self, job: Job, flow: Flow, amount: Vector) -> Vector:
+        """Returns the estimated size, lowered where the job could not run with it.
+
+        A task gets at most a machine that has room for its declared size. Where the estimate would
+        exceed the team's limit or, for a gang, the empty pool, the declared size is used.
+        """
+        declared = job.resources.as_tuple()
+        if amount == declared:
             return amount
-        best: Vector | None = None
-        for shape in self._shapes:
-            if times_it_fits(declared, shape) and (best is None or shape > best):
-                best = shape
-        if best is None:
+        if not self.fits(amount):
+            shapes = [shape for shape in self._shapes if times_it_fits(declared, shape)]
+            if not shapes:
+                return declared
+            amount = tuple(map(min, amount, max(shapes)))  # type: ignore[assignment]
+        gang = isinstance(job, GangJob)
+        limit = flow.account.team_use.limit
+        if limit is not None and times_it_fits(amount, limit) < (job.tasks if gang else 1):
+            return declared
+        if gang and not self.fits_gang(amount, job.tasks):
             return declared
-        return tuple(map(min, amount, best))  # type: ignore[return-value]
+        return amount
 
     def fits(self, amount: Vector) -> bool:
         """Tells whether a task of this size fits on an empty upstream."""
@@ -135,7 +145,7 @@
             detail = f"{job.tasks} tasks at once do not fit into the empty pool"
             return Refusal(RefusalReason.NEVER_RUNS, detail)
         limit = flow.account.team_use.limit
-        if limit is not None and not times_it_fits(amount, limit) >= (job.tasks if gang else 1):
+        if limit is not None and times_it_fits(amount, limit) < (job.tasks if gang else 1):
             detail = f"more at once than the limit of team {job.team}"
             return Refusal(RefusalReason.QUOTA, detail)
         return None
--- a/hornbeamramp/job_queue.py
+++ b/hornbeamramp/job_queue.py
@@ -108,6 +108,9 @@
         self._count(lane, state, -count)
         if state.pending == 0:
             self._leave(state)
+            if lane.heap and lane.heap[0][2] is state:
+                # The entry would become valid again if a task of the job is put back.
+                heapq.heappop(lane.heap)
             if not lane.live:
                 self._drop_lane(lane)
 
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -333,7 +333,7 @@
         state = JobState(job, flow, self._sequence, now)
         expectation = self._expect(job)
         state.run = expectation.run
-        state.amount = self._admission.clamp(job.resources.as_tuple(), expectation.amount)
+        state.amount = self._admission.size(job, flow, expectation.amount)
         return state
 
     def _know(self, state: JobState) -> None:
