Use the full scheduler in the shard owner and settle adopted jobs after recovery

Cause: a job whose tasks were found one upstream at a time ended as done when the first found task ended, with the others missing. Change: an adopted job does not end before ShardScheduler.settle is called after recovery; missing tasks of idempotent jobs are queued, non-idempotent jobs end as unknown. An idempotent job that an unreachable upstream may have run is sent again once its lease has lapsed.

--- a/hornbeamramp/attempt_ends.py
+++ b/hornbeamramp/attempt_ends.py
@@ -78,6 +78,18 @@
                 return self._fail(state, faulty)
         return self._retry(attempt, end, now)
 
+    def settle(self, state: JobState, missing: list[int]) -> Ended:
+        """Queues the missing tasks of an adopted job, or ends the job if that is not safe."""
+        if missing and (state.job.idempotent or state.standing):
+            self._dispatcher.requeue(state, missing)
+            return Ended.RETRY
+        if missing:
+            return self._fail(state, faulty=False)
+        if state.over:
+            self.forget(state)
+            return Ended.JOB_DONE
+        return Ended.TASK_DONE
+
     def free(self, attempt: Attempt, now: float) -> None:
         """Frees what an attempt holds and forgets it."""
         state = attempt.state
--- a/hornbeamramp/attempts.py
+++ b/hornbeamramp/attempts.py
@@ -20,7 +20,8 @@
 
 __all__ = ["AttemptRunner", "EndReport"]
 
-RESULT_WAIT = timedelta(seconds=10)
+# Bounds how long a connection that went silent under a waiting call goes unnoticed.
+RESULT_WAIT = timedelta(seconds=4)
 RETRY_PAUSE = timedelta(milliseconds=200)
 
 END_BY_STATE = {
--- a/hornbeamramp/forwarding.py
+++ b/hornbeamramp/forwarding.py
@@ -188,6 +188,9 @@
         _log.info("{}: the reply was lost; asking the shard's owner", job.id)
         while self._clock.boot_time() < give_up_at:
             reply = await self._try_resolve(shard, request)
+            if reply is not None and reply.may_repeat and job.idempotent:
+                absent = "its owner died and no attempt runs any more"
+                return SubmitReply(NotRun(job.id, RefusalReason.RESOLVED_ABSENT, absent))
             if reply is not None and reply.outcome is not None:
                 return SubmitReply(reply.outcome)
             if reply is not None and reply.state is not None and job.asynchronous:
--- a/hornbeamramp/messages.py
+++ b/hornbeamramp/messages.py
@@ -114,10 +114,15 @@
 
 
 class ResolveReply(msgspec.Struct, frozen=True):
-    """``state`` is ``None`` if the receiver does not own the shard or still recovers it."""
+    """``state`` is ``None`` if the receiver does not own the shard or still recovers it.
+
+    `may_repeat`
+        Whether an idempotent job may be sent again: no earlier attempt can be running.
+    """
 
     state: JobState | None
     outcome: Outcome | None = None
+    may_repeat: bool = False
 
 
 class GetJobRequest(msgspec.Struct, frozen=True):
--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -101,6 +101,8 @@
         self._work = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._task_by_upstream: dict[UpstreamId, asyncio.Task[None]] = {}
+        # Upstreams that leave by the word of the platform or the pool's row.
+        self._withdrawn: set[UpstreamId] = set()
         self._events = UpstreamEvents(
             self._on_listed, self._on_shape, self._on_unreachable, self._on_usage
         )
@@ -134,16 +136,18 @@
         here = {UpstreamId(u.id): u for u in pool.upstreams if u.data_centre == self._data_centre}
         for upstream_id in self.link_by_id.keys() - here.keys():
             # Its tasks run on and stay renewed; it only receives no new work.
-            self.scheduler.set_leaving(upstream_id)
+            self.set_leaving(upstream_id)
         for upstream_id, upstream in here.items():
+            self._withdrawn.discard(upstream_id)
             if upstream_id not in self.link_by_id:
                 self._add_link(upstream_id, self._open_upstream(upstream))
-        self.scheduler.update_quotas(pool.quotas)
+        self.scheduler.set_quotas(pool.quotas)
         self._work.set()
 
     def set_leaving(self, upstream_id: UpstreamId) -> None:
-        """Gives the upstream no new work, on the word of the platform's list of VMs."""
-        if upstream_id in self.link_by_id:
+        """Gives the upstream no new work from now on."""
+        if upstream_id in self.link_by_id and upstream_id not in self._withdrawn:
+            self._withdrawn.add(upstream_id)
             self.scheduler.set_leaving(upstream_id)
 
     async def submit(self, request: SubmitRequest) -> SubmitReply:
@@ -175,8 +179,10 @@
             if recorded is not None:
                 return ResolveReply(state_of(recorded), recorded)
             if not self._complete_recovery:
-                # An upstream that could not be listed may have run it.
-                return ResolveReply(JobState.UNKNOWN, Unknown(request.job_id, "not recovered"))
+                # An upstream that could not be listed may have run it; its lease has lapsed.
+                self.records.refuse(request.job_id)
+                unknown = Unknown(request.job_id, "an upstream that may have run it is not reached")
+                return ResolveReply(JobState.UNKNOWN, unknown, may_repeat=True)
             if request.refuse_unseen:
                 self.records.refuse(request.job_id)
             absent = NotRun(request.job_id, RefusalReason.RESOLVED_ABSENT, "never arrived")
@@ -212,13 +218,18 @@
             record.cancelled = True
             cancellation = self.scheduler.cancel(request.job_id)
             if cancellation.kind is CancellationKind.QUEUED:
-                self._finish(record, _not_run(record.job, RefusalReason.CANCELLED, "cancelled"))
+                self._finish(record, self._cancelled(record, cancellation.ran))
             for stop in cancellation.stop:
                 self._apply(stop)
             self._work.set()
         outcome = record.outcome.result() if record.outcome.done() else None
         return CancelReply(record.state(), outcome)
 
+    def _cancelled(self, record: JobRecord, ran: bool) -> Outcome:
+        if ran:
+            return Completed(record.job.id, [], self._data_centre, failed=True)
+        return _not_run(record.job, RefusalReason.CANCELLED, "cancelled")
+
     def beat(self) -> ShardBeat:
         """Returns what the process's heartbeats tell about this shard."""
         waits = {band: self.scheduler.expected_wait(band) for band in Band}
@@ -322,8 +333,17 @@
         elif isinstance(decision, Checkpoint):
             self._spawn(self._quietly(link.adapter.checkpoint(decision.attempt_id)))
         elif isinstance(decision, Throttle):
-            throttle = link.adapter.throttle(decision.attempt_id, decision.resources)
-            self._spawn(self._quietly(throttle))
+            self._spawn(self._throttle(decision, link))
+
+    async def _throttle(self, decision: Throttle, link: UpstreamLink) -> None:
+        try:
+            throttled = await link.adapter.throttle(decision.attempt_id, decision.resources)
+        except (UnreachableError, ProtocolError) as error:
+            _log.info("{}: {}", error.peer, error.message)
+        else:
+            if throttled:
+                self.scheduler.throttled(decision.attempt_id)
+                self._work.set()
 
     async def _quietly(self, call: Coroutine[Any, Any, Any]) -> None:
         # A failed stop is not retried here: the task ends or its lease lapses, and both are seen.
@@ -362,7 +382,6 @@
             results = [record.result_by_task[task] for task in sorted(record.result_by_task)]
             self._finish(record, Completed(job.id, results, self._data_centre))
         elif ended is Ended.JOB_FAILED:
-            self._stop_all(record)
             if record.uncertain:
                 self._finish(record, Unknown(job.id, "an attempt was lost at its upstream"))
             else:
@@ -370,10 +389,6 @@
         elif ended is Ended.JOB_CANCELLED:
             self._finish(record, Completed(job.id, [], self._data_centre, failed=True))
 
-    def _stop_all(self, record: JobRecord) -> None:
-        for attempt_id, upstream_id in record.upstream_by_attempt.items():
-            self._apply(Stop(attempt_id, upstream_id))
-
     def _finish(self, record: JobRecord, outcome: Outcome) -> None:
         if record.ended_at is not None:
             return
@@ -410,9 +425,7 @@
         self, link: UpstreamLink, shape: UpstreamShape, tasks: list[ListedTask]
     ) -> None:
         first = not link.listed
-        self.scheduler.add_upstream(shape)
-        if shape.leaving:
-            self.scheduler.set_leaving(shape.id)
+        self._add_shape(link.id, shape)
         for attempt_id in reconcile(self, link, tasks, first):
             self._spawn(self._runner.follow(attempt_id, link))
         link.listed = True
@@ -420,13 +433,17 @@
         self._work.set()
 
     def _on_shape(self, link: UpstreamLink, shape: UpstreamShape) -> None:
-        self.scheduler.add_upstream(shape)
-        if shape.leaving:
-            self.scheduler.set_leaving(shape.id)
+        self._add_shape(link.id, shape)
         self._work.set()
 
+    def _add_shape(self, upstream_id: UpstreamId, shape: UpstreamShape) -> None:
+        self.scheduler.add_upstream(shape)
+        if upstream_id in self._withdrawn:
+            self.scheduler.set_leaving(upstream_id)
+
     def _on_unreachable(self, link: UpstreamLink) -> None:
-        self.scheduler.set_unreachable(link.id)
+        # No new work until the link has connected and listed again.
+        self.scheduler.set_leaving(link.id)
 
     def _on_usage(self, link: UpstreamLink, reports: list[UsageReport]) -> None:
         for report in reports:
@@ -456,14 +473,19 @@
         await self._durable.open(self.epoch)
         await self._recovered.wait()
         for record in self.records.live():
-            done = set(record.result_by_task)
-            if len(done) + len(record.running_tasks - done) < record.job.tasks:
-                self.scheduler.requeue_missing(record.job.id, done)
+            self._settle(record)
         for job in self._durable.unfinished_jobs():
             if self.records.get(job.id) is None:
                 self._requeue(job)
         self._work.set()
 
+    def _settle(self, record: JobRecord) -> None:
+        """Queues or ends an adopted job whose other tasks no upstream runs."""
+        ended = self.scheduler.settle(record.job.id, record.result_by_task.keys())
+        if ended is Ended.JOB_FAILED:
+            record.uncertain = True
+        self._conclude(record, ended)
+
     def _requeue(self, job: Job) -> None:
         if self._durable.may_have_run(job.id):
             record = self.records.create(job)
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from datetime import timedelta
 
 from result import Err, Ok, Result
@@ -134,8 +134,8 @@
     def adopt(self, job: Job, attempt_id: AttemptId, upstream_id: UpstreamId) -> None:
         """Takes over a running attempt of an earlier owner, even beyond the upstream's shape.
 
-        Tasks of the job without an attempt are queued only if the job is submitted too. Raises
-        ``ValueError`` if ``attempt_id`` is not an attempt of the job.
+        The job does not end before `settle` is called for it. Raises ``ValueError`` if
+        ``attempt_id`` is not an attempt of the job.
         """
         job_id, task, epoch, number = _split_attempt_id(attempt_id)
         if job_id != job.id or not 0 <= task < job.tasks:
@@ -181,8 +181,6 @@
         self._update_shapes()
         known = self._tasks.job_by_id.get(job.id)
         if known is not None:
-            if known.adopted:
-                self._queue_rest(known)
             return Ok(Admitted(timedelta(0)))
         state = self._new_state(job, now)
         parked = self._queue.is_parked(class_key(state))
@@ -198,27 +196,28 @@
 
     def check(self, job: Job) -> Refusal | None:
         """Returns why the job would be refused now, without queueing it."""
-        if not self._shape_by_id:
-            return Refusal(RefusalReason.OVERLOAD, "no upstreams known yet", timedelta(seconds=1))
-        return None
-
-    def update_quotas(self, quotas_by_team: Mapping[TeamId, Quota]) -> None:
-        """Replaces the quotas after a change of the pool's row."""
-        self._quotas_by_team = quotas_by_team
+        self._update_shapes()
+        if job.id in self._tasks.job_by_id:
+            return None
+        state = self._new_state(job, self._now())
+        parked = self._queue.is_parked(class_key(state))
+        admitted = self._admission.admit(job, state.flow, self._expect(job), parked)
+        return admitted.err_value if isinstance(admitted, Err) else None
 
-    def set_unreachable(self, upstream_id: UpstreamId) -> None:
-        """Places no new work until `add_upstream` is called again."""
-        self._leaving.add(upstream_id)
+    def settle(self, job_id: JobId, done: Collection[int]) -> Ended:
+        """Decides about the tasks of an adopted job that no upstream runs any more.
 
-    def requeue_missing(self, job_id: JobId, done: set[int]) -> None:
-        """Queues the tasks of an adopted job that are neither running nor in ``done``."""
-        state = self._job_by_id.get(job_id)
-        if state is None:
-            return
-        state.done = len(done)
-        present = done | {task for task, _ in state.live.values()}
-        state.pending = [task for task in range(state.job.tasks) if task not in present]
-        self._enqueue(state)
+        To be called once the upstreams have been listed. ``done`` are the tasks whose answers are
+        known. Missing tasks of an idempotent job or a service are queued; a non-idempotent job
+        ends, as a missing task may have run.
+        """
+        state = self._tasks.job_by_id.get(job_id)
+        if state is None or not state.adopted:
+            return Ended.IGNORED
+        state.adopted = False
+        live = state.live or {}
+        missing = [t for t in range(state.job.tasks) if t not in live and t not in done]
+        return self._ends.settle(state, missing)
 
     def cancel(self, job_id: JobId) -> Cancellation:
         """Removes a queued job, or returns the attempts of a running job that must be stopped."""
@@ -364,16 +363,6 @@
         self._tasks.job_by_id[state.job.id] = state
         state.flow.states += 1
 
-    def _queue_rest(self, state: JobState) -> None:
-        """Queues the tasks of an adopted job for which no attempt was found.
-
-        Only if running them is known to be safe: an earlier attempt may have ended unseen.
-        """
-        state.adopted = False
-        if state.job.idempotent:
-            live = state.live or {}
-            self._dispatcher.requeue(state, [t for t in range(state.job.tasks) if t not in live])
-
     def _update_shapes(self) -> None:
         changed = self._upstreams.take_changed_shapes()
         if changed is not None:
--- a/hornbeamramp/task_table.py
+++ b/hornbeamramp/task_table.py
@@ -164,8 +164,8 @@
 
     @property
     def over(self) -> bool:
-        """Whether no task runs or waits."""
-        return not (self.live or self.holds or self.delayed or self.pending)
+        """Whether no task runs or waits. Of an adopted job more tasks may yet be found."""
+        return not (self.live or self.holds or self.delayed or self.pending or self.adopted)
 
     @property
     def pending(self) -> int:
@@ -194,6 +194,7 @@
         """Leaves no task to be placed."""
         self.next_task = self.job.tasks
         self.again = None
+        self.adopted = False
 
 
 class TaskTable:
