--- a/hornbeamramp/upstreams/http.py
+++ b/hornbeamramp/upstreams/http.py
@@ -201,7 +201,9 @@
         return reply
 
     async def _find_offset(self) -> int:
-        if self._offset_ms is None:
+        # Regular calls replace the offset after `OFFSET_KEPT_MS`; without any, it is asked for.
+        age_ms = self._boot_ms() - self._offset_found_ms
+        if self._offset_ms is None or age_ms > 2 * OFFSET_KEPT_MS:
             await self.shape()
         if self._offset_ms is None:
             message = f"the answer has no valid {TIME_HEADER}"
--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -26,7 +26,7 @@
 
 
 class ShiftedClock(SystemClock):
-    """System clock whose wall-clock time is off by ``shift``."""
+    """System clock whose wall-clock time and boot time are off by ``shift``."""
 
     def __init__(self, shift: timedelta) -> None:
         self.shift = shift
@@ -34,6 +34,9 @@
     def now(self) -> datetime:
         return super().now() + self.shift
 
+    def boot_time(self) -> timedelta:
+        return super().boot_time() + self.shift
+
 
 def request(attempt=A, payload=b"payload", run=timedelta(0), not_after=LONG, epoch=3, **fields):
     labels = TaskLabels(JobId("j"), SHARD, VmId("vm-1"), Epoch(epoch), b"job")
@@ -201,6 +204,21 @@
     run(scenario())
 
 
+def test_not_after_holds_after_a_long_time_without_calls(run):
+    """Guards against a not-after time off by the drift of two clocks since the last call."""
+
+    async def scenario():
+        clock = ShiftedClock(timedelta(0))
+        async with serving() as (server, _):
+            client = HttpUpstream(server.address, LONG, clock)
+            await client.shape()
+            clock.shift = 61 * SECOND
+            assert await client.start(request(not_after=-SECOND)) is StartReply.REFUSED_LATE
+            await client.close()
+
+    run(scenario())
+
+
 def test_failed_check_sends_nothing(run):
     """Guards against a start by an owner whose proof has expired."""
 
