--- /dev/null
+++ b/hornbeamramp/config_head.py
@@ -0,0 +1,232 @@
+"""Head and snapshot of the tables in the store, the chain of changes, and the merge of forks."""
+
+import hashlib
+from collections.abc import Iterable
+
+import msgspec
+from result import Err
+
+from hornbeamramp.ids import ChangeId, Revision
+from hornbeamramp.tables import Change, Tables, check_join
+
+__all__ = [
+    "RING_BYTES",
+    "ConfigHead",
+    "ConfigSnapshot",
+    "ConfigState",
+    "Merge",
+    "SnapshotRef",
+    "chain_digest",
+    "merge",
+    "next_change",
+]
+
+RING_BYTES = 48 * 1024
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class SnapshotRef(msgspec.Struct, frozen=True):
+    """Names a snapshot. The digest keeps the snapshots of a fork apart."""
+
+    revision: Revision
+    digest: str
+
+    def key(self) -> str:
+        return f"config/snapshot/{self.revision}/{self.digest}"
+
+
+class ConfigSnapshot(msgspec.Struct, frozen=True):
+    """Whole tables at the snapshot's revision, as stored."""
+
+    tables: Tables
+
+
+class ConfigHead(msgspec.Struct, frozen=True):
+    """Record at ``config/head``.
+
+    `revision`, `digest`
+        Of the last change. Two heads are the same if both are equal.
+    `recent`
+        Ring of the last changes, without a gap, the last one at ``revision``.
+    `base_digest`
+        Digest of the revision before the first change of the ring.
+    `snapshot`
+        Newest snapshot; the ring reaches back to it. ``None`` while the ring reaches back to
+        revision 0.
+    `old_snapshot`
+        The snapshot before, kept for readers of the previous head until the next one is written.
+    """
+
+    revision: Revision = Revision(0)
+    digest: str = ""
+    base_digest: str = ""
+    recent: list[Change] = []
+    snapshot: SnapshotRef | None = None
+    old_snapshot: SnapshotRef | None = None
+
+
+def chain_digest(previous: str, change: Change) -> str:
+    """Returns the digest of ``change`` after a change with digest ``previous``: 32 hex digits."""
+    body = _encode(msgspec.structs.replace(change, digest=""))
+    return hashlib.sha256(previous.encode() + body).hexdigest()[:32]
+
+
+def next_change(tables: Tables, change: Change) -> Change:
+    """Returns ``change`` with the revision and the digest that follow ``tables``."""
+    change = msgspec.structs.replace(change, revision=Revision(tables.revision + 1), digest="")
+    return msgspec.structs.replace(change, digest=chain_digest(tables.digest, change))
+
+
+class ConfigState(msgspec.Struct, frozen=True):
+    """Tables with the changes that led to them, as far as they are kept.
+
+    `tables`
+        Tables after the last change.
+    `recent`
+        Last changes without a gap, the last one at the tables' revision.
+    `base_digest`
+        Digest of the revision before the first of ``recent``.
+    """
+
+    tables: Tables = msgspec.field(default_factory=Tables)
+    recent: tuple[Change, ...] = ()
+    base_digest: str = ""
+
+    @property
+    def order(self) -> tuple[Revision, str]:
+        """Key by which every member ranks heads: the higher revision, then the digest."""
+        return self.tables.revision, self.tables.digest
+
+    @property
+    def base_revision(self) -> Revision:
+        return Revision(self.tables.revision - len(self.recent))
+
+    def digest_at(self, revision: Revision) -> str | None:
+        """Returns the digest at ``revision``, or ``None`` if it is not kept."""
+        index = revision - self.base_revision
+        if index == 0:
+            return self.base_digest
+        return self.recent[index - 1].digest if 0 < index <= len(self.recent) else None
+
+    def changes_after(self, revision: Revision, digest: str) -> list[Change] | None:
+        """Returns the changes after that point, or ``None`` if it is not part of this chain."""
+        if self.digest_at(revision) != digest:
+            return None
+        return list(self.recent[revision - self.base_revision :])
+
+    def extend(self, changes: Iterable[Change]) -> "ConfigState | None":
+        """Returns the state after ``changes``, which may start with known ones.
+
+        Returns ``None`` if they have a gap or do not continue this chain.
+        """
+        tables, recent = self.tables, list(self.recent)
+        for change in changes:
+            if change.revision <= tables.revision:
+                known = self.digest_at(change.revision)
+                if known is not None and known != change.digest:
+                    return None
+                continue
+            if change.revision != tables.revision + 1:
+                return None
+            if change.digest != chain_digest(tables.digest, change):
+                return None
+            tables = tables.apply(change)
+            recent.append(change)
+        return ConfigState(tables, tuple(recent), self.base_digest)
+
+    def append(self, change: Change) -> "ConfigState":
+        """Returns the state after ``change``, which gets the next revision and digest."""
+        change = next_change(self.tables, change)
+        return ConfigState(self.tables.apply(change), (*self.recent, change), self.base_digest)
+
+    def find(self, change_id: ChangeId) -> Change | None:
+        """Returns the change with this id, if it is kept."""
+        return next((change for change in self.recent if change.id == change_id), None)
+
+    def trim(self, limit: int) -> "ConfigState":
+        """Returns the state without the oldest changes, so that the rest has ``limit`` bytes.
+
+        The last change is kept whatever its size: its id resolves a lost answer.
+        """
+        size, count = 0, 0
+        for change in reversed(self.recent):
+            size += len(_encode(change))
+            if count and size > limit:
+                break
+            count += 1
+        return self.keep_from(Revision(self.tables.revision - count))
+
+    def keep_from(self, revision: Revision) -> "ConfigState":
+        """Returns the state without the changes up to ``revision``."""
+        base = self.digest_at(revision)
+        if base is None or revision == self.base_revision:
+            return self
+        return ConfigState(self.tables, self.recent[revision - self.base_revision :], base)
+
+    def is_consistent(self) -> bool:
+        """Tells whether the kept changes are a chain that ends at the tables."""
+        revision, digest = self.base_revision, self.base_digest
+        for change in self.recent:
+            if change.revision != revision + 1 or change.digest != chain_digest(digest, change):
+                return False
+            revision, digest = change.revision, change.digest
+        return revision == self.tables.revision and digest == self.tables.digest
+
+
+class Merge(msgspec.Struct, frozen=True):
+    """Result of `merge`.
+
+    `state`
+        The winning chain, with the changes of the other one applied where possible.
+    `forked`
+        Whether each side had changes that the other had not.
+    `dropped`
+        Changes of the losing chain that could not be applied.
+    """
+
+    state: ConfigState
+    forked: bool = False
+    dropped: tuple[Change, ...] = ()
+
+
+def merge(one: ConfigState, other: ConfigState) -> Merge:
+    """Merges two states so that every member gets the same result.
+
+    The state with the higher revision wins, then the one with the greater digest. Changes that
+    only the loser has are applied after it, under their ids, unless the winner has written the
+    same row since the fork or the join would break. States whose kept changes do not overlap
+    can't be compared; then the winner is taken as it is.
+    """
+    winner, loser = (one, other) if one.order >= other.order else (other, one)
+    if winner.order == loser.order or loser.tables.revision == 0:
+        return Merge(winner)
+    common = _common_revision(winner, loser)
+    if common is None or common == loser.tables.revision:
+        return Merge(winner)
+    since = winner.recent[common - winner.base_revision :]
+    written = {(change.table, change.name) for change in since}
+    known = {change.id for change in since}
+    dropped: list[Change] = []
+    forked, merged = False, winner
+    for change in loser.recent[common - loser.base_revision :]:
+        if change.id in known:
+            continue
+        forked = True
+        result = merged.append(change)
+        joined = check_join(result.tables.route_by_name, result.tables.pool_by_name)
+        if (change.table, change.name) in written or isinstance(joined, Err):
+            dropped.append(change)
+        else:
+            merged = result
+    return Merge(merged, forked, tuple(dropped))
+
+
+def _common_revision(one: ConfigState, other: ConfigState) -> Revision | None:
+    """Returns the highest revision at which both states have the same digest."""
+    highest = min(one.tables.revision, other.tables.revision)
+    lowest = max(one.base_revision, other.base_revision)
+    for revision in range(highest, lowest - 1, -1):
+        if one.digest_at(Revision(revision)) == other.digest_at(Revision(revision)):
+            return Revision(revision)
+    return None
--- a/hornbeamramp/messages.py
+++ b/hornbeamramp/messages.py
@@ -186,17 +186,29 @@
 
 
 class ConfigDeltaRequest(msgspec.Struct, frozen=True):
-    """Asks for the changes after ``after``."""
+    """Asks for the changes after ``after``. ``digest`` is that of the asker's last change."""
 
     after: Revision
+    digest: str = ""
 
 
 class ConfigDeltaReply(msgspec.Struct, frozen=True):
-    """Either the changes, or the whole tables if the changes are no longer kept."""
+    """The changes after the point asked for, or the whole tables.
+
+    Whole tables come with the last changes that led to them if the point asked for is no longer
+    kept or is on another chain of changes. Nothing comes if the receiver has no later revision.
+
+    `revision`, `digest`
+        Of the receiver's last change.
+    `base_digest`
+        Digest of the revision before the first of ``changes``.
+    """
 
     revision: Revision
     changes: list[Change] = []
     tables: Tables | None = None
+    digest: str = ""
+    base_digest: str = ""
 
 
 class StatusRequest(msgspec.Struct, frozen=True):
--- a/hornbeamramp/tables.py
+++ b/hornbeamramp/tables.py
@@ -87,8 +87,11 @@
 class Change(msgspec.Struct, frozen=True):
     """One accepted change: a row written (``route`` or ``pool``) or deleted (neither set).
 
-    `row_version`
-        Version of the row after the change, the same as the revision of the change.
+    `revision`
+        Revision of the tables after the change, which becomes the version of the row.
+    `digest`
+        Digest over this change and the digest of the change before it. Two chains of changes
+        with the same digest at a revision are the same up to it.
     """
 
     id: ChangeId
@@ -97,6 +100,7 @@
     name: str
     route: Route | None = None
     pool: Pool | None = None
+    digest: str = ""
 
 
 class TableError(msgspec.Struct, frozen=True):
@@ -107,13 +111,25 @@
 
 
 class Tables(msgspec.Struct):
-    """Both tables at one revision, each row with the revision that last wrote it."""
+    """Both tables at one revision, each row with the revision that last wrote it.
+
+    ``digest`` is the digest of the change that led to the revision, empty at revision 0.
+    """
 
     revision: Revision = Revision(0)
     route_by_name: dict[RouteName, Route] = {}
     pool_by_name: dict[PoolName, Pool] = {}
     route_version_by_name: dict[RouteName, Revision] = {}
     pool_version_by_name: dict[PoolName, Revision] = {}
+    digest: str = ""
+
+    def row(self, table: str, name: str) -> tuple[Route | Pool | None, Revision | None]:
+        """Returns the row and its version, both ``None`` if there is no such row."""
+        if table == "routes":
+            route = RouteName(name)
+            return self.route_by_name.get(route), self.route_version_by_name.get(route)
+        pool = PoolName(name)
+        return self.pool_by_name.get(pool), self.pool_version_by_name.get(pool)
 
     def apply(self, change: Change) -> "Tables":
         """Returns the tables with the change applied. Does not check the join."""
@@ -130,7 +146,7 @@
         else:
             rows[change.name] = row
             versions[change.name] = change.revision
-        return Tables(change.revision, routes, pools, route_versions, pool_versions)
+        return Tables(change.revision, routes, pools, route_versions, pool_versions, change.digest)
 
 
 def check_join(
