--- a/hornbeamramp/journal.py
+++ b/hornbeamramp/journal.py
@@ -53,10 +53,16 @@
 
 
 class Fenced(msgspec.Struct, frozen=True):
-    """Another owner opened the journal with ``epoch``. The record is not in the journal."""
+    """Another owner opened the journal with ``epoch``.
+
+    `outcome`
+        ``not_run`` if the record is not in the journal and will not be; ``unknown`` if it may
+        have been written just before.
+    """
 
     epoch: Epoch
     message: str
+    outcome: Literal["not_run", "unknown"] = "not_run"
 
 
 class RecordTooLarge(msgspec.Struct, frozen=True):
@@ -269,6 +275,9 @@
                         self._segments.discard(head)
                     base, head = self._version, await build()
             except _FencedError:
+                if head is not None and head.write_id in self._unresolved_by_write_id:
+                    # The put may have taken effect before the other owner opened the journal.
+                    return Err(msgspec.structs.replace(self._fenced, outcome="unknown"))
                 return Err(self._fenced)
             except StoreUnavailableError as error:
                 message = error.message
--- /dev/null
+++ b/tests/test_journal_properties.py
@@ -0,0 +1,162 @@
+"""Property tests of the journal: a durable record is in every later replay until forgotten."""
+
+import asyncio
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from hornbeamramp.clock import ManualClock
+from hornbeamramp.errors import ConflictError, StoreUnavailableError
+from hornbeamramp.ids import Epoch, JobId, PoolName, RouteName, ShardId, TeamId
+from hornbeamramp.jobs import BatchJob, Unknown
+from hornbeamramp.journal import Journal
+from hornbeamramp.journal_records import JobAccepted, JobEnded, JobForgotten, JournalState
+from hornbeamramp.platforms.memory import MemoryPlatform, StoreMode
+
+SHARD = ShardId("tickets@gebze")
+
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("accept"), st.integers(0, 9), st.sampled_from([10, 3000, 20_000])),
+        st.tuples(st.just("accept"), st.integers(0, 9), st.just(10)),
+        st.tuples(st.just("end"), st.integers(0, 9)),
+        st.tuples(st.just("forget"), st.integers(0, 9)),
+        st.tuples(st.just("advance"), st.sampled_from([0, 0.05, 0.2, 2, 10])),
+        st.tuples(st.just("mode"), st.sampled_from(list(StoreMode))),
+        st.tuples(st.just("mode"), st.just(StoreMode.UP)),
+        st.tuples(st.just("lose"), st.integers(1, 5)),
+        st.tuples(st.just("claim")),
+        st.tuples(st.just("save")),
+        st.tuples(st.just("restore")),
+    ),
+    min_size=5,
+    max_size=40,
+)
+
+
+class World:
+    """Owners of one shard in turn, and what each append reported."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryPlatform(self.clock)
+        self.journals = []
+        self.epoch = 0
+        self.saved = None
+        self.number = 0
+        # Each entry: index of the journal, record and the task of its append, in order.
+        self.appends = []
+
+    async def finish(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        while not task.done():
+            await self.clock.advance(timedelta(milliseconds=100))
+        return task.result()
+
+    async def claim(self) -> None:
+        self.epoch += 1
+        journal = Journal(self.store, self.clock, SHARD)
+        try:
+            await self.finish(journal.open(Epoch(self.epoch)))
+        except (StoreUnavailableError, ConflictError):
+            return
+        self.journals.append(journal)
+        self.saved = None
+
+    async def run(self, script) -> None:
+        await self.claim()
+        for step in script:
+            await self.take(*step)
+        self.store.mode, self.store.answers_to_lose = StoreMode.UP, 0
+        await self.clock.advance(timedelta(seconds=10))
+        assert all(task.done() for *_, task in self.appends)
+        assert self.journals[-1]._fenced is not None or (
+            await self.finish(self.journals[-1].check())
+        ) == Ok(None)
+        last = Journal(self.store, self.clock, SHARD)
+        records = await last.open(Epoch(self.epoch + 1))
+        self.check(JournalState.replay(records))
+
+    async def take(self, kind, *arguments) -> None:
+        match kind, arguments:
+            case "accept", (number, size):
+                self.append(JobAccepted(make_job(number, size), self.clock.now()))
+            case "end", (number,):
+                self.append(JobEnded(Unknown(JobId(f"j{number}"), "test"), self.clock.now()))
+            case "forget", (number,):
+                self.append(JobForgotten(JobId(f"j{number}")))
+            case "advance", (seconds,):
+                await self.clock.advance(timedelta(seconds=seconds))
+            case "mode", (mode,):
+                self.store.mode = mode
+            case "lose", (count,):
+                self.store.answers_to_lose = count
+            case "claim", ():
+                await self.claim()
+            case "save", ():
+                self.saved = self.store.entries()
+            case "restore", ():
+                # A store restored to before the present owner's claim is a fault of ownership.
+                if self.saved is not None:
+                    self.store.restore(self.saved)
+
+    def append(self, record) -> None:
+        # The old owner goes on as well; its records count if they are reported durable.
+        for index, journal in enumerate(self.journals[-2:]):
+            if index == 0 and len(self.journals) > 1 and not isinstance(record, JobAccepted):
+                continue
+            task = asyncio.create_task(journal.append(record))
+            self.appends.append((record, task))
+
+    def check(self, state) -> None:
+        live, durable_answers, excused, not_run = set(), set(), set(), set()
+        uncertain = set()
+        for record, task in self.appends:
+            result = task.result()
+            job_id = job_of(record)
+            if isinstance(result, Ok):
+                if isinstance(record, JobAccepted) and job_id not in durable_answers:
+                    live.add(job_id)
+                elif isinstance(record, JobEnded):
+                    durable_answers.add(job_id)
+                    live.discard(job_id)
+                elif isinstance(record, JobForgotten):
+                    live.discard(job_id)
+                    durable_answers.discard(job_id)
+            elif result.err_value.outcome == "unknown":
+                uncertain.add(job_id)
+            if isinstance(record, JobAccepted):
+                not_run.add(job_id)
+                if isinstance(result, Ok) or job_id in uncertain:
+                    excused.add(job_id)
+        for job_id in live - uncertain:
+            assert job_id in state.live_job_by_id, "a durable job was lost"
+        for job_id in durable_answers - uncertain:
+            assert job_id in state.answer_by_job_id, "a durable answer was lost"
+        for job_id in state.live_job_by_id:
+            assert job_id not in not_run - excused, "reported as not run, yet in the journal"
+
+
+def job_of(record) -> JobId:
+    if isinstance(record, JobAccepted):
+        return record.job.id
+    return record.outcome.job_id if isinstance(record, JobEnded) else record.job_id
+
+
+def make_job(number: int, size: int) -> BatchJob:
+    return BatchJob(
+        id=JobId(f"j{number}"),
+        route=RouteName("weigh"),
+        pool=PoolName("tickets"),
+        team=TeamId("yard"),
+        payload=b"x" * size,
+    )
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(steps)
+def test_durable_records_are_in_every_later_replay(script):
+    # Guards acceptance for later execution: a job reported as accepted and then forgotten.
+    asyncio.run(World().run(script))
