--- a/hornbeamramp/admin_api.py
+++ b/hornbeamramp/admin_api.py
@@ -19,7 +19,7 @@
     ConfigurationStore,
     MalformedProposal,
     ProposalError,
-    StoreUnavailable,
+    StoreOutage,
     VersionConflict,
 )
 from hornbeamramp.http_server import new_app
@@ -230,12 +230,12 @@
         return problem(
             HTTPStatus.CONFLICT, error.message, outcome="not_run", names=list(error.names)
         )
-    if isinstance(error, StoreUnavailable):
+    if isinstance(error, StoreOutage):
         return problem(
             HTTPStatus.SERVICE_UNAVAILABLE,
             error.message,
             {"Retry-After": "5"},
-            outcome=error.outcome.value,
+            outcome=error.outcome,
         )
     assert isinstance(error, MalformedProposal)
     return problem(HTTPStatus.BAD_REQUEST, error.message, outcome="not_run")
--- a/hornbeamramp/entry_parts.py
+++ b/hornbeamramp/entry_parts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -21,12 +21,15 @@
 from hornbeamramp.platforms import Platform
 from hornbeamramp.settings import Settings
 from hornbeamramp.shards import OpenUpstream, OwnedShards, UpstreamWitness
+from hornbeamramp.states import Step
 from hornbeamramp.store_budget import BudgetedPlatform
+from hornbeamramp.tables import Tables
 from hornbeamramp.telemetry import Metrics
 
 __all__ = ["REQUEST_TYPES", "EntryParts"]
 
 VM_LIST_INTERVAL = timedelta(seconds=3)
+PULL_TIMEOUT = timedelta(seconds=2)
 
 REQUEST_TYPES: tuple[type, ...] = (
     messages.Heartbeat,
@@ -103,9 +106,12 @@
             peers.call,
             lambda: self.ready,
         )
-        self.configuration.subscribe(lambda _: self.shards.tables_changed())
+        self.configuration.subscribe(self._on_tables)
+        self.membership.listen(self._on_heartbeat)
+        self._peers = peers
+        self._pulling = False
         self._handler_by_type = self._handlers()
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     def start(self) -> None:
         """Joins the members and begins to serve."""
@@ -116,9 +122,17 @@
             self._follow_vm_list(),
             self._become_ready(),
         ):
-            task = asyncio.get_running_loop().create_task(part)
-            task.add_done_callback(_report_failure)
-            self._tasks.append(task)
+            self._start_task(part)
+
+    def _start_task(self, part: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(part)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("a part of the process failed: {!r}", task.exception())
 
     def set_leaving(self) -> None:
         """Tells balancer and peers that this process takes no new work soon."""
@@ -127,9 +141,10 @@
 
     async def end(self) -> None:
         """Stops everything and ends the process lease. Shards should be handed over before."""
-        for task in self._tasks:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for shard in list(self.shards.owner_by_shard):
             await self.shards.lost(shard)
         with contextlib.suppress(StoreUnavailableError):
@@ -180,6 +195,27 @@
             if own in pool.data_centres()
         ]
 
+    def _on_tables(self, _: Tables) -> None:
+        self.shards.tables_changed()
+
+    def _on_heartbeat(self, beat: messages.Heartbeat) -> None:
+        """Fetches changes that a peer has and this member lacks."""
+        if beat.revision > self.configuration.tables.revision and not self._pulling:
+            self._pulling = True
+            self._start_task(self._pull_from(beat.vm))
+
+    async def _pull_from(self, vm: VmId) -> None:
+        address = self.address_of(vm)
+        try:
+            if address is not None:
+                await self.configuration.pull_from(
+                    lambda request: self._peers.call(
+                        address, request, PULL_TIMEOUT, Step.CHANGE_APPLIED
+                    )
+                )
+        finally:
+            self._pulling = False
+
     async def _become_ready(self) -> None:
         await self.configuration.wait_ready()
         self.ready = True
@@ -192,8 +228,3 @@
                 listed = await self.platform.list_vms()
                 self.shards.vms_leaving({UpstreamId(vm.vm_id) for vm in listed if vm.leaving})
             await self.clock.sleep(VM_LIST_INTERVAL)
-
-
-def _report_failure(task: asyncio.Task[Any]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.error("a part of the process failed: {!r}", task.exception())
