Refuse non-idempotent work at once without the store; repeat lost submits

Cause: with the store down a settlement was queued and its start failed for ever, so the caller got no answer within 60 s; a keyed submit whose owner was killed was answered 503 though its home had a new owner. Change: a failed intent record ends the job as not run; a submit that the new owner resolves as absent is sent again with a new id, at most 3 times.

--- a/hornbeamramp/forwarding.py
+++ b/hornbeamramp/forwarding.py
@@ -38,6 +38,8 @@
 RESOLVE_WAIT = timedelta(seconds=10)
 RESOLVE_TIMEOUT = timedelta(seconds=12)
 RESOLVE_PATIENCE = timedelta(minutes=5)
+# Owners that may die one after the other under the same submit.
+MOST_ABSENCES = 3
 SHORT_TIMEOUT = timedelta(seconds=5)
 
 # After these refusals another data centre may still take the job.
@@ -153,34 +155,45 @@
         return reply
 
     async def _submit_to(self, job: Job, shard: ShardId, patience: timedelta) -> SubmitReply:
-        """Sends the job to one shard. The reply's outcome is final for that shard."""
-        sent_job = msgspec.structs.replace(job, id=new_job_id(shard))
+        """Sends the job to one shard. The reply's outcome is final for that shard.
+
+        A submit that was lost with its owner and is resolved as absent is sent again with a new
+        id, a few times.
+        """
         started_at = self._clock.boot_time()
+        sent_job = msgspec.structs.replace(job, id=new_job_id(shard))
+        absences = 0
         while True:
             waited = self._clock.boot_time() - started_at
-            owner = self._peers.owner_of(shard)
-            if owner is not None:
-                request = SubmitRequest(shard, _with_time_left(sent_job, waited))
-                try:
-                    reply = await self._send(owner, request, SUBMIT_TIMEOUT, Step.FORWARD)
-                except UnreachableError as error:
-                    if error.sent:
-                        return await self._resolve(shard, sent_job)
-                except ProtocolError as error:
-                    _log.warning("{}: {}", error.peer, error.message)
-                    return await self._resolve(shard, sent_job)
-                else:
-                    if not isinstance(reply.outcome, Misdirected):
-                        return reply
-                    if reply.outcome.recovering:
-                        return await self._resolve(shard, sent_job)
-            if waited >= _bounded(patience, job.deadline):
+            reply = await self._send_submit(shard, _with_time_left(sent_job, waited))
+            if reply is not None:
+                absences += 1
+                if not _is_absent(reply) or absences > MOST_ABSENCES:
+                    return reply
+                sent_job = msgspec.structs.replace(job, id=new_job_id(shard))
+            elif waited >= _bounded(patience, job.deadline):
                 detail = f"{shard} has no owner that answers"
                 return SubmitReply(
                     NotRun(sent_job.id, RefusalReason.NO_OWNER, detail, timedelta(seconds=5))
                 )
             await self._clock.sleep(RETRY_PAUSE)
 
+    async def _send_submit(self, shard: ShardId, job: Job) -> SubmitReply | None:
+        """Returns the outcome of one submit, or ``None`` if no owner has taken it."""
+        owner = self._peers.owner_of(shard)
+        if owner is None:
+            return None
+        try:
+            reply = await self._send(owner, SubmitRequest(shard, job), SUBMIT_TIMEOUT, Step.FORWARD)
+        except UnreachableError as error:
+            return await self._resolve(shard, job) if error.sent else None
+        except ProtocolError as error:
+            _log.warning("{}: {}", error.peer, error.message)
+            return await self._resolve(shard, job)
+        if not isinstance(reply.outcome, Misdirected):
+            return reply
+        return await self._resolve(shard, job) if reply.outcome.recovering else None
+
     async def _resolve(self, shard: ShardId, job: Job) -> SubmitReply:
         """Asks the present owner for the fate of a submit until it is known."""
         give_up_at = self._clock.boot_time() + RESOLVE_PATIENCE
@@ -233,6 +246,11 @@
     return isinstance(reply.outcome, NotRun) and reply.outcome.reason in TRY_ELSEWHERE
 
 
+def _is_absent(reply: SubmitReply) -> bool:
+    outcome = reply.outcome
+    return isinstance(outcome, NotRun) and outcome.reason is RefusalReason.RESOLVED_ABSENT
+
+
 def _with_time_left(job: Job, waited: timedelta) -> Job:
     if job.deadline is None:
         return job
--- a/hornbeamramp/job_records.py
+++ b/hornbeamramp/job_records.py
@@ -35,13 +35,15 @@
         Future that every waiting submit and resolve shares.
     `upstream_by_attempt`
         Attempts that may be running.
+    `intent_failed`
+        Whether the last start could not be recorded in the journal.
     `uncertain`
         Whether an attempt was lost, so that a failure can't be told from a success.
     """
 
     __slots__ = (
-        "cancelled",
         "ended_at",
+        "intent_failed",
         "job",
         "outcome",
         "result_by_task",
@@ -57,7 +59,7 @@
         self.upstream_by_attempt: dict[AttemptId, UpstreamId] = {}
         self.running_tasks: set[int] = set()
         self.uncertain = False
-        self.cancelled = False
+        self.intent_failed = False
         self.ended_at: timedelta | None = None
 
     def state(self) -> JobState:
--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -13,6 +13,7 @@
 from hornbeamramp.attempts import AttemptRunner
 from hornbeamramp.clock import Clock
 from hornbeamramp.decisions import (
+    Cancellation,
     CancellationKind,
     Checkpoint,
     Decision,
@@ -114,7 +115,7 @@
             timing,
             metrics,
             may_start,
-            durable.record_intent,
+            self._record_intent,
             self._on_started,
             self._on_ended,
         )
@@ -215,16 +216,19 @@
         if record is None:
             return CancelReply(None)
         if record.ended_at is None:
-            record.cancelled = True
-            cancellation = self.scheduler.cancel(request.job_id)
+            cancellation = self._cancel(record)
             if cancellation.kind is CancellationKind.QUEUED:
                 self._finish(record, self._cancelled(record, cancellation.ran))
-            for stop in cancellation.stop:
-                self._apply(stop)
-            self._work.set()
         outcome = record.outcome.result() if record.outcome.done() else None
         return CancelReply(record.state(), outcome)
 
+    def _cancel(self, record: JobRecord) -> Cancellation:
+        cancellation = self.scheduler.cancel(record.job.id)
+        for stop in cancellation.stop:
+            self._apply(stop)
+        self._work.set()
+        return cancellation
+
     def _cancelled(self, record: JobRecord, ran: bool) -> Outcome:
         if ran:
             return Completed(record.job.id, [], self._data_centre, failed=True)
@@ -374,7 +378,27 @@
             record.running_tasks.discard(task_of(attempt_id))
         if end is TaskEnd.LOST and not record.job.idempotent:
             record.uncertain = True
-        self._conclude(record, ended)
+        if record.intent_failed and ended is Ended.RETRY:
+            self._refuse_without_store(record)
+        else:
+            self._conclude(record, ended)
+
+    async def _record_intent(self, start: Start) -> bool:
+        recorded = await self._durable.record_intent(start)
+        record = self.records.get(start.job.id)
+        if record is not None:
+            record.intent_failed = not recorded
+        return recorded
+
+    def _refuse_without_store(self, record: JobRecord) -> None:
+        """Ends a non-idempotent job at once, as its start can't be recorded."""
+        cancellation = self._cancel(record)
+        if cancellation.kind is CancellationKind.QUEUED and not cancellation.ran:
+            detail = "the store can't record the start of a non-idempotent job"
+            outcome = NotRun(
+                record.job.id, RefusalReason.STORE_UNAVAILABLE, detail, RETRY_AFTER_STORE
+            )
+            self._finish(record, outcome)
 
     def _conclude(self, record: JobRecord, ended: Ended) -> None:
         job = record.job
