--- /dev/null
+++ b/hornbeamramp/callbacks.py
@@ -0,0 +1,50 @@
+"""Calls of the owner's callbacks when a shard is gained or lost, one at a time for each shard."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import logbook
+
+from hornbeamramp.ids import Epoch, ShardId
+from hornbeamramp.shard_state import ShardState
+
+__all__ = ["Callbacks", "Gained", "Lost"]
+
+log = logbook.Logger("owner")
+
+Gained = Callable[[ShardId, Epoch], Awaitable[None]]
+Lost = Callable[[ShardId], Awaitable[None]]
+
+
+class Callbacks:
+    """Calls ``gained`` and ``lost`` in tasks. Their errors are logged and change nothing."""
+
+    def __init__(self, gained: Gained, lost: Lost) -> None:
+        self._gained = gained
+        self._lost = lost
+
+    def gain(self, state: ShardState) -> None:
+        """Calls ``gained`` once an earlier call of ``lost`` has ended."""
+        state.gaining = asyncio.ensure_future(self._call_gained(state, state.epoch))
+
+    def lose(self, state: ShardState) -> asyncio.Task[None]:
+        """Cancels a call of ``gained`` that still runs, and returns the call of ``lost``."""
+        gaining, state.gaining = state.gaining, None
+        if gaining is not None:
+            gaining.cancel()
+        state.losing = asyncio.ensure_future(self._call_lost(state.id))
+        return state.losing
+
+    async def _call_gained(self, state: ShardState, epoch: Epoch) -> None:
+        if state.losing is not None:
+            await asyncio.wait({state.losing})
+        try:
+            await self._gained(state.id, epoch)
+        except Exception:
+            log.exception("owner: the callback for the gain of {} failed", state.id)
+
+    async def _call_lost(self, shard: ShardId) -> None:
+        try:
+            await self._lost(shard)
+        except Exception:
+            log.exception("owner: the callback for the loss of {} failed", shard)
--- /dev/null
+++ b/hornbeamramp/handover.py
@@ -0,0 +1,42 @@
+"""Hand-over of shards at a graceful shutdown."""
+
+from datetime import timedelta
+
+import logbook
+
+from hornbeamramp.errors import ProtocolError, UnreachableError
+from hornbeamramp.ids import Epoch, ShardId, VmId
+from hornbeamramp.membership import Membership
+from hornbeamramp.messages import HandOverRequest
+from hornbeamramp.peers import PeerCaller
+from hornbeamramp.rendezvous import rank
+from hornbeamramp.states import Step
+
+__all__ = ["offer"]
+
+log = logbook.Logger("owner")
+
+HAND_OVER_TIMEOUT = timedelta(seconds=1)
+
+
+async def offer(
+    membership: Membership, peers: PeerCaller, shard: ShardId, epoch: Epoch
+) -> VmId | None:
+    """Offers a shard that this process has stopped to own to one candidate after the other.
+
+    Returns the candidate that has claimed it, or ``None``.
+    """
+    members = membership.alive_in(membership.data_centre)
+    by_vm = {m.vm: m for m in members if m.vm != membership.vm and m.peer_address}
+    request = HandOverRequest(shard, epoch, membership.vm)
+    for vm in rank(shard, {vm: member.size for vm, member in by_vm.items()}):
+        address = by_vm[vm].peer_address
+        try:
+            reply = await peers.call(address, request, HAND_OVER_TIMEOUT, Step.DRAIN)
+        except (UnreachableError, ProtocolError) as error:
+            log.info("owner: {} did not take {}: {}", vm, shard, error.message)
+            continue
+        if reply.accepted:
+            log.info("owner: {} handed over to {}", shard, vm)
+            return vm
+    return None
--- a/hornbeamramp/ownership.py
+++ b/hornbeamramp/ownership.py
@@ -4,19 +4,20 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import timedelta
 
 import logbook
 
+from hornbeamramp.callbacks import Callbacks, Gained, Lost
 from hornbeamramp.claim import Claimer
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import (
     ProtocolError,
     StoreUnavailableError,
-    UnreachableError,
 )
 from hornbeamramp.evidence import EvidenceCollector, ShardWitness, WitnessReport
+from hornbeamramp.handover import offer
 from hornbeamramp.ids import Epoch, LeaseId, ShardId, VmId, split_shard_id
 from hornbeamramp.lease import OwnershipProof
 from hornbeamramp.membership import Membership
@@ -37,22 +38,18 @@
 from hornbeamramp.settings import TimingSettings
 from hornbeamramp.shard_records import PREFIX, ShardRecords, StoredRecord, decode
 from hornbeamramp.shard_state import ShardState
-from hornbeamramp.states import ProofKind, Step
+from hornbeamramp.states import ProofKind
 
 __all__ = ["Gained", "Lost", "Ownership", "ShardWitness", "WitnessReport"]
 
 log = logbook.Logger("owner")
 
-Gained = Callable[[ShardId, Epoch], Awaitable[None]]
-Lost = Callable[[ShardId], Awaitable[None]]
-
 WATCH_WAIT = timedelta(seconds=20)
 WATCH_RETRY = timedelta(seconds=1)
 TICK = timedelta(milliseconds=500)
 # Each candidate waits this long for the one ranked before it.
 RANK_DELAY = timedelta(seconds=1)
 ROSTER_INTERVAL = timedelta(seconds=1)
-HAND_OVER_TIMEOUT = timedelta(seconds=1)
 
 
 class Ownership:
@@ -86,8 +83,7 @@
         self._peers = peers
         self._clock = clock
         self._shards = shards
-        self._gained = gained
-        self._lost = lost
+        self._callbacks = Callbacks(gained, lost)
         self._term = timedelta(milliseconds=timing.lease_ttl_ms)
         self._send_bound = timedelta(milliseconds=timing.send_bound_ms)
         own = membership.by_id[membership.vm]
@@ -101,7 +97,6 @@
         self._shard_by_id: dict[ShardId, ShardState] = {}
         self._record_by_id: dict[ShardId, StoredRecord] = {}
         self._task_by_shard: dict[ShardId, asyncio.Task[None]] = {}
-        self._losing: set[asyncio.Future[None]] = set()
         self._synced = False
         self._closing = False
         membership.listen(self._on_beat)
@@ -146,11 +141,9 @@
             return self._membership.vm
         stored = self._record_by_id.get(shard)
         beat = self._membership.beat_of(shard)
-        if beat is not None and (stored is None or beat[0].epoch >= stored.record.epoch):
-            return beat[1]
-        if stored is None or stored.record.released:
-            return None
-        return stored.record.owner
+        if stored is None or (beat is not None and beat[0].epoch > stored.record.epoch):
+            return beat[1] if beat is not None else None
+        return None if stored.record.released else stored.record.owner
 
     # Running
 
@@ -282,29 +275,12 @@
     def _step_down(self, state: ShardState, reason: str) -> None:
         """Stops to own a shard at once; `lost` is called by a task."""
         log.warning("owner: no longer owner of {}: {}", state.id, reason)
-        task = asyncio.ensure_future(self._give_up(state))
-        self._losing.add(task)
-        task.add_done_callback(self._losing.discard)
+        self._give_up(state)
 
-    def _give_up(self, state: ShardState) -> Awaitable[None]:
-        """Stops to own a shard at once. The result is to be awaited and calls `lost`."""
+    def _give_up(self, state: ShardState) -> asyncio.Task[None]:
+        """Stops to own a shard at once. Returns the task that calls `lost`."""
         state.give_up()
-        gaining, state.gaining = state.gaining, None
-        if gaining is not None:
-            gaining.cancel()
-        return self._call_lost(state.id)
-
-    async def _call_lost(self, shard: ShardId) -> None:
-        try:
-            await self._lost(shard)
-        except Exception:
-            log.exception("owner: the callback for the loss of {} failed", shard)
-
-    async def _call_gained(self, shard: ShardId, epoch: Epoch) -> None:
-        try:
-            await self._gained(shard, epoch)
-        except Exception:
-            log.exception("owner: the callback for the gain of {} failed", shard)
+        return self._callbacks.lose(state)
 
     # Claiming
 
@@ -352,7 +328,7 @@
         state.own(claimed.epoch, claimed.record)
         self._proofs.note_fence(state.id, claimed.fenced)
         log.info("owner: owner of {} with epoch {}", state.id, state.epoch)
-        state.gaining = asyncio.ensure_future(self._call_gained(state.id, claimed.epoch))
+        self._callbacks.gain(state)
         return True
 
     # Releasing
@@ -369,19 +345,10 @@
         await self._clock.sleep(state.allowed_at + self._send_bound - self._clock.boot_time())
         try:
             async with state.lock:
-                await self._write_release(state, epoch)
+                await self._records.release(shard, epoch)
         except (StoreUnavailableError, ProtocolError) as error:
             log.info("owner: release of {} not written: {}", shard, error.message)
 
-    async def _write_release(self, state: ShardState, epoch: Epoch) -> None:
-        stored = await self._records.read(state.id)
-        if stored is None or stored.record.epoch != epoch:
-            return
-        if self._records.is_own(stored.record):
-            members = frozenset(stored.record.members)
-            record = self._records.new(epoch, None, members, released=True)
-            await self._records.write(state.id, record, stored.version)
-
     async def hand_over_all(self) -> None:
         """Releases all shards and tells the best candidate of each. For graceful shutdown."""
         self._closing = True
@@ -389,20 +356,7 @@
 
     async def _hand_over(self, shard: ShardId, epoch: Epoch) -> None:
         await self.release(shard)
-        members = self._membership.alive_in(self._membership.data_centre)
-        by_vm = {m.vm: m for m in members if m.vm != self._membership.vm and m.peer_address}
-        request = HandOverRequest(shard, epoch, self._membership.vm)
-        for vm in rank(shard, {vm: m.size for vm, m in by_vm.items()}):
-            try:
-                reply = await self._peers.call(
-                    by_vm[vm].peer_address, request, HAND_OVER_TIMEOUT, Step.DRAIN
-                )
-            except (UnreachableError, ProtocolError) as error:
-                log.info("owner: {} did not take {}: {}", vm, shard, error.message)
-                continue
-            if reply.accepted:
-                log.info("owner: {} handed over to {}", shard, vm)
-                return
+        await offer(self._membership, self._peers, shard, epoch)
 
     # Requests of peers
 
--- a/hornbeamramp/shard_records.py
+++ b/hornbeamramp/shard_records.py
@@ -104,6 +104,14 @@
                 return None
             raise
 
+    async def release(self, shard: ShardId, epoch: Epoch) -> None:
+        """Marks the record as released if this process wrote it for ``epoch``."""
+        stored = await self.read(shard)
+        if stored is None or stored.record.epoch != epoch or not self.is_own(stored.record):
+            return
+        record = self.new(epoch, None, frozenset(stored.record.members), released=True)
+        await self.write(shard, record, stored.version)
+
 
 def decode(entry: Entry) -> StoredRecord:
     """Decodes a store entry. Raises `ProtocolError` if its value is not a shard record."""
--- a/hornbeamramp/shard_state.py
+++ b/hornbeamramp/shard_state.py
@@ -58,6 +58,7 @@
         self.not_before = timedelta(0)
         self.allowed_at = timedelta(0)
         self.gaining: asyncio.Task[None] | None = None
+        self.losing: asyncio.Task[None] | None = None
 
     def attempt(self) -> Attempt | None:
         """Returns the claim of this process that the latest record seen belongs to."""
