--- a/hornbeamramp/shard_state.py
+++ b/hornbeamramp/shard_state.py
@@ -56,8 +56,9 @@
         self.attempt_by_write: dict[str, Attempt] = {}
         self.claimable_since: timedelta | None = None
         self.not_before = timedelta(0)
-        self.allowed_at = timedelta(0)
+        self.allowed_at = timedelta(days=-1)
         self.gaining: asyncio.Task[None] | None = None
+        self.losing: asyncio.Task[None] | None = None
 
     def attempt(self) -> Attempt | None:
         """Returns the claim of this process that the latest record seen belongs to."""
