--- a/hornbeamramp/configuration.py
+++ b/hornbeamramp/configuration.py
@@ -13,9 +13,7 @@
 from hornbeamramp.config_head import (
     RING_BYTES,
     ConfigHead,
-    ConfigSnapshot,
     ConfigState,
-    SnapshotRef,
     merge,
 )
 from hornbeamramp.config_proposal import (
@@ -28,6 +26,7 @@
     compare_repeated,
     make_change,
 )
+from hornbeamramp.config_records import HEAD_KEY, ConfigRecords, decode_head
 from hornbeamramp.errors import (
     ConflictError,
     ProtocolError,
@@ -51,20 +50,15 @@
 
 log = logbook.Logger("config")
 
-HEAD_KEY = "config/head"
 WATCH_WAIT = timedelta(seconds=25)
 RETRY_DELAY = timedelta(milliseconds=100)
 WATCH_RETRY_DELAY = timedelta(seconds=1)
 # Conflicts are other operators' changes; each of them means that one proposal got through.
 CONFLICT_ATTEMPTS = 30
 OUTAGE_ATTEMPTS = 4
-# Ring kept when a snapshot is written: lets members that were away for a short time catch up.
-KEPT_RING_BYTES = RING_BYTES // 4
 UNMERGED_LIMIT = 8
 
 _encode = msgspec.msgpack.Encoder().encode
-_head_decoder = msgspec.msgpack.Decoder(ConfigHead)
-_snapshot_decoder = msgspec.msgpack.Decoder(ConfigSnapshot)
 
 
 class _Stored(msgspec.Struct, frozen=True):
@@ -97,6 +91,7 @@
         self, platform: Platform, clock: Clock, vm: VmId, watch_wait: timedelta = WATCH_WAIT
     ) -> None:
         self._platform = platform
+        self._records = ConfigRecords(platform)
         self._clock = clock
         self._vm = vm
         self._watch_wait = watch_wait
@@ -171,7 +166,7 @@
                 if refusal is not None:
                     return Err(refusal)
                 target = stored.state.append(change)
-                head = await self._build_head(target, stored.head)
+                head = await self._records.build_head(target, stored.head)
             except (StoreUnavailableError, ProtocolError) as error:
                 message = error.message
                 if unresolved is None:
@@ -192,7 +187,7 @@
                 outages += 1
             else:
                 self._adopt(target)
-                await self._delete_old_snapshot(stored.head, head)
+                await self._records.delete_old_snapshot(stored.head, head)
                 log.info("revision {}: {}/{} changed", head.revision, change.table, change.name)
                 return Ok(target.recent[-1])
         return Err(StoreOutage("not_run" if unresolved is None else "unknown", message))
@@ -269,9 +264,9 @@
         `StoreUnavailableError`, and `ProtocolError` if the head can't be read.
         """
         for _ in range(CONFLICT_ATTEMPTS):
-            head = ConfigHead() if entry is None else _decode(_head_decoder, entry)
+            head = ConfigHead() if entry is None else decode_head(entry)
             version = None if entry is None else entry.version
-            stored = await self._load(head)
+            stored = await self._records.load(head, self._state)
             target, dropped = stored, []
             for known in (self._state, *self._unmerged):
                 merged = merge(target, known)
@@ -284,7 +279,7 @@
                     stored.tables.revision,
                     target.tables.revision,
                 )
-                new_head = await self._build_head(target, head)
+                new_head = await self._records.build_head(target, head)
                 try:
                     version = await self._platform.put(HEAD_KEY, _encode(new_head), version)
                 except ConflictError:
@@ -299,61 +294,6 @@
             Step.CHANGE_APPLIED, "store", "the head changed at each attempt", sent=False
         )
 
-    async def _load(self, head: ConfigHead) -> ConfigState:
-        """Returns the state at ``head``, read from a snapshot only if the ring is not enough."""
-        order = (head.revision, head.digest)
-        state = self._state.extend(head.recent)
-        if state is not None and state.order == order:
-            return state
-        base = ConfigState()
-        if head.snapshot is not None:
-            entry = await self._platform.get(head.snapshot.key())
-            if entry is None:
-                message = f"{head.snapshot.key()} is missing"
-                raise ProtocolError(Step.CHANGE_APPLIED, "store", message)
-            tables = _decode(_snapshot_decoder, entry).tables
-            base = ConfigState(tables, (), tables.digest)
-        state = base.extend(head.recent)
-        if state is None or state.order != order:
-            message = f"the changes of revision {head.revision} have a gap"
-            raise ProtocolError(Step.CHANGE_APPLIED, "store", message)
-        return ConfigState(state.tables, tuple(head.recent), head.base_digest)
-
-    async def _build_head(self, state: ConfigState, old: ConfigHead) -> ConfigHead:
-        """Returns the head for ``state``, after writing a snapshot if the ring is full."""
-        ring = state.keep_from(Revision(old.revision - len(old.recent)))
-        snapshot, old_snapshot = old.snapshot, old.old_snapshot
-        reach = snapshot or SnapshotRef(Revision(0), "")
-        size = sum(len(_encode(change)) for change in ring.recent)
-        if size > RING_BYTES or ring.digest_at(reach.revision) != reach.digest:
-            ring = state.trim(KEPT_RING_BYTES)
-            snapshot = SnapshotRef(state.tables.revision, state.tables.digest)
-            old_snapshot = old.snapshot
-            try:
-                value = _encode(ConfigSnapshot(state.tables))
-                await self._platform.put(snapshot.key(), value, None)
-            except ConflictError:
-                # The key contains the digest, so the stored snapshot is the same.
-                log.debug("snapshot {} exists", snapshot.revision)
-        return ConfigHead(
-            state.tables.revision,
-            state.tables.digest,
-            ring.base_digest,
-            list(ring.recent),
-            snapshot,
-            old_snapshot,
-        )
-
-    async def _delete_old_snapshot(self, old: ConfigHead, new: ConfigHead) -> None:
-        if old.old_snapshot is None or old.old_snapshot in (new.snapshot, new.old_snapshot):
-            return
-        try:
-            entry = await self._platform.get(old.old_snapshot.key())
-            if entry is not None:
-                await self._platform.delete(entry.key, entry.version)
-        except (ConflictError, StoreUnavailableError) as error:
-            log.debug("an old snapshot was not deleted: {}", error)
-
     def _adopt(self, state: ConfigState) -> bool:
         """Puts ``state`` in force if it is later than the present one."""
         ours = self._state
@@ -387,11 +327,3 @@
                     change.table,
                     change.name,
                 )
-
-
-def _decode(decoder: msgspec.msgpack.Decoder, entry: Entry):
-    try:
-        return decoder.decode(entry.value)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        message = f"{entry.key} is malformed: {error}"
-        raise ProtocolError(Step.CHANGE_APPLIED, "store", message) from error
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,396 @@
+"""Tests of the configuration store: races, lost answers, older stores, deltas, forks, the ring."""
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+import pytest
+from result import Ok
+
+from hornbeamramp.clock import ManualClock
+from hornbeamramp.config_head import RING_BYTES, ConfigHead, ConfigState, merge
+from hornbeamramp.configuration import (
+    BrokenJoin,
+    ConfigurationStore,
+    MalformedProposal,
+    StoreOutage,
+    VersionConflict,
+)
+from hornbeamramp.errors import UnreachableError
+from hornbeamramp.ids import ChangeId, DataCentreId, PoolName, Revision, RouteName, VmId
+from hornbeamramp.messages import ConfigDeltaReply
+from hornbeamramp.platforms.memory import MemoryPlatform, StoreMode
+from hornbeamramp.states import Step
+from hornbeamramp.tables import Change, Pool, PoolUpstream, Quota, Route
+
+SECOND = timedelta(seconds=1)
+
+
+def pool(name="gates", policy="default") -> Pool:
+    return Pool(PoolName(name), policy=policy)
+
+
+def route(name="weigh", pool_name="gates", run_ms=1000) -> Route:
+    return Route(RouteName(name), PoolName(pool_name), run_ms=run_ms)
+
+
+@pytest.fixture
+def members(store: MemoryPlatform, clock: ManualClock) -> list[ConfigurationStore]:
+    return [ConfigurationStore(store, clock, VmId(f"vm{n}")) for n in range(3)]
+
+
+async def with_time(clock, coroutine, step=SECOND):
+    """Runs the coroutine while the clock moves."""
+    task = asyncio.ensure_future(coroutine)
+    for _ in range(20):
+        await clock.advance(step)
+        if task.done():
+            break
+    return await asyncio.wait_for(task, 5)
+
+
+def peer(config):
+    async def call(request):
+        return config.on_config_delta(request)
+
+    return call
+
+
+def head_of(store) -> ConfigHead:
+    entry = next(entry for entry in store.entries() if entry.key == "config/head")
+    return msgspec.msgpack.decode(entry.value, type=ConfigHead)
+
+
+async def fill(config, count, prefix="fill") -> None:
+    """Makes ``count`` changes to one row."""
+    _, version = config.tables.row("pools", "gates")
+    for number in range(count):
+        row = pool(policy=f"{prefix}{number}")
+        change = (await config.propose("pools", "gates", row, version, f"{prefix}{number}")).ok()
+        version = change.revision
+
+
+def test_of_two_operators_one_wins_and_the_other_gets_the_row(store, members, run):
+    # Guards against a lost update: both operators told that their change was accepted.
+    async def scenario():
+        first, second, _ = members
+        await first.propose("pools", "gates", pool(), None, "c0")
+        results = await asyncio.gather(
+            first.propose("pools", "gates", pool(policy="a"), Revision(1), ChangeId("c1")),
+            second.propose("pools", "gates", pool(policy="b"), Revision(1), ChangeId("c2")),
+        )
+        (won,) = [result.ok() for result in results if result.is_ok()]
+        (lost,) = [result.err() for result in results if result.is_err()]
+        assert lost == VersionConflict(won.pool, Revision(2))
+
+    run(scenario())
+
+
+def test_changes_to_different_rows_both_get_through(store, members, run):
+    # Guards against a conflict that is only one of the head's version.
+    async def scenario():
+        results = await asyncio.gather(
+            *(
+                members[n % 3].propose("pools", f"p{n}", pool(f"p{n}"), None, ChangeId(f"c{n}"))
+                for n in range(9)
+            )
+        )
+        assert all(result.is_ok() for result in results)
+        assert sorted(result.ok().revision for result in results) == list(range(1, 10))
+
+    run(scenario())
+
+
+def test_concurrent_changes_can_not_break_the_join(store, members, run):
+    # Guards the join: a pool deleted while a route to it is created.
+    async def scenario():
+        first, second, _ = members
+        await first.propose("pools", "gates", pool(), None, "c0")
+        results = await asyncio.gather(
+            first.propose("pools", "gates", None, Revision(1), ChangeId("c1")),
+            second.propose("routes", "weigh", route(), None, ChangeId("c2")),
+        )
+        assert [result.is_ok() for result in results].count(True) == 1
+        (refusal,) = [result.err() for result in results if result.is_err()]
+        assert isinstance(refusal, BrokenJoin) and refusal.names == ["weigh"]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("nodes", "gates", pool(), None, "c"),
+        ("pools", "gates", route(), None, "c"),
+        ("pools", "other", pool(), None, "c"),
+        ("pools", "gates", None, None, "c"),
+        ("pools", "gates", pool(), None, ""),
+        ("pools", "gates", Pool(PoolName("gates"), adapter=3), None, "c"),
+        ("pools", "gates", pool(policy="x" * 1_000_000), None, "c"),
+    ],
+)
+def test_malformed_proposals_are_refused(store, members, run, arguments):
+    # Guards the store against rows that no member could read.
+    result = run(members[0].propose(*arguments))
+    assert isinstance(result.err_value, MalformedProposal)
+    assert store.entries() == []
+
+
+def test_lost_answer_is_resolved_by_the_change_id(store, clock, members, run):
+    # Guards against a change made twice, or reported as failed although it is in force.
+    async def scenario():
+        store.answers_to_lose = 1
+        result = await with_time(clock, members[0].propose("pools", "gates", pool(), None, "c0"))
+        assert result.ok().revision == 1
+        assert store.calls_by_name["put"] == 1
+        assert (await members[1].propose("pools", "gates", pool(), None, "c0")) == result
+        other = await members[1].propose("pools", "gates", pool(policy="x"), None, "c0")
+        assert isinstance(other.err_value, MalformedProposal)
+
+    run(scenario())
+
+
+def test_outage_is_reported_as_not_run_or_unknown(store, clock, members, run):
+    # Guards the operator's decision whether to repeat a change.
+    async def scenario():
+        store.mode = StoreMode.DOWN
+        result = await members[0].propose("pools", "gates", pool(), None, "c0")
+        assert result.err_value.outcome == "not_run"
+        store.mode = StoreMode.UP
+        await members[0].propose("pools", "gates", pool(), None, "c1")
+        store.answers_to_lose = 1
+        proposal = asyncio.create_task(
+            members[0].propose("pools", "gates", pool(policy="a"), Revision(1), "c2")
+        )
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert store.answers_to_lose == 0
+        store.mode = StoreMode.DOWN
+        result = await with_time(clock, proposal)
+        assert isinstance(result.err_value, StoreOutage) and result.err_value.outcome == "unknown"
+        store.mode = StoreMode.UP
+        again = await members[1].propose("pools", "gates", pool(policy="a"), Revision(1), "c2")
+        assert again.ok().revision == 2
+
+    run(scenario())
+
+
+def test_members_follow_the_head_within_seconds(store, clock, members, run):
+    # Guards G8: a change must take effect everywhere within seconds.
+    async def scenario():
+        tasks = [asyncio.create_task(config.run()) for config in members]
+        await clock.advance(SECOND)
+        assert all(config.is_ready() for config in members)
+        seen = []
+        members[2].subscribe(lambda tables: seen.append(tables.revision))
+        await members[0].propose("pools", "gates", pool(), None, "c0")
+        await clock.advance(SECOND)
+        assert [config.tables.revision for config in members] == [1, 1, 1]
+        assert seen == [1]
+        for task in tasks:
+            task.cancel()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("kept", [0, 1], ids=["missing", "older"])
+def test_store_that_returns_older_gets_the_head_back(store, clock, members, run, kept):
+    # Guards G8: an accepted change must not revert when the store is restored.
+    async def scenario():
+        tasks = [asyncio.create_task(config.run()) for config in members]
+        await clock.advance(SECOND)
+        await members[0].propose("pools", "gates", pool(), None, "c0")
+        saved = store.entries()
+        await members[0].propose("routes", "weigh", route(), None, "c1")
+        await clock.advance(SECOND)
+        store.mode = StoreMode.DOWN
+        await clock.advance(30 * SECOND)
+        store.restore(saved if kept else [])
+        store.mode = StoreMode.UP
+        await clock.advance(30 * SECOND)
+        assert [config.tables.revision for config in members] == [2, 2, 2]
+        assert head_of(store).revision == 2
+        assert all(not task.done() for task in tasks)
+        for task in tasks:
+            task.cancel()
+
+    run(scenario())
+
+
+def test_proposal_on_an_older_store_comes_after_the_accepted_changes(store, members, run):
+    # Guards G8 between the store's return and the next watch: the proposer writes back first.
+    async def scenario():
+        await members[0].propose("pools", "gates", pool(), None, "c0")
+        store.restore([])
+        change = (await members[0].propose("pools", "yard", pool("yard"), None, "c1")).ok()
+        assert change.revision == 2 and set(members[0].tables.pool_by_name) == {"gates", "yard"}
+
+    run(scenario())
+
+
+async def forked_members(store, members):
+    """Two members with different changes at revision 2, made on both sides of a restore."""
+    first, second, _ = members
+    await first.propose("pools", "gates", pool(), None, "c0")
+    await second.propose("pools", "probe", pool("probe"), Revision(9), "none")
+    saved = store.entries()
+    await first.propose("pools", "yard", pool("yard"), None, "c1")
+    store.restore(saved)
+    await second.propose("pools", "mill", pool("mill"), None, "c2")
+    assert first.tables.revision == second.tables.revision == 2
+    assert first.tables.digest != second.tables.digest
+    return first, second
+
+
+def test_fork_at_the_same_revision_is_merged(store, clock, members, run):
+    # Guards G8: two members with different tables at one revision, each taking itself as current.
+    async def scenario():
+        first, second = await forked_members(store, members)
+        tasks = [asyncio.create_task(config.run()) for config in members]
+        await clock.advance(30 * SECOND)
+        assert first.tables == second.tables == members[2].tables
+        assert set(first.tables.pool_by_name) == {"gates", "yard", "mill"}
+        assert first.fork_count + second.fork_count == 1
+        assert not first.dropped_changes and not second.dropped_changes
+        for task in tasks:
+            task.cancel()
+
+    run(scenario())
+
+
+def test_fork_without_the_store_is_resolved_alike_and_merged_later(store, clock, members, run):
+    # Guards against members that swap their tables for ever, and against a change that is gone.
+    async def scenario():
+        first, second = await forked_members(store, members)
+        winner, loser = sorted((first, second), key=lambda config: config.tables.digest)[::-1]
+        tables = winner.tables
+        store.mode = StoreMode.DOWN
+        assert not await winner.pull_from(peer(loser))
+        assert await loser.pull_from(peer(winner))
+        assert not await loser.pull_from(peer(winner))
+        assert winner.tables == loser.tables == tables
+        assert loser.fork_count == 1
+        store.mode = StoreMode.UP
+        tasks = [asyncio.create_task(config.run()) for config in members]
+        await clock.advance(30 * SECOND)
+        assert first.tables == second.tables
+        assert set(first.tables.pool_by_name) == {"gates", "yard", "mill"}
+        for task in tasks:
+            task.cancel()
+
+    run(scenario())
+
+
+def test_merge_does_not_depend_on_the_side_and_reports_what_it_drops():
+    # Guards against members that merge the same fork differently.
+    base = ConfigState().append(Change("c0", Revision(0), "pools", "gates", pool=pool()))
+    left = base.append(Change("c1", Revision(0), "routes", "weigh", route=route()))
+    right = base.append(Change("c2", Revision(0), "pools", "gates"))
+    right = right.append(Change("c3", Revision(0), "pools", "yard", pool=pool("yard")))
+    one, other = merge(left, right), merge(right, left)
+    assert one == other and one.forked
+    assert [change.id for change in one.dropped] == ["c1"]
+    again = merge(one.state, left)
+    assert again.state == one.state
+
+
+def test_deltas_are_never_applied_backwards_or_with_a_gap(store, members, run):
+    # Guards G8 against delayed, reordered or altered answers of peers.
+    async def scenario():
+        first, second, third = members
+        await fill(first, 4)
+        changes = list(first._state.recent)
+
+        def answer(*numbers, revision=4):
+            async def call(request):
+                return ConfigDeltaReply(Revision(revision), [changes[n - 1] for n in numbers])
+
+            return call
+
+        assert not await second.pull_from(answer(2))
+        assert not await second.pull_from(answer(1, 3))
+        assert second.tables.revision == 0 and not second.is_ready()
+        assert await second.pull_from(answer(1, 2, 3))
+        assert not await second.pull_from(answer(1, 2))
+        assert second.tables.revision == 3
+        altered = msgspec.structs.replace(changes[3], pool=pool(policy="altered"))
+
+        async def call(request):
+            return ConfigDeltaReply(Revision(4), [altered])
+
+        assert not await second.pull_from(call)
+        assert await second.pull_from(answer(4)) and second.tables == first.tables
+        third._state = first._state
+        assert not await third.pull_from(answer(1, 2))
+        assert third.tables.revision == 4
+
+    run(scenario())
+
+
+def test_member_without_the_store_loads_the_tables_from_a_peer(store, members, run):
+    # Guards a new process in a partitioned data centre; and the bound of what peers send.
+    async def scenario():
+        first, second, third = members
+        await fill(first, 600)
+        store.mode = StoreMode.DOWN
+        assert first._state.base_revision > 0
+        assert await second.pull_from(peer(first))
+        assert second.is_ready() and second.tables == first.tables
+        store.mode = StoreMode.UP
+        await fill(first, 3, "more")
+        store.mode = StoreMode.DOWN
+        replies = []
+
+        async def call(request):
+            replies.append(second_reply := first.on_config_delta(request))
+            return second_reply
+
+        assert await second.pull_from(call)
+        assert replies[0].tables is None and len(replies[0].changes) == 3
+        assert second.tables == first.tables
+
+        async def unreachable(request):
+            raise UnreachableError(Step.CHANGE_APPLIED, "vm9", "timed out")
+
+        assert not await third.pull_from(unreachable)
+        assert not third.is_ready()
+        waiting = asyncio.create_task(third.wait_ready())
+        assert await third.pull_from(peer(second))
+        await asyncio.wait_for(waiting, 1)
+
+    run(scenario())
+
+
+def test_ring_is_bounded_and_the_snapshot_covers_the_rest(store, members, run):
+    # Guards the cost of 2,600 changes a day, and a new member's load from snapshot and ring.
+    async def scenario():
+        first, second, _ = members
+        largest = 0
+        for number in range(60):
+            await fill(first, 20, f"n{number}-")
+            entry = await store.get("config/head")
+            largest = max(largest, len(entry.value))
+        assert RING_BYTES // 2 < largest < RING_BYTES + 1_000
+        assert sum("snapshot" in entry.key for entry in store.entries()) <= 2
+        await second.propose("pools", "x", pool("x"), Revision(99), "none")
+        assert second.tables == first.tables
+
+    run(scenario())
+
+
+def test_row_larger_than_the_ring_is_accepted(store, clock, members, run):
+    # Guards pools of many upstreams, whose row alone passes the ring's bound.
+    async def scenario():
+        upstreams = [
+            PoolUpstream(f"worker-{n:04}", DataCentreId("gebze"), f"10.0.{n // 250}.{n % 250}:9000")
+            for n in range(1_500)
+        ]
+        row = Pool(PoolName("gates"), upstreams, {"yard": Quota(weight=2)})
+        store.answers_to_lose = 2
+        result = await with_time(clock, members[0].propose("pools", "gates", row, None, "c0"))
+        assert isinstance(result, Ok)
+        assert await members[1].pull_from(peer(members[0]))
+        await members[2].propose("pools", "x", pool("x"), Revision(99), "none")
+        assert members[0].tables == members[1].tables == members[2].tables
+
+    run(scenario())
