--- a/hornbeamramp/capacity_index.py
+++ b/hornbeamramp/capacity_index.py
@@ -57,13 +57,27 @@
     def get(self, position: int) -> Vector:
         return self._nodes[self._leaves + position]
 
+    def may_fit(self, amount: Vector) -> bool:
+        """Compares with the maximum of each resource over all positions, in O(1)."""
+        n = self._nodes[1]
+        return (
+            n[0] >= amount[0]
+            and n[1] >= amount[1]
+            and n[2] >= amount[2]
+            and n[3] >= amount[3]
+            and n[4] >= amount[4]
+        )
+
     def first(self, amount: Vector, start: int = 0) -> int:
         """Returns the first position from ``start`` on that has ``amount``, or -1."""
         if start >= self.size:
             return -1
         nodes, leaves = self._nodes, self._leaves
         a0, a1, a2, a3, a4 = amount
-        i = leaves + start
+        n = nodes[1]
+        if n[0] < a0 or n[1] < a1 or n[2] < a2 or n[3] < a3 or n[4] < a4:
+            return -1
+        i = leaves + start if start else 1
         while True:
             n = nodes[i]
             if n[0] >= a0 and n[1] >= a1 and n[2] >= a2 and n[3] >= a3 and n[4] >= a4:
@@ -116,6 +130,11 @@
         self._refresh()
         return self._tree.first(amount, start)
 
+    def may_fit(self, amount: Vector) -> bool:
+        """Tells whether any upstream may have room; false only if none has."""
+        self._refresh()
+        return self._tree.may_fit(amount)
+
     def candidates(self, amount: Vector, start: int = 0) -> Iterator[UpstreamId]:
         """Yields upstreams with room for ``amount`` in order of preference."""
         position = self.first(amount, start)
--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -89,7 +89,7 @@
                 continue
             if self._pool.touched:
                 self._unpark()
-            best = self._queue.peek_best(now, self._may_start)
+            best = self._queue.peek_best(now, self._may_start, self._may_fit)
             if best is None:
                 break
             self._serve(*best, now)
@@ -186,6 +186,18 @@
             return self._shares.leaves_headroom_for_gang(state.flow, state.amount, state.pending)
         return self._shares.leaves_headroom(state.flow, state.amount)
 
+    def _may_fit(self, state: JobState, first_tier: bool) -> bool:
+        """Tells whether a placement may succeed, without a search."""
+        if self._index.by_speed.may_fit(state.amount):
+            return True
+        if not self._policy.fair:
+            return False
+        if isinstance(state.job, GangJob) or (first_tier and state.job.band == Band.URGENT):
+            return True
+        if self._health.quarantined:
+            return True
+        return not state.standing and any(hold.gang for hold in self._holds.all)
+
     def _serve(self, state: JobState, first_tier: bool, now: float) -> None:
         """Starts a task of the job or has the queue skip it until something changes."""
         if state.is_late(now):
--- a/hornbeamramp/job_queue.py
+++ b/hornbeamramp/job_queue.py
@@ -52,6 +52,8 @@
         self._parked: dict[tuple, SizeClass] = {}
         self._ring: deque[Lane] = deque()
         self._credit = dict.fromkeys(Band, 0.0)
+        # Credit below which the first job of a band was last found to be too large.
+        self._owed_from = dict.fromkeys(Band, 0.0)
         self.jobs_by_band = dict.fromkeys(Band, 0)
         # Sum of the weights of teams with queued jobs.
         self.waiting_weight = 0.0
@@ -115,38 +117,36 @@
                 self._drop_lane(lane)
 
     def peek_best(
-        self, now: float, may_start: Callable[[JobState], bool]
+        self,
+        now: float,
+        may_start: Callable[[JobState], bool],
+        may_fit: Callable[[JobState, bool], bool],
     ) -> tuple[JobState, bool] | None:
         """Returns the job to be served next, without removing it, and whether it is first tier.
 
         `may_start`
             Tells whether a second-tier job leaves enough headroom for others.
+        `may_fit`
+            Tells whether it is worth trying to place a job, given whether it is first tier. The
+            size classes of jobs for which it is not are parked.
         """
-        best: Group | None = None
-        best_key: tuple = ()
-        for band in Band:
-            for group in self._ready[band].values():
-                key = self._top_key(group, now)
-                if key is None:
-                    continue
-                if self._fair and key[0] and best is not None and key >= best_key:
-                    continue
-                if key[0] and not may_start(key[-1].heap[0][2]):
-                    continue
-                if best is None or key < best_key:
-                    best, best_key = group, key
-            if band in GUARANTEED_SHARE and best is not None and best.band < band:
-                owed = self._owed(band, now, may_start)
+        tops = [
+            group.heap[0] for band in Band for group in self._ready[band].values() if group.heap
+        ]
+        best = self._best_of(tops, now, may_start, may_fit)
+        if best is None or not self._fair:
+            return best
+        for band in GUARANTEED_SHARE:
+            if band > best[0].job.band and self._credit[band] > self._owed_from[band]:
+                owed = self._owed(band, now, may_start, may_fit)
                 if owed is not None:
                     return owed
-        if best is None:
-            return None
-        state = best_key[-1].head()
-        return state, not best_key[0]
+        return best
 
     def charge(self, band: Band, work: float) -> None:
         """Notes work started, in seconds of the whole pool, towards the guaranteed shares."""
         if band in GUARANTEED_SHARE:
+            self._owed_from[band] = 0.0
             self._credit[band] = max(self._credit[band] - work, 0.0)
         for lower, share in GUARANTEED_SHARE.items():
             if lower > band and self.jobs_by_band[lower]:
@@ -184,10 +184,16 @@
 
     def account_changed(self, account: Account, now: float) -> None:
         """Puts the lanes of an account in order again after its use fell."""
-        for other in account.team_use.accounts if account.team_use.limit else (account,):
+        limited = account.team_use.limit is not None
+        for other in account.team_use.accounts if limited else (account,):
+            level = other.level(now)
+            reordered = limited or level < other.offered
+            other.offered = level
             for lane in other.lanes:
-                lane.waits_for_quota = False
-                self._offer(lane, now)
+                entry = lane.entry
+                if reordered or entry is None or (entry[0] and lane.flow.below_claim()):
+                    lane.waits_for_quota = False
+                    self._offer(lane, now)
 
     def set_quota(
         self, team_use: TeamUse, weight: float, limit: Resources | None, now: float
@@ -257,7 +263,7 @@
         if group is None:
             group = self._group_by_key[(band, key)] = Group(band, size_class)
         lane = flow.lanes[key] = Lane(flow, group, state.amount)
-        flow.account.lanes.add(lane)
+        flow.account.lanes[lane] = None
         group.lanes += 1
         size_class.lanes += 1
         if not size_class.parked:
@@ -269,7 +275,7 @@
         group, flow = lane.group, lane.flow
         key, band = group.size_class.key, group.band
         del flow.lanes[key]
-        flow.account.lanes.discard(lane)
+        del flow.account.lanes[lane]
         lane.entry = None
         lane.heap = []
         group.lanes -= 1
@@ -326,11 +332,14 @@
         if state is None:
             return None
         if not self._fair:
-            return (0, 0, 0.0, 0.0, state.sequence, lane)
+            return (0, 0, 0, 0.0, state.sequence, lane)
         flow = lane.flow
         tier = 0 if self._shares.first_tier(flow, state.amount) else 1
         account = flow.account
-        return (tier, account.band, account.score(now), state.key, state.sequence, lane)
+        level = account.level(now)
+        if level > account.offered:
+            account.offered = level
+        return (tier, account.band, level, state.key, state.sequence, lane)
 
     def _offer(self, lane: Lane, now: float | None = None) -> None:
         key = self._key(lane, lane.flow.account.updated if now is None else now)
@@ -357,24 +366,52 @@
                 return key
         return None
 
+    def _best_of(
+        self,
+        tops: list[tuple],
+        now: float,
+        may_start: Callable[[JobState], bool],
+        may_fit: Callable[[JobState, bool], bool],
+    ) -> tuple[JobState, bool] | None:
+        """Returns the best job of the groups with these entries on top.
+
+        Keys rise without notice but entries are renewed when they fall, so an entry is a lower
+        bound and only the lowest ones are computed anew.
+        """
+        heapq.heapify(tops)
+        while tops:
+            entry = tops[0]
+            group = entry[-1].group
+            key = self._top_key(group, now)
+            if key is None:
+                heapq.heappop(tops)
+                continue
+            if key[:5] > entry[:5]:
+                heapq.heapreplace(tops, key)
+                continue
+            state, first_tier = key[-1].head(), not key[0]
+            if not may_fit(state, first_tier):
+                self.park(state)
+            elif first_tier or may_start(state):
+                return state, first_tier
+            heapq.heappop(tops)
+        return None
+
     def _owed(
-        self, band: Band, now: float, may_start: Callable[[JobState], bool]
+        self,
+        band: Band,
+        now: float,
+        may_start: Callable[[JobState], bool],
+        may_fit: Callable[[JobState, bool], bool],
     ) -> tuple[JobState, bool] | None:
         """Returns the first job of a band that has earned its start by its guaranteed share."""
-        if self._credit[band] <= 0.0:
-            return None
-        best: tuple | None = None
-        for group in self._ready[band].values():
-            key = self._top_key(group, now)
-            if key is not None and (best is None or key < best):
-                best = key
+        tops = [group.heap[0] for group in self._ready[band].values() if group.heap]
+        best = self._best_of(tops, now, may_start, may_fit)
         if best is None:
             return None
-        lane = best[-1]
-        state = lane.head()
-        share = self._shares.share_of(state.amount)
-        if self._credit[band] < min(share * state.run, MOST_CREDIT):
-            return None
-        if best[0] and not may_start(state):
+        state = best[0]
+        cost = min(self._shares.share_of(state.amount) * state.run, MOST_CREDIT)
+        if self._credit[band] < cost:
+            self._owed_from[band] = cost
             return None
-        return state, not best[0]
+        return best
--- a/hornbeamramp/lanes.py
+++ b/hornbeamramp/lanes.py
@@ -12,7 +12,7 @@
 
 # Bounds in seconds between classes of run time; a short task may fit in front of a gang's
 # reservation where a long one doesn't.
-RUN_BOUNDS = (1.0, 10.0, 60.0, 600.0)
+RUN_BOUNDS = (10.0, 120.0)
 
 
 class SizeClass:
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -7,7 +7,7 @@
 by weighted dominant resource share.
 """
 
-from math import exp
+from math import exp, log2
 
 from hornbeamramp.demand import Demand, DemandSum
 from hornbeamramp.ids import RouteName, TeamId
@@ -29,6 +29,8 @@
 LEAST_BACKLOG = 0.01
 # Rounding error of sums of shares.
 TOLERANCE = 1e-9
+# Steps of the logarithmic scale on which accounts are compared, for each doubling.
+LEVELS = 8
 # Learned demand and past use below this share of the pool are forgotten.
 LEAST_SHARE = 1e-5
 
@@ -61,6 +63,7 @@
     __slots__ = (
         "band",
         "lanes",
+        "offered",
         "recent",
         "share",
         "team",
@@ -81,7 +84,10 @@
         self.share = 0.0
         self.recent = 0.0
         self.updated = now
-        self.lanes: set = set()
+        # Lanes of queued jobs, in the order in which they were added.
+        self.lanes: dict = {}
+        # Highest level with which its lanes may be in order.
+        self.offered = 0
 
     def observe(self, now: float) -> None:
         if now > self.updated:
@@ -94,6 +100,14 @@
         self.observe(now)
         return (self.share + self.recent) / self.weight
 
+    def level(self, now: float) -> int:
+        """Returns the score on a logarithmic scale.
+
+        Accounts within a step are served by expected time. Small changes of use, which each start
+        and end brings, then leave the order of queued work as it is.
+        """
+        return int(LEVELS * log2(self.score(now) + LEAST_SHARE))
+
 
 class Flow:
     """A route of an account.
@@ -141,6 +155,10 @@
         """Returns the larger of the learned claims."""
         return max(self.host.claim(), self.accelerators.claim())
 
+    def below_claim(self) -> bool:
+        """Tells whether a task of the flow may be first tier."""
+        return self.share < self.claim() or self.bursting()
+
     def backlogged(self) -> bool:
         return self.queued > self.share and self.queued > LEAST_BACKLOG
 
