--- a/hornbeamramp/admission.py
+++ b/hornbeamramp/admission.py
@@ -45,11 +45,13 @@
         self._bound = queue_bound
         self._shapes: Counter[Vector] = Counter()
         self._best_speed = 1.0
+        self._fits_by_amount: dict[Vector, bool] = {}
 
     def set_shapes(self, shapes: Counter[Vector], best_speed: float) -> None:
         """Sets the number of upstreams of each shape and the highest speed."""
         self._shapes = shapes
         self._best_speed = best_speed
+        self._fits_by_amount.clear()
 
     def size(self, job: Job, flow: Flow, amount: Vector) -> Vector:
         """Returns the estimated size, lowered where the job could not run with it.
@@ -75,7 +77,13 @@
 
     def fits(self, amount: Vector) -> bool:
         """Tells whether a task of this size fits on an empty upstream."""
-        return any(times_it_fits(amount, shape) for shape in self._shapes)
+        fits = self._fits_by_amount.get(amount)
+        if fits is None:
+            if len(self._fits_by_amount) > 10_000:
+                self._fits_by_amount.clear()
+            fits = any(times_it_fits(amount, shape) for shape in self._shapes)
+            self._fits_by_amount[amount] = fits
+        return fits
 
     def fits_gang(self, amount: Vector, tasks: int) -> bool:
         """Tells whether so many tasks fit into the empty pool at once."""
--- a/hornbeamramp/bench/decisions.py
+++ b/hornbeamramp/bench/decisions.py
@@ -88,6 +88,9 @@
         scheduler.submit(job)
     memory = (tracemalloc.get_traced_memory()[0] - before) / max(queued, 1)
     tracemalloc.stop()
+    # A full collection visits every queued job, which takes a tenth of a second and more.
+    gc.collect()
+    gc.freeze()
     live: list[Start] = []
     latencies: list[float] = []
     started, number, elapsed, spent, submits = 0, queued, 0.0, 0.0, 0.0
--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -34,8 +34,9 @@
 # Bounds in seconds of a gang's reservation; it lasts twice as long as its start is expected away.
 SHORTEST_RESERVATION = 30.0
 LONGEST_RESERVATION = 600.0
-# Lanes put in order again with each call; with some hundred lanes all are, several times a second.
-REFRESHED_LANES = 4
+# Lanes put in order again for each second that passed, and at most with each call.
+REFRESHED_LANES = 500.0
+MOST_REFRESHED_LANES = 64
 # Retries that are due but for which there is no budget are tried again after this many seconds.
 BUDGET_WAIT = 0.5
 
@@ -64,6 +65,7 @@
         self._outbox: deque[tuple[Decision, Attempt]] = deque()
         self._delayed: list[tuple[float, int, JobState, int, bool]] = []
         self._sequence = 0
+        self._refreshed_at = 0.0
         self._reserve_after: dict[JobState, float] = {}
         # Jobs found to be past their deadline when their turn came.
         self.late: list[JobState] = []
@@ -74,7 +76,10 @@
         for hold in self._holds.expired(now):
             self._give_up(hold, now)
         if self._policy.fair:
-            self._queue.refresh(now, REFRESHED_LANES)
+            due = int((now - self._refreshed_at) * REFRESHED_LANES)
+            if due:
+                self._refreshed_at = now
+                self._queue.refresh(now, min(due, MOST_REFRESHED_LANES))
         actions: list[Decision] = []
         while len(actions) < limit:
             if self._outbox:
--- a/hornbeamramp/lanes.py
+++ b/hornbeamramp/lanes.py
@@ -1,6 +1,7 @@
 """Lanes, groups and size classes: how queued jobs are kept together."""
 
 import heapq
+from functools import lru_cache
 
 from hornbeamramp.jobs import GangJob
 from hornbeamramp.ledger import Vector
@@ -87,10 +88,17 @@
     Amounts are rounded down to four significant bits, so that sizes in a class differ by an eighth
     at most and the number of classes stays small.
     """
-    job = state.job
-    kind = 2 if isinstance(job, GangJob) else 1 if state.standing else 0
-    run = sum(state.run > bound for bound in RUN_BOUNDS) if not kind else 0
-    return (kind, state.pending if kind == 2 else 1, run, *(_rounded(a) for a in state.amount))
+    if isinstance(state.job, GangJob):
+        return (2, state.pending, 0, *_rounded_all(state.amount))
+    if state.standing:
+        return (1, 1, 0, *_rounded_all(state.amount))
+    run = (state.run > RUN_BOUNDS[0]) + (state.run > RUN_BOUNDS[1])
+    return (0, 1, run, *_rounded_all(state.amount))
+
+
+@lru_cache(maxsize=4096)
+def _rounded_all(amount: Vector) -> tuple:
+    return tuple(_rounded(part) for part in amount)
 
 
 def _rounded(amount: int) -> int:
