--- a/hornbeamramp/demand.py
+++ b/hornbeamramp/demand.py
@@ -6,6 +6,8 @@
 
 # Demand is covered up to this many standard deviations above its mean.
 DEVIATIONS = 3.0
+# Most variance, in relation to that of tasks that arrive independently of each other.
+BURSTINESS = 4.0
 # Most of the pool that is kept free for learned demand.
 MOST_HEADROOM = 0.9
 
@@ -17,17 +19,20 @@
         In use now.
     `mean`, `variance`
         Of what was in use while the flow was not backlogged.
+    `unit`
+        Largest task started.
     `capped`
         The part of ``share`` that lies within the claim.
     """
 
-    __slots__ = ("capped", "mean", "share", "variance")
+    __slots__ = ("capped", "mean", "share", "unit", "variance")
 
     def __init__(self) -> None:
         self.share = 0.0
         self.mean = 0.0
         self.variance = 0.0
         self.capped = 0.0
+        self.unit = 0.0
 
     def claim(self) -> float:
         """Returns the share of the pool that covers the learned demand."""
@@ -48,6 +53,9 @@
         difference = demand.share - demand.mean
         change = weight * difference
         variance = (1 - weight) * (demand.variance + change * difference)
+        # The tasks in use of Poisson arrivals have a variance of their mean. One sudden rise, as at
+        # the start of a flood, must not look like wide variation.
+        variance = min(variance, BURSTINESS * demand.unit * (demand.mean + change))
         self.mean += change
         self.variance += variance - demand.variance
         demand.mean += change
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -75,7 +75,7 @@
         self._epoch = epoch
         policy = POLICIES.find(pool.policy)()
         self._tasks = TaskTable(epoch)
-        self._shares = ShareBook()
+        self._shares = ShareBook(self._now())
         self._upstreams = UpstreamPool(self._tasks, self._shares)
         self._queue = JobQueue(self._shares, policy.fair)
         self._admission = Admission(self._queue, self._shares, queue_bound)
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -122,7 +122,6 @@
     __slots__ = (
         "account",
         "accelerators",
-        "first_seen",
         "host",
         "jobs",
         "lanes",
@@ -145,7 +144,6 @@
         self.jobs = 0
         self.host = Demand()
         self.accelerators = Demand()
-        self.first_seen = now
         self.updated = now
         self.lanes: dict = {}
         # Jobs of the flow that have not ended.
@@ -171,13 +169,14 @@
 class ShareBook:
     """Use by flow, account and team, as dominant shares of the pool's capacity."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float = 0.0) -> None:
         self.total: Vector = (0, 0, 0, 0, 0)
         self.flow_by_key: dict[tuple[Band, TeamId, RouteName], Flow] = {}
         self.account_by_key: dict[tuple[Band, TeamId], Account] = {}
         self.use_by_team: dict[TeamId, TeamUse] = {}
         self._share_by_amount: dict[Vector, float] = {}
         self._number = 0
+        self._since = now
         self._host = DemandSum()
         self._accelerators = DemandSum()
         # Free capacity of the upstreams that may receive work.
@@ -228,6 +227,10 @@
 
     def take(self, flow: Flow, amount: Vector, now: float) -> None:
         """Counts a task as in use."""
+        flow.host.unit = max(flow.host.unit, self._host_share(amount))
+        if amount[2]:
+            unit = amount[2] / (self.total[2] or 1)
+            flow.accelerators.unit = max(flow.accelerators.unit, unit)
         self._change(flow, amount, 1, now)
 
     def give_back(self, flow: Flow, amount: Vector, now: float) -> None:
@@ -245,8 +248,9 @@
         )
         if growing and flow.backlogged():
             return
-        # A plain average at first, so that early demand is learned within seconds.
-        weight = max(elapsed / (DEMAND_TIME + elapsed), elapsed / (now - flow.first_seen))
+        # A plain average while the scheduler is young, so that demand is learned within seconds
+        # after a take-over. A flow that appears later earns its claim slowly, or a flood would.
+        weight = elapsed / (min(DEMAND_TIME, now - self._since) + elapsed)
         self._host.learn(flow.host, weight)
         self._host.recap(flow.host)
         if flow.accelerators.share or flow.accelerators.mean:
