--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -7,7 +7,7 @@
 by weighted dominant resource share.
 """
 
-from math import exp
+from math import exp, log2
 
 from hornbeamramp.demand import Demand, DemandSum
 from hornbeamramp.ids import RouteName, TeamId
@@ -29,6 +29,8 @@
 LEAST_BACKLOG = 0.01
 # Rounding error of sums of shares.
 TOLERANCE = 1e-9
+# Steps of the logarithmic scale on which accounts are compared, for each doubling.
+LEVELS = 8
 # Learned demand and past use below this share of the pool are forgotten.
 LEAST_SHARE = 1e-5
 
@@ -61,6 +63,7 @@
     __slots__ = (
         "band",
         "lanes",
+        "offered",
         "recent",
         "share",
         "team",
@@ -81,7 +84,10 @@
         self.share = 0.0
         self.recent = 0.0
         self.updated = now
-        self.lanes: set = set()
+        # Lanes of queued jobs, in the order in which they were added.
+        self.lanes: dict = {}
+        # Highest level with which its lanes may be in order.
+        self.offered = 0
 
     def observe(self, now: float) -> None:
         if now > self.updated:
@@ -94,6 +100,14 @@
         self.observe(now)
         return (self.share + self.recent) / self.weight
 
+    def level(self, now: float) -> int:
+        """Returns the score on a logarithmic scale.
+
+        Accounts within a step are served by expected time. Small changes of use, which each start
+        and end brings, then leave the order of queued work as it is.
+        """
+        return int(LEVELS * log2(self.score(now) + LEAST_SHARE))
+
 
 class Flow:
     """A route of an account.
@@ -108,7 +122,6 @@
     __slots__ = (
         "account",
         "accelerators",
-        "first_seen",
         "host",
         "jobs",
         "lanes",
@@ -131,7 +144,6 @@
         self.jobs = 0
         self.host = Demand()
         self.accelerators = Demand()
-        self.first_seen = now
         self.updated = now
         self.lanes: dict = {}
         # Jobs of the flow that have not ended.
@@ -141,6 +153,10 @@
         """Returns the larger of the learned claims."""
         return max(self.host.claim(), self.accelerators.claim())
 
+    def below_claim(self) -> bool:
+        """Tells whether a task of the flow may be first tier."""
+        return self.share < self.claim() or self.bursting()
+
     def backlogged(self) -> bool:
         return self.queued > self.share and self.queued > LEAST_BACKLOG
 
@@ -153,13 +169,14 @@
 class ShareBook:
     """Use by flow, account and team, as dominant shares of the pool's capacity."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float = 0.0) -> None:
         self.total: Vector = (0, 0, 0, 0, 0)
         self.flow_by_key: dict[tuple[Band, TeamId, RouteName], Flow] = {}
         self.account_by_key: dict[tuple[Band, TeamId], Account] = {}
         self.use_by_team: dict[TeamId, TeamUse] = {}
         self._share_by_amount: dict[Vector, float] = {}
         self._number = 0
+        self._since = now
         self._host = DemandSum()
         self._accelerators = DemandSum()
         # Free capacity of the upstreams that may receive work.
@@ -210,6 +227,10 @@
 
     def take(self, flow: Flow, amount: Vector, now: float) -> None:
         """Counts a task as in use."""
+        flow.host.unit = max(flow.host.unit, self._host_share(amount))
+        if amount[2]:
+            unit = amount[2] / (self.total[2] or 1)
+            flow.accelerators.unit = max(flow.accelerators.unit, unit)
         self._change(flow, amount, 1, now)
 
     def give_back(self, flow: Flow, amount: Vector, now: float) -> None:
@@ -227,8 +248,9 @@
         )
         if growing and flow.backlogged():
             return
-        # A plain average at first, so that early demand is learned within seconds.
-        weight = max(elapsed / (DEMAND_TIME + elapsed), elapsed / (now - flow.first_seen))
+        # A plain average while the scheduler is young, so that demand is learned within seconds
+        # after a take-over. A flow that appears later earns its claim slowly, or a flood would.
+        weight = elapsed / (min(DEMAND_TIME, now - self._since) + elapsed)
         self._host.learn(flow.host, weight)
         self._host.recap(flow.host)
         if flow.accelerators.share or flow.accelerators.mean:
