Keep idempotency keys in the key table; prune what the owner keeps

Change: DurableJobs uses KeyTable for keys and drops what is past its retention. Conclusion: memory per shard is bounded by retention and the key limit.

--- a/hornbeamramp/durable_jobs.py
+++ b/hornbeamramp/durable_jobs.py
@@ -10,6 +10,7 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.decisions import Start
 from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.idempotency import AnsweredKey, KeyConflict, KeyTable, KeyTableFull, NewKey
 from hornbeamramp.ids import Epoch, JobId, ShardId
 from hornbeamramp.jobs import Job, NotRun, Outcome, ServiceJob
 from hornbeamramp.journal import Fenced, Journal, JournalError
@@ -27,6 +28,7 @@
 
 __all__ = ["DurableJobs"]
 
+PRUNE_INTERVAL = timedelta(seconds=10)
 OPEN_PAUSE = timedelta(seconds=1)
 RETRY_AFTER = timedelta(seconds=5)
 
@@ -44,6 +46,8 @@
         self._shard = shard
         self._journal = Journal(platform, clock, shard)
         self._state = JournalState()
+        self._keys = KeyTable(clock)
+        self._pruned_at = clock.boot_time()
         self.is_open = False
         self._lock_by_key: dict[str, asyncio.Lock] = {}
 
@@ -75,6 +79,7 @@
                 await self._clock.sleep(OPEN_PAUSE)
             else:
                 self._state = JournalState.replay(records, self._clock.now())
+                self._keys = KeyTable(self._clock, self._state)
                 self.is_open = True
                 return
 
@@ -92,13 +97,17 @@
 
         The error says that the key stands for another request.
         """
-        known = None if job.key is None else self._state.key_record_by_key.get(job.key)
-        if known is None:
+        if job.key is None:
+            return Ok(None)
+        match = self._keys.lookup(job.key, job.digest())
+        if isinstance(match, NewKey):
             return Ok(None)
-        if known.digest != job.digest():
+        if isinstance(match, AnsweredKey):
+            return Ok(match.outcome.job_id)
+        if isinstance(match, KeyConflict):
             detail = "the Idempotency-Key was used for another request"
             return Err(NotRun(job.id, RefusalReason.KEY_REUSED, detail))
-        return Ok(known.job_id)
+        return Ok(match.job_id)
 
     def answer(self, job_id: JobId) -> Outcome | None:
         """Returns the recorded outcome of a job that ended, if it is still kept."""
@@ -113,27 +122,25 @@
         """Tells whether an earlier owner may have started the job, which must not run twice."""
         return job_id in self._state.intents_by_job_id
 
-    def unresolved_intents(self) -> list[JobId]:
-        """Returns the jobs with a start on record and no outcome."""
-        return list(self._state.intents_by_job_id)
-
     async def record_accepted(self, job: Job) -> Result[None, NotRun]:
-        """Makes the acceptance durable before the job is queued."""
+        """Makes the acceptance durable before the job is queued.
+
+        Without the store an idempotent job whose caller waits is accepted all the same. Its key is
+        then kept in memory alone: after the owner's death a repeated request runs it again.
+        """
         records: list[JournalRecord] = []
         if job.key is not None:
-            records.append(
-                KeyRecorded(job.key, job.id, job.digest(), recorded_at=self._clock.now())
-            )
+            taken = self._keys.record(job.key, job.id, job.digest())
+            if isinstance(taken, KeyTableFull):
+                detail = f"{taken.limit} idempotency keys are in use"
+                return Err(NotRun(job.id, RefusalReason.OVERLOAD, detail, RETRY_AFTER))
+            now = self._clock.now()
+            records.append(KeyRecorded(job.key, job.id, job.digest(), recorded_at=now))
         if job.asynchronous or isinstance(job, ServiceJob):
             records.append(JobAccepted(job, self._clock.now()))
-        if not self.is_open and not self.must_last(job):
-            # The key is kept in memory alone; a repeated request after the owner's death runs
-            # the idempotent job again.
-            for record in records:
-                self._state.apply(record)
-            return Ok(None)
         for result in await asyncio.gather(*(self._append(record) for record in records)):
             if isinstance(result, Err) and self.must_last(job):
+                self._keys.release(job.id)
                 return Err(_unavailable(job, result.err_value))
         return Ok(None)
 
@@ -143,23 +150,36 @@
         result = await self._append(intent)
         if isinstance(result, Err):
             _log.warning("{}: intent not recorded: {}", start.attempt_id, result.err_value)
-        return result.is_ok()
+            return False
+        self._keys.intend(intent)
+        return True
 
     async def record_ended(self, job: Job, outcome: Outcome) -> None:
         """Records the outcome. Without the store only memory has it."""
-        result = await self._append(JobEnded(outcome, self._clock.now()))
+        ended = JobEnded(outcome, self._clock.now())
+        result = await self._append(ended)
         if isinstance(result, Err):
             _log.warning("{}: outcome not recorded: {}", job.id, result.err_value)
-            self._state.apply(JobEnded(outcome, self._clock.now()))
+            self._state.apply(ended)
+        self._keys.end(outcome)
+        self._prune_if_due()
 
     async def forget(self, job: Job) -> None:
         """Withdraws the acceptance of a job that was refused before it was queued."""
+        self._keys.release(job.id)
         await self._append(JobForgotten(job.id))
 
     async def close(self) -> None:
         """Ends the journal's background work."""
         await self._journal.close()
 
+    def _prune_if_due(self) -> None:
+        # Pruning looks at every record, so jobs that end share one pass.
+        now = self._clock.boot_time()
+        if now - self._pruned_at >= PRUNE_INTERVAL:
+            self._pruned_at = now
+            self._state.prune(self._clock.now())
+
     async def _append(self, record: JournalRecord) -> Result[None, JournalError | str]:
         if not self.is_open:
             return Err("the journal is not open")
