--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -13,23 +13,6 @@
 TTL = 6 * SECOND
 
 
-@pytest.fixture
-def in_cell(clock, store, run):
-    """Runs a scenario with a cell and stops the cell's processes after it."""
-
-    def start(scenario, **options):
-        async def main():
-            cell = Cell(clock, store, **options)
-            try:
-                await scenario(cell)
-            finally:
-                await cell.stop()
-
-        run(main())
-
-    return start
-
-
 async def calm(cell: Cell, *names: str) -> None:
     """Starts processes and waits until one serves and all know each other."""
     for name in names:
