--- a/hornbeamramp/evidence.py
+++ b/hornbeamramp/evidence.py
@@ -26,7 +26,7 @@
 log = logbook.Logger("owner")
 
 ASK_TIMEOUT = timedelta(milliseconds=500)
-# Without consent of a member and without labels only time speaks for a stopped owner.
+# Without the consent of a member and the lists of all upstreams only time speaks for a claim.
 UNWITNESSED_WAIT = timedelta(seconds=60)
 
 
@@ -164,14 +164,15 @@
         """Evidence without the consent of a member: none on record, or none reachable."""
         if record.members and claimable_for < 2 * self._term:
             return None
-        if report is None or not (report.all_answered and report.all_labelled):
+        if self._renewed_within(report, self._task_lease):
+            return None
+        complete = report is not None and report.all_answered and report.all_labelled
+        if not complete:
             if claimable_for < UNWITNESSED_WAIT:
                 return None
             log.warning("owner: claiming {} after a wait, without evidence from upstreams", shard)
-            return Evidence(highest_epoch=report.highest_epoch if report else Epoch(0))
-        if self._renewed_within(report, self._task_lease):
-            return None
-        return Evidence(must_fence=True, highest_epoch=report.highest_epoch)
+        highest = report.highest_epoch if report else Epoch(0)
+        return Evidence(must_fence=True, highest_epoch=highest)
 
     @staticmethod
     def _renewed_within(report: WitnessReport | None, duration: timedelta) -> bool:
