--- a/hornbeamramp/admission.py
+++ b/hornbeamramp/admission.py
@@ -7,11 +7,12 @@
 
 from hornbeamramp.decisions import Admitted, Refusal
 from hornbeamramp.estimates import Expectation
+from hornbeamramp.flows import Flow
 from hornbeamramp.job_queue import JobQueue
 from hornbeamramp.jobs import GangJob, Job, ServiceJob
 from hornbeamramp.ledger import Vector
 from hornbeamramp.policies.gang import times_it_fits
-from hornbeamramp.shares import Flow, ShareBook
+from hornbeamramp.shares import ShareBook
 from hornbeamramp.states import Band, RefusalReason
 
 __all__ = ["DEFAULT_QUEUE_BOUND", "Admission"]
--- a/hornbeamramp/attempt_ends.py
+++ b/hornbeamramp/attempt_ends.py
@@ -79,10 +79,16 @@
         return self._retry(attempt, end, now)
 
     def free(self, attempt: Attempt, now: float) -> None:
-        """Frees what an attempt holds and forgets it."""
+        """Frees what an attempt holds and forgets it; without effect the second time."""
         state = attempt.state
+        if attempt.id not in self._tasks.attempt_by_id:
+            return
         self._tasks.remove(attempt)
         self._shares.give_back(state.flow, attempt.counted, now)
+        if isinstance(state.job, GangJob):
+            state.flow.gang_tasks -= 1
+        if attempt.stopping:
+            self._shares.note_stopping(state.flow, -self._shares.share_of(attempt.counted))
         self._pool.ledger.release(attempt.reservation)
         self._queue.account_changed(state.flow.account, now)
         if state.tasks_by_rack is not None:
@@ -94,7 +100,7 @@
         """Takes back a start that `decide` has not returned yet; the task is queued again."""
         self.free(attempt, now)
         if not (attempt.state.cancelled or attempt.state.failed):
-            self._requeue(attempt, TaskEnd.NOT_STARTED, now)
+            self._retry(attempt, TaskEnd.NOT_STARTED, now)
 
     def recount(self, attempt: Attempt, now: float) -> None:
         """Brings the shares in line with what the attempt holds after that changed."""
@@ -161,6 +167,8 @@
         if isinstance(state.job, GangJob) and state.job.idempotent:
             # The tasks of a gang run at the same time or not at all.
             for sibling in list((state.live or {}).values()):
+                if sibling.id not in self._tasks.attempt_by_id:
+                    continue
                 if not sibling.emitted:
                     self.recall(sibling, now)
                 elif not sibling.stopping:
--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -106,9 +106,16 @@
             attempt.limited_to = decision.resources.as_tuple()
             attempt.slowed = True
         else:
-            attempt.stopping = True
+            self.note_stopping(attempt)
         self._outbox.append((decision, attempt))
 
+    def note_stopping(self, attempt: Attempt) -> None:
+        """Notes that the end of an attempt was ordered."""
+        if not attempt.stopping:
+            attempt.stopping = True
+            share = self._shares.share_of(attempt.counted)
+            self._shares.note_stopping(attempt.state.flow, share)
+
     def retry(self, state: JobState, task: int, due: float, budgeted: bool, now: float) -> None:
         """Queues a task again at ``due``; a budgeted retry waits for the retry budget too."""
         if due <= now and self._budget.take(now):
@@ -268,6 +275,8 @@
         self._queue.charge(job.band, self._shares.share_of(amount) * state.run)
         if self._tasks.attempts(state, attempt.task) == 1:
             self._budget.earn()
+        if isinstance(job, GangJob):
+            flow.gang_tasks += 1
         run = timedelta(seconds=attempt.run)
         if isinstance(job, ServiceJob):
             run = UNBOUNDED_RUN
@@ -332,6 +341,9 @@
 
     def _give_up(self, hold: Hold, now: float, cooldown: bool = True) -> None:
         self._remove_hold(hold)
+        for upstream_id in hold.count_by_id:
+            for attempt in self._tasks.on_upstream(upstream_id):
+                attempt.overdue = attempt.stopping
         if hold.gang and cooldown:
             # Others get their turn before the gang may hold capacity again.
             self._reserve_after[hold.state] = now + SHORTEST_RESERVATION
--- a/hornbeamramp/job_queue.py
+++ b/hornbeamramp/job_queue.py
@@ -10,10 +10,12 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 
+from hornbeamramp.band_credit import GUARANTEED_SHARE, BandCredit
+from hornbeamramp.flows import Account, Flow, TeamUse
 from hornbeamramp.lanes import Group, Lane, SizeClass, class_key
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
-from hornbeamramp.shares import Account, Flow, ShareBook, TeamUse
+from hornbeamramp.shares import ShareBook
 from hornbeamramp.states import Band
 from hornbeamramp.task_table import JobState
 
@@ -24,10 +26,6 @@
 # A job is overtaken by jobs that arrive later by up to this many times their difference in run
 # time.
 RUN_FACTOR = 5.0
-# Share of the work started from more urgent bands that a waiting band is owed.
-GUARANTEED_SHARE = {Band.SERVICE: 0.10, Band.NORMAL: 0.08, Band.BULK: 0.05}
-# Most work a band can be owed, in seconds of the whole pool.
-MOST_CREDIT = 60.0
 # A flow with more sizes than this gets one lane for all others, to bound the work per decision.
 MOST_LANES = 32
 # Cancelled entries a lane keeps before it is compacted, beside as many as it has live ones.
@@ -51,9 +49,7 @@
         self._ready: dict[Band, dict[tuple, Group]] = {band: {} for band in Band}
         self._parked: dict[tuple, SizeClass] = {}
         self._ring: deque[Lane] = deque()
-        self._credit = dict.fromkeys(Band, 0.0)
-        # Credit below which the first job of a band was last found to be too large.
-        self._owed_from = dict.fromkeys(Band, 0.0)
+        self._credit = BandCredit()
         self.jobs_by_band = dict.fromkeys(Band, 0)
         # Sum of the weights of teams with queued jobs.
         self.waiting_weight = 0.0
@@ -137,7 +133,7 @@
         if best is None or not self._fair:
             return best
         for band in GUARANTEED_SHARE:
-            if band > best[0].job.band and self._credit[band] > self._owed_from[band]:
+            if band > best[0].job.band and self._credit.may_be_owed(band):
                 owed = self._owed(band, now, may_start, may_fit)
                 if owed is not None:
                     return owed
@@ -145,12 +141,7 @@
 
     def charge(self, band: Band, work: float) -> None:
         """Notes work started, in seconds of the whole pool, towards the guaranteed shares."""
-        if band in GUARANTEED_SHARE:
-            self._owed_from[band] = 0.0
-            self._credit[band] = max(self._credit[band] - work, 0.0)
-        for lower, share in GUARANTEED_SHARE.items():
-            if lower > band and self.jobs_by_band[lower]:
-                self._credit[lower] = min(self._credit[lower] + share * work, MOST_CREDIT)
+        self._credit.charge(band, work, self.jobs_by_band)
 
     def park(self, state: JobState) -> None:
         """Skips the job's size class until `unpark` finds room for it."""
@@ -172,11 +163,6 @@
             if all(have >= want for have, want in zip(free, need, strict=True)):
                 self._make_ready(size_class)
 
-    def unpark_all(self) -> None:
-        """Makes all parked classes ready."""
-        for size_class in list(self._parked.values()):
-            self._make_ready(size_class)
-
     def wait_for_quota(self, state: JobState) -> None:
         """Skips the job's lane until `account_changed` is called for its account."""
         assert state.lane is not None
@@ -287,7 +273,7 @@
             del self._class_by_key[key]
             self._parked.pop(key, None)
         if not self.jobs_by_band[band]:
-            self._credit[band] = 0.0
+            self._credit.clear(band)
             self.work_by_band[band] = 0.0
         if not flow.lanes:
             flow.queued = 0.0
@@ -410,8 +396,5 @@
         if best is None:
             return None
         state = best[0]
-        cost = min(self._shares.share_of(state.amount) * state.run, MOST_CREDIT)
-        if self._credit[band] < cost:
-            self._owed_from[band] = cost
-            return None
-        return best
+        cost = self._shares.share_of(state.amount) * state.run
+        return best if self._credit.covers(band, cost) else None
--- a/hornbeamramp/lanes.py
+++ b/hornbeamramp/lanes.py
@@ -3,9 +3,9 @@
 import heapq
 from functools import lru_cache
 
+from hornbeamramp.flows import Flow
 from hornbeamramp.jobs import GangJob
 from hornbeamramp.ledger import Vector
-from hornbeamramp.shares import Flow
 from hornbeamramp.states import Band
 from hornbeamramp.task_table import JobState
 
--- a/hornbeamramp/preemption.py
+++ b/hornbeamramp/preemption.py
@@ -62,11 +62,15 @@
     """
     ranked: list[tuple[float, int, Plan]] = []
     amount = state.amount
+    flooding = state.flow.flooding()
     for number, upstream_id in enumerate(pool.index.reclaimable.candidates(amount)):
         if number >= CANDIDATES + 2 * count:
             break
         attempts = tasks.on_upstream(upstream_id)
-        free = pool.unheld(upstream_id)
+        if flooding:
+            # A flood of urgent work takes no room within what others are learned to need.
+            attempts = [a for a in attempts if a.state.flow.beyond_claim()]
+        free = pool.unheld_soon(upstream_id)
         loss = 0.0
         for plan in plan_upstream(upstream_id, amount, count, free, attempts, shares.share_of, now):
             # Later plans on an upstream rest on earlier ones.
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -25,7 +25,7 @@
 from hornbeamramp.estimates import Estimates, Expectation
 from hornbeamramp.ids import AttemptId, Epoch, JobId, TeamId, UpstreamId
 from hornbeamramp.job_queue import JobQueue, class_key
-from hornbeamramp.jobs import Job, ServiceJob
+from hornbeamramp.jobs import GangJob, Job, ServiceJob
 from hornbeamramp.ledger import Reservation
 from hornbeamramp.policies import POLICIES
 from hornbeamramp.resources import Resources
@@ -169,6 +169,8 @@
         attempt.emitted = True
         self._tasks.add(attempt)
         self._shares.take(state.flow, attempt.counted, now)
+        if isinstance(job, GangJob):
+            state.flow.gang_tasks += 1
         if isinstance(job, ServiceJob) and shape is not None:
             racks = state.tasks_by_rack = state.tasks_by_rack or {}
             racks[shape.rack] = racks.get(shape.rack, 0) + 1
@@ -206,7 +208,7 @@
         stops = []
         for attempt in list((state.live or {}).values()):
             if attempt.emitted:
-                attempt.stopping = True
+                self._dispatcher.note_stopping(attempt)
                 stops.append(Stop(attempt.id, attempt.upstream_id))
             else:
                 self._ends.free(attempt, self._now())
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -1,169 +1,22 @@
 """Use of the pool by band, team and route, and the room others are learned to need.
 
-A flow is the work of one route of one team in one band. Its demand is learned from what it has in
-use while it is not backlogged, so a flood does not raise the demand of the flow that floods. Work
-within a flow's learned demand goes before work beyond it, and work beyond it leaves free what the
-others are learned to need (headroom). An account is one team in one band; accounts of a band share
-by weighted dominant resource share.
+Work within a flow's learned demand goes before work beyond it, and work beyond it leaves free what
+the others are learned to need (headroom). Accounts of a band share by weighted dominant resource
+share.
 """
 
-from math import exp, log2
-
-from hornbeamramp.demand import Demand, DemandSum
+from hornbeamramp.demand import DemandSum
+from hornbeamramp.flows import BURST_SHARE, LEAST_SHARE, TOLERANCE, Account, Flow, TeamUse
 from hornbeamramp.ids import RouteName, TeamId
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import Band
 
-__all__ = ["Account", "Flow", "ShareBook", "TeamUse"]
+__all__ = ["ShareBook"]
 
 # Seconds over which demand is learned; a flood that lasts as long as this does not push out what
 # was learned before, because flows that are served keep their demand current.
 DEMAND_TIME = 300.0
-# Seconds over which past use counts against a team.
-RECENT_TIME = 30.0
-# A flow of these bands is served like learned demand while all of its work, running and queued,
-# takes less than this share of the pool; beyond it, the flow is a flood.
-BURST_SHARE = {Band.URGENT: 0.5, Band.SERVICE: 0.25}
-# A flow whose queue needs more than it has in use, and more than this, is backlogged.
-LEAST_BACKLOG = 0.01
-# Rounding error of sums of shares.
-TOLERANCE = 1e-9
-# Steps of the logarithmic scale on which accounts are compared, for each doubling.
-LEVELS = 8
-# Learned demand and past use below this share of the pool are forgotten.
-LEAST_SHARE = 1e-5
-
-
-class TeamUse:
-    """What a team has in use and queued over all bands, against its limit."""
-
-    __slots__ = ("accounts", "jobs", "limit", "used", "weight")
-
-    def __init__(self, weight: float, limit: Resources | None) -> None:
-        self.weight = weight
-        self.jobs = 0
-        self.limit: Vector | None = None if limit is None else limit.as_tuple()
-        self.used = [0, 0, 0, 0, 0]
-        self.accounts: list[Account] = []
-
-    def allows(self, amount: Vector, count: int = 1) -> bool:
-        """Tells whether ``count`` more tasks of this size stay within the limit."""
-        if self.limit is None:
-            return True
-        return all(
-            used + need * count <= most
-            for used, need, most in zip(self.used, amount, self.limit, strict=True)
-        )
-
-
-class Account:
-    """A team in a band. ``share`` is its dominant share of the pool, ``recent`` its past one."""
-
-    __slots__ = (
-        "band",
-        "lanes",
-        "offered",
-        "recent",
-        "share",
-        "team",
-        "team_use",
-        "updated",
-        "used",
-        "weight",
-    )
-
-    def __init__(
-        self, band: Band, team: TeamId, weight: float, team_use: TeamUse, now: float
-    ) -> None:
-        self.band = band
-        self.team = team
-        self.weight = weight
-        self.team_use = team_use
-        self.used = [0, 0, 0, 0, 0]
-        self.share = 0.0
-        self.recent = 0.0
-        self.updated = now
-        # Lanes of queued jobs, in the order in which they were added.
-        self.lanes: dict = {}
-        # Highest level with which its lanes may be in order.
-        self.offered = 0
-
-    def observe(self, now: float) -> None:
-        if now > self.updated:
-            kept = exp((self.updated - now) / RECENT_TIME)
-            self.recent = self.share + (self.recent - self.share) * kept
-            self.updated = now
-
-    def score(self, now: float) -> float:
-        """Returns use in relation to weight; the account with the lowest is served next."""
-        self.observe(now)
-        return (self.share + self.recent) / self.weight
-
-    def level(self, now: float) -> int:
-        """Returns the score on a logarithmic scale.
-
-        Accounts within a step are served by expected time. Small changes of use, which each start
-        and end brings, then leave the order of queued work as it is.
-        """
-        return int(LEVELS * log2(self.score(now) + LEAST_SHARE))
-
-
-class Flow:
-    """A route of an account.
-
-    `host`, `accelerators`
-        Demand for the larger of processors, memory, slots and connections, and for accelerators.
-        They are kept apart so that claims on accelerators leave processors to other work.
-    `queued`, `jobs`
-        Dominant share of all queued tasks together, and number of queued jobs.
-    """
-
-    __slots__ = (
-        "account",
-        "accelerators",
-        "host",
-        "jobs",
-        "lanes",
-        "number",
-        "queued",
-        "route",
-        "states",
-        "share",
-        "updated",
-        "used",
-    )
-
-    def __init__(self, account: Account, route: RouteName, number: int, now: float) -> None:
-        self.account = account
-        self.route = route
-        self.number = number
-        self.used = [0, 0, 0, 0, 0]
-        self.share = 0.0
-        self.queued = 0.0
-        self.jobs = 0
-        self.host = Demand()
-        self.accelerators = Demand()
-        self.updated = now
-        self.lanes: dict = {}
-        # Jobs of the flow that have not ended.
-        self.states = 0
-
-    def claim(self) -> float:
-        """Returns the larger of the learned claims."""
-        return max(self.host.claim(), self.accelerators.claim())
-
-    def below_claim(self) -> bool:
-        """Tells whether a task of the flow may be first tier."""
-        return self.share < self.claim() or self.bursting()
-
-    def backlogged(self) -> bool:
-        return self.queued > self.share and self.queued > LEAST_BACKLOG
-
-    def bursting(self) -> bool:
-        """Tells whether the flow is urgent work that is no flood."""
-        most = BURST_SHARE.get(self.account.band)
-        return most is not None and self.share + self.queued <= most
 
 
 class ShareBook:
@@ -178,6 +31,7 @@
         self._number = 0
         self._since = now
         self._host = DemandSum()
+        self._excess = 0.0
         self._accelerators = DemandSum()
         # Free capacity of the upstreams that may receive work.
         self.free = [0, 0, 0, 0, 0]
@@ -265,13 +119,21 @@
         """Tells whether another task of this size is within what the flow may claim."""
         if flow.bursting():
             return True
+        band = flow.account.band
+        if band == Band.URGENT and self._excess > 0 and flow.share < BURST_SHARE[band]:
+            # Less urgent work uses more than its learned demand; that room may be taken.
+            return True
+        # A backlogged flow would use its whole claim all the time; that is more than it used to.
+        backlogged = flow.backlogged()
         host = flow.host
-        if host.share + self._host_share(amount) > host.claim() + TOLERANCE:
+        claim = host.mean if backlogged else host.claim()
+        if host.share + self._host_share(amount) > claim + TOLERANCE:
             return False
         if not amount[2]:
             return True
         own = flow.accelerators
-        return own.share + amount[2] / (self.total[2] or 1) <= own.claim() + TOLERANCE
+        claim = own.mean if backlogged else own.claim()
+        return own.share + amount[2] / (self.total[2] or 1) <= claim + TOLERANCE
 
     def leaves_headroom(self, flow: Flow, amount: Vector) -> bool:
         """Tells whether the others' learned demand still fits after one more task."""
@@ -291,24 +153,30 @@
     def leaves_headroom_for_gang(self, flow: Flow, amount: Vector, count: int) -> bool:
         """Tells whether the flow may run a gang beyond its claim, once there is room for it.
 
-        Free capacity is not asked for, because a gang may wait with a reservation. A flow that has
-        nothing in use may run any gang, or one larger than the unclaimed part would never run.
+        Free capacity is not asked for, because a gang may wait with a reservation. A flow that runs
+        no gang may run any, or one larger than the unclaimed part would never run.
         """
-        if not any(flow.used):
+        if not flow.gang_tasks:
             return True
-        host = flow.host.share + self._host_share(amount) * count
+        count += flow.gang_tasks
+        host = self._host_share(amount) * count
         if host + self._host.without(flow.host) > 1.0 + TOLERANCE:
             return False
         if not amount[2]:
             return True
-        own = flow.accelerators.share + amount[2] * count / (self.total[2] or 1)
+        own = amount[2] * count / (self.total[2] or 1)
         return own + self._accelerators.without(flow.accelerators) <= 1.0 + TOLERANCE
 
     def prune(self, now: float) -> None:
         """Forgets flows without use, queue or noticeable demand. Removes rounding errors."""
         for key, flow in list(self.flow_by_key.items()):
             self.observe(flow, now)
-            if not flow.states and not any(flow.used) and flow.claim() < LEAST_SHARE:
+            if (
+                not flow.states
+                and not any(flow.used)
+                and not flow.excess
+                and flow.claim() < LEAST_SHARE
+            ):
                 del self.flow_by_key[key]
         kept = {flow.account for flow in self.flow_by_key.values()}
         for account_key, account in list(self.account_by_key.items()):
@@ -332,9 +200,23 @@
         account.share = self._share(account.used)
         self._set_shares(flow)
         self._host.recap(flow.host)
+        self._recap_excess(flow)
         if amount[2]:
             self._accelerators.recap(flow.accelerators)
 
+    def note_stopping(self, flow: Flow, share: float) -> None:
+        """Adds to the share of tasks that were ordered to end; negative once they have ended."""
+        flow.stopping = max(flow.stopping + share, 0.0) if flow.share else 0.0
+        self._recap_excess(flow)
+
+    def _recap_excess(self, flow: Flow) -> None:
+        if flow.account.band < Band.NORMAL:
+            return
+        excess = flow.share - flow.stopping - flow.host.claim()
+        excess = excess if excess > LEAST_SHARE else 0.0
+        self._excess += excess - flow.excess
+        flow.excess = excess
+
     def _set_shares(self, flow: Flow) -> None:
         used = flow.used
         flow.host.share = self._host_share(used)
@@ -343,6 +225,9 @@
 
     def _sum_up(self) -> None:
         flows = self.flow_by_key.values()
+        for flow in flows:
+            self._recap_excess(flow)
+        self._excess = sum(flow.excess for flow in flows)
         self._host.sum_up([flow.host for flow in flows])
         self._accelerators.sum_up([flow.accelerators for flow in flows])
 
--- a/hornbeamramp/task_table.py
+++ b/hornbeamramp/task_table.py
@@ -8,9 +8,9 @@
 from hornbeamramp.states import Band
 
 if TYPE_CHECKING:
+    from hornbeamramp.flows import Flow
     from hornbeamramp.holds import Hold
     from hornbeamramp.job_queue import Lane
-    from hornbeamramp.shares import Flow
 
 __all__ = ["Attempt", "JobState", "TaskTable"]
 
@@ -24,6 +24,7 @@
         "id",
         "limited_at",
         "limited_to",
+        "overdue",
         "peak",
         "placed_at",
         "probe",
@@ -61,6 +62,8 @@
         self.emitted = False
         # Whether the end of the attempt was ordered.
         self.stopping = False
+        # Whether its end was ordered but is not reported in time.
+        self.overdue = False
         # Size to which the attempt was ordered to throttle, and when.
         self.limited_to: Vector | None = None
         self.limited_at = 0.0
--- a/hornbeamramp/upstream_health.py
+++ b/hornbeamramp/upstream_health.py
@@ -191,7 +191,11 @@
         others.failures = self._pool.failures - record.failures
         if others.ends < 1.0:
             return True
-        return _rate(record) >= min(BASELINE_FACTOR * _rate(others), 0.95)
+        baseline = _rate(others)
+        if baseline >= LEAST_RATE:
+            # Tasks fail everywhere: the cause is not in single upstreams.
+            return False
+        return _rate(record) >= min(BASELINE_FACTOR * baseline, 0.9)
 
     def _release(self, upstream_id: UpstreamId) -> None:
         del self.quarantined[upstream_id]
@@ -237,7 +241,7 @@
         """Takes a token for one retry; false if there is none. ``now`` is in seconds."""
         self._tokens = min(self._tokens + (now - self._updated) * self._floor, self._burst)
         self._updated = now
-        if self._tokens < 1.0:
+        if self._tokens < 1.0 - 1e-9:
             return False
         self._tokens -= 1.0
         return True
--- a/hornbeamramp/upstream_pool.py
+++ b/hornbeamramp/upstream_pool.py
@@ -129,6 +129,20 @@
             return free
         return tuple(a - b for a, b in zip(free, held, strict=True))  # type: ignore[return-value]
 
+    def unheld_soon(self, upstream_id: UpstreamId) -> Vector:
+        """Returns `unheld` and what tasks take that were ordered to end or to throttle.
+
+        Tasks whose end is overdue are not counted on.
+        """
+        sums = list(self.unheld(upstream_id))
+        for attempt in self._tasks.on_upstream(upstream_id):
+            amount = attempt.reservation.amount
+            if attempt.stopping and not attempt.overdue:
+                sums = [a + b for a, b in zip(sums, amount, strict=True)]
+            elif attempt.limited_to is not None:
+                sums[0] += amount[0] - min(attempt.limited_to[0], amount[0])
+        return tuple(sums)  # type: ignore[return-value]
+
     def statuses(self) -> list[UpstreamStatus]:
         """Returns the status of each upstream."""
         statuses = []
@@ -158,7 +172,7 @@
     def _reclaimable(self, upstream_id: UpstreamId) -> Vector | None:
         if not self.usable(upstream_id):
             return None
-        sums = list(self.unheld(upstream_id))
+        sums = list(self.unheld_soon(upstream_id))
         for attempt in self._tasks.on_upstream(upstream_id):
             amount = attempt.reservation.amount
             if attempt.preemptible():
