Answer errors of the HTTP layer as problem details and bound the time of a body

By reading: a KeyError inside a submit was answered as 404, and a timeout of Sanic after the job was forwarded as not_run. Change: bounded request class, one mapping of library errors (connection closed after them), outcome unknown once a job or change was handed on. Conclusion: every 4xx of both listeners that refuses a request says not_run.

--- a/hornbeamramp/admin_api.py
+++ b/hornbeamramp/admin_api.py
@@ -24,7 +24,7 @@
 )
 from hornbeamramp.http_server import new_app
 from hornbeamramp.ids import ChangeId, Revision
-from hornbeamramp.problems import problem
+from hornbeamramp.problems import http_problem, problem
 from hornbeamramp.settings import Settings
 from hornbeamramp.tables import Change, Pool, Route, Tables
 from hornbeamramp.telemetry import prometheus_text
@@ -89,11 +89,13 @@
         self._expected = f"Bearer {token}".encode()
 
     async def __call__(self, request: Request) -> HTTPResponse | None:
-        given = request.headers.get("authorization", "").encode()
+        # Sanic decodes bytes that are not UTF-8 to surrogates.
+        given = request.headers.get("authorization", "").encode(errors="surrogateescape")
         if hmac.compare_digest(given, self._expected):
             return None
         headers = {"WWW-Authenticate": "Bearer"}
-        return problem(HTTPStatus.UNAUTHORIZED, "a bearer token is required", headers)
+        detail = "a bearer token is required"
+        return problem(HTTPStatus.UNAUTHORIZED, detail, headers, outcome="not_run")
 
 
 class _AdminApi:
@@ -154,6 +156,7 @@
         if_match: Revision | None,
     ) -> HTTPResponse:
         change_id = ChangeId(request.headers.get(CHANGE_ID_HEADER) or str(request.id))
+        request.ctx.proposed = True
         result = await self._configuration.propose(table, name, row, if_match, change_id)
         if result.is_err():
             return _proposal_problem(result.err_value)
@@ -243,6 +246,7 @@
 
 def _on_exception(request: Request, error: Exception) -> HTTPResponse:
     if isinstance(error, SanicException):
-        return problem(HTTPStatus(error.status_code), str(error), outcome="not_run")
+        outcome = "unknown" if getattr(request.ctx, "proposed", False) else "not_run"
+        return http_problem(error, outcome)
     _log.error("a request failed: {!r}", error)
     return problem(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error", outcome="unknown")
--- a/hornbeamramp/caller_api.py
+++ b/hornbeamramp/caller_api.py
@@ -11,13 +11,14 @@
 from opentelemetry import propagate, trace
 from sanic import HTTPResponse, Request, Sanic
 from sanic import json as json_response
-from sanic.exceptions import NotFound, PayloadTooLarge, SanicException
+from sanic.exceptions import SanicException
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import SchedulerError
 from hornbeamramp.forwarding import Forwarder
 from hornbeamramp.http_server import new_app
 from hornbeamramp.ids import JobId, RouteName, TeamId
+from hornbeamramp.job_ids import shard_of
 from hornbeamramp.jobs import (
     BatchJob,
     Completed,
@@ -29,7 +30,7 @@
     TaskResult,
     Unknown,
 )
-from hornbeamramp.problems import not_run_response, problem, unknown_response
+from hornbeamramp.problems import http_problem, not_run_response, problem, unknown_response
 from hornbeamramp.resources import Resources
 from hornbeamramp.settings import Settings
 from hornbeamramp.states import JobKind, JobState, RefusalReason
@@ -155,14 +156,18 @@
 
     async def get(self, request: Request, job_id: str) -> HTTPResponse:
         """``GET /v1/jobs/{id}``."""
+        if shard_of(JobId(job_id)) is None:
+            return _no_job(job_id)
         reply = await self._forwarder.get_job(JobId(job_id))
         return _job_response(JobId(job_id), reply.state, reply.outcome)
 
     async def cancel(self, request: Request, job_id: str) -> HTTPResponse:
         """``DELETE /v1/jobs/{id}``."""
+        if shard_of(JobId(job_id)) is None:
+            return _no_job(job_id)
         reply = await self._forwarder.cancel(JobId(job_id))
         if reply.state is None:
-            return problem(HTTPStatus.NOT_FOUND, f"no job {job_id}")
+            return _no_job(job_id)
         return json_response({"id": job_id, "state": reply.state.value}, status=HTTPStatus.ACCEPTED)
 
     async def live(self, request: Request) -> HTTPResponse:
@@ -182,8 +187,8 @@
         except msgspec.MsgspecError as error:
             return _refusal(RefusalReason.MALFORMED, str(error)), "not_run", ""
         key = request.headers.get("idempotency-key")
-        if key is not None and not 1 <= len(key) <= KEY_LIMIT:
-            detail = f"Idempotency-Key must have from 1 to {KEY_LIMIT} characters"
+        if key is not None and not (1 <= len(key) <= KEY_LIMIT and key.isascii()):
+            detail = f"Idempotency-Key must have from 1 to {KEY_LIMIT} ASCII characters"
             return _refusal(RefusalReason.MALFORMED, detail), "not_run", ""
         tables = self._tables()
         route = tables.route_by_name.get(body.route)
@@ -192,6 +197,7 @@
             return _refusal(RefusalReason.UNKNOWN_ROUTE, detail), "not_run", ""
         respond_async = "respond-async" in request.headers.get("prefer", "")
         job = _job(body, route, key, respond_async)
+        request.ctx.forwarded = True
         reply = await self._forwarder.submit(job, tables.pool_by_name[route.pool])
         if reply.accepted is not None:
             return _accepted(reply.accepted), "accepted", route.name
@@ -238,7 +244,7 @@
     if isinstance(outcome, Unknown):
         return unknown_response(outcome)
     if state is None:
-        return problem(HTTPStatus.NOT_FOUND, f"no job {job_id}")
+        return _no_job(job_id)
     return json_response({"id": job_id, "state": state.value})
 
 
@@ -259,6 +265,10 @@
     return {"upstream": result.upstream_id, **payload}
 
 
+def _no_job(job_id: str) -> HTTPResponse:
+    return problem(HTTPStatus.NOT_FOUND, f"no job {job_id}")
+
+
 def _accepted(job_id: JobId) -> HTTPResponse:
     return json_response(
         {"id": job_id, "state": "accepted"},
@@ -273,17 +283,13 @@
 
 
 def _on_exception(request: Request, error: Exception) -> HTTPResponse:
-    submits = request.method == "POST"
-    if isinstance(error, KeyError | NotFound):
-        return problem(HTTPStatus.NOT_FOUND, "no such job or page")
-    if isinstance(error, PayloadTooLarge):
-        return problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, str(error), outcome="not_run")
+    # Before the job was handed to the forwarder, nothing can have run.
+    started = getattr(request.ctx, "forwarded", False)
+    outcome = "unknown" if started else "not_run"
     if isinstance(error, SanicException):
-        # Raised by the HTTP layer before a handler ran.
-        return problem(HTTPStatus(error.status_code), str(error), outcome="not_run")
+        return http_problem(error, outcome)
+    extra = {"outcome": outcome} if request.method == "POST" else {}
     if isinstance(error, SchedulerError):
-        extra = {"outcome": "unknown"} if submits else {}
         return problem(HTTPStatus.SERVICE_UNAVAILABLE, str(error), {"Retry-After": "1"}, **extra)
     _log.error("a request failed: {!r}", error)
-    extra = {"outcome": "unknown"} if submits else {}
     return problem(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error", **extra)
--- a/hornbeamramp/http_server.py
+++ b/hornbeamramp/http_server.py
@@ -6,7 +6,8 @@
 import ssl
 from typing import Any
 
-from sanic import Sanic
+from sanic import Request, Sanic
+from sanic.exceptions import RequestTimeout
 
 from hornbeamramp.settings import LimitSettings, TlsSettings
 
@@ -21,9 +22,26 @@
     return host.strip("[]"), int(port)
 
 
+class _BoundedRequest(Request):
+    """Request whose body must arrive within the request timeout.
+
+    Sanic's own request timeout ends with the headers.
+    """
+
+    async def receive_body(self) -> None:
+        try:
+            async with asyncio.timeout(self.app.config.REQUEST_TIMEOUT):
+                await super().receive_body()
+        except TimeoutError as error:
+            # The connection is closed without waiting for the rest of the body.
+            self.stream.request_body = None
+            self.stream.keep_alive = False
+            raise RequestTimeout("the body did not arrive in time") from error
+
+
 def new_app(name: str, limits: LimitSettings) -> Sanic:
     """Returns an application with the bounds of the settings and without Sanic's log set-up."""
-    app = Sanic(name, configure_logging=False)
+    app = Sanic(name, request_class=_BoundedRequest, configure_logging=False)
     app.config.REQUEST_MAX_SIZE = limits.body_bytes
     app.config.REQUEST_MAX_HEADER_SIZE = limits.header_bytes
     app.config.REQUEST_TIMEOUT = limits.request_timeout_ms / 1000
--- a/hornbeamramp/problems.py
+++ b/hornbeamramp/problems.py
@@ -6,11 +6,12 @@
 
 from sanic import HTTPResponse
 from sanic import json as json_response
+from sanic.exceptions import PayloadTooLarge, SanicException
 
 from hornbeamramp.jobs import NotRun, Unknown
 from hornbeamramp.states import RefusalReason
 
-__all__ = ["not_run_response", "problem", "unknown_response"]
+__all__ = ["http_problem", "not_run_response", "problem", "unknown_response"]
 
 CONTENT_TYPE = "application/problem+json"
 
@@ -44,6 +45,18 @@
     return json_response(body, status=status, headers=headers, content_type=CONTENT_TYPE)
 
 
+def http_problem(error: SanicException, outcome: str) -> HTTPResponse:
+    """Returns the response for an error of the HTTP layer. The connection is closed after it.
+
+    Part of a refused request may still be unread on the connection.
+    """
+    headers = {**(error.headers or {}), "Connection": "close"}
+    status = HTTPStatus(error.status_code)
+    if isinstance(error, PayloadTooLarge) and "header" in str(error):
+        status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    return problem(status, str(error), headers, outcome=outcome)
+
+
 def not_run_response(outcome: NotRun) -> HTTPResponse:
     """Returns the response for a job that did not run."""
     headers = _retry_after(outcome.retry_after)
--- a/hornbeamramp/standins/cell.py
+++ b/hornbeamramp/standins/cell.py
@@ -120,6 +120,8 @@
         Stand-in workers; those of one data centre share a process.
     `timing`
         Timing settings of the entry processes, in milliseconds.
+    `settings`
+        Further settings of the entry processes, by section.
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         entries_per_data_centre: int,
         workers: list[WorkerSpec],
         timing: dict[str, int] | None = None,
+        settings: dict[str, Any] | None = None,
     ) -> None:
         self.data_centres = data_centres
         self.workers = workers
@@ -137,10 +140,11 @@
         self.platform_address = ""
         self._entries_per_data_centre = entries_per_data_centre
         self._timing = timing or {}
+        self._settings = settings or {}
         self._directory = tempfile.TemporaryDirectory(prefix="hornbeamramp-")
         self.path = Path(self._directory.name)
-        self._token = secrets.token_hex(16)
-        (self.path / "token").write_text(self._token)
+        self.token = secrets.token_hex(16)
+        (self.path / "token").write_text(self.token)
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> "LocalCell":
@@ -177,9 +181,11 @@
             await self._session.close()
         self._directory.cleanup()
 
-    async def add_entry(self, vm: str, data_centre: str) -> EntryHandle:
+    async def add_entry(
+        self, vm: str, data_centre: str, settings: dict[str, Any] | None = None
+    ) -> EntryHandle:
         """Starts one more entry process and waits until it is ready."""
-        entry = await self._launch_entry(vm, data_centre)
+        entry = await self._launch_entry(vm, data_centre, settings)
         await entry.wait_listening()
         await self.wait_ready(entry)
         return entry
@@ -187,7 +193,7 @@
     def admin_client(self, entry: EntryHandle | None = None) -> AdminClient:
         """Returns a client of the admin API of an entry process, by default the first."""
         port = (entry or self.entries[0]).admin
-        return AdminClient(f"http://127.0.0.1:{port}", self._token)
+        return AdminClient(f"http://127.0.0.1:{port}", self.token)
 
     async def put_tables(
         self, routes: list[dict[str, Any]], pool_options: dict[str, dict[str, Any]] | None = None
@@ -282,7 +288,9 @@
             match = await program.read_match(r"listening on (\S+) as (\S+)")
             worker.address = match.group(1)
 
-    async def _launch_entry(self, vm: str, data_centre: str) -> EntryHandle:
+    async def _launch_entry(
+        self, vm: str, data_centre: str, further: dict[str, Any] | None = None
+    ) -> EntryHandle:
         settings = {
             "vm": vm,
             "data_centre": data_centre,
@@ -295,6 +303,8 @@
                 name: {"distance_ms": {o: 1 for o in self.data_centres if o != name}}
                 for name in self.data_centres
             },
+            **self._settings,
+            **(further or {}),
         }
         file = self.path / f"{vm}.yaml"
         # JSON is a subset of YAML.
