Check key files before a start, trace a job to its upstream, log each part once

Cause: no test ran with TLS or traces. A missing key file ended serve with a traceback and passed check; the command line could not trust a private authority; 38 messages repeated their part; the trace ended at the owner's queue. Change: check and serve verify token and key files; --ca-file for the operator's commands; spans forward, owner queue and answer; W3C context in the requests to upstreams; trace_id in JSON lines; queue time recorded. Bodies of unexpected replies are no longer part of error messages, since they may repeat a payload. Tasks of an owner start with an empty context, so that a hand-over's trace does not go on in its renewals.

--- a/hornbeamramp/admin_client.py
+++ b/hornbeamramp/admin_client.py
@@ -1,5 +1,7 @@
 """Client of the admin API, used by the command line."""
 
+import ssl
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -26,9 +28,12 @@
         For instance ``http://10.0.0.5:8082``.
     `token`
         Bearer token.
+    `ca_file`
+        Certificates to trust for ``https``, or ``None`` for those of the system.
     """
 
-    def __init__(self, base_url: str, token: str) -> None:
+    def __init__(self, base_url: str, token: str, ca_file: Path | None = None) -> None:
+        self._ca_file = ca_file
         self._base_url = base_url.rstrip("/")
         self._headers = {"Authorization": f"Bearer {token}"}
 
@@ -62,12 +67,16 @@
     ) -> Result[dict[str, Any], AdminProblem]:
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
         try:
+            trust = (
+                True if self._ca_file is None else ssl.create_default_context(cafile=self._ca_file)
+            )
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
                 session.request(
                     method,
                     self._base_url + path,
                     json=body,
+                    ssl=trust,
                     headers={**self._headers, **(headers or {})},
                 ) as response,
             ):
--- a/hornbeamramp/attempts.py
+++ b/hornbeamramp/attempts.py
@@ -6,6 +6,7 @@
 import logbook
 import msgspec
 from opentelemetry import trace
+from opentelemetry.context import Context
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.decisions import Start, TaskEnd
@@ -72,13 +73,13 @@
         self._lease = timedelta(milliseconds=timing.task_lease_ms)
         self._not_after = timedelta(milliseconds=2 * timing.send_bound_ms)
 
-    async def run(self, start: Start, link: UpstreamLink) -> None:
-        """Starts the task and follows it to its end."""
+    async def run(self, start: Start, link: UpstreamLink, parent: Context | None = None) -> None:
+        """Starts the task and follows it to its end. The spans are children of ``parent``'s."""
         if not start.job.idempotent and not await self._record_intent(start):
             self._end(link, start.attempt_id, TaskEnd.NOT_STARTED)
             return
         link.track(start.attempt_id)
-        with _tracer.start_as_current_span("upstream start") as span:
+        with _tracer.start_as_current_span("upstream start", context=parent) as span:
             span.set_attribute("upstream", link.id)
             span.set_attribute("attempt", start.attempt_id)
             end = await self._start(start, link)
@@ -86,7 +87,9 @@
             self._end(link, start.attempt_id, end)
             return
         self._started(start.attempt_id)
-        await self.follow(start.attempt_id, link)
+        with _tracer.start_as_current_span("answer", context=parent) as span:
+            span.set_attribute("attempt", start.attempt_id)
+            await self.follow(start.attempt_id, link)
 
     async def follow(self, attempt_id: AttemptId, link: UpstreamLink) -> None:
         """Waits for the end of an attempt that was started, and reports it."""
--- a/hornbeamramp/checks.py
+++ b/hornbeamramp/checks.py
@@ -1,5 +1,6 @@
 """Checks settings and table files without starting anything."""
 
+import ssl
 from pathlib import Path
 from typing import Any
 
@@ -9,7 +10,7 @@
 from hornbeamramp.settings import Settings
 from hornbeamramp.tables import Pool, Route, check_join
 
-__all__ = ["TableFile", "check_file"]
+__all__ = ["TableFile", "check_file", "check_key_files"]
 
 
 class TableFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -28,7 +29,9 @@
         document = msgspec.yaml.decode(path.read_bytes(), type=dict[str, Any])
         if "routes" in document or "pools" in document:
             return _check_tables(msgspec.convert(document, TableFile))
-        msgspec.convert(document, Settings)
+        checked = check_key_files(msgspec.convert(document, Settings))
+        if isinstance(checked, Err):
+            return checked
     except OSError as error:
         return Err(f"can't read the file: {error.strerror}")
     except msgspec.MsgspecError as error:
@@ -36,6 +39,47 @@
     return Ok("settings are valid")
 
 
+def check_key_files(settings: Settings) -> Result[None, str]:
+    """Checks that the files the settings name can be read and that key and certificate match.
+
+    The error names the field and the file, never the contents.
+    """
+    for field, path in _key_files(settings):
+        try:
+            content = Path(path).read_bytes()
+        except OSError as error:
+            return Err(f"$.{field}: can't read {path}: {error.strerror}")
+        if not content.strip():
+            return Err(f"$.{field}: {path} is empty")
+    tls = settings.tls
+    if tls is None:
+        return Ok(None)
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        # The empty password makes an encrypted key an error instead of a prompt.
+        context.load_cert_chain(tls.certificate_file, tls.key_file, password="")
+    except (OSError, ValueError):
+        return Err(f"$.tls: {tls.key_file} and {tls.certificate_file} are no pair of PEM files")
+    try:
+        if tls.ca_file is not None:
+            context.load_verify_locations(tls.ca_file)
+    except OSError:
+        return Err(f"$.tls.ca_file: {tls.ca_file} holds no PEM certificate")
+    return Ok(None)
+
+
+def _key_files(settings: Settings) -> list[tuple[str, str]]:
+    files = []
+    if settings.admin is not None:
+        files.append(("admin.token_file", settings.admin.token_file))
+    if settings.tls is not None:
+        files.append(("tls.certificate_file", settings.tls.certificate_file))
+        files.append(("tls.key_file", settings.tls.key_file))
+        if settings.tls.ca_file is not None:
+            files.append(("tls.ca_file", settings.tls.ca_file))
+    return files
+
+
 def _check_tables(tables: TableFile) -> Result[str, str]:
     for kind, rows in (("route", tables.routes), ("pool", tables.pools)):
         names = [row.name for row in rows]
--- a/hornbeamramp/claim.py
+++ b/hornbeamramp/claim.py
@@ -158,5 +158,5 @@
         try:
             return await self._witness.fence(shard, epoch)
         except SchedulerError as error:
-            log.warning("owner: upstreams of {} not fenced: {}", shard, error.message)
+            log.warning("upstreams of {} not fenced: {}", shard, error.message)
             return False
--- a/hornbeamramp/cli.py
+++ b/hornbeamramp/cli.py
@@ -4,7 +4,7 @@
 import json
 import sys
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NoReturn
 
 import msgspec
 import uvloop
@@ -31,13 +31,18 @@
 
 
 class Connection(msgspec.Struct, frozen=True):
-    """Where the admin API answers and the file that holds the bearer token."""
+    """Where the admin API answers, the file that holds the bearer token, and whom to trust."""
 
     admin: str
     token_file: Path
+    ca_file: Path | None
 
     def client(self) -> AdminClient:
-        return AdminClient(self.admin, self.token_file.read_text().strip())
+        try:
+            token = self.token_file.read_text().strip()
+        except OSError as error:
+            _fail(f"{self.token_file}: can't read the file: {error.strerror}", EXIT_USAGE)
+        return AdminClient(self.admin, token, self.ca_file)
 
 
 AdminUrl = Annotated[
@@ -46,18 +51,26 @@
 TokenFile = Annotated[
     Path, Parameter(env_var="HORNBEAMRAMP_TOKEN_FILE", help="File with the bearer token.")
 ]
+CaFile = Annotated[
+    Path | None,
+    Parameter(env_var="HORNBEAMRAMP_CA_FILE", help="Certificates to trust for https."),
+]
 Json = Annotated[bool, Parameter(name="--json", help="Print JSON.", negative="")]
 
 
 @app.command
 def serve(*, config: Path) -> None:
     """Run one entry process until SIGTERM."""
+    from hornbeamramp.checks import check_key_files
     from hornbeamramp.entry import serve as run_entry
 
     settings = load_settings(config)
     if isinstance(settings, Err):
         _fail(f"{settings.err_value.file}: {settings.err_value.message}", EXIT_USAGE)
-    uvloop.run(run_entry(settings.unwrap()))
+    files = check_key_files(settings.ok_value)
+    if isinstance(files, Err):
+        _fail(f"{config}: {files.err_value}", EXIT_USAGE)
+    uvloop.run(run_entry(settings.ok_value))
 
 
 @app.command
@@ -80,9 +93,11 @@
 
 
 @app.command
-def status(*, admin: AdminUrl, token_file: TokenFile, as_json: Json = False) -> None:
+def status(
+    *, admin: AdminUrl, token_file: TokenFile, ca_file: CaFile = None, as_json: Json = False
+) -> None:
     """Show data centres, shards, revisions, queues and upstreams that are set aside."""
-    document = _ask(Connection(admin, token_file).client().status())
+    document = _ask(Connection(admin, token_file, ca_file).client().status())
     if as_json:
         _print_json(document)
     else:
@@ -91,18 +106,22 @@
 
 def _add_table_commands(table_app: App, table: str) -> None:
     @table_app.command(name="list")
-    def list_rows(*, admin: AdminUrl, token_file: TokenFile, as_json: Json = False) -> None:
+    def list_rows(
+        *, admin: AdminUrl, token_file: TokenFile, ca_file: CaFile = None, as_json: Json = False
+    ) -> None:
         """List all rows."""
-        document = _ask(Connection(admin, token_file).client().list_rows(table))
+        document = _ask(Connection(admin, token_file, ca_file).client().list_rows(table))
         if as_json:
             _print_json(document)
         else:
             print_rows(document[table], Console())
 
     @table_app.command(name="get")
-    def get_row(name: str, *, admin: AdminUrl, token_file: TokenFile) -> None:
+    def get_row(
+        name: str, *, admin: AdminUrl, token_file: TokenFile, ca_file: CaFile = None
+    ) -> None:
         """Print one row as JSON."""
-        _print_json(_ask(Connection(admin, token_file).client().get_row(table, name)))
+        _print_json(_ask(Connection(admin, token_file, ca_file).client().get_row(table, name)))
 
     @table_app.command(name="set")
     def set_row(
@@ -111,17 +130,22 @@
         *,
         admin: AdminUrl,
         token_file: TokenFile,
+        ca_file: CaFile = None,
         version: int | None = None,
     ) -> None:
         """Write a row from a JSON or YAML file. Without --version the row is created."""
         row = msgspec.yaml.decode(file.read_bytes(), type=dict[str, Any])
-        client = Connection(admin, token_file).client()
+        client = Connection(admin, token_file, ca_file).client()
         _print_json(_ask(client.put_row(table, name, row, version)))
 
     @table_app.command(name="delete")
-    def delete_row(name: str, *, version: int, admin: AdminUrl, token_file: TokenFile) -> None:
+    def delete_row(
+        name: str, *, version: int, admin: AdminUrl, token_file: TokenFile, ca_file: CaFile = None
+    ) -> None:
         """Delete a row of the given version."""
-        _print_json(_ask(Connection(admin, token_file).client().delete_row(table, name, version)))
+        _print_json(
+            _ask(Connection(admin, token_file, ca_file).client().delete_row(table, name, version))
+        )
 
 
 _add_table_commands(route_app, "routes")
@@ -147,6 +171,6 @@
     print(json.dumps(document, indent=2))
 
 
-def _fail(message: str, status_code: int) -> None:
+def _fail(message: str, status_code: int) -> NoReturn:
     print(f"hornbeamramp: {message}", file=sys.stderr)
     sys.exit(status_code)
--- a/hornbeamramp/evidence.py
+++ b/hornbeamramp/evidence.py
@@ -133,7 +133,7 @@
         highest = report.highest_epoch if report else Epoch(0)
         if incumbent is not None:
             if incumbent.serving:
-                log.debug("owner: {} still serves {}", record.owner, shard)
+                log.debug("{} still serves {}", record.owner, shard)
                 return None
             if incumbent.epoch >= record.epoch:
                 return Evidence(new_members=True, highest_epoch=highest)
@@ -147,7 +147,7 @@
             consents.append(None)
         if consents:
             if claimable_for < 2 * self._term and self._renewed_within(report, 1.5 * self._renew):
-                log.debug("owner: tasks of {} are still renewed", shard)
+                log.debug("tasks of {} are still renewed", shard)
                 return None
             return Evidence(until=sent + self._term - self._margin, highest_epoch=highest)
         if any(reply is not None for reply in member_replies):
@@ -167,7 +167,7 @@
         if report is None or not (report.all_answered and report.all_labelled):
             if claimable_for < UNWITNESSED_WAIT:
                 return None
-            log.warning("owner: claiming {} after a wait, without evidence from upstreams", shard)
+            log.warning("claiming {} after a wait, without evidence from upstreams", shard)
             return Evidence(highest_epoch=report.highest_epoch if report else Epoch(0))
         if self._renewed_within(report, self._task_lease):
             return None
@@ -186,7 +186,7 @@
         try:
             return await self._peers.call(address, request, ASK_TIMEOUT, Step.CLAIM)
         except (UnreachableError, ProtocolError) as error:
-            log.debug("owner: no answer from {} about {}: {}", vm, shard, error.message)
+            log.debug("no answer from {} about {}: {}", vm, shard, error.message)
             return None
 
     async def _observe(self, shard: ShardId) -> WitnessReport | None:
@@ -195,7 +195,7 @@
         try:
             return await self._witness.observe(shard)
         except SchedulerError as error:
-            log.warning("owner: upstreams of {} not read: {}", shard, error.message)
+            log.warning("upstreams of {} not read: {}", shard, error.message)
             return None
 
     def _address_of(self, vm: VmId) -> str | None:
--- a/hornbeamramp/forwarding.py
+++ b/hornbeamramp/forwarding.py
@@ -6,6 +6,7 @@
 
 import logbook
 import msgspec
+from opentelemetry import trace
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import ProtocolError, UnreachableError
@@ -52,6 +53,7 @@
 }
 
 _log = logbook.Logger("entry")
+_tracer = trace.get_tracer(__name__)
 
 
 class Peers(Protocol):
@@ -162,7 +164,10 @@
             if owner is not None:
                 request = SubmitRequest(shard, _with_time_left(sent_job, waited))
                 try:
-                    reply = await self._send(owner, request, SUBMIT_TIMEOUT, Step.FORWARD)
+                    with _tracer.start_as_current_span("forward") as span:
+                        span.set_attribute("shard", shard)
+                        span.set_attribute("owner", owner)
+                        reply = await self._send(owner, request, SUBMIT_TIMEOUT, Step.FORWARD)
                 except UnreachableError as error:
                     if error.sent:
                         return await self._resolve(shard, sent_job)
--- a/hornbeamramp/job_records.py
+++ b/hornbeamramp/job_records.py
@@ -4,6 +4,8 @@
 from collections import OrderedDict
 from datetime import timedelta
 
+from opentelemetry import context, trace
+
 from hornbeamramp.clock import Clock
 from hornbeamramp.ids import AttemptId, JobId, UpstreamId
 from hornbeamramp.jobs import Completed, Job, NotRun, Outcome, ServiceJob, TaskResult
@@ -11,6 +13,7 @@
 
 __all__ = ["JobRecord", "JobRecords", "state_of", "task_of"]
 
+_tracer = trace.get_tracer(__name__)
 # Ended jobs and refused ids stay known this long: longer than any lost reply is resolved.
 RETENTION = timedelta(minutes=10)
 RETAINED_JOBS = 50_000
@@ -35,15 +38,20 @@
         Future that every waiting submit and resolve shares.
     `upstream_by_attempt`
         Attempts that may be running.
+    `context`
+        Trace context of the submit, parent of the spans of the attempts.
     `uncertain`
         Whether an attempt was lost, so that a failure can't be told from a success.
     """
 
     __slots__ = (
         "cancelled",
+        "context",
         "ended_at",
         "job",
         "outcome",
+        "queue_span",
+        "queued_at",
         "result_by_task",
         "running_tasks",
         "uncertain",
@@ -52,6 +60,9 @@
 
     def __init__(self, job: Job) -> None:
         self.job = job
+        self.context = context.get_current()
+        self.queue_span: trace.Span | None = None
+        self.queued_at: timedelta | None = None
         self.outcome: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self.result_by_task: dict[int, TaskResult] = {}
         self.upstream_by_attempt: dict[AttemptId, UpstreamId] = {}
@@ -70,6 +81,20 @@
         """Tells whether this is a service that has not been ended."""
         return isinstance(self.job, ServiceJob) and self.ended_at is None
 
+    def enter_queue(self, now: timedelta) -> None:
+        """Begins the queue span."""
+        self.queue_span = _tracer.start_span("owner queue", context=self.context)
+        self.queued_at = now
+
+    def leave_queue(self, now: timedelta) -> timedelta | None:
+        """Ends the queue span and returns the time in the queue; ``None`` after the first call."""
+        if self.queued_at is None or self.queue_span is None:
+            return None
+        waited = now - self.queued_at
+        self.queue_span.end()
+        self.queue_span = self.queued_at = None
+        return waited
+
     def answer(self, outcome: Outcome) -> None:
         """Gives the outcome to all that wait for it. Later calls have no effect."""
         if not self.outcome.done():
@@ -109,6 +134,7 @@
         if record.ended_at is not None:
             return
         record.ended_at = self._clock.boot_time()
+        record.leave_queue(record.ended_at)
         self._ended[record.job.id] = record.ended_at
         record.answer(outcome)
         self._trim()
--- a/hornbeamramp/lease.py
+++ b/hornbeamramp/lease.py
@@ -87,7 +87,7 @@
         """Renews the lease, or is granted a new one if it has ended. Returns whether it did."""
         try:
             if self._granted is not None and not await self._renew_granted():
-                log.warning("member: lease {} has ended", self._granted)
+                log.warning("lease {} has ended", self._granted)
                 self._granted = None
                 self._registered = False
             if self._granted is None:
@@ -97,12 +97,12 @@
                 self._registered = True
         except StoreUnavailableError as error:
             if self._available_since is not None:
-                log.warning("member: store unavailable: {}", error.message)
+                log.warning("store unavailable: {}", error.message)
             self._available_since = None
             return False
         except ConflictError as error:
             # The store answers; the record of an earlier process of this VM ends with its lease.
-            log.info("member: record not written yet: {}", error.message)
+            log.info("record not written yet: {}", error.message)
             self._note_available()
             return False
         self._note_available()
@@ -116,7 +116,7 @@
         try:
             await self._platform.revoke_lease(lease)
         except StoreUnavailableError as error:
-            log.info("member: lease {} not revoked: {}", lease, error.message)
+            log.info("lease {} not revoked: {}", lease, error.message)
 
     async def _renew_granted(self) -> bool:
         sent = self._clock.boot_time()
--- a/hornbeamramp/logs.py
+++ b/hornbeamramp/logs.py
@@ -4,6 +4,7 @@
 import sys
 
 import logbook
+from opentelemetry import trace
 
 from hornbeamramp.settings import LogSettings
 
@@ -15,13 +16,16 @@
 
 
 def json_line(record: logbook.LogRecord, handler: logbook.Handler) -> str:
-    """Formats a record as one JSON object: time, level, part, message and extra fields."""
+    """Formats a record as one JSON object: time, level, part, message, trace id and extras."""
     line = {
         "time": record.time.isoformat() + "Z",
         "level": record.level_name,
         "part": record.channel,
         "message": record.message,
     }
+    span = trace.get_current_span().get_span_context()
+    if span.is_valid:
+        line["trace_id"] = trace.format_trace_id(span.trace_id)
     line.update({key: str(value) for key, value in record.extra.items()})
     if record.exc_info:
         line["exception"] = record.formatted_exception
--- a/hornbeamramp/membership.py
+++ b/hornbeamramp/membership.py
@@ -196,7 +196,7 @@
         if beat.vm != self.vm:
             member = self.by_id.get(beat.vm)
             if member is None:
-                log.info("member: {} appeared by heartbeat", beat.vm)
+                log.info("{} appeared by heartbeat", beat.vm)
                 member = Member(beat.vm, beat.data_centre, self._clock.boot_time())
                 self.by_id[beat.vm] = member
             member.heard_at = self._clock.boot_time()
@@ -230,7 +230,7 @@
             if entry is None or msgspec.json.decode(entry.value, type=MemberRecord) != record:
                 raise
         own.lease = lease
-        log.info("member: {} registered under {}", self.vm, lease)
+        log.info("{} registered under {}", self.vm, lease)
 
     async def _watch(self, group: asyncio.TaskGroup) -> None:
         after = 0
@@ -257,7 +257,7 @@
             try:
                 record = msgspec.json.decode(entry.value, type=MemberRecord)
             except msgspec.DecodeError as error:
-                log.error("member: unreadable record {}: {}", entry.key, error)
+                log.error("unreadable record {}: {}", entry.key, error)
                 continue
             present.add(record.vm)
             self._take_record(record)
@@ -276,7 +276,7 @@
         if member is None:
             member = Member(record.vm, record.data_centre, self._clock.boot_time())
             self.by_id[record.vm] = member
-            log.info("member: {} in {} appeared in the store", record.vm, record.data_centre)
+            log.info("{} in {} appeared in the store", record.vm, record.data_centre)
         member.caller_address = record.caller_address
         member.peer_address = record.peer_address
         member.size = record.size
@@ -301,7 +301,7 @@
                 if vm == self.vm or member.lease is not None or self.lease.id is None:
                     continue
                 if now - member.heard_at > FORGET_AFTER:
-                    log.info("member: {} forgotten", vm)
+                    log.info("{} forgotten", vm)
                     del self.by_id[vm]
                     if task := self._task_by_peer.pop(vm, None):
                         task.cancel()
@@ -326,7 +326,7 @@
                 member.revision = max(member.revision, reply.revision)
                 member.leaving = reply.state is MemberState.LEAVING
             except (UnreachableError, ProtocolError) as error:
-                log.debug("member: no heartbeat reply from {}: {}", vm, error.message)
+                log.debug("no heartbeat reply from {}: {}", vm, error.message)
             await self._clock.sleep(sent + interval - self._clock.boot_time())
 
     def _interval_of(self, member: Member) -> timedelta:
@@ -359,5 +359,5 @@
             else:
                 state = MemberState.ALIVE
             if state is not member.state:
-                log.info("member: {} is {}", vm, state.value)
+                log.info("{} is {}", vm, state.value)
                 member.state = state
--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
@@ -290,6 +291,7 @@
         if isinstance(admitted, Err):
             return Err(_refused(job, admitted.err_value))
         record = self.records.create(job)
+        record.enter_queue(self._clock.boot_time())
         self._work.set()
         return Ok(record)
 
@@ -327,7 +329,8 @@
                 self.scheduler.ended(decision.attempt_id, TaskEnd.NOT_STARTED, None)
                 return
             record.upstream_by_attempt[decision.attempt_id] = link.id
-            self._spawn(self._runner.run(decision, link))
+            self._note_queue_time(record)
+            self._spawn(self._runner.run(decision, link, record.context))
         elif isinstance(decision, Stop):
             self._spawn(self._quietly(link.adapter.stop(decision.attempt_id)))
         elif isinstance(decision, Checkpoint):
@@ -352,6 +355,12 @@
         except (UnreachableError, ProtocolError) as error:
             _log.info("{}: {}", error.peer, error.message)
 
+    def _note_queue_time(self, record: JobRecord) -> None:
+        waited = record.leave_queue(self._clock.boot_time())
+        if waited is not None:
+            seconds = waited.total_seconds()
+            self._metrics.queue_time.record(seconds, {"band": record.job.band.name.lower()})
+
     def _on_started(self, attempt_id: AttemptId) -> None:
         self.scheduler.started(attempt_id)
         record = self._record_of(attempt_id)
@@ -418,7 +427,8 @@
             self._events,
         )
         self.link_by_id[upstream_id] = link
-        task = asyncio.get_running_loop().create_task(link.run())
+        # An empty context: the calls of the link belong to no request that is being traced.
+        task = asyncio.get_running_loop().create_task(link.run(), context=contextvars.Context())
         self._task_by_upstream[upstream_id] = task
 
     async def _on_listed(
--- a/hornbeamramp/ownership.py
+++ b/hornbeamramp/ownership.py
@@ -186,7 +186,7 @@
                 async with state.lock:
                     await self._step(state)
             except (StoreUnavailableError, ProtocolError) as error:
-                log.info("owner: {}: {}", shard, error.message)
+                log.info("{}: {}", shard, error.message)
             await self._clock.sleep(TICK)
 
     async def _watch(self) -> None:
@@ -203,7 +203,7 @@
                 try:
                     self._note(ShardId(entry.key.removeprefix(PREFIX)), decode(entry))
                 except ProtocolError as error:
-                    log.error("owner: unreadable record: {}", error.message)
+                    log.error("unreadable record: {}", error.message)
             after = result.revision
             self._synced = True
 
@@ -281,7 +281,7 @@
 
     def _step_down(self, state: ShardState, reason: str) -> None:
         """Stops to own a shard at once; `lost` is called by a task."""
-        log.warning("owner: no longer owner of {}: {}", state.id, reason)
+        log.warning("no longer owner of {}: {}", state.id, reason)
         task = asyncio.ensure_future(self._give_up(state))
         self._losing.add(task)
         task.add_done_callback(self._losing.discard)
@@ -298,13 +298,13 @@
         try:
             await self._lost(shard)
         except Exception:
-            log.exception("owner: the callback for the loss of {} failed", shard)
+            log.exception("the callback for the loss of {} failed", shard)
 
     async def _call_gained(self, shard: ShardId, epoch: Epoch) -> None:
         try:
             await self._gained(shard, epoch)
         except Exception:
-            log.exception("owner: the callback for the gain of {} failed", shard)
+            log.exception("the callback for the gain of {} failed", shard)
 
     # Claiming
 
@@ -351,7 +351,7 @@
             return False
         state.own(claimed.epoch, claimed.record)
         self._proofs.note_fence(state.id, claimed.fenced)
-        log.info("owner: owner of {} with epoch {}", state.id, state.epoch)
+        log.info("owner of {} with epoch {}", state.id, state.epoch)
         state.gaining = asyncio.ensure_future(self._call_gained(state.id, claimed.epoch))
         return True
 
@@ -371,7 +371,7 @@
             async with state.lock:
                 await self._write_release(state, epoch)
         except (StoreUnavailableError, ProtocolError) as error:
-            log.info("owner: release of {} not written: {}", shard, error.message)
+            log.info("release of {} not written: {}", shard, error.message)
 
     async def _write_release(self, state: ShardState, epoch: Epoch) -> None:
         stored = await self._records.read(state.id)
@@ -398,10 +398,10 @@
                     by_vm[vm].peer_address, request, HAND_OVER_TIMEOUT, Step.DRAIN
                 )
             except (UnreachableError, ProtocolError) as error:
-                log.info("owner: {} did not take {}: {}", vm, shard, error.message)
+                log.info("{} did not take {}: {}", vm, shard, error.message)
                 continue
             if reply.accepted:
-                log.info("owner: {} handed over to {}", shard, vm)
+                log.info("{} handed over to {}", shard, vm)
                 return
 
     # Requests of peers
@@ -452,5 +452,5 @@
                     return HandOverReply(state.epoch > request.epoch)
                 return HandOverReply(await self._claim(state, request))
         except (StoreUnavailableError, ProtocolError) as error:
-            log.info("owner: {} not taken over: {}", request.shard, error.message)
+            log.info("{} not taken over: {}", request.shard, error.message)
             return HandOverReply(False)
--- a/hornbeamramp/platforms/http.py
+++ b/hornbeamramp/platforms/http.py
@@ -166,7 +166,8 @@
 
     def _expect(self, reply: HttpReply, status: int, step: Step) -> None:
         if reply.status != status:
-            message = f"status {reply.status} instead of {status}: {reply.body[:200]!r}"
+            # The body is left out: it may repeat a record, and the message is logged.
+            message = f"status {reply.status} instead of {status}"
             raise ProtocolError(step, self._address, message)
 
     def _version(self, reply: HttpReply, step: Step) -> int:
--- a/hornbeamramp/proofs.py
+++ b/hornbeamramp/proofs.py
@@ -129,7 +129,7 @@
                 member.peer_address, request, PROMISE_TIMEOUT, Step.RENEW
             )
         except (UnreachableError, ProtocolError) as error:
-            log.debug("owner: no promise from {}: {}", vm, error.message)
+            log.debug("no promise from {}: {}", vm, error.message)
             return set()
         return set(reply.granted)
 
@@ -146,5 +146,5 @@
                 return False
             return shard not in self._fenced or await self._witness.fence(shard, epoch)
         except SchedulerError as error:
-            log.warning("owner: upstreams of {} not read: {}", shard, error.message)
+            log.warning("upstreams of {} not read: {}", shard, error.message)
             return False
--- a/hornbeamramp/shards.py
+++ b/hornbeamramp/shards.py
@@ -1,6 +1,7 @@
 """The shards that this process owns, and the upstreams as witness for those it may claim."""
 
 import asyncio
+import contextvars
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -87,7 +88,9 @@
             DurableJobs(self._platform, self._clock, shard),
         )
         self.owner_by_shard[shard] = owner
-        self._task_by_shard[shard] = asyncio.get_running_loop().create_task(owner.run())
+        # An empty context: a hand-over is traced, what the new owner does afterwards is not.
+        task = asyncio.get_running_loop().create_task(owner.run(), context=contextvars.Context())
+        self._task_by_shard[shard] = task
         _log.info("{}: serving with epoch {}", shard, epoch)
 
     async def lost(self, shard: ShardId) -> None:
--- a/hornbeamramp/standins/cell.py
+++ b/hornbeamramp/standins/cell.py
@@ -10,6 +10,7 @@
 import re
 import secrets
 import signal
+import ssl
 import sys
 import tempfile
 from pathlib import Path
@@ -90,12 +91,13 @@
 
 
 class EntryHandle:
-    """An entry process of the cell."""
+    """An entry process of the cell. ``scheme`` is that of its listeners."""
 
-    def __init__(self, vm: str, data_centre: str, program: Program) -> None:
+    def __init__(self, vm: str, data_centre: str, program: Program, scheme: str) -> None:
         self.vm = vm
         self.data_centre = data_centre
         self.program = program
+        self.scheme = scheme
         self.callers = 0
         self.peers = 0
         self.admin = 0
@@ -106,7 +108,7 @@
 
     @property
     def url(self) -> str:
-        return f"http://127.0.0.1:{self.callers}"
+        return f"{self.scheme}://127.0.0.1:{self.callers}"
 
 
 class LocalCell:
@@ -121,7 +123,8 @@
     `timing`
         Timing settings of the entry processes, in milliseconds.
     `settings`
-        Further settings of the entry processes, by section.
+        Further settings of the entry processes, by section. With ``tls`` the clients of the cell
+        trust its ``ca_file``.
     """
 
     def __init__(
@@ -141,6 +144,9 @@
         self._entries_per_data_centre = entries_per_data_centre
         self._timing = timing or {}
         self._settings = settings or {}
+        tls = self._settings.get("tls")
+        self._ca_file = None if tls is None else Path(tls["ca_file"])
+        self._trust = None if tls is None else ssl.create_default_context(cafile=tls["ca_file"])
         self._directory = tempfile.TemporaryDirectory(prefix="hornbeamramp-")
         self.path = Path(self._directory.name)
         self.token = secrets.token_hex(16)
@@ -192,8 +198,9 @@
 
     def admin_client(self, entry: EntryHandle | None = None) -> AdminClient:
         """Returns a client of the admin API of an entry process, by default the first."""
-        port = (entry or self.entries[0]).admin
-        return AdminClient(f"http://127.0.0.1:{port}", self.token)
+        entry = entry or self.entries[0]
+        url = f"{entry.scheme}://127.0.0.1:{entry.admin}"
+        return AdminClient(url, self.token, self._ca_file)
 
     async def put_tables(
         self, routes: list[dict[str, Any]], pool_options: dict[str, dict[str, Any]] | None = None
@@ -244,7 +251,7 @@
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         async with self._session.request(
-            method, url, json=body, headers=headers, timeout=timeout
+            method, url, json=body, headers=headers, timeout=timeout, ssl=self._trust or True
         ) as response:
             return response.status, json.loads(await response.read() or b"{}")
 
@@ -311,6 +318,7 @@
         file.write_text(json.dumps(settings))
         arguments = ["hornbeamramp", "serve", "--config", str(file)]
         program = await Program.start(arguments, self.path / f"{vm}.log")
-        entry = EntryHandle(vm, data_centre, program)
+        scheme = "http" if self._trust is None else "https"
+        entry = EntryHandle(vm, data_centre, program, scheme)
         self.entries.append(entry)
         return entry
--- a/hornbeamramp/standins/upstream.py
+++ b/hornbeamramp/standins/upstream.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any, TypeVar
@@ -54,6 +55,7 @@
 
 T = TypeVar("T")
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+KEPT_TRACEPARENTS = 100
 LONGEST_WAIT = timedelta(seconds=60)
 
 
@@ -96,10 +98,12 @@
                 web.get("/v1/usage", self._usage),
                 web.post("/v1/faults", self._set_faults),
                 web.get("/v1/log", self._log),
+                web.get("/v1/traceparents", self._list_traceparents),
             ]
         )
         self._listener = Listener(application, address, cancel_handlers=True)
         self._faults = FaultSwitch()
+        self._traceparents: deque[str] = deque(maxlen=KEPT_TRACEPARENTS)
 
     @property
     def address(self) -> str:
@@ -162,6 +166,8 @@
             labels=body.labels,
             standing=body.standing,
         )
+        if "traceparent" in request.headers:
+            self._traceparents.append(request.headers["traceparent"])
         reply = self.model.start(start, late=self._now_ms() > body.not_after_at_ms)
         return json_response(StartReplyBody(reply), 200 if reply is StartReply.STARTED else 409)
 
@@ -225,6 +231,10 @@
     async def _log(self, request: web.Request) -> web.Response:
         return json_response(self.model.log())
 
+    async def _list_traceparents(self, request: web.Request) -> web.Response:
+        """Returns the W3C trace context of the latest starts."""
+        return json_response(list(self._traceparents))
+
     def _now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
 
--- a/hornbeamramp/upstreams/http.py
+++ b/hornbeamramp/upstreams/http.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote
 
 import msgspec
+from opentelemetry import propagate
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import ProtocolError, UnreachableError
@@ -190,12 +191,15 @@
         check: Callable[[], bool] | None = None,
     ) -> HttpReply:
         sent_ms = self._boot_ms()
+        headers: dict[str, str] = {}
+        propagate.inject(headers)
         try:
-            reply = await self._client.request(method, path, body, wait=wait, check=check)
+            reply = await self._client.request(method, path, body, headers, wait, check)
         except RequestFailedError as error:
             raise UnreachableError(step, self._address, str(error), error.sent) from error
         if reply.status not in accepted:
-            message = f"{method} {path}: status {reply.status}: {reply.body[:200]!r}"
+            # The body is left out: it may repeat the payload, and the message is logged.
+            message = f"{method} {path}: status {reply.status}"
             raise ProtocolError(step, self._address, message)
         self._note_time(reply, sent_ms)
         return reply
--- a/tests/listeners.py
+++ b/tests/listeners.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hornbeamramp.settings import TlsSettings
 from hornbeamramp.standins.cell import EntryHandle, LocalCell
 
 TIMEOUT_S = 30.0
@@ -28,11 +29,12 @@
         return json.loads(self.body)
 
 
-class RunningCell(msgspec.Struct, frozen=True):
+class RunningCell(msgspec.Struct):
     """A started cell and the function that runs coroutines on its event loop."""
 
     cell: LocalCell
     run: Callable[[Coroutine[Any, Any, Any]], Any]
+    tls: TlsSettings | None = None
 
     @property
     def entry(self) -> EntryHandle:
