--- a/hornbeamramp/callbacks.py
+++ b/hornbeamramp/callbacks.py
@@ -41,10 +41,10 @@
         try:
             await self._gained(state.id, epoch)
         except Exception:
-            log.exception("owner: the callback for the gain of {} failed", state.id)
+            log.exception("the callback for the gain of {} failed", state.id)
 
     async def _call_lost(self, shard: ShardId) -> None:
         try:
             await self._lost(shard)
         except Exception:
-            log.exception("owner: the callback for the loss of {} failed", shard)
+            log.exception("the callback for the loss of {} failed", shard)
--- a/hornbeamramp/forwarding.py
+++ b/hornbeamramp/forwarding.py
@@ -6,6 +6,7 @@
 
 import logbook
 import msgspec
+from opentelemetry import trace
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import ProtocolError, UnreachableError
@@ -54,6 +55,7 @@
 }
 
 _log = logbook.Logger("entry")
+_tracer = trace.get_tracer(__name__)
 
 
 class Peers(Protocol):
--- a/hornbeamramp/handover.py
+++ b/hornbeamramp/handover.py
@@ -34,9 +34,9 @@
         try:
             reply = await peers.call(address, request, HAND_OVER_TIMEOUT, Step.DRAIN)
         except (UnreachableError, ProtocolError) as error:
-            log.info("owner: {} did not take {}: {}", vm, shard, error.message)
+            log.info("{} did not take {}: {}", vm, shard, error.message)
             continue
         if reply.accepted:
-            log.info("owner: {} handed over to {}", shard, vm)
+            log.info("{} handed over to {}", shard, vm)
             return vm
     return None
--- a/hornbeamramp/ownership.py
+++ b/hornbeamramp/ownership.py
@@ -179,7 +179,7 @@
                 async with state.lock:
                     await self._step(state)
             except (StoreUnavailableError, ProtocolError) as error:
-                log.info("owner: {}: {}", shard, error.message)
+                log.info("{}: {}", shard, error.message)
             await self._clock.sleep(TICK)
 
     async def _watch(self) -> None:
@@ -196,7 +196,7 @@
                 try:
                     self._note(ShardId(entry.key.removeprefix(PREFIX)), decode(entry))
                 except ProtocolError as error:
-                    log.error("owner: unreadable record: {}", error.message)
+                    log.error("unreadable record: {}", error.message)
             after = result.revision
             self._synced = True
 
@@ -274,7 +274,7 @@
 
     def _step_down(self, state: ShardState, reason: str) -> None:
         """Stops to own a shard at once; `lost` is called by a task."""
-        log.warning("owner: no longer owner of {}: {}", state.id, reason)
+        log.warning("no longer owner of {}: {}", state.id, reason)
         self._give_up(state)
 
     def _give_up(self, state: ShardState) -> asyncio.Task[None]:
@@ -327,7 +327,7 @@
             return False
         state.own(claimed.epoch, claimed.record)
         self._proofs.note_fence(state.id, claimed.fenced)
-        log.info("owner: owner of {} with epoch {}", state.id, state.epoch)
+        log.info("owner of {} with epoch {}", state.id, state.epoch)
         self._callbacks.gain(state)
         return True
 
@@ -347,7 +347,7 @@
             async with state.lock:
                 await self._records.release(shard, epoch)
         except (StoreUnavailableError, ProtocolError) as error:
-            log.info("owner: release of {} not written: {}", shard, error.message)
+            log.info("release of {} not written: {}", shard, error.message)
 
     async def hand_over_all(self) -> None:
         """Releases all shards and tells the best candidate of each. For graceful shutdown."""
@@ -413,5 +413,5 @@
                     return HandOverReply(state.epoch > request.epoch)
                 return HandOverReply(await self._claim(state, request))
         except (StoreUnavailableError, ProtocolError) as error:
-            log.info("owner: {} not taken over: {}", request.shard, error.message)
+            log.info("{} not taken over: {}", request.shard, error.message)
             return HandOverReply(False)
