Add an in-process cell of whole entry processes for fault tests

Cause: guarantees were tested per module only, not over a cell with failures. Change: tests/support has a cell of EntryParts on one manual clock and one memory platform, with faults by pair between peers, per process towards the platform and per link towards simulated workers; processes can be killed, lost, paused and stopped. Conclusion: the cell runs a submit and survives the death of an owner.

--- /dev/null
+++ b/tests/faults/test_process_killed.py
@@ -0,0 +1,31 @@
+"""A process that is killed, at each step of a job."""
+
+import pytest
+
+from hornbeamramp.jobs import Completed
+from tests.support.cell import SECOND, run_cell
+
+
+def test_submit_is_answered():
+    """Guards against a cell that loses a plain submit without any fault."""
+
+    async def scenario(cell):
+        call = cell.vm["gebze-0"].submit(cell.job())
+        assert isinstance(await cell.outcome(call), Completed)
+
+    run_cell(scenario)
+
+
+@pytest.mark.fault(fault="process killed", step="run")
+def test_job_of_killed_owner_is_answered_without_two_attempts_at_once():
+    """Guards against a job that is lost, or runs twice at a time, when its owner dies."""
+
+    async def scenario(cell):
+        owner = cell.owner_in("gebze")
+        call = cell.other_vm(owner).submit(cell.job(run=20 * SECOND))
+        await cell.advance(2 * SECOND)
+        owner.kill()
+        outcome = await cell.outcome(call)
+        assert isinstance(outcome, Completed), outcome
+
+    run_cell(scenario)
--- /dev/null
+++ b/tests/support/runtime.py
@@ -0,0 +1,154 @@
+"""Time and tasks of a simulated cell: the process a task belongs to, and exact settling."""
+
+import asyncio
+import contextvars
+from collections.abc import Coroutine
+from datetime import timedelta
+from typing import Any
+
+from hornbeamramp.clock import ManualClock
+from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.platforms.memory import MemoryPlatform
+from hornbeamramp.states import Step
+from tests.cell import Pause, ProcessClock
+
+__all__ = [
+    "SECOND",
+    "CellClock",
+    "CellPlatform",
+    "Pause",
+    "ProcessClock",
+    "StoreView",
+    "TaskGroupOfVm",
+    "spawn_outside",
+]
+
+SECOND = timedelta(seconds=1)
+STORE_TIMEOUT = timedelta(seconds=2)
+SETTLE_LIMIT = 100_000
+
+_group: contextvars.ContextVar["TaskGroupOfVm | None"] = contextvars.ContextVar(
+    "group", default=None
+)
+
+
+class TaskGroupOfVm:
+    """All tasks of one process, found through the context that tasks inherit."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[asyncio.Task[Any], None] = {}
+        self._context = contextvars.copy_context()
+        self._context.run(_group.set, self)
+
+    @staticmethod
+    def install() -> None:
+        """Makes the running loop assign each new task to the group of its context."""
+
+        def factory(loop, coroutine, context=None):
+            task = asyncio.Task(coroutine, loop=loop, context=context)
+            group = (context or contextvars.copy_context()).get(_group)
+            if group is not None:
+                group._tasks[task] = None
+                task.add_done_callback(lambda done: group._tasks.pop(done, None))
+            return task
+
+        asyncio.get_running_loop().set_task_factory(factory)
+
+    def run(self, function, *arguments):
+        """Calls ``function`` so that tasks it creates belong to this group."""
+        return self._context.run(function, *arguments)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        return self.run(asyncio.get_running_loop().create_task, coroutine)
+
+    def cancel(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+
+
+def spawn_outside(coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+    """Starts a task that belongs to no process, such as a message under way."""
+    return asyncio.get_running_loop().create_task(coroutine, context=contextvars.Context())
+
+
+class CellClock(ManualClock):
+    """Manual clock that lets the loop run until nothing is left to do at the present time."""
+
+    @staticmethod
+    async def _settle() -> None:
+        ready = asyncio.get_running_loop()._ready
+        for _ in range(SETTLE_LIMIT):
+            await asyncio.sleep(0)
+            if not ready:
+                return
+        raise AssertionError("tasks keep running without waiting for time to pass")
+
+
+class CellPlatform(MemoryPlatform):
+    """Platform whose watches wake for changes and ends of leases only, not every 100 ms."""
+
+    async def _wait_for_change(self, longest: timedelta) -> None:
+        ends = [end - self._clock.boot_time() for end in self._ends_at_by_lease.values()]
+        step = max(min([longest, *ends]), timedelta(milliseconds=1))
+        change = asyncio.ensure_future(self._changed.wait())
+        pause = asyncio.ensure_future(self._clock.sleep(step))
+        _, pending = await asyncio.wait({change, pause}, return_when=asyncio.FIRST_COMPLETED)
+        for task in pending:
+            task.cancel()
+
+
+class StoreView:
+    """The platform as one process reaches it.
+
+    `cut`
+        Calls get no answer and have no effect.
+    `answers_to_lose`
+        Number of the next calls that take effect and get no answer.
+    `delay`
+        Time until a call takes effect, even if the process has given up by then.
+    """
+
+    def __init__(self, platform: MemoryPlatform, clock: ManualClock, pause: Pause) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._pause = pause
+        self.cut = False
+        self.answers_to_lose = 0
+        self.delay = timedelta(0)
+
+    def is_healthy(self) -> bool:
+        return not self.cut and not self.answers_to_lose and not self.delay
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            try:
+                return await self._answer(name, arguments)
+            finally:
+                await self._pause.passed()
+
+        return call
+
+    async def _answer(self, name: str, arguments: tuple) -> Any:
+        limit = STORE_TIMEOUT + (arguments[2] if name == "watch" else timedelta(0))
+        effect = spawn_outside(self._take_effect(name, arguments))
+        expiry = asyncio.ensure_future(self._clock.sleep(limit))
+        await asyncio.wait({effect, expiry}, return_when=asyncio.FIRST_COMPLETED)
+        expiry.cancel()
+        lost = self.cut or self.answers_to_lose > 0
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+        if effect.done() and not lost:
+            return effect.result()
+        effect.add_done_callback(lambda task: task.cancelled() or task.exception())
+        if effect.done():
+            await self._clock.sleep(STORE_TIMEOUT)
+        elif name in ("watch", "get", "list_prefix"):
+            effect.cancel()
+        raise StoreUnavailableError(Step.RENEW, "store", f"{name}: no answer")
+
+    async def _take_effect(self, name: str, arguments: tuple) -> Any:
+        if self.cut:
+            raise StoreUnavailableError(Step.RENEW, "store", f"{name}: cut off", sent=False)
+        if self.delay:
+            await self._clock.sleep(self.delay)
+        return await getattr(self._platform, name)(*arguments)
