--- a/tests/support/cell.py
+++ b/tests/support/cell.py
@@ -15,9 +15,11 @@
 from hornbeamramp.ids import ChangeId, JobId, PoolName, RouteName, ShardId, TeamId
 from hornbeamramp.jobs import BatchJob, GangJob, Job, ServiceJob
 from hornbeamramp.platforms import ListedVm
+from hornbeamramp.platforms.memory import StoreMode
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import Band, JobKind
 from hornbeamramp.tables import Pool, PoolUpstream, Route
+from tests.support.checker import GuaranteeChecker
 from tests.support.network import PeerNetwork
 from tests.support.runtime import SECOND, CellClock, CellPlatform, TaskGroupOfVm
 from tests.support.vm import Call, Vm
@@ -67,7 +69,7 @@
         self.names = [(f"{dc}-{i}", dc) for dc in data_centres for i in range(vm_count)]
         self.vm: dict[str, Vm] = {}
         self.calls: list[Call] = []
-        self.checks: list[Callable[[], None]] = []
+        self.checker = GuaranteeChecker(self)
         self._payloads = itertools.count(1)
         self._changes = itertools.count(1)
 
@@ -150,24 +152,35 @@
             **fields,
         )
 
+    def begin_proposal(self, vm: Vm, table: str, name: str, row, if_match=None) -> asyncio.Task:
+        """Proposes a change at a VM; the checker learns of its acceptance."""
+        change_id = ChangeId(f"change-{next(self._changes)}")
+        proposal = vm.parts.configuration.propose(table, name, row, if_match, change_id)
+
+        def note(task: asyncio.Task) -> None:
+            if not task.cancelled() and task.exception() is None and task.result().is_ok():
+                self.checker.note_accepted(task.result().ok_value.revision)
+
+        task = vm.tasks.spawn(proposal)
+        task.add_done_callback(note)
+        return task
+
     async def propose(self, vm: Vm, table: str, name: str, row, if_match=None) -> Any:
         """Proposes a change at a VM and returns the result."""
-        change_id = ChangeId(f"change-{next(self._changes)}")
-        task = vm.tasks.spawn(vm.parts.configuration.propose(table, name, row, if_match, change_id))
-        for _ in range(600):
-            if task.done():
-                break
-            await self.advance(SECOND / 10)
+        task = self.begin_proposal(vm, table, name, row, if_match)
+        await self.wait_for(task.done, 60 * SECOND)
         return task.result()
 
+    def platform_is_well(self) -> bool:
+        return self.platform.mode is StoreMode.UP and not self.platform.answers_to_lose
+
     async def advance(self, duration: timedelta, step: timedelta = SECOND / 2) -> None:
         """Advances the clock and runs the checks after each step."""
         left = duration
         while left > timedelta(0):
             await self.clock.advance(min(step, left))
             left -= step
-            for check in self.checks:
-                check()
+            self.checker.check()
 
     async def wait_for(self, condition: Callable[[], Any], limit: timedelta) -> None:
         """Advances until the condition holds. Fails after ``limit``."""
@@ -187,6 +200,7 @@
         for vm in self.running():
             vm.heal()
             vm.pause.resume()
+        self.platform.mode = StoreMode.UP
 
     async def end(self) -> None:
         others = asyncio.all_tasks() - {asyncio.current_task()}
--- a/tests/support/vm.py
+++ b/tests/support/vm.py
@@ -67,6 +67,7 @@
         self.pause = Pause()
         self.is_running = True
         self.is_lost = False
+        self.was_killed = False
         self.listens_to_peers = True
         self.tasks = TaskGroupOfVm()
         self.calls: list[Call] = []
@@ -117,6 +118,7 @@
     def kill(self, lost: bool = False) -> None:
         """Ends the process at once; with ``lost`` the whole VM, so that its address is silent."""
         self.is_running = False
+        self.was_killed = True
         self.listens_to_peers = False
         self.is_lost = lost
         self.pause.resume()
