--- a/hornbeamramp/attempt_ends.py
+++ b/hornbeamramp/attempt_ends.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from hornbeamramp.deadlines import Deadlines
 from hornbeamramp.decisions import Ended, Stop, TaskEnd
 from hornbeamramp.dispatcher import Dispatcher
 from hornbeamramp.estimates import Estimates
@@ -38,6 +39,7 @@
         estimates: Estimates,
         pool: UpstreamPool,
         dispatcher: Dispatcher,
+        deadlines: Deadlines,
     ) -> None:
         self._tasks = tasks
         self._shares = shares
@@ -45,6 +47,7 @@
         self._estimates = estimates
         self._pool = pool
         self._dispatcher = dispatcher
+        self._deadlines = deadlines
         self.at_fault: deque[JobId] = deque(maxlen=100)
 
     def end(self, attempt: Attempt, end: TaskEnd, usage: Resources | None, now: float) -> Ended:
@@ -115,6 +118,7 @@
         """Forgets a job that has ended."""
         if self._tasks.job_by_id.pop(state.job.id, None) is not None:
             state.flow.states -= 1
+        self._deadlines.discard(state)
         self._pool.health.forget_job(state.job.id)
 
     def _learn(self, attempt: Attempt, end: TaskEnd, usage: Resources | None, now: float) -> None:
--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -1,6 +1,5 @@
 """Turns queued jobs into starts: placement, gangs' reservations, backfill, preemption, probes."""
 
-import heapq
 from collections import deque
 from datetime import timedelta
 
@@ -19,10 +18,10 @@
 from hornbeamramp.preemption import plan_tasks
 from hornbeamramp.reservations import expected_room
 from hornbeamramp.resources import Resources
+from hornbeamramp.retries import DelayedRetries
 from hornbeamramp.shares import ShareBook
 from hornbeamramp.states import Band
 from hornbeamramp.task_table import Attempt, JobState, TaskTable
-from hornbeamramp.upstream_health import RetryBudget
 from hornbeamramp.upstream_pool import UpstreamPool
 
 __all__ = ["Dispatcher"]
@@ -37,8 +36,6 @@
 # Lanes put in order again for each second that passed, and at most with each call.
 REFRESHED_LANES = 500.0
 MOST_REFRESHED_LANES = 64
-# Retries that are due but for which there is no budget are tried again after this many seconds.
-BUDGET_WAIT = 0.5
 
 
 class Dispatcher:
@@ -61,10 +58,8 @@
         self._queue = queue
         self._shares = shares
         self._policy = policy
-        self._budget = RetryBudget()
+        self._retries = DelayedRetries()
         self._outbox: deque[tuple[Decision, Attempt]] = deque()
-        self._delayed: list[tuple[float, int, JobState, int, bool]] = []
-        self._sequence = 0
         self._refreshed_at = 0.0
         self._reserve_after: dict[JobState, float] = {}
         # Jobs found to be past their deadline when their turn came.
@@ -72,7 +67,8 @@
 
     def decide(self, limit: int, now: float) -> list[Decision]:
         """Returns at most ``limit`` actions."""
-        self._release_delayed(now)
+        for state, task in self._retries.take_due(now):
+            self.requeue(state, [task])
         for hold in self._holds.expired(now):
             self._give_up(hold, now)
         if self._policy.fair:
@@ -118,12 +114,8 @@
 
     def retry(self, state: JobState, task: int, due: float, budgeted: bool, now: float) -> None:
         """Queues a task again at ``due``; a budgeted retry waits for the retry budget too."""
-        if due <= now and self._budget.take(now):
+        if self._retries.add(state, task, due, budgeted, now):
             self.requeue(state, [task])
-            return
-        state.delayed += 1
-        self._sequence += 1
-        heapq.heappush(self._delayed, (due, self._sequence, state, task, budgeted))
 
     def requeue(self, state: JobState, tasks: list[int]) -> None:
         """Queues tasks again. An idempotent gang is queued once all its attempts have ended."""
@@ -155,7 +147,7 @@
     def waiting_elsewhere(self) -> set[JobState]:
         """Returns jobs without an attempt that wait in a hold or for a retry."""
         states = {hold.state for hold in self._holds.all}
-        states.update(entry[2] for entry in self._delayed)
+        states.update(self._retries.states())
         return {s for s in states if s.lane is None and not s.live and not s.cancelled}
 
     # One step
@@ -166,18 +158,6 @@
         # An attempt that ends before its start was returned is recalled, not stopped.
         return attempt.emitted or isinstance(decision, Start)
 
-    def _release_delayed(self, now: float) -> None:
-        delayed = self._delayed
-        while delayed and delayed[0][0] <= now:
-            _, sequence, state, task, budgeted = heapq.heappop(delayed)
-            if state.cancelled or state.failed:
-                continue
-            if budgeted and not self._budget.take(now):
-                heapq.heappush(delayed, (now + BUDGET_WAIT, sequence, state, task, budgeted))
-                continue
-            state.delayed -= 1
-            self.requeue(state, [task])
-
     def _unpark(self) -> None:
         view = self._index.by_speed
         most = [-1, -1, -1, -1, -1]
@@ -210,7 +190,7 @@
             return True
         return not state.standing and any(hold.gang for hold in self._holds.all)
 
-    def _serve(self, state: JobState, first_tier: bool, now: float) -> None:
+    def _serve(self, state: JobState, first_tier: bool, guaranteed: bool, now: float) -> None:
         """Starts a task of the job or has the queue skip it until something changes."""
         if state.is_late(now):
             self._queue.cancel(state)
@@ -243,7 +223,8 @@
         if chosen is None:
             self._queue.park(state)
             return
-        self._start_all(state, self._take_tasks(state, count), chosen, now)
+        for attempt in self._start_all(state, self._take_tasks(state, count), chosen, now):
+            attempt.guaranteed = guaranteed
 
     def _start_all(
         self, state: JobState, tasks: list[int], chosen: list[UpstreamId], now: float
@@ -274,7 +255,7 @@
         self._shares.take(flow, amount, now)
         self._queue.charge(job.band, self._shares.share_of(amount) * state.run)
         if self._tasks.attempts(state, attempt.task) == 1:
-            self._budget.earn()
+            self._retries.budget.earn()
         if isinstance(job, GangJob):
             flow.gang_tasks += 1
         run = timedelta(seconds=attempt.run)
--- a/hornbeamramp/job_queue.py
+++ b/hornbeamramp/job_queue.py
@@ -117,8 +117,10 @@
         now: float,
         may_start: Callable[[JobState], bool],
         may_fit: Callable[[JobState, bool], bool],
-    ) -> tuple[JobState, bool] | None:
-        """Returns the job to be served next, without removing it, and whether it is first tier.
+    ) -> tuple[JobState, bool, bool] | None:
+        """Returns the job to be served next, without removing it.
+
+        Also returns whether it is first tier, and whether it is served for its band's guarantee.
 
         `may_start`
             Tells whether a second-tier job leaves enough headroom for others.
@@ -130,14 +132,14 @@
             group.heap[0] for band in Band for group in self._ready[band].values() if group.heap
         ]
         best = self._best_of(tops, now, may_start, may_fit)
-        if best is None or not self._fair:
-            return best
+        if not self._fair:
+            return best and (*best, False)
         for band in GUARANTEED_SHARE:
-            if band > best[0].job.band and self._credit.may_be_owed(band):
-                owed = self._owed(band, now, may_start, may_fit)
+            if (best is None or band > best[0].job.band) and self._credit.may_be_owed(band):
+                owed = self._owed(band, now, may_fit)
                 if owed is not None:
-                    return owed
-        return best
+                    return (*owed, True)
+        return best and (*best, False)
 
     def charge(self, band: Band, work: float) -> None:
         """Notes work started, in seconds of the whole pool, towards the guaranteed shares."""
@@ -384,17 +386,15 @@
         return None
 
     def _owed(
-        self,
-        band: Band,
-        now: float,
-        may_start: Callable[[JobState], bool],
-        may_fit: Callable[[JobState, bool], bool],
+        self, band: Band, now: float, may_fit: Callable[[JobState, bool], bool]
     ) -> tuple[JobState, bool] | None:
-        """Returns the first job of a band that has earned its start by its guaranteed share."""
+        """Returns the first job of a band that has earned its start by its guaranteed share.
+
+        What it has earned is not subject to headroom, or claims of others could shut it out.
+        """
         tops = [group.heap[0] for group in self._ready[band].values() if group.heap]
-        best = self._best_of(tops, now, may_start, may_fit)
+        best = self._best_of(tops, now, lambda _: True, may_fit)
         if best is None:
             return None
-        state = best[0]
-        cost = self._shares.share_of(state.amount) * state.run
+        cost = self._shares.share_of(best[0].amount) * best[0].run
         return best if self._credit.covers(band, cost) else None
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -10,6 +10,7 @@
 from hornbeamramp.admission import DEFAULT_QUEUE_BOUND, Admission
 from hornbeamramp.attempt_ends import AttemptEnds
 from hornbeamramp.clock import Clock
+from hornbeamramp.deadlines import Deadlines
 from hornbeamramp.decisions import (
     Admitted,
     Cancellation,
@@ -83,6 +84,7 @@
         self._dispatcher = Dispatcher(
             self._upstreams, self._tasks, self._queue, self._shares, policy
         )
+        self._deadlines = Deadlines()
         self._ends = AttemptEnds(
             self._tasks,
             self._shares,
@@ -90,10 +92,10 @@
             self._estimates,
             self._upstreams,
             self._dispatcher,
+            self._deadlines,
         )
         self._unknown: dict[AttemptId, Reservation] = {}
         self._unknown_ends: list[tuple[float, AttemptId]] = []
-        self._deadlines: list[tuple[float, int, JobState]] = []
         self._sequence = 0
         self._prune_at = PRUNE_INTERVAL
         self._refused: Counter[RefusalReason] = Counter()
@@ -194,8 +196,7 @@
             return admitted
         self._know(state)
         self._queue.push(state)
-        if state.deadline is not None:
-            heapq.heappush(self._deadlines, (state.deadline, state.sequence, state))
+        self._deadlines.add(state)
         return admitted
 
     def cancel(self, job_id: JobId) -> Cancellation:
@@ -224,8 +225,7 @@
         """
         now = self._now()
         late = self._dispatcher.late
-        while self._deadlines and self._deadlines[0][0] <= now:
-            late.append(heapq.heappop(self._deadlines)[2])
+        late.extend(self._deadlines.take_due(now))
         gone = []
         for state in late:
             known = self._tasks.job_by_id.get(state.job.id) is state
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -17,6 +17,11 @@
 # Seconds over which demand is learned; a flood that lasts as long as this does not push out what
 # was learned before, because flows that are served keep their demand current.
 DEMAND_TIME = 300.0
+# Seconds over which the demand of a flow is forgotten that has nothing queued and nothing in use.
+# Steady work is rarely idle for long, and room kept for work that has ended is wasted.
+IDLE_TIME = 30.0
+# Part of its fair share that a flow may use whatever others are learned to need.
+UNCLAIMED_PART = 0.5
 
 
 class ShareBook:
@@ -30,6 +35,8 @@
         self._share_by_amount: dict[Vector, float] = {}
         self._number = 0
         self._since = now
+        # Sum of the weights of all accounts.
+        self._weights = 0.0
         self._host = DemandSum()
         self._excess = 0.0
         self._accelerators = DemandSum()
@@ -75,6 +82,7 @@
         if account is None:
             account = self.account_by_key[(band, team)] = Account(band, team, weight, team_use, now)
             team_use.accounts.append(account)
+            self._weights += weight
         self._number += 1
         flow = self.flow_by_key[(band, team, route)] = Flow(account, route, self._number, now)
         return flow
@@ -97,6 +105,7 @@
         if elapsed <= 0:
             return
         flow.updated = now
+        idle = not flow.share and not flow.jobs
         growing = flow.host.share > flow.host.mean or (
             flow.accelerators.share > flow.accelerators.mean
         )
@@ -104,7 +113,8 @@
             return
         # A plain average while the scheduler is young, so that demand is learned within seconds
         # after a take-over. A flow that appears later earns its claim slowly, or a flood would.
-        weight = elapsed / (min(DEMAND_TIME, now - self._since) + elapsed)
+        time = IDLE_TIME if idle else DEMAND_TIME
+        weight = elapsed / (min(time, now - self._since) + elapsed)
         self._host.learn(flow.host, weight)
         self._host.recap(flow.host)
         if flow.accelerators.share or flow.accelerators.mean:
@@ -136,14 +146,24 @@
         return own.share + amount[2] / (self.total[2] or 1) <= claim + TOLERANCE
 
     def leaves_headroom(self, flow: Flow, amount: Vector) -> bool:
-        """Tells whether the others' learned demand still fits after one more task."""
+        """Tells whether the others' learned demand still fits after one more task.
+
+        Half its fair share is open to each flow, or idle claims could shut it out.
+        """
+        if not flow.share:
+            return True
+        fair = flow.account.weight / max(self._weights, flow.account.weight)
+        if flow.share + self.share_of(amount) <= UNCLAIMED_PART * fair:
+            return True
+        # Headroom is kept in whole tasks, rounded to the nearest.
         left, total = 1.0, self.total
+        slack = self._host_share(amount) / 2 + TOLERANCE
         for i in (0, 1, 3, 4):
             if amount[i]:
                 part = (self.free[i] - amount[i]) / (total[i] or 1)
                 if part < left:
                     left = part
-        if left + TOLERANCE < self._host.headroom(flow.host):
+        if left + slack < self._host.headroom(flow.host):
             return False
         if not amount[2]:
             return True
@@ -185,6 +205,7 @@
                 account.team_use.accounts.remove(account)
                 if not account.team_use.accounts:
                     del self.use_by_team[account.team]
+        self._weights = sum(account.weight for account in self.account_by_key.values())
         self._sum_up()
 
     def _change(self, flow: Flow, amount: Vector, sign: int, now: float) -> None:
--- a/hornbeamramp/task_table.py
+++ b/hornbeamramp/task_table.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "counted",
         "emitted",
+        "guaranteed",
         "id",
         "limited_at",
         "limited_to",
@@ -62,6 +63,8 @@
         self.emitted = False
         # Whether the end of the attempt was ordered.
         self.stopping = False
+        # Whether it was started for the guaranteed share of its band.
+        self.guaranteed = False
         # Whether its end was ordered but is not reported in time.
         self.overdue = False
         # Size to which the attempt was ordered to throttle, and when.
@@ -86,8 +89,11 @@
         return now + (self.run - elapsed if self.run > elapsed else max(elapsed * 0.5, 0.1))
 
     def preemptible(self) -> bool:
-        """Tells whether the attempt may be stopped for urgent work."""
-        return not self.stopping and self.state.preemptible
+        """Tells whether the attempt may be stopped for urgent work.
+
+        Work of a guaranteed share is spared, or urgent work would take the share back.
+        """
+        return not (self.stopping or self.guaranteed) and self.state.preemptible
 
     def limitable(self) -> bool:
         """Tells whether the attempt may be throttled for urgent work."""
--- a/hornbeamramp/upstream_health.py
+++ b/hornbeamramp/upstream_health.py
@@ -1,10 +1,10 @@
-"""Health of upstreams: failure scores, quarantine, probes, faulty jobs and the retry budget."""
+"""Health of upstreams: failure scores, quarantine, probes and faulty jobs."""
 
 from collections import OrderedDict
 
 from hornbeamramp.ids import JobId, UpstreamId
 
-__all__ = ["RetryBudget", "UpstreamHealth"]
+__all__ = ["UpstreamHealth"]
 
 # Largest share of a pool in quarantine.
 QUARANTINE_SHARE = 0.2
@@ -213,35 +213,3 @@
 
 def _rate(record: _Record) -> float:
     return max(record.failures, 0.0) / record.ends if record.ends > 0 else 0.0
-
-
-class RetryBudget:
-    """Token bucket that bounds retries to a share of starts.
-
-    `share`
-        Tokens earned with each first attempt.
-    `floor`
-        Tokens earned per second, so that retries go on when nothing new is submitted.
-    `burst`
-        Most tokens kept. A rack of upstreams that fails at once stays below it.
-    """
-
-    def __init__(self, share: float = 0.2, floor: float = 1.0, burst: float = 100.0) -> None:
-        self._share = share
-        self._floor = floor
-        self._burst = burst
-        self._tokens = burst
-        self._updated = 0.0
-
-    def earn(self) -> None:
-        """Notes a first attempt."""
-        self._tokens = min(self._tokens + self._share, self._burst)
-
-    def take(self, now: float) -> bool:
-        """Takes a token for one retry; false if there is none. ``now`` is in seconds."""
-        self._tokens = min(self._tokens + (now - self._updated) * self._floor, self._burst)
-        self._updated = now
-        if self._tokens < 1.0 - 1e-9:
-            return False
-        self._tokens -= 1.0
-        return True
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,79 @@
+"""Tests of waiting times while one kind of work arrives far in excess of the capacity."""
+
+import pytest
+
+from hornbeamramp.states import Band
+from tests.simulation import Kind, Simulation, usual_kinds
+
+FLOOD_START = 60.0
+FLOOD_END = 66.0
+SLOTS = 160
+# Calls are taken together for a millisecond in the simulation.
+TICK = 0.001
+
+
+@pytest.fixture(scope="module")
+def usual():
+    return Simulation(usual_kinds()).run(FLOOD_END)
+
+
+def flooded(name, factor, team=None):
+    """Runs the usual kinds with a flood of one of them, by its own team or another."""
+    kinds = usual_kinds()
+    kind = next(kind for kind in kinds if kind.name == name)
+    flood = Kind(
+        name if team is None else "flood",
+        team or kind.team,
+        kind.band,
+        factor * SLOTS / kind.run,
+        kind.run,
+        idempotent=kind.idempotent,
+        start=FLOOD_START,
+        end=FLOOD_END,
+    )
+    return Simulation([*kinds, flood]).run(FLOOD_END)
+
+
+@pytest.mark.parametrize(
+    ("name", "factor", "team"),
+    [
+        ("sort", 10, None),
+        ("sort", 100, None),
+        ("settlement", 10, None),
+        ("settlement", 100, "flooder"),
+        ("reconciler", 10, "flooder"),
+        ("ticket", 10, None),
+        ("quote", 10, "flooder"),
+    ],
+)
+def test_other_kinds_keep_their_waiting_time_in_a_flood(usual, name, factor, team):
+    """Covers floods of long tasks that may not be stopped and of the most urgent work."""
+    flood = flooded(name, factor, team)
+    for kind in usual_kinds():
+        if kind.name == name and team is None:
+            continue
+        assert not flood.refused[kind.name]
+        expected = usual.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+        wait = flood.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+        assert wait <= expected * 1.05 + TICK, kind.name
+
+
+def test_a_flood_still_gets_the_room_that_others_do_not_need():
+    flood = flooded("sort", 10, "flooder")
+    assert len(flood.waits["flood"]) > 60
+
+
+def test_a_lone_team_gets_the_whole_pool():
+    """Guards against headroom for work that does not exist."""
+    kinds = [Kind("only", "team", Band.BULK, 400.0, 1.0)]
+    simulation = Simulation(kinds).run(10.0)
+    assert simulation.scheduler.snapshot().running == SLOTS
+
+
+def test_room_of_work_that_has_ended_is_given_to_others():
+    kinds = [
+        Kind("morning", "a", Band.NORMAL, 200.0, 1.0, end=30.0),
+        Kind("evening", "b", Band.NORMAL, 200.0, 1.0, start=40.0),
+    ]
+    simulation = Simulation(kinds).run(120.0)
+    assert simulation.scheduler.snapshot().running >= SLOTS * 0.95
