--- a/hornbeamramp/flows.py
+++ b/hornbeamramp/flows.py
@@ -117,6 +117,7 @@
     __slots__ = (
         "account",
         "accelerators",
+        "active_at",
         "excess",
         "gang_tasks",
         "host",
@@ -143,6 +144,7 @@
         self.host = Demand()
         self.accelerators = Demand()
         self.updated = now
+        self.active_at = now
         self.lanes: dict = {}
         # Share of tasks that were ordered to end, and what is in use beyond the claim apart from
         # them, for bands that may be preempted.
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -233,6 +233,9 @@
                 self._dispatcher.drop(state)
                 self._ends.forget(state)
                 gone.append(state.job.id)
+            elif known:
+                # A task that had room kept for it has started since: the job goes on.
+                self._dispatcher.requeue(state, [])
         late.clear()
         return gone
 
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -5,6 +5,8 @@
 share.
 """
 
+from math import exp
+
 from hornbeamramp.demand import DemandSum
 from hornbeamramp.flows import BURST_SHARE, LEAST_SHARE, TOLERANCE, Account, Flow, TeamUse
 from hornbeamramp.ids import RouteName, TeamId
@@ -17,9 +19,11 @@
 # Seconds over which demand is learned; a flood that lasts as long as this does not push out what
 # was learned before, because flows that are served keep their demand current.
 DEMAND_TIME = 300.0
-# Seconds over which the demand of a flow is forgotten that has nothing queued and nothing in use.
-# Steady work is rarely idle for long, and room kept for work that has ended is wasted.
-IDLE_TIME = 30.0
+# A flow that has nothing queued and nothing in use for so many seconds has ended: its demand is
+# forgotten over ``IDLE_TIME`` seconds, because room kept for it is wasted. Steady work is rarely
+# idle for as long.
+IDLE_AFTER = 20.0
+IDLE_TIME = 10.0
 # Part of its fair share that a flow may use whatever others are learned to need.
 UNCLAIMED_PART = 0.5
 
@@ -105,7 +109,9 @@
         if elapsed <= 0:
             return
         flow.updated = now
-        idle = not flow.share and not flow.jobs
+        if flow.share or flow.jobs:
+            flow.active_at = now
+        idle = now - flow.active_at > IDLE_AFTER
         growing = flow.host.share > flow.host.mean or (
             flow.accelerators.share > flow.accelerators.mean
         )
@@ -113,8 +119,10 @@
             return
         # A plain average while the scheduler is young, so that demand is learned within seconds
         # after a take-over. A flow that appears later earns its claim slowly, or a flood would.
-        time = IDLE_TIME if idle else DEMAND_TIME
-        weight = elapsed / (min(time, now - self._since) + elapsed)
+        if idle:
+            weight = 1.0 - exp(-elapsed / IDLE_TIME)
+        else:
+            weight = elapsed / (min(DEMAND_TIME, now - self._since) + elapsed)
         self._host.learn(flow.host, weight)
         self._host.recap(flow.host)
         if flow.accelerators.share or flow.accelerators.mean:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -131,3 +131,19 @@
     scheduler.submit(make_job("other", band=Band.NORMAL))
     finish(scheduler, by_id[action.attempt_id], TaskEnd.STOPPED)
     assert [start.job.id for start in starts(scheduler.decide(10))] == ["other"]
+
+
+def test_a_job_past_its_deadline_goes_on_if_one_of_its_tasks_got_room(clock):
+    """Guards against a job that left the queue as late, ran after all and was then forgotten."""
+    scheduler = make_scheduler(clock, 1)
+    first, *_ = fill(scheduler, 4)
+    scheduler.submit(make_job("urgent", band=Band.URGENT, tasks=6, deadline=5.0))
+    scheduler.decide(100)
+    advance(clock, 6.0)
+    scheduler.decide(100)
+    finish(scheduler, first, TaskEnd.STOPPED)
+    (start,) = starts(scheduler.decide(100))
+    assert start.job.id == "urgent"
+    assert scheduler.expire() == []
+    assert finish(scheduler, start) is Ended.TASK_DONE
+    assert {start.job.id for start in starts(scheduler.decide(100))} == {"urgent"}
