--- a/tests/test_configuration_properties.py
+++ b/tests/test_configuration_properties.py
@@ -25,6 +25,7 @@
         st.tuples(st.just("propose"), member, row, st.booleans(), st.booleans()),
         st.tuples(st.just("propose"), member, row, st.just(False), st.booleans()),
         st.tuples(st.just("fork"), member, row, member, row, st.booleans()),
+        st.tuples(st.just("lose_and_fail"), member, row, st.sampled_from([0, 0.15, 4])),
         st.tuples(st.just("up")),
         st.tuples(st.just("advance"), st.sampled_from([0, 0.05, 1, 4])),
         st.tuples(st.just("mode"), st.sampled_from(list(StoreMode))),
@@ -122,6 +123,13 @@
                 self.propose(self.members[index], *key, delete)
                 # Without the wait the proposal overlaps with the next steps.
                 await (self.clock.advance(timedelta(0)) if settle else asyncio.sleep(0))
+            case "lose_and_fail", (index, key, seconds):
+                self.heal()
+                self.store.answers_to_lose = 1
+                self.propose(self.members[index], *key, False)
+                await self.clock.advance(timedelta(0))
+                self.store.mode = StoreMode.DOWN
+                await self.clock.advance(timedelta(seconds=seconds))
             case "up", ():
                 self.heal()
                 await self.clock.advance(timedelta(seconds=2))
