--- a/hornbeamramp/configuration.py
+++ b/hornbeamramp/configuration.py
@@ -269,9 +269,15 @@
         for _ in range(CONFLICT_ATTEMPTS):
             head = ConfigHead() if entry is None else decode_head(entry)
             version = None if entry is None else entry.version
-            stored = await self._records.load(head, self._state)
-            target, dropped = stored, []
-            for known in (self._state, *self._unmerged):
+            try:
+                stored = await self._records.load(head, self._state)
+            except ProtocolError:
+                if self._state.order <= (head.revision, head.digest):
+                    raise
+                # A store restored in part lacks a snapshot; this member has a later revision.
+                head, stored = ConfigHead(), ConfigState()
+            target, dropped, unmerged = stored, [], list(self._unmerged)
+            for known in (self._state, *unmerged):
                 merged = merge(target, known)
                 target = merged.state
                 dropped += merged.dropped
@@ -289,7 +295,8 @@
                     entry = await self._platform.get(HEAD_KEY)
                     continue
                 head = new_head
-            self._unmerged.clear()
+            # A reply of a peer may have added others in the meantime.
+            self._unmerged = [known for known in self._unmerged if known not in unmerged]
             self._report_dropped(dropped)
             self._adopt(target)
             return _Stored(head, target, version)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -229,6 +229,39 @@
     run(scenario())
 
 
+def test_missing_snapshot_is_replaced_by_a_member_with_a_later_revision(store, clock, members, run):
+    # Guards against members that can never again read the tables from a store restored in part.
+    async def scenario():
+        first, second, _ = members
+        await fill(first, 600)
+        saved = [entry for entry in store.entries() if entry.key == "config/head"]
+        await fill(first, 1, "last")
+        store.restore(saved)
+        second_run = asyncio.create_task(second.run())
+        await clock.advance(SECOND)
+        assert not second.is_ready()
+        first_run = asyncio.create_task(first.run())
+        await clock.advance(5 * SECOND)
+        assert second.is_ready() and second.tables == first.tables
+        second_run.cancel()
+        first_run.cancel()
+
+    run(scenario())
+
+
+def test_malformed_head_is_not_overwritten(store, members, run):
+    # Guards against a member that destroys what a later version of the program wrote.
+    async def scenario():
+        await members[0].propose("pools", "gates", pool(), None, "c0")
+        entry = await store.get("config/head")
+        await store.put("config/head", b"not a head", entry.version)
+        result = await members[0].propose("pools", "yard", pool("yard"), None, "c1")
+        assert result.err_value.outcome == "not_run"
+        assert (await store.get("config/head")).value == b"not a head"
+
+    run(scenario())
+
+
 async def forked_members(store, members, salt=0):
     """Two members with different changes at revision 2, made on both sides of a restore.
 
