--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -139,6 +139,20 @@
     in_cell(scenario)
 
 
+def test_claim_reads_the_lease_afresh(in_cell):
+    """Guards against a claim by a member whose view of the other leases is out of date."""
+
+    async def scenario(cell):
+        await calm(cell, "a", "b")
+        owner, (other,) = owner_and_others(cell)
+        cell.cut("a", "b")
+        other.membership.by_id[owner.vm].lease = None
+        await cell.advance(20 * SECOND)
+        assert cell.serving() == [owner.vm]
+
+    in_cell(scenario)
+
+
 def test_owner_paused_past_its_lease_may_not_start(in_cell):
     """Guards against a late start by an owner that slept through its replacement."""
 
--- a/tests/test_ownership_safety.py
+++ b/tests/test_ownership_safety.py
@@ -17,6 +17,9 @@
 
 EXAMPLES = os.environ.get("HORNBEAMRAMP_EXAMPLES")
 NAMES = ["a", "b", "c", "d"]
+# Longest way to an owner: an old lease ends, no member on record answers for two TTLs, then the
+# fence and one more TTL; a process that has released the shard claims again after three.
+RECOVERY = 40 * SECOND
 
 # Processes are named by their place at the time of the action: 0 is the owner, the others follow
 # in order of preference. Most failures that matter concern the owner and its heir.
@@ -59,10 +62,27 @@
     def __init__(self, cell: Cell, clock_rates: list[float]) -> None:
         self.cell = cell
         self.rate_by_name = dict(zip(NAMES, clock_rates, strict=True))
+        self.leaving: set[VmId] = set()
 
     def start(self, name: str) -> None:
+        self.leaving.discard(VmId(name))
         self.cell.start(name, rate=self.rate_by_name[name])
 
+    def end_failures(self) -> None:
+        """Ends all failures; processes that have been shut down are started anew."""
+        self.cell.heal()
+        self.cell.store.mode = StoreMode.UP
+        self.cell.network.delay_by_pair.clear()
+        for vm, process in list(self.cell.process_by_vm.items()):
+            process.pause.resume()
+            process.store.delay = 0 * SECOND
+            process.store.lose_answers = 0
+            if vm in self.leaving:
+                self.cell.kill(vm)
+                self.start(vm)
+        if not self.cell.process_by_vm:
+            self.start(NAMES[0])
+
     def place(self, index: int) -> Process | None:
         ranked = rank(SHARD, dict.fromkeys(map(VmId, NAMES), 1.0))
         owners = self.cell.serving() or self.cell.owners()
@@ -121,6 +141,7 @@
                 if kind == "restart":
                     self.start(process.vm)
             case "hand_over":
+                self.leaving.add(process.vm)
                 asyncio.ensure_future(process.ownership.hand_over_all())
             case "lose_answers":
                 process.store.lose_answers = rest[0]
@@ -130,7 +151,10 @@
                 raise AssertionError(kind)
 
 
-async def play(count: int, clock_rates: list[float], sequence: list[tuple]) -> None:
+async def play(
+    count: int, clock_rates: list[float], sequence: list[tuple], recover: bool = False
+) -> None:
+    """Plays a sequence. With ``recover``, then ends all failures and waits for an owner."""
     clock = ManualClock()
     cell = Cell(clock, MemoryPlatform(clock))
     player = Player(cell, clock_rates)
@@ -142,6 +166,9 @@
             for failure in failures_at_once:
                 player.apply(failure)
             await cell.advance(seconds * SECOND)
+        if recover:
+            player.end_failures()
+            await cell.wait_until_served(RECOVERY)
     finally:
         await cell.stop()
 
@@ -166,3 +193,17 @@
 def test_at_most_one_process_may_start_work(count, clock_rates, beginning, sequence):
     """Guards against two owners after any mix of cuts, outages, lost answers and pauses."""
     asyncio.run(play(count, clock_rates, beginning + sequence))
+
+
+@settings(
+    max_examples=int(EXAMPLES or 20),
+    derandomize=EXAMPLES is None,
+    deadline=None,
+    database=None,
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+@given(st.sampled_from([2, 3, 1]), rates, beginnings, sequences)
+def test_shard_is_served_again_when_failures_end(count, clock_rates, beginning, sequence):
+    """Guards against a state in which every process waits for another one for good."""
+    asyncio.run(play(count, clock_rates, beginning + sequence, recover=True))
