--- a/hornbeamramp/lease.py
+++ b/hornbeamramp/lease.py
@@ -109,7 +109,10 @@
         return True
 
     async def revoke(self) -> None:
-        """Ends the lease at the store. Failures are logged; the lease then runs out by itself."""
+        """Ends the lease at the store, once `run` has been cancelled.
+
+        A failure is logged; the lease then runs out by itself.
+        """
         lease, self._granted, self._registered = self._granted, None, False
         if lease is None:
             return
--- a/hornbeamramp/ownership.py
+++ b/hornbeamramp/ownership.py
@@ -303,11 +303,9 @@
 
     def _is_claimable(self, state: ShardState) -> bool:
         """Returns whether, by what is known, the shard has no owner."""
-        if state.stored is None:
+        if state.stored is None or state.attempt() is not None:
             return True
         record = state.stored.record
-        if state.attempt() is not None:
-            return True
         beat = self._membership.beat_of(state.id)
         if beat is not None and beat[0].epoch > record.epoch:
             return False
@@ -370,38 +368,22 @@
             if proved or reaches_store:
                 return AskOwnerReply(serving=True, epoch=state.epoch)
             self._step_down(state, f"{request.candidate} reaches the store")
-        if state is not None and self._is_stopping(state):
+        if state is not None and state.is_stopping(self._clock.boot_time(), self._send_bound):
             return AskOwnerReply(serving=True, epoch=state.given_up)
         left, owner = self._book.raise_barrier(request.shard, request.candidate)
         given_up = state.given_up if state is not None else Epoch(0)
         return AskOwnerReply(False, given_up, promised_for=left, promised_to=owner)
 
-    def _is_stopping(self, state: ShardState) -> bool:
-        """Returns whether `lost` still runs or a last start may still be on its way."""
-        running = state.losing is not None and not state.losing.done()
-        return running or self._clock.boot_time() < state.allowed_at + self._send_bound
-
     def on_promise(self, request: PromiseRequest) -> PromiseReply:
         """Promises an owner not to claim its shards, except those it has reason to refuse."""
         granted = [
             shard
             for shard, epoch in request.shards.items()
-            if self._may_promise(shard, request.owner, epoch)
+            if self._state(shard).may_promise(request.owner, epoch)
             and self._book.grant(shard, request.owner, epoch, request.duration)
         ]
         return PromiseReply(granted)
 
-    def _may_promise(self, shard: ShardId, owner: VmId, epoch: Epoch) -> bool:
-        state = self._shard_by_id.get(shard)
-        if state is None:
-            return True
-        if state.epoch is not None or state.attempt_by_write:
-            return False
-        if state.stored is None:
-            return True
-        record = state.stored.record
-        return (record.epoch, record.owner) == (epoch, owner) or record.epoch < epoch
-
     async def on_hand_over(self, request: HandOverRequest) -> HandOverReply:
         """Claims a shard that a leaving owner has released. Accepted once it is claimed."""
         state = self._state(request.shard)
--- a/hornbeamramp/shard_state.py
+++ b/hornbeamramp/shard_state.py
@@ -89,3 +89,17 @@
         self.lease = None
         self.required = frozenset()
         self.claimable_since = None
+
+    def is_stopping(self, now: timedelta, send_bound: timedelta) -> bool:
+        """Returns whether `lost` still runs or a last start may still be on its way."""
+        running = self.losing is not None and not self.losing.done()
+        return running or now < self.allowed_at + send_bound
+
+    def may_promise(self, owner: VmId, epoch: Epoch) -> bool:
+        """Returns whether nothing known here speaks against ``owner`` with ``epoch``."""
+        if self.epoch is not None or self.attempt_by_write:
+            return False
+        if self.stored is None:
+            return True
+        record = self.stored.record
+        return (record.epoch, record.owner) == (epoch, owner) or record.epoch < epoch
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -8,7 +8,6 @@
 
 from hornbeamramp.clock import Clock, ManualClock
 from hornbeamramp.errors import StoreUnavailableError, UnreachableError
-from hornbeamramp.evidence import WitnessReport
 from hornbeamramp.ids import DataCentreId, Epoch, Revision, ShardId, VmId
 from hornbeamramp.membership import Membership
 from hornbeamramp.messages import (
@@ -22,6 +21,7 @@
 from hornbeamramp.platforms.memory import MemoryPlatform
 from hornbeamramp.settings import PlatformSettings, Settings, TimingSettings
 from hornbeamramp.states import Step
+from tests.fake_upstreams import Pause, Upstreams, Witness
 
 SECOND = timedelta(seconds=1)
 STORE_TIMEOUT = timedelta(seconds=1)
@@ -29,27 +29,6 @@
 SHARD = ShardId("weigh@gebze")
 
 
-class Pause:
-    """Stops a process at its next wait: `passed` returns only while it is not paused."""
-
-    def __init__(self) -> None:
-        self._running = asyncio.Event()
-        self._running.set()
-
-    @property
-    def is_paused(self) -> bool:
-        return not self._running.is_set()
-
-    def pause(self) -> None:
-        self._running.clear()
-
-    def resume(self) -> None:
-        self._running.set()
-
-    async def passed(self) -> None:
-        await self._running.wait()
-
-
 class ProcessClock(Clock):
     """Clock of one process, which does not wake while the process is paused.
 
@@ -180,61 +159,6 @@
         return await self._network.call(self._process, address, request, timeout, step)
 
 
-class Upstreams:
-    """Upstreams of all shards, as `ShardWitness` for each process.
-
-    `fences`, `labelled`
-        Whether they support fences and show labels.
-    """
-
-    def __init__(self, clock: ManualClock) -> None:
-        self._clock = clock
-        self.fences = True
-        self.labelled = True
-        self.all_answered = True
-        self.fence_by_shard: dict[ShardId, Epoch] = {}
-        self.renewed_at_by_epoch: dict[Epoch, timedelta] = {}
-        self.calls = 0
-
-    async def observe(self, shard: ShardId) -> WitnessReport:
-        self.calls += 1
-        await asyncio.sleep(0)
-        now = self._clock.boot_time()
-        return WitnessReport(
-            highest_epoch=max(self.renewed_at_by_epoch, default=Epoch(0)),
-            since_renewal_by_epoch={e: now - t for e, t in self.renewed_at_by_epoch.items()},
-            all_answered=self.all_answered,
-            all_labelled=self.labelled,
-            answered=1,
-        )
-
-    async def fence(self, shard: ShardId, epoch: Epoch) -> bool:
-        self.calls += 1
-        await asyncio.sleep(0)
-        if not self.fences or epoch < self.fence_by_shard.get(shard, Epoch(0)):
-            return False
-        self.fence_by_shard[shard] = epoch
-        return True
-
-
-class Witness:
-    """The upstreams as one process reaches them; its calls end only while it is not paused."""
-
-    def __init__(self, upstreams: Upstreams, pause: Pause) -> None:
-        self._upstreams = upstreams
-        self._pause = pause
-
-    async def observe(self, shard: ShardId) -> WitnessReport:
-        report = await self._upstreams.observe(shard)
-        await self._pause.passed()
-        return report
-
-    async def fence(self, shard: ShardId, epoch: Epoch) -> bool:
-        fenced = await self._upstreams.fence(shard, epoch)
-        await self._pause.passed()
-        return fenced
-
-
 class Process:
     """One entry process: membership and ownership, wired as `entry.py` does."""
 
@@ -394,3 +318,11 @@
         for task in others:
             task.cancel()
         await asyncio.gather(*others, return_exceptions=True)
+
+
+async def calm(cell: Cell, *names: str) -> None:
+    """Starts processes and waits until one serves and all know each other."""
+    for name in names:
+        cell.start(name)
+    await cell.advance(10 * SECOND)
+    assert len(cell.serving()) == 1
--- /dev/null
+++ b/tests/fake_upstreams.py
@@ -0,0 +1,84 @@
+"""Upstreams as evidence for the cell's processes, and the switch that pauses a process."""
+
+import asyncio
+from datetime import timedelta
+
+from hornbeamramp.clock import ManualClock
+from hornbeamramp.evidence import WitnessReport
+from hornbeamramp.ids import Epoch, ShardId
+
+
+class Pause:
+    """Stops a process at its next wait: `passed` returns only while it is not paused."""
+
+    def __init__(self) -> None:
+        self._running = asyncio.Event()
+        self._running.set()
+
+    @property
+    def is_paused(self) -> bool:
+        return not self._running.is_set()
+
+    def pause(self) -> None:
+        self._running.clear()
+
+    def resume(self) -> None:
+        self._running.set()
+
+    async def passed(self) -> None:
+        await self._running.wait()
+
+
+class Upstreams:
+    """Upstreams of all shards, as `ShardWitness` for each process.
+
+    `fences`, `labelled`
+        Whether they support fences and show labels.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self.fences = True
+        self.labelled = True
+        self.all_answered = True
+        self.fence_by_shard: dict[ShardId, Epoch] = {}
+        self.renewed_at_by_epoch: dict[Epoch, timedelta] = {}
+        self.calls = 0
+
+    async def observe(self, shard: ShardId) -> WitnessReport:
+        self.calls += 1
+        await asyncio.sleep(0)
+        now = self._clock.boot_time()
+        return WitnessReport(
+            highest_epoch=max(self.renewed_at_by_epoch, default=Epoch(0)),
+            since_renewal_by_epoch={e: now - t for e, t in self.renewed_at_by_epoch.items()},
+            all_answered=self.all_answered,
+            all_labelled=self.labelled,
+            answered=1,
+        )
+
+    async def fence(self, shard: ShardId, epoch: Epoch) -> bool:
+        self.calls += 1
+        await asyncio.sleep(0)
+        if not self.fences or epoch < self.fence_by_shard.get(shard, Epoch(0)):
+            return False
+        self.fence_by_shard[shard] = epoch
+        return True
+
+
+class Witness:
+    """The upstreams as one process reaches them; its calls end only while it is not paused."""
+
+    def __init__(self, upstreams: Upstreams, pause: Pause) -> None:
+        self._upstreams = upstreams
+        self._pause = pause
+
+    async def observe(self, shard: ShardId) -> WitnessReport:
+        report = await self._upstreams.observe(shard)
+        await self._pause.passed()
+        return report
+
+    async def fence(self, shard: ShardId, epoch: Epoch) -> bool:
+        fenced = await self._upstreams.fence(shard, epoch)
+        await self._pause.passed()
+        return fenced
