--- a/hornbeamramp/bench/driver.py
+++ b/hornbeamramp/bench/driver.py
@@ -5,7 +5,7 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from typing import Any
 
@@ -80,21 +80,33 @@
         self._queued_tasks = self._peak_queued = 0
         for upstream in upstreams:
             scheduler.add_upstream(upstream)
+        self._stream: Iterator[Work] = iter(())
+        self._next: Work | None = None
+        self._push(0, _TICK, None)
+        self._push(SAMPLE_US, _SAMPLE, None)
 
     def run(self, arrivals: Iterable[Work], until_us: int) -> Observations:
         """Feeds ``arrivals`` (in order) and runs up to ``until_us``; returns what was observed."""
-        self._push(0, _TICK, None)
-        self._push(SAMPLE_US, _SAMPLE, None)
-        stream = iter(arrivals)
-        work = next(stream, None)
+        self.feed(arrivals)
+        self.advance(until_us)
+        return self.observe()
+
+    def feed(self, arrivals: Iterable[Work]) -> None:
+        """Sets the jobs to submit, in order of arrival, in place of any that are left."""
+        self._stream = iter(arrivals)
+        self._next = next(self._stream, None)
+
+    def advance(self, until_us: int) -> None:
+        """Runs up to ``until_us``, in microseconds from the start."""
         while True:
-            event_us = self._events[0][0] if self._events else until_us
+            event_us = self._events[0][0]
+            work = self._next
             if work is not None and work.arrival_us <= event_us:
                 if work.arrival_us >= until_us:
                     break
                 self._set_time(work.arrival_us)
                 self.submit(work)
-                work = next(stream, None)
+                self._next = next(self._stream, None)
                 continue
             if event_us >= until_us:
                 break
@@ -102,7 +114,6 @@
             self._set_time(at_us)
             self._handle(kind, payload)
         self._set_time(until_us)
-        return self._observations()
 
     def submit(self, work: Work) -> bool:
         """Submits a job now and tells whether it was admitted."""
@@ -192,12 +203,20 @@
         elif kind == _CANCEL:
             self.cancel(payload)
         elif kind == _TICK:
+            self._expire()
             self.decide()
             self._push(self.now_us + TICK_US, _TICK, None)
         else:
             self._sample()
             self._push(self.now_us + SAMPLE_US, _SAMPLE, None)
 
+    def _expire(self) -> None:
+        for job_id in self.scheduler.expire():
+            work = self.work_by_id[job_id]
+            self._tally(work).expired += self._is_counted(work)
+            self._not_run.add(job_id)
+            self._finish(work)
+
     def _is_counted(self, work: Work) -> bool:
         return self._from <= work.arrival_us < self._to
 
@@ -333,7 +352,8 @@
         if self._from <= self.now_us < self._to:
             self.fleet.sample(self._gangs_waiting.values())
 
-    def _observations(self) -> Observations:
+    def observe(self) -> Observations:
+        """Returns what was observed so far. To be called once."""
         self.fleet.check()
         for attempt in self.attempt_by_id.values():
             overlap = min(self.now_us, self._to) - max(attempt.start_us, self._from)
--- a/hornbeamramp/bench/tally.py
+++ b/hornbeamramp/bench/tally.py
@@ -33,6 +33,7 @@
     on_time: int = 0
     failed: int = 0
     cancelled: int = 0
+    expired: int = 0
     unstarted_tasks: int = 0
     preempted: int = 0
     running_us: int = 0
