--- a/hornbeamramp/bench/cost.py
+++ b/hornbeamramp/bench/cost.py
@@ -70,8 +70,10 @@
         for _ in range(200):
             if not self.decide(256):
                 break
-        while self.queued() < queued and self.submit():
-            pass
+        # The snapshot takes time in proportion to the upstreams, so it is taken only in between.
+        while (missing := queued - self.queued()) > 0 and self.submit():
+            for _ in range(missing - 1):
+                self.submit()
         self.reached = self.queued()
         self.submit_ns.clear()
         self.decide_ns.clear()
--- a/hornbeamramp/bench/driver.py
+++ b/hornbeamramp/bench/driver.py
@@ -28,6 +28,7 @@
 
 TICK_US = 100_000
 STOP_DELAY_US = 20_000
+THROTTLE_DELAY_US = 20_000
 CHECKPOINT_DELAY_US = 50_000
 FAILURE_DELAY_US = 10_000
 USAGE_LAG_US = 2 * SECOND
@@ -35,7 +36,7 @@
 DECIDE_LIMIT = 256
 MAX_ROUNDS = 50
 
-_ENDED, _USAGE, _CANCEL, _DECIDE, _TICK, _SAMPLE = range(6)
+_ENDED, _USAGE, _CANCEL, _THROTTLED, _DECIDE, _TICK, _SAMPLE = range(7)
 
 
 class Driver:
@@ -199,7 +200,9 @@
             self.decide()
         elif kind == _USAGE:
             if payload.live:
-                self.scheduler.report_usage(payload.id, payload.work.usage)
+                self.scheduler.report_usage(payload.id, payload.usage())
+        elif kind == _THROTTLED:
+            self._throttle(payload)
         elif kind == _CANCEL:
             self.cancel(payload)
         elif kind == _TICK:
@@ -294,11 +297,19 @@
         if attempt is None:
             self.fleet.violate("unknown_attempt", throttle.attempt_id)
             return
+        self._push(self.now_us + THROTTLE_DELAY_US, _THROTTLED, throttle)
+
+    def _throttle(self, throttle: Throttle) -> None:
+        attempt = self.attempt_by_id.get(throttle.attempt_id)
+        if attempt is None:
+            return
         before, after = attempt.held[0], throttle.resources.processors_milli
-        self.fleet.hold(attempt, throttle.resources)
+        self.fleet.throttle(attempt, throttle.resources)
+        self.scheduler.throttled(attempt.id)
         if attempt.end_us is not None and not attempt.stopping and before != after:
             left = (attempt.end_us - self.now_us) * before / max(1, after)
             self._end_later(attempt.id, int(left), TaskEnd.SUCCEEDED)
+        self._want_decision()
 
     def _end(self, attempt: Attempt, end: TaskEnd) -> None:
         work, job_id = attempt.work, attempt.work.job.id
@@ -318,7 +329,7 @@
             tally.preempted += 1
         if end is TaskEnd.SUCCEEDED:
             self._completed_tasks += 1
-        follows = self.scheduler.ended(attempt.id, end, work.usage)
+        follows = self.scheduler.ended(attempt.id, end, attempt.usage())
         if follows is Ended.JOB_DONE:
             self._finish(work)
             if counted:
--- a/hornbeamramp/bench/fake_fleet.py
+++ b/hornbeamramp/bench/fake_fleet.py
@@ -6,6 +6,8 @@
 from collections import Counter
 from collections.abc import Collection
 
+import msgspec
+
 from hornbeamramp.bench.workload import SECOND, Work
 from hornbeamramp.ids import AttemptId, UpstreamId
 from hornbeamramp.resources import Resources
@@ -55,6 +57,7 @@
         "start_us",
         "stopping",
         "task",
+        "throttled_to",
         "upstream",
         "version",
         "work",
@@ -73,6 +76,14 @@
         self.version = 0
         self.live = True
         self.stopping = False
+        self.throttled_to: int | None = None
+
+    def usage(self) -> Resources:
+        """Returns what the task actually uses, at most what a throttle leaves it."""
+        usage = self.work.usage
+        if self.throttled_to is None or usage.processors_milli <= self.throttled_to:
+            return usage
+        return msgspec.structs.replace(usage, processors_milli=self.throttled_to)
 
 
 class FakeFleet:
@@ -108,6 +119,11 @@
         if upstream.is_overcommitted():
             self.violate("overcommit", f"{attempt.id} on {upstream.shape.id}")
 
+    def throttle(self, attempt: Attempt, resources: Resources) -> None:
+        """Limits a running attempt to ``resources``."""
+        self.hold(attempt, resources)
+        attempt.throttled_to = resources.processors_milli
+
     def begin(self, attempt: Attempt) -> None:
         """Counts the actual use of a new attempt."""
         actual = attempt.upstream.actual
