--- a/hornbeamramp/bench/flood.py
+++ b/hornbeamramp/bench/flood.py
@@ -1,70 +1,88 @@
 """What other work keeps while one kind arrives far in excess of the fleet's capacity.
 
-Jobs with an end keep the share that they complete on time; services keep the share of running
-time, each relative to the same arrivals without the flood. Jobs of the flooding kind itself are
-not judged.
+Each kind keeps a share of its figure for the same arrivals without the flood: of the jobs
+completed on time or, for services and for kinds with few jobs in the window, of the running time.
+Jobs of the flooding kind itself are not judged.
 """
 
+import msgspec
+
 from hornbeamramp.bench._shapes import JOB_CLASSES, SHAPES
 from hornbeamramp.bench.driver import DECIDE_DELAY_US
 from hornbeamramp.bench.figures import Figure, Options
 from hornbeamramp.bench.runs import POLICIES, Run, run_all, violation_figures
 from hornbeamramp.bench.tally import ClassTally, Observations, percentile
+from hornbeamramp.bench.workload import flood_rate
 from hornbeamramp.states import JobKind
 
-__all__ = ["FACTORS", "kept", "measure"]
+__all__ = ["FACTORS", "flood_specs", "kept", "measure"]
 
 FACTORS = (10.0, 100.0)
 KEPT_GOAL = 0.95
 CELLS = ("kaya", "hsinchu")
+TIMES = {"kaya": (60, 60, 30), "hsinchu": (120, 120, 60)}
+"""Seconds before the window, in it and after it."""
+
+SHORTEST = 4
+MOST_JOBS = 40_000
+LEAST_JOBS = 20
+"""Jobs on time without the flood, below which a kind is judged by its running time."""
 
 
 def kept(name: str, flooded: ClassTally, unflooded: ClassTally) -> float:
     """Returns the share of its unflooded figure that job class ``name`` keeps."""
-    if JOB_CLASSES[name].kind is JobKind.SERVICE:
+    standing = JOB_CLASSES[name].kind is JobKind.SERVICE
+    if standing or unflooded.on_time < LEAST_JOBS:
         return flooded.running_us / unflooded.running_us if unflooded.running_us else 1.0
-    return flooded.on_time / unflooded.on_time if unflooded.on_time else 1.0
+    return flooded.on_time / unflooded.on_time
 
 
-def measure(options: Options) -> list[Figure]:
-    """Returns, for each flooding job class, the least share kept and the longest p99 wait."""
-    warm, window, drain = (3, 3, 3) if options.quick else (20, 20, 30)
-    cells = CELLS[:1] if options.quick else CELLS
-    factors = FACTORS[:1] if options.quick else FACTORS
-    policies = POLICIES
+def flood_specs(cell: str, options: Options) -> list[Run]:
+    """Returns the flooded runs of one cell, with all policies.
+
+    The window of a flood is shortened so that it has at most `MOST_JOBS` jobs, but not below
+    `SHORTEST` seconds.
+    """
+    warm, window, drain = (3, 3, 3) if options.quick else TIMES[cell]
+    shape = SHAPES[cell]
     specs = []
-    for cell in cells:
-        shape = SHAPES[cell]
-        base = [Run(cell, policy, options.seed, warm, window, drain) for policy in policies]
-        specs += base
-        for flooder in (*shape.mix, *shape.services):
-            for factor in factors:
-                specs += [
-                    Run(
-                        cell,
-                        policy,
-                        options.seed,
-                        warm,
-                        window,
-                        drain,
-                        flooder=flooder,
-                        factor=factor,
-                    )
-                    for policy in policies
-                ]
-    results = run_all(specs)
-    unflooded = {
-        (spec.shape, spec.policy): observed
-        for spec, observed in zip(specs, results, strict=True)
-        if not spec.flooder
-    }
+    for flooder in (*shape.mix, *shape.services):
+        for factor in FACTORS[:1] if options.quick else FACTORS:
+            jobs = MOST_JOBS / flood_rate(shape, flooder, factor)
+            length = min(window, max(SHORTEST, int(jobs)))
+            specs += [
+                Run(
+                    cell,
+                    policy,
+                    options.seed,
+                    warm,
+                    length,
+                    drain,
+                    flooder=flooder,
+                    factor=factor,
+                )
+                for policy in POLICIES
+            ]
+    return specs
+
+
+def measure(options: Options) -> list[Figure]:
+    """Returns, for each flooding job class, the least share kept and the waits of the others."""
+    flooded = [
+        s for cell in CELLS[: 1 if options.quick else None] for s in flood_specs(cell, options)
+    ]
+    base = list(dict.fromkeys(_without_flood(spec) for spec in flooded))
+    results = dict(zip(base + flooded, run_all(base + flooded), strict=True))
     figures: list[Figure] = []
-    for spec, observed in zip(specs, results, strict=True):
-        if spec.flooder:
-            figures += _figures(spec, observed, unflooded[spec.shape, spec.policy])
+    for spec in flooded:
+        figures += _figures(spec, results[spec], results[_without_flood(spec)])
     return figures
 
 
+def _without_flood(spec: Run) -> Run:
+    return msgspec.structs.replace(spec, flooder="", factor=0.0)
+
+
 def _figures(spec: Run, flooded: Observations, unflooded: Observations) -> list[Figure]:
     case = f"{spec.shape} {spec.flooder} x{spec.factor:.0f}"
     figures: list[Figure] = []
@@ -80,6 +98,9 @@
         after, before = flooded.by_class.get(name, ClassTally()), unflooded.by_class[name]
         share = kept(name, after, before)
         shares.append(share)
+        ran = after.running_us / before.running_us if before.running_us else 1.0
+        add(f"{name} running time kept", 100 * ran, "%")
+        add(f"{name} jobs on time unflooded", before.on_time, "jobs")
         add(f"{name} kept", 100 * share, "%", ">= 95", share >= KEPT_GOAL)
         p99, p99_before = percentile(after.waits, 0.99), percentile(before.waits, 0.99)
         # The driver lets decisions wait up to this long, which is noise on very short waits.
--- a/hornbeamramp/bench/plot.py
+++ b/hornbeamramp/bench/plot.py
@@ -4,6 +4,7 @@
 
 from hornbeamramp.bench._shapes import JOB_CLASSES, SHAPES
 from hornbeamramp.bench.figures import Options
+from hornbeamramp.bench.flood import TIMES
 from hornbeamramp.bench.runs import POLICIES, Run, run_all
 from hornbeamramp.bench.tally import ClassTally, percentile
 
@@ -27,9 +28,9 @@
     from matplotlib import pyplot
 
     directory.mkdir(parents=True, exist_ok=True)
-    warm, window, drain = (3, 3, 3) if options.quick else (20, 20, 30)
     paths = []
     for shape, flooder, factor in FLOODS:
+        warm, window, drain = (3, 3, 3) if options.quick else TIMES[shape]
         specs = [
             Run(
                 shape, policy, options.seed, warm, window, drain, flooder=name, factor=factor * many
--- a/hornbeamramp/bench/wait.py
+++ b/hornbeamramp/bench/wait.py
@@ -20,12 +20,17 @@
 
 
 def measure(options: Options) -> list[Figure]:
-    """Returns waits in seconds on the four small shapes and on the cell of section 1.7."""
+    """Returns waits in seconds on the four small shapes and on the cell of section 1.7.
+
+    Each is run at its own load, in the cell 270 task starts per second, and close to or beyond
+    saturation, where waiting begins.
+    """
     specs = []
     for name in (*SMALL_SHAPES, *(() if options.quick else ("cell",))):
         warm, window, drain = (2, 5, 3) if options.quick else (40, 60, 10)
-        for policy in POLICIES:
-            specs.append(Run(name, policy, options.seed, warm, window, drain))
+        for load in (None, 1.1 if name == "cell" else 0.95):
+            for policy in POLICIES:
+                specs.append(Run(name, policy, options.seed, warm, window, drain, load))
     figures = []
     for spec, observed in zip(specs, run_all(specs), strict=True):
         figures += _figures(spec, observed)
@@ -33,15 +38,14 @@
 
 
 def _figures(spec: Run, observed: Observations) -> list[Figure]:
+    case = spec.shape if spec.load is None else f"{spec.shape}, load {spec.load}"
     figures: list[Figure] = []
 
     def add(
         name: str, value: float, unit: str = "s", goal: float | None = None, detail: bool = False
     ) -> None:
         text, met = ("", None) if goal is None else (f"<= {goal}", value <= goal)
-        figures.append(
-            Figure("wait", spec.shape, name, value, unit, spec.policy, text, met, detail)
-        )
+        figures.append(Figure("wait", case, name, value, unit, spec.policy, text, met, detail))
 
     names = [n for n in JOB_CLASSES if n in observed.by_class]
     for name in names:
@@ -63,7 +67,7 @@
     add("team p99, median team", percentile(team_p99s, 0.5))
     add("team p99, worst team", max(team_p99s, default=0.0))
     add("task starts", observed.starts / (spec.warm + spec.window + spec.drain), "1/s")
-    return figures + violation_figures("wait", spec.shape, spec.policy, observed)
+    return figures + violation_figures("wait", case, spec.policy, observed)
 
 
 def _waits_by_team(observed: Observations, names: list[str]) -> dict[str, list[float]]:
--- a/hornbeamramp/bench/workload.py
+++ b/hornbeamramp/bench/workload.py
@@ -27,6 +27,7 @@
     "Work",
     "class_rates",
     "flood",
+    "flood_rate",
     "fleet",
     "fleet_capacity",
     "pool",
@@ -261,7 +262,13 @@
 def flood(
     shape: CellShape, name: str, factor: float, seed: int, start_us: int, end_us: int
 ) -> Iterator[Work]:
-    """Yields jobs of class ``name`` at ``factor`` times what the whole fleet could complete.
+    """Yields jobs of class ``name`` at ``factor`` times what the whole fleet could complete."""
+    maker = _Maker(shape, JOB_CLASSES[name], "flood", seed, EXACT)
+    return _poisson(maker, flood_rate(shape, name, factor), start_us, end_us)
+
+
+def flood_rate(shape: CellShape, name: str, factor: float) -> float:
+    """Returns the jobs per second of a flood of class ``name``.
 
     Services never complete; their rate is ``factor`` times the fleet's room for them per minute.
     """
@@ -269,9 +276,5 @@
     if row.kind is JobKind.SERVICE:
         totals = fleet_capacity(fleet(shape))
         amounts = resources_of(row).as_tuple()
-        room = min(t / a for t, a in zip(totals, amounts, strict=True) if a)
-        rate = room / 60
-    else:
-        rate = saturation_rate(shape, {name: 1.0})
-    maker = _Maker(shape, row, "flood", seed, Misdeclaration())
-    return _poisson(maker, factor * rate / row.tasks, start_us, end_us)
+        return factor * min(t / a for t, a in zip(totals, amounts, strict=True) if a) / 60
+    return factor * saturation_rate(shape, {name: 1.0}) / row.tasks
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -87,7 +87,9 @@
     ticket = kept("weigh_ticket", ClassTally(on_time=90), ClassTally(on_time=100))
     watcher = kept("gate_watcher", ClassTally(running_us=50), ClassTally(running_us=200))
     assert (ticket, watcher) == (0.9, 0.25)
-    assert kept("quote", ClassTally(), ClassTally(on_time=5)) == 0.0
+    assert kept("quote", ClassTally(), ClassTally(on_time=50)) == 0.0
+    few = ClassTally(on_time=2, running_us=100)
+    assert kept("render", ClassTally(on_time=0, running_us=95), few) == 0.95
 
 
 def test_the_bound_of_packing_uses_up_exactly_the_scarcest_resource():
