--- a/hornbeamramp/bench/wait.py
+++ b/hornbeamramp/bench/wait.py
@@ -29,6 +29,8 @@
     for name in (*SMALL_SHAPES, *(() if options.quick else ("cell",))):
         warm, window, drain = (2, 5, 3) if options.quick else (40, 60, 10)
         for load in (None, 1.1 if name == "cell" else 0.95):
+            if name == "cell" and load is not None:
+                warm, window = 30, 20
             for policy in POLICIES:
                 specs.append(Run(name, policy, options.seed, warm, window, drain, load))
     figures = []
