Measure the control cost of idle entry processes

Cause: the size to design for bounds processor time, memory and traffic of a node; no measurement of whole processes existed. Change: bench measurement 'control' with local cells that differ in one number.

--- a/hornbeamramp/bench/registry.py
+++ b/hornbeamramp/bench/registry.py
@@ -14,6 +14,7 @@
     "declarations": "hornbeamramp.bench.declarations",
     "affinity": "hornbeamramp.bench.affinity",
     "footprint": "hornbeamramp.bench.footprint",
+    "control": "hornbeamramp.bench.control",
 }
 
 
