--- a/hornbeamramp/job_queue.py
+++ b/hornbeamramp/job_queue.py
@@ -230,8 +230,6 @@
                     if state.lane is lane:
                         yield state
 
-    # Lanes and groups
-
     def _lane_of(self, state: JobState) -> Lane:
         flow = state.flow
         key = class_key(state)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -134,7 +134,6 @@
 
 
 def test_a_job_past_its_deadline_goes_on_if_one_of_its_tasks_got_room(clock):
-    """Guards against a job that left the queue as late, ran after all and was then forgotten."""
     scheduler = make_scheduler(clock, 1)
     first, *_ = fill(scheduler, 4)
     scheduler.submit(make_job("urgent", band=Band.URGENT, tasks=6, deadline=5.0))
--- a/tests/test_scheduler_properties.py
+++ b/tests/test_scheduler_properties.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from random import Random
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from result import Ok
 
@@ -308,6 +308,7 @@
 
 @settings(max_examples=60, deadline=None)
 @given(st.integers(0, 2**32))
+@example(105192)  # A job left the queue as late, ran after all and was then forgotten.
 def test_every_job_ends_once_the_pool_works(seed):
     """Guards against jobs that are parked, held or delayed and never tried again."""
     model = Model()
