--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,7 +40,7 @@
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Expects exactly the listed tests to fail; one that passes again fails the run."""
     listed = set(known_red())
-    marked = {i.nodeid.partition("[")[0] for i in items if i.get_closest_marker("known_red")}
+    marked = {i.nodeid for i in items if i.get_closest_marker("known_red")}
     if marked - listed:
         raise pytest.UsageError(f"not listed in KNOWN-RED.txt: {sorted(marked - listed)}")
     for item in items:
--- a/tests/support/cell.py
+++ b/tests/support/cell.py
@@ -17,7 +17,7 @@
 from hornbeamramp.platforms import ListedVm
 from hornbeamramp.platforms.memory import StoreMode
 from hornbeamramp.resources import Resources
-from hornbeamramp.states import Band, JobKind
+from hornbeamramp.states import Band, JobKind, Step
 from hornbeamramp.tables import Pool, PoolUpstream, Route
 from tests.support.checker import GuaranteeChecker
 from tests.support.network import PeerNetwork
@@ -70,6 +70,7 @@
         self.vm: dict[str, Vm] = {}
         self.calls: list[Call] = []
         self.checker = GuaranteeChecker(self)
+        self._action_by_step: dict[Step, Callable[[Vm], None]] = {}
         self._payloads = itertools.count(1)
         self._changes = itertools.count(1)
 
@@ -88,6 +89,19 @@
         for shard in self.shards():
             assert self.owner(shard) is not None, f"{shard} is not served"
 
+    def on_step(self, step: Step, action: Callable[[Vm], None]) -> None:
+        """Calls ``action`` once, with the VM concerned, the next time that a step is taken.
+
+        It is called just before the step's message is sent, or has its effect.
+        """
+        self._action_by_step[step] = action
+
+    def took_step(self, step: Step, vm: Vm) -> None:
+        """Reports a step, see `on_step`."""
+        action = self._action_by_step.pop(step, None)
+        if action is not None:
+            action(vm)
+
     def start_vm(self, name: str) -> Vm:
         """Starts the process of a VM; an earlier one must have ended."""
         data_centre = dict(self.names)[name]
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -8,6 +8,12 @@
 
 from hornbeamramp.clock import ManualClock
 from hornbeamramp.errors import UnreachableError
+from hornbeamramp.messages import (
+    CancelRequest,
+    ConfigDeltaRequest,
+    HandOverRequest,
+    SubmitRequest,
+)
 from hornbeamramp.states import Step
 from tests.support.runtime import spawn_outside
 
@@ -16,6 +22,12 @@
 
 __all__ = ["LinkFaults", "PeerNetwork", "PeerPort"]
 
+STEP_BY_REQUEST_TYPE = {
+    SubmitRequest: Step.FORWARD,
+    CancelRequest: Step.CANCEL,
+    HandOverRequest: Step.DRAIN,
+    ConfigDeltaRequest: Step.CHANGE_APPLIED,
+}
 LATENCY = timedelta(milliseconds=1)
 DUPLICATE_AFTER = timedelta(milliseconds=700)
 # gRPC's keepalive time and timeout, after which a silent connection is given up.
@@ -86,6 +98,9 @@
         await asyncio.sleep(0)
         if target is None or not (target.listens_to_peers or target.is_lost):
             raise UnreachableError(step, address, "connection refused", sent=False)
+        taken = STEP_BY_REQUEST_TYPE.get(type(request))
+        if taken is not None:
+            sender.cell.took_step(taken, sender)
         reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         reply.add_done_callback(lambda done: done.cancelled() or done.exception())
         self._open[reply] = (target, step)
--- a/tests/support/runtime.py
+++ b/tests/support/runtime.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextvars
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -100,6 +100,8 @@
 class StoreView:
     """The platform as one process reaches it.
 
+    `on_call`
+        Called with name and arguments of each call, before it is sent.
     `cut`
         Calls get no answer and have no effect.
     `answers_to_lose`
@@ -108,7 +110,14 @@
         Time until a call takes effect, even if the process has given up by then.
     """
 
-    def __init__(self, platform: MemoryPlatform, clock: ManualClock, pause: Pause) -> None:
+    def __init__(
+        self,
+        platform: MemoryPlatform,
+        clock: ManualClock,
+        pause: Pause,
+        on_call: Callable[[str, tuple], None],
+    ) -> None:
+        self._on_call = on_call
         self._platform = platform
         self._clock = clock
         self._pause = pause
@@ -130,6 +139,7 @@
 
     async def _answer(self, name: str, arguments: tuple) -> Any:
         limit = STORE_TIMEOUT + (arguments[2] if name == "watch" else timedelta(0))
+        self._on_call(name, arguments)
         effect = spawn_outside(self._take_effect(name, arguments))
         expiry = asyncio.ensure_future(self._clock.sleep(limit))
         await asyncio.wait({effect, expiry}, return_when=asyncio.FIRST_COMPLETED)
--- a/tests/support/vm.py
+++ b/tests/support/vm.py
@@ -9,8 +9,9 @@
 from hornbeamramp.entry_parts import EntryParts
 from hornbeamramp.ids import DataCentreId, JobId, VmId
 from hornbeamramp.jobs import Job, NotRun, Outcome
+from hornbeamramp.messages import SubmitRequest
 from hornbeamramp.settings import DataCentreSettings, PlatformSettings, Settings
-from hornbeamramp.states import JobState, RefusalReason
+from hornbeamramp.states import JobState, RefusalReason, Step
 from tests.support.network import PeerPort
 from tests.support.runtime import (
     SECOND,
@@ -26,6 +27,11 @@
 
 __all__ = ["Call", "Vm"]
 
+STEP_BY_PREFIX = {
+    "journal/": Step.JOURNAL,
+    "config/head": Step.CHANGE_ACCEPTED,
+    "shards/": Step.CLAIM,
+}
 DRAIN_POLL = timedelta(milliseconds=50)
 RPC_GRACE = 5 * SECOND
 
@@ -73,7 +79,7 @@
         self.calls: list[Call] = []
         self.stopping: asyncio.Task[None] | None = None
         self.clock = ProcessClock(cell.clock, self.pause)
-        self.store = StoreView(cell.platform, cell.clock, self.pause)
+        self.store = StoreView(cell.platform, cell.clock, self.pause, self._on_store_call)
         self._faults_by_worker: dict[str, UpstreamFaults] = {}
         settings = Settings(
             vm=VmId(name),
@@ -101,6 +107,13 @@
     def upstream_faults(self, worker: str) -> UpstreamFaults:
         return self._faults_by_worker.setdefault(worker, UpstreamFaults())
 
+    def _on_store_call(self, name: str, arguments: tuple) -> None:
+        if name == "renew_lease":
+            self.cell.took_step(Step.RENEW, self)
+        for prefix, step in STEP_BY_PREFIX.items():
+            if name == "put" and arguments[0].startswith(prefix):
+                self.cell.took_step(step, self)
+
     def heal(self) -> None:
         """Ends all faults of this process's view of the store and the upstreams."""
         self._faults_by_worker.clear()
@@ -109,6 +122,8 @@
         self.store.answers_to_lose = 0
 
     async def handle(self, request: Any) -> Any:
+        if isinstance(request, SubmitRequest):
+            self.cell.took_step(Step.ADMIT, self)
         await self.pause.passed()
         try:
             return await self.parts.handle(request)
@@ -163,6 +178,7 @@
         return call
 
     async def _submit(self, call: Call) -> None:
+        self.cell.took_step(Step.ACCEPT, self)
         await self.pause.passed()
         if self.parts.refusing:
             self._tell(call, NotRun(JobId(""), RefusalReason.SHUTTING_DOWN, "shutting down"))
--- a/tests/support/workers.py
+++ b/tests/support/workers.py
@@ -123,11 +123,13 @@
         return await self._call(Step.RECOVER, self._worker.shape)
 
     async def list_tasks(self):
+        self._vm.cell.took_step(Step.RECOVER, self._vm)
         return await self._call(Step.RECOVER, self._worker.list_tasks)
 
     async def start(self, request, *, check=None):
         if check is not None and not check():
             raise UnreachableError(Step.START, self._worker.name, "not the owner", sent=False)
+        self._vm.cell.took_step(Step.START, self._vm)
         # No await between the check and this: the rest of the way is the network's.
         not_after = self._clock.boot_time() + request.not_after
         faults = self._faults
@@ -148,6 +150,7 @@
         answer = await self._call(Step.ANSWER, effect, wait=wait)
         if not isinstance(answer, TaskResult):
             return answer
+        self._vm.cell.took_step(Step.ANSWER, self._vm)
         if self._faults.take("crossed_answers"):
             answer = self._worker.other_result(attempt_id) or answer
         if self._faults.take("truncated_answers"):
--- a/tools/fault_matrix.py
+++ b/tools/fault_matrix.py
@@ -40,7 +40,7 @@
 
     def pytest_collection_finish(self, session: pytest.Session) -> None:
         for item in session.items:
-            name = item.nodeid.partition("[")[0]
+            name = item.nodeid
             if item.get_closest_marker("known_red") is not None:
                 self.red.add(name)
             for marker in item.iter_markers("fault"):
