Do not restart a service marked idempotent=False; keep leases over a store restore

Restoring the memory store turned leased entries into permanent ones, so a dead owner's member record never ended and its shard stayed unclaimed. Change: ends and recovery retry standing jobs only if they are idempotent. A restored entry keeps its lease. The matrix test strikes each fault at each step under a mixed load. Conclusion: a failed non-idempotent service is reported, not repeated.

--- a/hornbeamramp/attempt_ends.py
+++ b/hornbeamramp/attempt_ends.py
@@ -60,7 +60,7 @@
             self.forget(state)
             return Ended.JOB_CANCELLED if state.cancelled else Ended.IGNORED
         faulty = self._note_health(attempt, end, now)
-        if state.standing:
+        if state.standing and state.job.idempotent:
             return self._retry(attempt, end, now)
         if end is TaskEnd.SUCCEEDED:
             if state.over:
@@ -80,7 +80,7 @@
 
     def settle(self, state: JobState, missing: list[int]) -> Ended:
         """Queues the missing tasks of an adopted job, or ends the job if that is not safe."""
-        if missing and (state.job.idempotent or state.standing):
+        if missing and state.job.idempotent:
             self._dispatcher.requeue(state, missing)
             return Ended.RETRY
         if missing:
--- a/hornbeamramp/platforms/memory.py
+++ b/hornbeamramp/platforms/memory.py
@@ -14,6 +14,8 @@
 
 VALUE_LIMIT_BYTES = 1_000_000
 PEER = "store"
+# Lifetime of a lease that had ended and came back with a restored entry.
+RESTORED_TTL = timedelta(seconds=6)
 
 
 class StoreMode(Enum):
@@ -135,12 +137,17 @@
     def restore(self, entries: list[Entry]) -> None:
         """Replaces the contents by ``entries``, as a store restored from an older state does.
 
-        Versions go on growing, so a compare-and-swap with a version from before fails.
+        Versions go on growing, so a compare-and-swap with a version from before fails. Leases of
+        the entries live again, and end unless they are renewed.
         """
         self._entry_by_key.clear()
         for entry in entries:
             self._revision += 1
-            self._entry_by_key[entry.key] = Entry(entry.key, entry.value, self._revision)
+            restored = Entry(entry.key, entry.value, self._revision, entry.lease)
+            self._entry_by_key[entry.key] = restored
+            if entry.lease is not None and entry.lease not in self._ends_at_by_lease:
+                self._ttl_by_lease[entry.lease] = RESTORED_TTL
+                self._ends_at_by_lease[entry.lease] = self._clock.boot_time() + RESTORED_TTL
         self._notify()
 
     def entries(self) -> list[Entry]:
--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -231,7 +231,7 @@
         submit_mixed(cell, entry)
 
 
-@pytest.mark.parametrize(("fault", "step"), cells())
+@pytest.mark.parametrize(("fault", "step"), list(cells()))
 def test_guarantees_hold(fault, step):
     """Guards against a fault that breaks a guarantee or leaves a caller without an outcome."""
 
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -134,7 +134,10 @@
     async def _deliver(self, sender, target, request, reply, step: Step) -> None:
         out = self.faults(sender.name, target.name)
         await self._travel(out)
-        if out.cut or target.is_lost or out.take("drop_requests"):
+        if out.cut or target.is_lost:
+            return
+        if out.take("drop_requests"):
+            await self._find_silent(target, reply, step)
             return
         if out.take("duplicates"):
             spawn_outside(self._deliver_again(target, request))
@@ -142,7 +145,10 @@
         await asyncio.wait({task})
         back = self.faults(target.name, sender.name)
         await self._travel(back)
-        if back.cut or back.take("drop_replies") or reply.done() or task.cancelled():
+        if back.cut or reply.done() or task.cancelled():
+            return
+        if back.take("drop_replies"):
+            await self._find_silent(target, reply, step)
             return
         if task.exception() is not None:
             message = f"handler failed: {task.exception()!r}"
@@ -150,6 +156,12 @@
             return
         reply.set_result(task.result())
 
+    async def _find_silent(self, target, reply, step: Step) -> None:
+        # TCP loses a message only with its connection, which the keepalive then finds silent.
+        await self._clock.sleep(SILENCE_LIMIT)
+        if not reply.done():
+            reply.set_exception(UnreachableError(step, target.address, "keepalive timeout"))
+
     async def _deliver_again(self, target, request) -> None:
         await self._clock.sleep(DUPLICATE_AFTER)
         if target.listens_to_peers:
--- a/tests/support/runtime.py
+++ b/tests/support/runtime.py
@@ -128,6 +128,9 @@
     def is_healthy(self) -> bool:
         return not self.cut and not self.answers_to_lose and not self.delay
 
+    async def close(self) -> None:
+        """Does nothing, as closing connections needs no answer."""
+
     def __getattr__(self, name):
         async def call(*arguments):
             try:
