--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
@@ -13,6 +14,7 @@
 from hornbeamramp.attempts import AttemptRunner
 from hornbeamramp.clock import Clock
 from hornbeamramp.decisions import (
+    Cancellation,
     CancellationKind,
     Checkpoint,
     Decision,
@@ -114,7 +116,7 @@
             timing,
             metrics,
             may_start,
-            durable.record_intent,
+            self._record_intent,
             self._on_started,
             self._on_ended,
         )
@@ -215,16 +217,19 @@
         if record is None:
             return CancelReply(None)
         if record.ended_at is None:
-            record.cancelled = True
-            cancellation = self.scheduler.cancel(request.job_id)
+            cancellation = self._cancel(record)
             if cancellation.kind is CancellationKind.QUEUED:
                 self._finish(record, self._cancelled(record, cancellation.ran))
-            for stop in cancellation.stop:
-                self._apply(stop)
-            self._work.set()
         outcome = record.outcome.result() if record.outcome.done() else None
         return CancelReply(record.state(), outcome)
 
+    def _cancel(self, record: JobRecord) -> Cancellation:
+        cancellation = self.scheduler.cancel(record.job.id)
+        for stop in cancellation.stop:
+            self._apply(stop)
+        self._work.set()
+        return cancellation
+
     def _cancelled(self, record: JobRecord, ran: bool) -> Outcome:
         if ran:
             return Completed(record.job.id, [], self._data_centre, failed=True)
@@ -290,6 +295,7 @@
         if isinstance(admitted, Err):
             return Err(_refused(job, admitted.err_value))
         record = self.records.create(job)
+        record.enter_queue(self._clock.boot_time())
         self._work.set()
         return Ok(record)
 
@@ -327,7 +333,8 @@
                 self.scheduler.ended(decision.attempt_id, TaskEnd.NOT_STARTED, None)
                 return
             record.upstream_by_attempt[decision.attempt_id] = link.id
-            self._spawn(self._runner.run(decision, link))
+            self._note_queue_time(record)
+            self._spawn(self._runner.run(decision, link, record.context))
         elif isinstance(decision, Stop):
             self._spawn(self._quietly(link.adapter.stop(decision.attempt_id)))
         elif isinstance(decision, Checkpoint):
@@ -352,6 +359,12 @@
         except (UnreachableError, ProtocolError) as error:
             _log.info("{}: {}", error.peer, error.message)
 
+    def _note_queue_time(self, record: JobRecord) -> None:
+        waited = record.leave_queue(self._clock.boot_time())
+        if waited is not None:
+            seconds = waited.total_seconds()
+            self._metrics.queue_time.record(seconds, {"band": record.job.band.name.lower()})
+
     def _on_started(self, attempt_id: AttemptId) -> None:
         self.scheduler.started(attempt_id)
         record = self._record_of(attempt_id)
@@ -374,7 +387,27 @@
             record.running_tasks.discard(task_of(attempt_id))
         if end is TaskEnd.LOST and not record.job.idempotent:
             record.uncertain = True
-        self._conclude(record, ended)
+        if record.intent_failed and ended is Ended.RETRY:
+            self._refuse_without_store(record)
+        else:
+            self._conclude(record, ended)
+
+    async def _record_intent(self, start: Start) -> bool:
+        recorded = await self._durable.record_intent(start)
+        record = self.records.get(start.job.id)
+        if record is not None:
+            record.intent_failed = not recorded
+        return recorded
+
+    def _refuse_without_store(self, record: JobRecord) -> None:
+        """Ends a non-idempotent job at once, as its start can't be recorded."""
+        cancellation = self._cancel(record)
+        if cancellation.kind is CancellationKind.QUEUED and not cancellation.ran:
+            detail = "the store can't record the start of a non-idempotent job"
+            outcome = NotRun(
+                record.job.id, RefusalReason.STORE_UNAVAILABLE, detail, RETRY_AFTER_STORE
+            )
+            self._finish(record, outcome)
 
     def _conclude(self, record: JobRecord, ended: Ended) -> None:
         job = record.job
@@ -418,7 +451,8 @@
             self._events,
         )
         self.link_by_id[upstream_id] = link
-        task = asyncio.get_running_loop().create_task(link.run())
+        # An empty context: the calls of the link belong to no request that is being traced.
+        task = asyncio.get_running_loop().create_task(link.run(), context=contextvars.Context())
         self._task_by_upstream[upstream_id] = task
 
     async def _on_listed(
--- a/hornbeamramp/standins/cell.py
+++ b/hornbeamramp/standins/cell.py
@@ -10,6 +10,7 @@
 import re
 import secrets
 import signal
+import ssl
 import sys
 import tempfile
 from pathlib import Path
@@ -90,12 +91,13 @@
 
 
 class EntryHandle:
-    """An entry process of the cell."""
+    """An entry process of the cell. ``scheme`` is that of its listeners."""
 
-    def __init__(self, vm: str, data_centre: str, program: Program) -> None:
+    def __init__(self, vm: str, data_centre: str, program: Program, scheme: str) -> None:
         self.vm = vm
         self.data_centre = data_centre
         self.program = program
+        self.scheme = scheme
         self.callers = 0
         self.peers = 0
         self.admin = 0
@@ -106,7 +108,7 @@
 
     @property
     def url(self) -> str:
-        return f"http://127.0.0.1:{self.callers}"
+        return f"{self.scheme}://127.0.0.1:{self.callers}"
 
 
 class LocalCell:
@@ -120,6 +122,9 @@
         Stand-in workers; those of one data centre share a process.
     `timing`
         Timing settings of the entry processes, in milliseconds.
+    `settings`
+        Further settings of the entry processes, by section. With ``tls`` the clients of the cell
+        trust its ``ca_file``.
     """
 
     def __init__(
@@ -128,6 +133,7 @@
         entries_per_data_centre: int,
         workers: list[WorkerSpec],
         timing: dict[str, int] | None = None,
+        settings: dict[str, Any] | None = None,
     ) -> None:
         self.data_centres = data_centres
         self.workers = workers
@@ -137,10 +143,14 @@
         self.platform_address = ""
         self._entries_per_data_centre = entries_per_data_centre
         self._timing = timing or {}
+        self._settings = settings or {}
+        tls = self._settings.get("tls")
+        self._ca_file = None if tls is None else Path(tls["ca_file"])
+        self._trust = None if tls is None else ssl.create_default_context(cafile=tls["ca_file"])
         self._directory = tempfile.TemporaryDirectory(prefix="hornbeamramp-")
         self.path = Path(self._directory.name)
-        self._token = secrets.token_hex(16)
-        (self.path / "token").write_text(self._token)
+        self.token = secrets.token_hex(16)
+        (self.path / "token").write_text(self.token)
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> "LocalCell":
@@ -177,17 +187,20 @@
             await self._session.close()
         self._directory.cleanup()
 
-    async def add_entry(self, vm: str, data_centre: str) -> EntryHandle:
+    async def add_entry(
+        self, vm: str, data_centre: str, settings: dict[str, Any] | None = None
+    ) -> EntryHandle:
         """Starts one more entry process and waits until it is ready."""
-        entry = await self._launch_entry(vm, data_centre)
+        entry = await self._launch_entry(vm, data_centre, settings)
         await entry.wait_listening()
         await self.wait_ready(entry)
         return entry
 
     def admin_client(self, entry: EntryHandle | None = None) -> AdminClient:
         """Returns a client of the admin API of an entry process, by default the first."""
-        port = (entry or self.entries[0]).admin
-        return AdminClient(f"http://127.0.0.1:{port}", self._token)
+        entry = entry or self.entries[0]
+        url = f"{entry.scheme}://127.0.0.1:{entry.admin}"
+        return AdminClient(url, self.token, self._ca_file)
 
     async def put_tables(
         self, routes: list[dict[str, Any]], pool_options: dict[str, dict[str, Any]] | None = None
@@ -238,7 +251,7 @@
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         async with self._session.request(
-            method, url, json=body, headers=headers, timeout=timeout
+            method, url, json=body, headers=headers, timeout=timeout, ssl=self._trust or True
         ) as response:
             return response.status, json.loads(await response.read() or b"{}")
 
@@ -282,7 +295,9 @@
             match = await program.read_match(r"listening on (\S+) as (\S+)")
             worker.address = match.group(1)
 
-    async def _launch_entry(self, vm: str, data_centre: str) -> EntryHandle:
+    async def _launch_entry(
+        self, vm: str, data_centre: str, further: dict[str, Any] | None = None
+    ) -> EntryHandle:
         settings = {
             "vm": vm,
             "data_centre": data_centre,
@@ -295,12 +310,15 @@
                 name: {"distance_ms": {o: 1 for o in self.data_centres if o != name}}
                 for name in self.data_centres
             },
+            **self._settings,
+            **(further or {}),
         }
         file = self.path / f"{vm}.yaml"
         # JSON is a subset of YAML.
         file.write_text(json.dumps(settings))
         arguments = ["hornbeamramp", "serve", "--config", str(file)]
         program = await Program.start(arguments, self.path / f"{vm}.log")
-        entry = EntryHandle(vm, data_centre, program)
+        scheme = "http" if self._trust is None else "https"
+        entry = EntryHandle(vm, data_centre, program, scheme)
         self.entries.append(entry)
         return entry
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 
 from hornbeamramp.clock import ManualClock
 from hornbeamramp.platforms.memory import MemoryPlatform
+from tests.cell import Cell
 
 
 @pytest.fixture
@@ -52,3 +53,20 @@
     failed = {report.nodeid for report in terminalreporter.stats.get("xfailed", [])}
     for nodeid in sorted(failed):
         terminalreporter.write_line(f"known red, see KNOWN-RED.txt: {nodeid}")
+
+
+@pytest.fixture
+def in_cell(clock, store, run):
+    """Runs a scenario with a cell and stops the cell's processes after it."""
+
+    def start(scenario, **options):
+        async def main():
+            cell = Cell(clock, store, **options)
+            try:
+                await scenario(cell)
+            finally:
+                await cell.stop()
+
+        run(main())
+
+    return start
