--- a/hornbeamramp/durable_jobs.py
+++ b/hornbeamramp/durable_jobs.py
@@ -12,8 +12,8 @@
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.idempotency import AnsweredKey, KeyConflict, KeyTable, KeyTableFull, NewKey
 from hornbeamramp.ids import Epoch, JobId, ShardId
-from hornbeamramp.jobs import Job, NotRun, Outcome, ServiceJob
-from hornbeamramp.journal import Fenced, Journal, JournalError
+from hornbeamramp.jobs import Job, NotRun, Outcome, ServiceJob, Unknown
+from hornbeamramp.journal import Fenced, Journal, JournalError, JournalUnavailable
 from hornbeamramp.journal_records import (
     JobAccepted,
     JobEnded,
@@ -50,6 +50,9 @@
         self._pruned_at = clock.boot_time()
         self.is_open = False
         self._lock_by_key: dict[str, asyncio.Lock] = {}
+        # Jobs that were not accepted, but may be in the journal until it says otherwise.
+        self._withdrawn: dict[JobId, None] = {}
+        self._withdrawing: asyncio.Task[None] | None = None
 
     @staticmethod
     def is_needed(job: Job) -> bool:
@@ -111,6 +114,8 @@
 
     def answer(self, job_id: JobId) -> Outcome | None:
         """Returns the recorded outcome of a job that ended, if it is still kept."""
+        if job_id in self._withdrawn:
+            return _uncertain(job_id)
         ended = self._state.answer_by_job_id.get(job_id)
         return None if ended is None else ended.outcome
 
@@ -122,9 +127,11 @@
         """Tells whether an earlier owner may have started the job, which must not run twice."""
         return job_id in self._state.intents_by_job_id
 
-    async def record_accepted(self, job: Job) -> Result[None, NotRun]:
+    async def record_accepted(self, job: Job) -> Result[None, NotRun | Unknown]:
         """Makes the acceptance durable before the job is queued.
 
+        The error is `Unknown` if a later owner may find the job in the journal and run it.
+
         Without the store an idempotent job whose caller waits is accepted all the same. Its key is
         then kept in memory alone: after the owner's death a repeated request runs it again.
         """
@@ -136,13 +143,22 @@
                 return Err(NotRun(job.id, RefusalReason.OVERLOAD, detail, RETRY_AFTER))
             now = self._clock.now()
             records.append(KeyRecorded(job.key, job.id, job.digest(), recorded_at=now))
-        if job.asynchronous or isinstance(job, ServiceJob):
+        runs_later = job.asynchronous or isinstance(job, ServiceJob)
+        if runs_later:
             records.append(JobAccepted(job, self._clock.now()))
-        for result in await asyncio.gather(*(self._append(record) for record in records)):
-            if isinstance(result, Err) and self.must_last(job):
-                self._keys.release(job.id)
-                return Err(_unavailable(job, result.err_value))
-        return Ok(None)
+        # In one write with the new records, so that no two jobs of one key are in the journal.
+        earlier = [JobForgotten(job_id) for job_id in self._withdrawn]
+        results = await asyncio.gather(*(self._append(record) for record in (*earlier, *records)))
+        self._note_forgotten(earlier, results)
+        errors = [result.err_value for result in results[len(earlier) :] if result.is_err()]
+        if not errors or not self.must_last(job):
+            return Ok(None)
+        self._keys.release(job.id)
+        if len(errors) == len(records) and not any(map(_may_be_written, errors)):
+            return Err(_unavailable(job, errors[0]))
+        self._withdraw(job.id)
+        # Only an accepted job is run by a later owner; a key alone is not.
+        return Err(_uncertain(job.id) if runs_later else _unavailable(job, errors[0]))
 
     async def record_intent(self, start: Start) -> bool:
         """Makes the intent of a non-idempotent start durable; false if that failed."""
@@ -154,23 +170,61 @@
         self._keys.intend(intent)
         return True
 
-    async def record_ended(self, job: Job, outcome: Outcome) -> None:
-        """Records the outcome. Without the store only memory has it."""
+    async def record_ended(self, job: Job, outcome: Outcome) -> bool:
+        """Records the outcome and tells whether it may be reported.
+
+        Without the store only memory has it. A later owner would run an accepted job again, so
+        that one was not run is only reported once it is recorded.
+        """
         ended = JobEnded(outcome, self._clock.now())
-        result = await self._append(ended)
-        if isinstance(result, Err):
+        while isinstance(result := await self._append(ended), Err):
             _log.warning("{}: outcome not recorded: {}", job.id, result.err_value)
-            self._state.apply(ended)
+            if not isinstance(outcome, NotRun) or job.id not in self._state.live_job_by_id:
+                self._state.apply(ended)
+                break
+            if isinstance(result.err_value, Fenced):
+                return False
+            await self._clock.sleep(OPEN_PAUSE)
         self._keys.end(outcome)
         self._prune_if_due()
+        return True
 
-    async def forget(self, job: Job) -> None:
-        """Withdraws the acceptance of a job that was refused before it was queued."""
+    async def forget(self, job: Job) -> Unknown | None:
+        """Withdraws the acceptance of a job that was refused before it was queued.
+
+        Returns the outcome to report if a later owner may still run the job.
+        """
         self._keys.release(job.id)
-        await self._append(JobForgotten(job.id))
+        if isinstance(await self._append(JobForgotten(job.id)), Ok):
+            return None
+        self._withdraw(job.id)
+        return _uncertain(job.id)
+
+    def _withdraw(self, job_id: JobId) -> None:
+        self._withdrawn[job_id] = None
+        if self._withdrawing is None or self._withdrawing.done():
+            self._withdrawing = asyncio.get_running_loop().create_task(self._forget_withdrawn())
+
+    async def _forget_withdrawn(self) -> None:
+        while self._withdrawn:
+            await self._clock.sleep(OPEN_PAUSE)
+            records = [JobForgotten(job_id) for job_id in self._withdrawn]
+            results = await asyncio.gather(*(self._append(record) for record in records))
+            self._note_forgotten(records, results)
+            if any(isinstance(r.err_value, Fenced) for r in results if r.is_err()):
+                return
+
+    def _note_forgotten(
+        self, records: list[JobForgotten], results: list[Result[None, JournalError | str]]
+    ) -> None:
+        for record, result in zip(records, results, strict=False):
+            if result.is_ok():
+                self._withdrawn.pop(record.job_id, None)
 
     async def close(self) -> None:
         """Ends the journal's background work."""
+        if self._withdrawing is not None:
+            self._withdrawing.cancel()
         await self._journal.close()
 
     def _prune_if_due(self) -> None:
@@ -194,3 +248,11 @@
 def _unavailable(job: Job, error: JournalError | str) -> NotRun:
     detail = f"the store can't record the job: {error}"
     return NotRun(job.id, RefusalReason.STORE_UNAVAILABLE, detail, RETRY_AFTER)
+
+
+def _may_be_written(error: JournalError | str) -> bool:
+    return isinstance(error, JournalUnavailable | Fenced) and error.outcome == "unknown"
+
+
+def _uncertain(job_id: JobId) -> Unknown:
+    return Unknown(job_id, "the store did not tell whether the job is recorded")
--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -102,6 +102,8 @@
         self._complete_recovery = False
         self._work = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
+        # Jobs whose acceptance is being recorded: they have no record yet, but may run.
+        self._in_acceptance: set[JobId] = set()
         self._task_by_upstream: dict[UpstreamId, asyncio.Task[None]] = {}
         # Upstreams that leave by the word of the platform or the pool's row.
         self._withdrawn: set[UpstreamId] = set()
@@ -163,7 +165,8 @@
                 return SubmitReply(Misdirected())
             accepted = await self._accept(job)
             if isinstance(accepted, Err):
-                self._metrics.refusals.add(1, {"reason": accepted.err_value.reason.value})
+                if isinstance(accepted.err_value, NotRun):
+                    self._metrics.refusals.add(1, {"reason": accepted.err_value.reason.value})
                 return SubmitReply(accepted.err_value)
             record = accepted.ok_value
         if job.asynchronous:
@@ -175,7 +178,7 @@
         record = self.records.get(request.job_id)
         if record is None:
             settled = self._recovered.is_set() and self._durable.is_open
-            if not settled or self._closed.is_set():
+            if not settled or self._closed.is_set() or request.job_id in self._in_acceptance:
                 return ResolveReply(None)
             recorded = self._recorded_outcome(request.job_id)
             if recorded is not None:
@@ -254,12 +257,16 @@
 
     # Acceptance.
 
-    async def _accept(self, job: Job) -> Result[JobRecord, NotRun]:
+    async def _accept(self, job: Job) -> Result[JobRecord, NotRun | Unknown]:
         if self._durable.is_needed(job):
-            return await self._accept_durable(job)
+            self._in_acceptance.add(job.id)
+            try:
+                return await self._accept_durable(job)
+            finally:
+                self._in_acceptance.discard(job.id)
         return self._enqueue(job)
 
-    async def _accept_durable(self, job: Job) -> Result[JobRecord, NotRun]:
+    async def _accept_durable(self, job: Job) -> Result[JobRecord, NotRun | Unknown]:
         # Until the recovery ends, a running attempt of the same job may not be known yet.
         await self._recovered.wait()
         async with self._durable.key_lock(job):
@@ -280,7 +287,8 @@
                 return recorded
             accepted = self._enqueue(job)
             if isinstance(accepted, Err):
-                await self._durable.forget(job)
+                uncertain = await self._durable.forget(job)
+                return accepted if uncertain is None else Err(uncertain)
             return accepted
 
     def _answered(self, job: Job, known_id: JobId) -> JobRecord:
@@ -429,9 +437,12 @@
 
     async def _durable_finish(self, record: JobRecord, outcome: Outcome) -> None:
         # An answer that must be repeatable is in the journal before the caller sees it. With the
-        # store away the caller still gets it; the journal then holds the intent alone.
+        # store away the caller still gets it; the journal then holds the intent alone. That an
+        # accepted job was not run is not reported before it is recorded.
         if self._durable.is_needed(record.job):
-            await self._durable.record_ended(record.job, outcome)
+            reportable = await self._durable.record_ended(record.job, outcome)
+            if not reportable:
+                return
         self.records.end(record, outcome)
 
     def _record_of(self, attempt_id: AttemptId) -> JobRecord | None:
--- a/tools/fault_matrix_reasons.py
+++ b/tools/fault_matrix_reasons.py
@@ -34,7 +34,7 @@
 }
 
 _NO_UPSTREAM = {"accept", "forward", "admit", "journal", "change_accepted", "change_applied"}
-_NO_STORE = {"accept", "forward", "admit", "run", "answer", "cancel"}
+_NO_STORE = {"accept", "forward", "admit", "run", "answer"}
 _NO_LEASE = {"accept", "forward", "admit", "change_accepted", "change_applied"}
 _UPSTREAM_FAULTS = ("upstream dies", "upstream leaving", "upstream fails everything")
 _STORE_FAULTS = (
