--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -55,6 +55,9 @@
 
 DECISION_BATCH = 64
 EXPIRY_INTERVAL = timedelta(milliseconds=250)
+# Recovery lasts up to the lease of a task if an upstream can't be listed.
+SETTLE_PATIENCE = timedelta(seconds=20)
+SETTLE_POLL = timedelta(milliseconds=50)
 RETRY_AFTER_STORE = timedelta(seconds=5)
 
 _log = logbook.Logger("owner")
@@ -100,8 +103,14 @@
         self._closed = asyncio.Event()
         self._recovered = asyncio.Event()
         self._complete_recovery = False
+        # Set once the journal has been merged with what the upstreams run.
+        self._settled = asyncio.Event()
         self._work = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
+        # Jobs with a lost attempt, which end as unknown if their deadline passes in the queue.
+        self._lost_jobs: set[JobId] = set()
+        # Jobs whose acceptance is being recorded: they have no record yet, but may run.
+        self._in_acceptance: set[JobId] = set()
         self._task_by_upstream: dict[UpstreamId, asyncio.Task[None]] = {}
         # Upstreams that leave by the word of the platform or the pool's row.
         self._withdrawn: set[UpstreamId] = set()
@@ -131,7 +140,11 @@
             await self._work.wait()
             self._work.clear()
             if self._accepting and self._may_start():
-                self._decide()
+                try:
+                    self._decide()
+                except Exception:
+                    # One decision that fails must not end the shard's service.
+                    _log.exception("{}: a decision failed", self.shard)
 
     def update_pool(self, pool: Pool) -> None:
         """Adds and removes upstreams after a change of the pool's row."""
@@ -163,7 +176,8 @@
                 return SubmitReply(Misdirected())
             accepted = await self._accept(job)
             if isinstance(accepted, Err):
-                self._metrics.refusals.add(1, {"reason": accepted.err_value.reason.value})
+                if isinstance(accepted.err_value, NotRun):
+                    self._metrics.refusals.add(1, {"reason": accepted.err_value.reason.value})
                 return SubmitReply(accepted.err_value)
             record = accepted.ok_value
         if job.asynchronous:
@@ -174,8 +188,8 @@
         """Tells the fate of a job id; one never seen is refused from now on."""
         record = self.records.get(request.job_id)
         if record is None:
-            settled = self._recovered.is_set() and self._durable.is_open
-            if not settled or self._closed.is_set():
+            settled = self._recovered.is_set() and self._settled.is_set()
+            if not settled or self._closed.is_set() or request.job_id in self._in_acceptance:
                 return ResolveReply(None)
             recorded = self._recorded_outcome(request.job_id)
             if recorded is not None:
@@ -235,6 +249,10 @@
             return Completed(record.job.id, [], self._data_centre, failed=True)
         return _not_run(record.job, RefusalReason.CANCELLED, "cancelled")
 
+    async def store_returned(self) -> None:
+        """Makes sure that the store has the journal as this owner last wrote it."""
+        await self._durable.check()
+
     def beat(self) -> ShardBeat:
         """Returns what the process's heartbeats tell about this shard."""
         waits = {band: self.scheduler.expected_wait(band) for band in Band}
@@ -254,14 +272,21 @@
 
     # Acceptance.
 
-    async def _accept(self, job: Job) -> Result[JobRecord, NotRun]:
+    async def _accept(self, job: Job) -> Result[JobRecord, NotRun | Unknown]:
         if self._durable.is_needed(job):
-            return await self._accept_durable(job)
+            self._in_acceptance.add(job.id)
+            try:
+                return await self._accept_durable(job)
+            finally:
+                self._in_acceptance.discard(job.id)
         return self._enqueue(job)
 
-    async def _accept_durable(self, job: Job) -> Result[JobRecord, NotRun]:
-        # Until the recovery ends, a running attempt of the same job may not be known yet.
-        await self._recovered.wait()
+    async def _accept_durable(self, job: Job) -> Result[JobRecord, NotRun | Unknown]:
+        # Until then a running attempt of the same job, or its key, may not be known yet.
+        if not await self._is_settled_within(SETTLE_PATIENCE):
+            detail = "the shard's journal is not loaded"
+            reason = RefusalReason.STORE_UNAVAILABLE
+            return Err(NotRun(job.id, reason, detail, RETRY_AFTER_STORE))
         async with self._durable.key_lock(job):
             known = self._durable.find_key(job)
             if isinstance(known, Err):
@@ -280,9 +305,18 @@
                 return recorded
             accepted = self._enqueue(job)
             if isinstance(accepted, Err):
-                await self._durable.forget(job)
+                uncertain = await self._durable.forget(job)
+                return accepted if uncertain is None else Err(uncertain)
             return accepted
 
+    async def _is_settled_within(self, patience: timedelta) -> bool:
+        if self._settled.is_set():
+            return True
+        give_up_at = self._clock.boot_time() + patience
+        while not self._settled.is_set() and self._clock.boot_time() < give_up_at:
+            await self._clock.sleep(SETTLE_POLL)
+        return self._settled.is_set()
+
     def _answered(self, job: Job, known_id: JobId) -> JobRecord:
         """Returns a record with the answer that an idempotency key already has."""
         record = JobRecord(job)
@@ -385,8 +419,10 @@
             record.result_by_task[task_of(attempt_id)] = result
         elif ended is not Ended.TASK_DONE:
             record.running_tasks.discard(task_of(attempt_id))
-        if end is TaskEnd.LOST and not record.job.idempotent:
-            record.uncertain = True
+        if end is TaskEnd.LOST:
+            record.lost = True
+            record.uncertain = not record.job.idempotent
+            self._lost_jobs.add(record.job.id)
         if record.intent_failed and ended is Ended.RETRY:
             self._refuse_without_store(record)
         else:
@@ -429,9 +465,12 @@
 
     async def _durable_finish(self, record: JobRecord, outcome: Outcome) -> None:
         # An answer that must be repeatable is in the journal before the caller sees it. With the
-        # store away the caller still gets it; the journal then holds the intent alone.
+        # store away the caller still gets it; the journal then holds the intent alone. That an
+        # accepted job was not run is not reported before it is recorded.
         if self._durable.is_needed(record.job):
-            await self._durable.record_ended(record.job, outcome)
+            reportable = await self._durable.record_ended(record.job, outcome)
+            if not reportable:
+                return
         self.records.end(record, outcome)
 
     def _record_of(self, attempt_id: AttemptId) -> JobRecord | None:
@@ -508,9 +547,11 @@
         await self._recovered.wait()
         for record in self.records.live():
             self._settle(record)
+        await self._durable.release_unstarted(self.records)
         for job in self._durable.unfinished_jobs():
             if self.records.get(job.id) is None:
                 self._requeue(job)
+        self._settled.set()
         self._work.set()
 
     def _settle(self, record: JobRecord) -> None:
@@ -538,8 +579,21 @@
                 if record is not None:
                     detail = "the deadline passed before the job was started"
                     self._finish(record, _not_run(record.job, RefusalReason.EXPIRED, detail))
+            self._expire_lost()
             self._work.set()
 
+    def _expire_lost(self) -> None:
+        """Ends jobs past their deadline whose last attempt was lost and that wait for another."""
+        for job_id in list(self._lost_jobs):
+            record = self.records.get(job_id)
+            if record is None or record.ended_at is not None:
+                self._lost_jobs.discard(job_id)
+            elif record.is_expired(self._clock.boot_time()) and not record.upstream_by_attempt:
+                self._lost_jobs.discard(job_id)
+                self._cancel(record)
+                detail = "the deadline passed after an attempt was lost at its upstream"
+                self._finish(record, Unknown(job_id, detail))
+
     def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/hornbeamramp/settings.py
+++ b/hornbeamramp/settings.py
@@ -90,7 +90,8 @@
     `send_bound_ms`
         Longest time a start may spend between the check of the proof and the upstream.
     `task_lease_ms`
-        Lease of a task at its upstream.
+        Lease of a task at its upstream. Longer than the process lease and a claim together, so
+        that running tasks survive the death of their shard's owner.
     `drain_ms`
         Wait between becoming not ready and refusing new requests.
     """
@@ -101,7 +102,7 @@
     send_bound_ms: int = 500
     heartbeat_ms: int = 1_000
     remote_heartbeat_ms: int = 5_000
-    task_lease_ms: int = 6_000
+    task_lease_ms: int = 15_000
     usage_ms: int = 2_000
     drain_ms: int = 1_000
 
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -8,6 +8,12 @@
 
 from hornbeamramp.clock import ManualClock
 from hornbeamramp.errors import UnreachableError
+from hornbeamramp.messages import (
+    CancelRequest,
+    ConfigDeltaRequest,
+    HandOverRequest,
+    SubmitRequest,
+)
 from hornbeamramp.states import Step
 from tests.support.runtime import spawn_outside
 
@@ -16,6 +22,12 @@
 
 __all__ = ["LinkFaults", "PeerNetwork", "PeerPort"]
 
+STEP_BY_REQUEST_TYPE = {
+    SubmitRequest: Step.FORWARD,
+    CancelRequest: Step.CANCEL,
+    HandOverRequest: Step.DRAIN,
+    ConfigDeltaRequest: Step.CHANGE_APPLIED,
+}
 LATENCY = timedelta(milliseconds=1)
 DUPLICATE_AFTER = timedelta(milliseconds=700)
 # gRPC's keepalive time and timeout, after which a silent connection is given up.
@@ -86,6 +98,9 @@
         await asyncio.sleep(0)
         if target is None or not (target.listens_to_peers or target.is_lost):
             raise UnreachableError(step, address, "connection refused", sent=False)
+        taken = STEP_BY_REQUEST_TYPE.get(type(request))
+        if taken is not None:
+            sender.cell.took_step(taken, sender)
         reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         reply.add_done_callback(lambda done: done.cancelled() or done.exception())
         self._open[reply] = (target, step)
@@ -119,7 +134,10 @@
     async def _deliver(self, sender, target, request, reply, step: Step) -> None:
         out = self.faults(sender.name, target.name)
         await self._travel(out)
-        if out.cut or target.is_lost or out.take("drop_requests"):
+        if out.cut or target.is_lost:
+            return
+        if out.take("drop_requests"):
+            await self._find_silent(target, reply, step)
             return
         if out.take("duplicates"):
             spawn_outside(self._deliver_again(target, request))
@@ -127,7 +145,10 @@
         await asyncio.wait({task})
         back = self.faults(target.name, sender.name)
         await self._travel(back)
-        if back.cut or back.take("drop_replies") or reply.done() or task.cancelled():
+        if back.cut or reply.done() or task.cancelled():
+            return
+        if back.take("drop_replies"):
+            await self._find_silent(target, reply, step)
             return
         if task.exception() is not None:
             message = f"handler failed: {task.exception()!r}"
@@ -135,6 +156,12 @@
             return
         reply.set_result(task.result())
 
+    async def _find_silent(self, target, reply, step: Step) -> None:
+        # TCP loses a message only with its connection, which the keepalive then finds silent.
+        await self._clock.sleep(SILENCE_LIMIT)
+        if not reply.done():
+            reply.set_exception(UnreachableError(step, target.address, "keepalive timeout"))
+
     async def _deliver_again(self, target, request) -> None:
         await self._clock.sleep(DUPLICATE_AFTER)
         if target.listens_to_peers:
