Publish the state of the process as metrics and put faults first in status

Cause: operators could not see members, shards, revisions, store calls or connections in the metrics, and status made them read every row to find a fault. Bands were shown as numbers, an upstream's reason with brackets was taken as markup. Change: tables of gauges and read counters in telemetry.py; a headline that names each fault, state of each shard, queue by band; no scope labels on metrics. Conclusion: what is not as it should be stands in the first line of status.

--- a/hornbeamramp/cluster_status.py
+++ b/hornbeamramp/cluster_status.py
@@ -16,8 +16,9 @@
 from hornbeamramp.ownership import Ownership
 from hornbeamramp.settings import Settings
 from hornbeamramp.shards import OwnedShards
-from hornbeamramp.states import MemberState, Step
+from hornbeamramp.states import MemberState, Step, UpstreamState
 from hornbeamramp.store_budget import BudgetedPlatform
+from hornbeamramp.telemetry import Metrics, Reading
 
 __all__ = ["ClusterStatus"]
 
@@ -61,6 +62,31 @@
             "store_calls": dict(self._platform.calls_by_kind),
         }
 
+    def observe(self, metrics: Metrics) -> None:
+        """Publishes the state of this process as gauges."""
+        metrics.observe("revision", lambda: [(self._configuration.tables.revision, {})])
+        metrics.observe("members", self._read_members)
+        metrics.observe("shards_owned", lambda: [(len(self._shards.owner_by_shard), {})])
+        metrics.observe("upstreams_set_aside", self._read_set_aside)
+        metrics.observe("store_calls", self._read_store_calls)
+
+    def _read_members(self) -> list[Reading]:
+        states = [self._membership.state_of(vm) for vm in self._membership.by_id]
+        return [(states.count(state), {"state": state.value}) for state in MemberState]
+
+    def _read_set_aside(self) -> list[Reading]:
+        readings = []
+        for shard in self._shards.status():
+            states = [upstream["state"] for upstream in shard["upstreams"]]
+            for state in UpstreamState:
+                if state is not UpstreamState.ACTIVE:
+                    labels = {"shard": shard["shard"], "state": state.value}
+                    readings.append((states.count(state.value), labels))
+        return readings
+
+    def _read_store_calls(self) -> list[Reading]:
+        return [(n, {"kind": kind}) for kind, n in self._platform.calls_by_kind.items()]
+
     async def reply(self, request: StatusRequest) -> StatusReply:
         """Answers a peer's status request."""
         return StatusReply(msgspec.json.encode(self.local()))
--- a/hornbeamramp/entry.py
+++ b/hornbeamramp/entry.py
@@ -19,7 +19,7 @@
 from hornbeamramp.rpc import PeerClient, PeerServer
 from hornbeamramp.settings import Settings
 from hornbeamramp.tables import Pool, PoolUpstream
-from hornbeamramp.telemetry import setup_telemetry
+from hornbeamramp.telemetry import Reading, setup_telemetry
 from hornbeamramp.upstreams import UPSTREAMS, UpstreamAdapter
 
 __all__ = ["EntryProcess", "serve"]
@@ -128,6 +128,11 @@
             )
             self.admin_server = HttpServer(app, admin.address, self.settings.tls)
             await self.admin_server.start()
+        parts.metrics.observe("connections", self._read_connections)
+
+    def _read_connections(self) -> list[Reading]:
+        servers = {"callers": self.caller_server, "admin": self.admin_server}
+        return [(s.connections, {"listener": name}) for name, s in servers.items() if s]
 
 
 async def serve(settings: Settings) -> None:
--- a/hornbeamramp/entry_parts.py
+++ b/hornbeamramp/entry_parts.py
@@ -103,6 +103,7 @@
             peers.call,
             lambda: self.ready,
         )
+        self.cluster_status.observe(self.metrics)
         self.configuration.subscribe(lambda _: self.shards.tables_changed())
         self._handler_by_type = self._handlers()
         self._tasks: list[asyncio.Task[Any]] = []
--- a/hornbeamramp/http_server.py
+++ b/hornbeamramp/http_server.py
@@ -89,6 +89,11 @@
         await self._server.startup()
         await self._server.start_serving()
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return 0 if self._server is None else len(self._server.connections)
+
     def stop_listening(self) -> None:
         """Accepts no more connections; open ones go on."""
         if self._server is not None:
--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -535,6 +535,7 @@
         for upstream in snapshot["upstreams"]:
             if upstream["id"] in unreachable:
                 upstream["state"] = UpstreamState.UNREACHABLE.value
+                upstream["reason"] = "does not answer"
         return {
             "shard": self.shard,
             "epoch": self.epoch,
--- a/hornbeamramp/status_view.py
+++ b/hornbeamramp/status_view.py
@@ -5,6 +5,9 @@
 
 from rich.console import Console
 from rich.table import Table
+from rich.text import Text
+
+from hornbeamramp.states import Band
 
 __all__ = ["print_rows", "print_status"]
 
@@ -26,13 +29,52 @@
 
 def print_status(document: dict[str, Any], console: Console) -> None:
     """Prints what an operator asks first: serving, owners, revisions, queues, upstreams."""
-    console.print(f"revision {document['revision']} at {document['vm']}")
+    console.print(_headline(document), soft_wrap=True, markup=False, highlight=False)
     _print_data_centres(document, console)
     _print_members(document, console)
     _print_shards(document, console)
     _print_upstreams(document, console)
 
 
+def _headline(document: dict[str, Any]) -> str:
+    """Returns one line: the revision asked for, and what is not as it should be."""
+    faults = [
+        f"{name} is not serving"
+        for name, state in sorted(document["data_centres"].items())
+        if not state["serving"]
+    ]
+    behind = [m["vm"] for m in document["members"] if m["revision"] < document["revision"]]
+    if behind:
+        faults.append(f"not at this revision: {', '.join(behind)}")
+    ownerless = [shard["shard"] for shard in document["shards"] if not shard["owner"]]
+    if ownerless:
+        faults.append(f"without owner: {', '.join(ownerless)}")
+    silent = [s["shard"] for s in document["shards"] if s["owner"] and not s["detail"]]
+    if silent:
+        faults.append(f"owner does not answer: {', '.join(silent)}")
+    recovering = [s["shard"] for s in document["shards"] if s["detail"] and not _recovered(s)]
+    if recovering:
+        faults.append(f"recovering: {', '.join(recovering)}")
+    aside = len(_set_aside(document))
+    if aside:
+        faults.append(f"{aside} upstreams set aside")
+    state = "; ".join(faults) or "all data centres are serving"
+    return f"revision {document['revision']} at {document['vm']}: {state}"
+
+
+def _recovered(shard: dict[str, Any]) -> bool:
+    return bool(shard["detail"].get("recovered"))
+
+
+def _set_aside(document: dict[str, Any]) -> list[list[Any]]:
+    return [
+        [shard["shard"], upstream["id"], upstream["state"], upstream.get("reason") or "-"]
+        for shard in document["shards"]
+        for upstream in (shard.get("detail") or {}).get("upstreams", [])
+        if upstream["state"] != "active"
+    ]
+
+
 def _print_data_centres(document: dict[str, Any], console: Console) -> None:
     rows = (
         [name, "yes" if state["serving"] else "NO", state["members"], state["least_revision"]]
@@ -54,29 +96,40 @@
     rows = []
     for shard in document["shards"]:
         detail = shard.get("detail") or {}
-        queued = sum(detail.get("queued_by_band", {}).values()) if detail else "-"
-        refused = ", ".join(f"{k}: {v}" for k, v in detail.get("refused", {}).items()) or "-"
         rows.append(
             [
                 shard["shard"],
                 shard["owner"] or "NONE",
-                shard["epoch"],
+                shard["epoch"] if detail else "-",
+                _state(shard),
                 detail.get("running", "-"),
-                queued,
-                refused,
+                _counts(_band_names(detail.get("queued_by_band", {}))) if detail else "-",
+                _counts(detail.get("refused", {})),
             ]
         )
-    headings = ["shard", "owner", "epoch", "running", "queued", "refused"]
+    headings = ["shard", "owner", "epoch", "state", "running", "queued", "refused since start"]
     _print_table(console, "Shards", headings, rows)
 
 
+def _state(shard: dict[str, Any]) -> str:
+    if not shard["owner"]:
+        return "no owner"
+    if not shard["detail"]:
+        return "no answer"
+    return "serving" if _recovered(shard) else "recovering"
+
+
+def _band_names(count_by_band: dict[str, int]) -> dict[str, int]:
+    """Replaces the numbers of bands, as JSON keys, by their names."""
+    return {Band(int(band)).name.lower(): count for band, count in count_by_band.items()}
+
+
+def _counts(count_by_name: dict[str, int]) -> str:
+    return ", ".join(f"{name}: {count}" for name, count in count_by_name.items() if count) or "-"
+
+
 def _print_upstreams(document: dict[str, Any], console: Console) -> None:
-    rows = [
-        [shard["shard"], upstream["id"], upstream["state"], upstream.get("reason") or "-"]
-        for shard in document["shards"]
-        for upstream in (shard.get("detail") or {}).get("upstreams", [])
-        if upstream["state"] != "active"
-    ]
+    rows = _set_aside(document)
     if rows:
         headings = ["shard", "upstream", "state", "reason"]
         _print_table(console, "Upstreams set aside", headings, rows)
@@ -89,5 +142,6 @@
     for heading in headings:
         table.add_column(heading)
     for row in rows:
-        table.add_row(*(str(cell) for cell in row))
+        # Text objects: a bracket in a reason is not markup.
+        table.add_row(*(Text(str(cell)) for cell in row))
     console.print(table)
--- a/hornbeamramp/telemetry.py
+++ b/hornbeamramp/telemetry.py
@@ -1,5 +1,7 @@
 """OpenTelemetry metrics and traces of one process."""
 
+from collections.abc import Callable, Iterable
+
 import logbook
 from opentelemetry import metrics, trace
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -11,7 +13,7 @@
 
 from hornbeamramp.settings import Settings
 
-__all__ = ["Metrics", "prometheus_text", "setup_telemetry"]
+__all__ = ["Metrics", "Reading", "prometheus_text", "setup_telemetry"]
 
 # Name, unit and description of each counter.
 COUNTERS = {
@@ -34,8 +36,29 @@
 }
 
 
+# Name, unit and description of each gauge; read when the metrics are collected.
+GAUGES = {
+    "revision": ("hornbeamramp.revision", "1", "Revision of the tables in force"),
+    "members": ("hornbeamramp.members", "1", "Entry processes by state"),
+    "shards_owned": ("hornbeamramp.shards.owned", "1", "Shards that this process owns"),
+    "upstreams_set_aside": (
+        "hornbeamramp.upstreams.set_aside",
+        "1",
+        "Upstreams of owned shards that get no new work, by shard and state",
+    ),
+    "connections": ("hornbeamramp.connections", "1", "Open connections by listener"),
+}
+
+# Name, unit and description of each counter that is kept elsewhere and read like a gauge.
+READ_COUNTERS = {
+    "store_calls": ("hornbeamramp.store.calls", "1", "Store calls by kind"),
+}
+
+Reading = tuple[float, dict[str, str]]
+
+
 class Metrics:
-    """Instruments of the process, one attribute for each row of the tables above."""
+    """Instruments of the process, one attribute for each row of the counters and histograms."""
 
     def __init__(self) -> None:
         meter = metrics.get_meter("hornbeamramp")
@@ -45,6 +68,19 @@
         for attribute, (name, unit, description) in HISTOGRAMS.items():
             histogram = meter.create_histogram(name, unit=unit, description=description)
             setattr(self, attribute, histogram)
+        self._meter = meter
+
+    def observe(self, attribute: str, read: Callable[[], Iterable[Reading]]) -> None:
+        """Sets the function that reads a gauge or a counter: values with their attributes."""
+        name, unit, description = {**GAUGES, **READ_COUNTERS}[attribute]
+
+        def callback(_: metrics.CallbackOptions) -> list[metrics.Observation]:
+            return [metrics.Observation(value, attributes) for value, attributes in read()]
+
+        if attribute in GAUGES:
+            self._meter.create_observable_gauge(name, [callback], unit, description)
+        else:
+            self._meter.create_observable_counter(name, [callback], unit, description)
 
 
 class LogSpanExporter(SpanExporter):
@@ -63,7 +99,9 @@
     """Installs the providers named in the settings. To be called once in a process."""
     resource = Resource.create({"service.name": "hornbeamramp", "service.instance.id": settings.vm})
     if settings.telemetry.metrics:
-        provider = MeterProvider([PrometheusMetricReader()], resource=resource)
+        provider = MeterProvider(
+            [PrometheusMetricReader(scope_info_enabled=False)], resource=resource
+        )
         metrics.set_meter_provider(provider)
     if settings.telemetry.traces == "log":
         tracer_provider = TracerProvider(resource=resource)
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -3,6 +3,7 @@
 import hmac
 
 import pytest
+from prometheus_client.parser import text_string_to_metric_families
 
 from hornbeamramp import admin_api
 from hornbeamramp.admin_api import _TokenCheck
@@ -156,4 +157,21 @@
     cell.caller("POST", "/v1/jobs", {"route": "ticket"})
     answer = cell.admin("GET", "/metrics")
     assert answer.headers["content-type"].startswith("text/plain; version=0.0.4")
-    assert b"hornbeamramp_requests_total{" in answer.body
+    samples = [
+        sample
+        for family in text_string_to_metric_families(answer.body.decode())
+        for sample in family.samples
+    ]
+
+    def values(name, **labels):
+        return [x.value for x in samples if x.name == name and x.labels.items() >= labels.items()]
+
+    assert values("hornbeamramp_requests_total", route="ticket", outcome="completed")[0] >= 1
+    assert sum(values("hornbeamramp_queue_time_seconds_count")) >= 1
+    assert values("hornbeamramp_revision")[0] >= 2
+    assert values("hornbeamramp_members", state="alive") == [1]
+    assert values("hornbeamramp_shards_owned") == [1]
+    set_aside = {"shard": "tickets@gebze", "state": "quarantined"}
+    assert values("hornbeamramp_upstreams_set_aside", **set_aside) == [0]
+    assert sum(values("hornbeamramp_store_calls_total")) >= 1
+    assert values("hornbeamramp_connections", listener="admin")[0] >= 1
