--- a/hornbeamramp/configuration.py
+++ b/hornbeamramp/configuration.py
@@ -1,112 +1,336 @@
-"""Configuration kept in one head record (first version)."""
+"""The operators' tables in the platform's store: proposals, the watch, deltas between peers."""
 
 import asyncio
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
+import logbook
 import msgspec
 from result import Err, Ok, Result
 
-from hornbeamramp.errors import ConflictError, StoreUnavailableError
-from hornbeamramp.ids import ChangeId, Revision
+from hornbeamramp.clock import Clock
+from hornbeamramp.config_head import (
+    RING_BYTES,
+    ConfigHead,
+    ConfigState,
+    merge,
+)
+from hornbeamramp.config_proposal import (
+    BrokenJoin,
+    MalformedProposal,
+    ProposalError,
+    StoreOutage,
+    VersionConflict,
+    check_change,
+    compare_repeated,
+    make_change,
+)
+from hornbeamramp.config_records import HEAD_KEY, ConfigRecords, decode_head
+from hornbeamramp.errors import (
+    ConflictError,
+    ProtocolError,
+    SchedulerError,
+    StoreUnavailableError,
+)
+from hornbeamramp.ids import ChangeId, Revision, VmId
 from hornbeamramp.messages import ConfigDeltaReply, ConfigDeltaRequest
-from hornbeamramp.states import JobState
-from hornbeamramp.tables import Change, Tables, check_join
+from hornbeamramp.platforms.base import Entry, Platform
+from hornbeamramp.states import Step
+from hornbeamramp.tables import Change, Pool, Route, Tables
 
 __all__ = [
     "BrokenJoin",
     "ConfigurationStore",
     "MalformedProposal",
     "ProposalError",
-    "StoreUnavailable",
+    "StoreOutage",
     "VersionConflict",
 ]
 
-HEAD = "config/head"
+log = logbook.Logger("config")
 
+WATCH_WAIT = timedelta(seconds=25)
+RETRY_DELAY = timedelta(milliseconds=100)
+WATCH_RETRY_DELAY = timedelta(seconds=1)
+# Conflicts are other operators' changes; each of them means that one proposal got through.
+CONFLICT_ATTEMPTS = 30
+OUTAGE_ATTEMPTS = 4
+UNMERGED_LIMIT = 8
 
-class VersionConflict(msgspec.Struct, frozen=True):
-    current: object = None
-    version: Revision | None = None
+_encode = msgspec.msgpack.Encoder().encode
 
 
-class BrokenJoin(msgspec.Struct, frozen=True):
-    message: str
-    names: list[str]
+class _Stored(msgspec.Struct, frozen=True):
+    """What the store holds. ``version`` is ``None`` if there is no head."""
 
+    head: ConfigHead
+    state: ConfigState
+    version: int | None
 
-class StoreUnavailable(msgspec.Struct, frozen=True):
-    message: str
-    outcome: JobState
-
-
-class MalformedProposal(msgspec.Struct, frozen=True):
-    message: str
 
+class ConfigurationStore:
+    """Tables of one member: those in force here, and changes to those in the store.
 
-ProposalError = VersionConflict | BrokenJoin | StoreUnavailable | MalformedProposal
+    `platform`
+        Store; its calls count against the process's budget.
+    `clock`
+        Source of time for retries.
+    `vm`
+        This member, for the log.
+    `watch_wait`
+        Longest wait of one watch call (default: 25 s).
 
+    `fork_count`
+        Number of forks that this member has seen.
+    `dropped_changes`
+        Last changes that could not be kept when a fork was merged.
+    """
 
-class ConfigurationStore:
-    def __init__(self, platform, clock, vm) -> None:
-        self.tables = Tables()
-        self._platform, self._clock = platform, clock
+    def __init__(
+        self, platform: Platform, clock: Clock, vm: VmId, watch_wait: timedelta = WATCH_WAIT
+    ) -> None:
+        self._platform = platform
+        self._records = ConfigRecords(platform)
+        self._clock = clock
+        self._vm = vm
+        self._watch_wait = watch_wait
+        self._state = ConfigState()
+        # Losing sides of forks seen without the store, to be merged when it is available.
+        self._unmerged: list[ConfigState] = []
         self._ready = asyncio.Event()
-        self._subscribers: list[Callable] = []
+        self._proposal_lock = asyncio.Lock()
+        self._callbacks: list[Callable[[Tables], None]] = []
+        self.fork_count = 0
+        self.dropped_changes: deque[Change] = deque(maxlen=100)
+
+    @property
+    def tables(self) -> Tables:
+        """Tables in force at this member."""
+        return self._state.tables
 
-    def subscribe(self, callback: Callable) -> None:
-        self._subscribers.append(callback)
+    def is_ready(self) -> bool:
+        """Tells whether the tables were loaded from the store or a peer."""
+        return self._ready.is_set()
 
     async def wait_ready(self) -> None:
+        """Returns once the tables were loaded from the store or a peer."""
         await self._ready.wait()
 
+    def subscribe(self, callback: Callable[[Tables], None]) -> Callable[[], None]:
+        """Calls ``callback`` with the tables after each change; returns how to end that.
+
+        The call is made in the event loop and must not block. Its exceptions are logged.
+        """
+        self._callbacks.append(callback)
+        return lambda: self._callbacks.remove(callback)
+
+    async def propose(
+        self,
+        table: str,
+        name: str,
+        row: Route | Pool | None,
+        if_match: Revision | None,
+        change_id: ChangeId,
+    ) -> Result[Change, ProposalError]:
+        """Writes a row, or deletes it if ``row`` is ``None``.
+
+        ``if_match`` is the version to replace, ``None`` if the row must not exist. A proposal
+        with the id of an accepted change returns that change.
+        """
+        try:
+            change = make_change(table, name, row, if_match, change_id)
+        except ValueError as error:
+            return Err(MalformedProposal(str(error)))
+        async with self._proposal_lock:
+            return await self._propose(change, if_match)
+
+    async def _propose(
+        self, change: Change, if_match: Revision | None
+    ) -> Result[Change, ProposalError]:
+        # Version and revision of a put without an answer that may still take effect.
+        unresolved: tuple[int | None, Revision] | None = None
+        message, outages, conflicts = "", 0, 0
+        while outages < OUTAGE_ATTEMPTS and conflicts < CONFLICT_ATTEMPTS:
+            if outages:
+                await self._clock.sleep(RETRY_DELAY * 2 ** (outages - 1))
+            try:
+                stored = await self._reconcile(await self._platform.get(HEAD_KEY))
+                found = stored.state.find(change.id)
+                if found is not None:
+                    return compare_repeated(found, change)
+                if unresolved is not None and stored.version != unresolved[0]:
+                    if stored.state.base_revision >= unresolved[1]:
+                        message = "too many later changes to tell"
+                        break
+                    # The head has moved on without the change, so the put can't take effect.
+                    unresolved = None
+                refusal = check_change(stored.state.tables, change, if_match)
+                if refusal is not None:
+                    return Err(refusal)
+                target = stored.state.append(change)
+                head = await self._records.build_head(target, stored.head)
+            except (StoreUnavailableError, ProtocolError) as error:
+                message = error.message
+                if unresolved is None:
+                    return Err(StoreOutage("not_run", message))
+                outages += 1
+                continue
+            try:
+                await self._platform.put(HEAD_KEY, _encode(head), stored.version)
+            except ConflictError as error:
+                message = error.message
+                conflicts += 1
+            except StoreUnavailableError as error:
+                message = error.message
+                if error.sent:
+                    unresolved = (stored.version, target.tables.revision)
+                elif unresolved is None:
+                    return Err(StoreOutage("not_run", message))
+                outages += 1
+            else:
+                self._adopt(target)
+                await self._records.delete_old_snapshot(stored.head, head)
+                log.info("revision {}: {}/{} changed", head.revision, change.table, change.name)
+                return Ok(target.recent[-1])
+        return Err(StoreOutage("not_run" if unresolved is None else "unknown", message))
+
     async def run(self) -> None:
-        after = 0
+        """Follows the head in the store until cancelled."""
+        available = True
         while True:
             try:
-                result = await self._platform.watch(HEAD, after, timedelta(seconds=20))
-            except StoreUnavailableError:
-                await self._clock.sleep(timedelta(seconds=1))
-                continue
-            after = result.revision
-            for entry in result.changed:
-                self._apply(msgspec.json.decode(entry.value, type=Tables))
+                version = await self._follow(await self._platform.get(HEAD_KEY))
+                available = True
+                while True:
+                    result = await self._platform.watch(HEAD_KEY, version, self._watch_wait)
+                    entry = next((e for e in result.changed if e.key == HEAD_KEY), None)
+                    if entry is None:
+                        # Reads the head: a store restored without it reports no change.
+                        break
+                    version = await self._follow(entry)
+            except (StoreUnavailableError, ProtocolError) as error:
+                if available:
+                    log.warning("{}: can't follow the tables: {}", self._vm, error)
+                available = False
+                await self._clock.sleep(WATCH_RETRY_DELAY)
+
+    def on_config_delta(self, request: ConfigDeltaRequest) -> ConfigDeltaReply:
+        """Answers a peer with the changes it lacks, or the whole tables."""
+        state, tables = self._state, self._state.tables
+        reply = ConfigDeltaReply(tables.revision, digest=tables.digest)
+        if state.order <= (request.after, request.digest):
+            return reply
+        changes = state.changes_after(request.after, request.digest)
+        if changes is not None:
+            return msgspec.structs.replace(reply, changes=changes, base_digest=request.digest)
+        return msgspec.structs.replace(
+            reply, changes=list(state.recent), base_digest=state.base_digest, tables=tables
+        )
+
+    async def pull_from(
+        self, peer_call: Callable[[ConfigDeltaRequest], Awaitable[ConfigDeltaReply]]
+    ) -> bool:
+        """Fetches later changes from a peer and tells whether there were any.
+
+        ``peer_call`` sends the request; a `SchedulerError` from it is logged.
+        """
+        tables = self._state.tables
+        try:
+            reply = await peer_call(ConfigDeltaRequest(tables.revision, tables.digest))
+        except SchedulerError as error:
+            log.debug("{}: no changes from a peer: {}", self._vm, error)
+            return False
+        if reply.tables is None:
+            state = self._state.extend(reply.changes)
+        else:
+            state = ConfigState(reply.tables, tuple(reply.changes), reply.base_digest)
+            state = state if state.is_consistent() else None
+        if state is None:
+            log.warning("{}: a peer's changes to {} do not fit", self._vm, reply.revision)
+            return False
+        if state.tables.revision > 0:
             self._ready.set()
+        return self._adopt(state)
 
-    def _apply(self, tables: Tables) -> None:
-        if tables.revision > self.tables.revision:
-            self.tables = tables
-            for callback in self._subscribers:
-                callback(tables)
+    async def _follow(self, entry: Entry | None) -> int:
+        stored = await self._reconcile(entry)
+        if not self._ready.is_set():
+            log.info("{}: tables loaded at revision {}", self._vm, self.tables.revision)
+            self._ready.set()
+        return stored.version or 0
 
-    async def propose(self, table, name, row, if_match, change_id) -> Result:
-        while True:
-            entry = await self._platform.get(HEAD)
-            tables = msgspec.json.decode(entry.value, type=Tables) if entry else Tables()
-            versions = (
-                tables.route_version_by_name if table == "routes" else tables.pool_version_by_name
-            )
-            if versions.get(name) != if_match:
-                rows = tables.route_by_name if table == "routes" else tables.pool_by_name
-                return Err(VersionConflict(rows.get(name), versions.get(name)))
-            change = Change(
-                ChangeId(change_id),
-                Revision(tables.revision + 1),
-                table,
-                name,
-                **{"route" if table == "routes" else "pool": row},
+    async def _reconcile(self, entry: Entry | None) -> _Stored:
+        """Brings the head in the store and the state of this member to the same point.
+
+        Writes the member's state back if the store lacks part of it. Raises
+        `StoreUnavailableError`, and `ProtocolError` if the head can't be read.
+        """
+        for _ in range(CONFLICT_ATTEMPTS):
+            head = ConfigHead() if entry is None else decode_head(entry)
+            version = None if entry is None else entry.version
+            stored = await self._records.load(head, self._state)
+            target, dropped = stored, []
+            for known in (self._state, *self._unmerged):
+                merged = merge(target, known)
+                target = merged.state
+                dropped += merged.dropped
+            if target.order != stored.order:
+                log.warning(
+                    "{}: the store is at revision {}; writing revision {} back",
+                    self._vm,
+                    stored.tables.revision,
+                    target.tables.revision,
+                )
+                new_head = await self._records.build_head(target, head)
+                try:
+                    version = await self._platform.put(HEAD_KEY, _encode(new_head), version)
+                except ConflictError:
+                    entry = await self._platform.get(HEAD_KEY)
+                    continue
+                head = new_head
+            self._unmerged.clear()
+            self._report_dropped(dropped)
+            self._adopt(target)
+            return _Stored(head, target, version)
+        raise StoreUnavailableError(
+            Step.CHANGE_APPLIED, "store", "the head changed at each attempt", sent=False
+        )
+
+    def _adopt(self, state: ConfigState) -> bool:
+        """Puts ``state`` in force if it is later than the present one."""
+        ours = self._state
+        if state.order <= ours.order:
+            return False
+        merged = merge(state, ours)
+        at_ours = state.digest_at(ours.tables.revision)
+        if at_ours is not None and at_ours != ours.tables.digest:
+            self.fork_count += 1
+            log.error(
+                "{}: two chains of changes at revision {}; the one at revision {} is kept",
+                self._vm,
+                ours.tables.revision,
+                state.tables.revision,
             )
-            changed = tables.apply(change)
-            joined = check_join(changed.route_by_name, changed.pool_by_name)
-            if joined.is_err():
-                return Err(BrokenJoin(joined.err_value.message, joined.err_value.names))
+        if merged.state.order != state.order:
+            self._unmerged = [*self._unmerged[-UNMERGED_LIMIT:], ours]
+        self._state = state.trim(RING_BYTES)
+        for callback in list(self._callbacks):
             try:
-                value = msgspec.json.encode(changed)
-                await self._platform.put(HEAD, value, entry.version if entry else None)
-            except ConflictError:
-                continue
-            self._apply(changed)
-            return Ok(change)
+                callback(state.tables)
+            except Exception:
+                # A subscriber's fault must not keep the member from following the tables.
+                log.exception("{}: a subscriber failed", self._vm)
+        return True
 
-    async def on_config_delta(self, request: ConfigDeltaRequest) -> ConfigDeltaReply:
-        return ConfigDeltaReply(self.tables.revision, [], self.tables)
+    def _report_dropped(self, changes: list[Change]) -> None:
+        for change in changes:
+            if change.id not in {known.id for known in self.dropped_changes}:
+                self.dropped_changes.append(change)
+                log.error(
+                    "{}: change {} of {}/{} lost to another one in a fork",
+                    self._vm,
+                    change.id,
+                    change.table,
+                    change.name,
+                )
--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -34,8 +34,9 @@
 # Bounds in seconds of a gang's reservation; it lasts twice as long as its start is expected away.
 SHORTEST_RESERVATION = 30.0
 LONGEST_RESERVATION = 600.0
-# Lanes put in order again with each call; with some hundred lanes all are, several times a second.
-REFRESHED_LANES = 4
+# Lanes put in order again for each second that passed, and at most with each call.
+REFRESHED_LANES = 500.0
+MOST_REFRESHED_LANES = 64
 # Retries that are due but for which there is no budget are tried again after this many seconds.
 BUDGET_WAIT = 0.5
 
@@ -64,6 +65,7 @@
         self._outbox: deque[tuple[Decision, Attempt]] = deque()
         self._delayed: list[tuple[float, int, JobState, int, bool]] = []
         self._sequence = 0
+        self._refreshed_at = 0.0
         self._reserve_after: dict[JobState, float] = {}
         # Jobs found to be past their deadline when their turn came.
         self.late: list[JobState] = []
@@ -74,7 +76,10 @@
         for hold in self._holds.expired(now):
             self._give_up(hold, now)
         if self._policy.fair:
-            self._queue.refresh(now, REFRESHED_LANES)
+            due = int((now - self._refreshed_at) * REFRESHED_LANES)
+            if due:
+                self._refreshed_at = now
+                self._queue.refresh(now, min(due, MOST_REFRESHED_LANES))
         actions: list[Decision] = []
         while len(actions) < limit:
             if self._outbox:
@@ -89,7 +94,7 @@
                 continue
             if self._pool.touched:
                 self._unpark()
-            best = self._queue.peek_best(now, self._may_start)
+            best = self._queue.peek_best(now, self._may_start, self._may_fit)
             if best is None:
                 break
             self._serve(*best, now)
@@ -101,9 +106,16 @@
             attempt.limited_to = decision.resources.as_tuple()
             attempt.slowed = True
         else:
-            attempt.stopping = True
+            self.note_stopping(attempt)
         self._outbox.append((decision, attempt))
 
+    def note_stopping(self, attempt: Attempt) -> None:
+        """Notes that the end of an attempt was ordered."""
+        if not attempt.stopping:
+            attempt.stopping = True
+            share = self._shares.share_of(attempt.counted)
+            self._shares.note_stopping(attempt.state.flow, share)
+
     def retry(self, state: JobState, task: int, due: float, budgeted: bool, now: float) -> None:
         """Queues a task again at ``due``; a budgeted retry waits for the retry budget too."""
         if due <= now and self._budget.take(now):
@@ -186,6 +198,18 @@
             return self._shares.leaves_headroom_for_gang(state.flow, state.amount, state.pending)
         return self._shares.leaves_headroom(state.flow, state.amount)
 
+    def _may_fit(self, state: JobState, first_tier: bool) -> bool:
+        """Tells whether a placement may succeed, without a search."""
+        if self._index.by_speed.may_fit(state.amount):
+            return True
+        if not self._policy.fair:
+            return False
+        if isinstance(state.job, GangJob) or (first_tier and state.job.band == Band.URGENT):
+            return True
+        if self._health.quarantined:
+            return True
+        return not state.standing and any(hold.gang for hold in self._holds.all)
+
     def _serve(self, state: JobState, first_tier: bool, now: float) -> None:
         """Starts a task of the job or has the queue skip it until something changes."""
         if state.is_late(now):
@@ -251,6 +275,8 @@
         self._queue.charge(job.band, self._shares.share_of(amount) * state.run)
         if self._tasks.attempts(state, attempt.task) == 1:
             self._budget.earn()
+        if isinstance(job, GangJob):
+            flow.gang_tasks += 1
         run = timedelta(seconds=attempt.run)
         if isinstance(job, ServiceJob):
             run = UNBOUNDED_RUN
@@ -315,6 +341,9 @@
 
     def _give_up(self, hold: Hold, now: float, cooldown: bool = True) -> None:
         self._remove_hold(hold)
+        for upstream_id in hold.count_by_id:
+            for attempt in self._tasks.on_upstream(upstream_id):
+                attempt.overdue = attempt.stopping
         if hold.gang and cooldown:
             # Others get their turn before the gang may hold capacity again.
             self._reserve_after[hold.state] = now + SHORTEST_RESERVATION
--- a/hornbeamramp/job_records.py
+++ b/hornbeamramp/job_records.py
@@ -38,6 +38,8 @@
         Future that every waiting submit and resolve shares.
     `upstream_by_attempt`
         Attempts that may be running.
+    `intent_failed`
+        Whether the last start could not be recorded in the journal.
     `context`
         Trace context of the submit, parent of the spans of the attempts.
     `uncertain`
@@ -45,9 +47,9 @@
     """
 
     __slots__ = (
-        "cancelled",
         "context",
         "ended_at",
+        "intent_failed",
         "job",
         "outcome",
         "queue_span",
@@ -68,7 +70,7 @@
         self.upstream_by_attempt: dict[AttemptId, UpstreamId] = {}
         self.running_tasks: set[int] = set()
         self.uncertain = False
-        self.cancelled = False
+        self.intent_failed = False
         self.ended_at: timedelta | None = None
 
     def state(self) -> JobState:
