Generate the page on settings and build a single file that runs serve

Cause: there was no page on settings, half of them had no meaning in the docstrings, and no artefact to put on a VM. A plain zipapp of the same files (66.2 MB) ends with ModuleNotFoundError: msgspec._core, since extension modules are not loaded from a zip file.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format
+.PHONY: binary demo docs test lint format
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -19,6 +19,15 @@
 lint: $(STAMP)
 	$(BIN)/black --check .
 	$(BIN)/ruff check .
+	$(BIN)/python -m hornbeamramp docs configuration --check
+
+docs: $(STAMP)
+	$(BIN)/python -m hornbeamramp docs configuration
+
+# Fails if the file starts another process.
+binary: $(STAMP)
+	$(BIN)/python tools/build_binary.py
+	$(BIN)/python tools/measure_binary.py
 
 format: $(STAMP)
 	$(BIN)/black .
--- a/hornbeamramp/cli.py
+++ b/hornbeamramp/cli.py
@@ -4,7 +4,7 @@
 import json
 import sys
 from pathlib import Path
-from typing import Annotated, Any, NoReturn
+from typing import Annotated, Any, Literal, NoReturn
 
 import msgspec
 import uvloop
@@ -104,6 +104,19 @@
         print_status(document, Console())
 
 
+@app.command(show=False)
+def docs(page: Literal["configuration"], *, check: bool = False) -> None:
+    """Write docs/configuration.md from the settings model, or check that it is up to date."""
+    from hornbeamramp.settings_docs import configuration_page
+
+    file = Path("docs") / f"{page}.md"
+    text = configuration_page()
+    if not check:
+        file.write_text(text)
+    elif not file.exists() or file.read_text() != text:
+        _fail(f"{file} is not up to date; run: hornbeamramp docs {page}", EXIT_REFUSED)
+
+
 def _add_table_commands(table_app: App, table: str) -> None:
     @table_app.command(name="list")
     def list_rows(
--- a/hornbeamramp/settings.py
+++ b/hornbeamramp/settings.py
@@ -36,6 +36,10 @@
 class PlatformSettings(_Section, frozen=True, kw_only=True):
     """Where the platform's service answers.
 
+    `adapter`
+        Name of the platform adapter.
+    `address`
+        ``ip:port`` of the platform's service.
     `timeout_ms`
         Longest wait for an answer.
     `calls_per_second`
@@ -51,6 +55,8 @@
 class AdminSettings(_Section, frozen=True, kw_only=True):
     """Listener for operators. Without a token there is no listener.
 
+    `address`
+        ``ip:port`` to listen on; port 0 takes a free one.
     `token_file`
         File that holds the bearer token. The token itself is never part of the settings.
     """
@@ -60,7 +66,16 @@
 
 
 class TlsSettings(_Section, frozen=True, kw_only=True):
-    """Key files. With ``ca_file`` the peers must show a certificate signed by it."""
+    """Key files in PEM format for both listeners and the connections between entry VMs.
+
+    `certificate_file`
+        Certificate of this VM, valid for its IP address, with its chain.
+    `key_file`
+        Private key of the certificate, not encrypted.
+    `ca_file`
+        Certificates of the authority that must have signed those of the other entry VMs. Without
+        it peers are not asked for a certificate.
+    """
 
     certificate_file: str
     key_file: str
@@ -70,8 +85,14 @@
 class LimitSettings(_Section, frozen=True, kw_only=True):
     """Bounds on what callers may send and on what waits inside the process.
 
+    `body_bytes`
+        Largest body of a request.
+    `header_bytes`
+        Largest size of all headers of a request.
+    `waiting_requests`
+        Most submits that wait on this VM; further ones get 429.
     `request_timeout_ms`
-        Longest time a caller may take to send a request.
+        Longest pause while the headers of a request arrive, and longest time for its body.
     """
 
     body_bytes: int = 1_000_000
@@ -85,12 +106,20 @@
 
     `lease_ttl_ms`
         Lifetime of the process lease after a renewal.
+    `renew_ms`
+        Interval of the renewals of the process lease.
     `drift_margin_ms`
         Safety margin for clocks that run at different rates.
     `send_bound_ms`
         Longest time a start may spend between the check of the proof and the upstream.
+    `heartbeat_ms`
+        Interval of heartbeats within the data centre.
+    `remote_heartbeat_ms`
+        Interval of heartbeats to other data centres.
     `task_lease_ms`
         Lease of a task at its upstream.
+    `usage_ms`
+        Interval at which the usage of the tasks is read.
     `drain_ms`
         Wait between becoming not ready and refusing new requests.
     """
@@ -107,7 +136,13 @@
 
 
 class LogSettings(_Section, frozen=True, kw_only=True):
-    """Log output. ``format`` is ``text`` or ``json`` (one object per line)."""
+    """Log output on standard error.
+
+    `level`
+        ``debug``, ``info``, ``warning`` or ``error``.
+    `format`
+        ``text``, or ``json`` for one object per line.
+    """
 
     level: str = "info"
     format: str = "text"
@@ -116,6 +151,8 @@
 class TelemetrySettings(_Section, frozen=True, kw_only=True):
     """Metrics and traces.
 
+    `metrics`
+        Whether ``/metrics`` of the admin API carries the scheduler's metrics.
     `traces`
         ``none``, or ``log`` for a JSON line per finished span.
     """
@@ -125,7 +162,13 @@
 
 
 class DataCentreSettings(_Section, frozen=True, kw_only=True):
-    """A data centre of the cell. ``distance_ms`` is the network delay one way, by name."""
+    """A data centre of the cell.
+
+    `region`
+        Name of its region.
+    `distance_ms`
+        Network delay to other data centres one way, by name.
+    """
 
     region: str = "default"
     distance_ms: dict[DataCentreId, float] = {}
@@ -134,8 +177,14 @@
 class Settings(_Section, frozen=True, kw_only=True):
     """Settings of one entry process.
 
-    `caller_address`, `peer_address`
-        ``ip:port`` to listen on for callers and for other entry VMs.
+    `vm`
+        Id of this VM, unique in the cell.
+    `data_centre`
+        Data centre of this VM.
+    `caller_address`
+        ``ip:port`` to listen on for callers.
+    `peer_address`
+        ``ip:port`` to listen on for other entry VMs.
     `size`
         Weight of this VM, relative to the others, in the choice of shard owners.
     """
