--- a/hornbeamramp/settings.py
+++ b/hornbeamramp/settings.py
@@ -165,7 +165,7 @@
     """A data centre of the cell.
 
     `region`
-        Name of its region.
+        Name of its region; decisions do not use it.
     `distance_ms`
         Network delay to other data centres one way, by name.
     """
