--- a/hornbeamramp/standins/load.py
+++ b/hornbeamramp/standins/load.py
@@ -17,6 +17,7 @@
 import uuid
 from collections import Counter
 from collections.abc import Iterable, Sequence
+from typing import Literal
 
 import aiohttp
 import cyclopts
@@ -81,7 +82,7 @@
     `timeout`
         Longest time to wait for an answer, in seconds.
     `payload_bytes`
-        Size of the random payload.
+        Size of the random payload, which is sent as a text in base64.
     `seed`
         Seed of the mix of routes and of the payloads.
     """
@@ -118,13 +119,16 @@
     rows: list[LoadRow]
 
 
-class _CompletedResult(msgspec.Struct, frozen=True):
-    payload: bytes
+class _Answer(msgspec.Struct, frozen=True):
+    upstream: str
+    payload_base64: bytes = b""
 
 
 class _CompletedBody(msgspec.Struct, frozen=True):
-    results: list[_CompletedResult]
-    failed: bool = False
+    id: str
+    state: Literal["completed", "failed"]
+    data_centre: str
+    answers: list[_Answer]
 
 
 class _ProblemBody(msgspec.Struct, frozen=True):
@@ -133,14 +137,18 @@
 
 
 def classify(status: int, body: bytes, payload: bytes, tasks: int) -> tuple[str, str]:
-    """Returns outcome and detail of an answer, see the module docstring."""
+    """Returns outcome and detail of an answer, see the module docstring.
+
+    ``payload`` is the JSON text of the payload as it was sent.
+    """
     try:
         if status == 202:
             return "accepted", ""
-        if status == 200:
-            return _classify_completed(
-                msgspec.json.decode(body, type=_CompletedBody), payload, tasks
-            )
+        if status in (200, 201):
+            # A service is answered with 201 once it runs, before its tasks have results.
+            results = tasks if status == 200 else 0
+            document = msgspec.json.decode(body, type=_CompletedBody)
+            return _classify_completed(document, payload, results)
         problem = msgspec.json.decode(body, type=_ProblemBody)
     except (msgspec.ValidationError, msgspec.DecodeError):
         return "invalid", str(status)
@@ -149,13 +157,13 @@
     return "invalid", str(status)
 
 
-def _classify_completed(body: _CompletedBody, payload: bytes, tasks: int) -> tuple[str, str]:
-    if body.failed:
+def _classify_completed(body: _CompletedBody, payload: bytes, results: int) -> tuple[str, str]:
+    if body.state == "failed":
         return "failed", ""
     answer = expected_answer(payload)
-    if len(body.results) != tasks:
-        return "mismatched", f"{len(body.results)} results for {tasks} tasks"
-    if any(result.payload != answer for result in body.results):
+    if len(body.answers) != results:
+        return "mismatched", f"{len(body.answers)} answers instead of {results}"
+    if any(row.payload_base64 != answer for row in body.answers):
         return "mismatched", "payload"
     return "completed", ""
 
@@ -181,7 +189,7 @@
                 due_at = started + number / plan.rate
                 await asyncio.sleep(max(due_at - self._seconds(), 0.0))
                 route = self._random.choices(plan.routes, weights)[0]
-                payload = self._random.randbytes(plan.payload_bytes)
+                payload = msgspec.json.encode(self._random.randbytes(plan.payload_bytes))
                 if len(pending) >= plan.concurrency:
                     self._note(route, "skipped", "", due_at)
                     continue
@@ -210,7 +218,7 @@
     def _body(self, route: RouteLoad, payload: bytes) -> bytes:
         fields = {
             "route": route.name,
-            "payload": payload,
+            "payload": msgspec.Raw(payload),
             "tasks": route.tasks,
             "team": route.team,
             "deadline_ms": self._plan.deadline_ms,
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -24,16 +24,21 @@
 
 def completed(payload: bytes, count: int = 1, **fields: object) -> bytes:
     answer = base64.b64encode(expected_answer(payload)).decode()
-    return json.dumps({"results": [{"payload": answer}] * count, **fields}).encode()
+    row = {"upstream": "w1", "payload_base64": answer}
+    document = {"id": "x", "state": "completed", "data_centre": "gebze", "answers": [row] * count}
+    return json.dumps({**document, **fields}).encode()
 
 
 @pytest.mark.parametrize(
     ("status", "body", "outcome"),
     [
         (200, completed(b"p", 2), "completed"),
-        (200, completed(b"p", 2, failed=True), "failed"),
+        (200, completed(b"p", 2, state="failed"), "failed"),
         (200, completed(b"q", 2), "mismatched"),
         (200, completed(b"p", 1), "mismatched"),
+        (200, completed(b"p", 2, state="running"), "invalid"),
+        (201, completed(b"p", 0), "completed"),
+        (201, completed(b"p", 2), "mismatched"),
         (200, b"{}", "invalid"),
         (200, b"", "invalid"),
         (202, b'{"id": "x"}', "accepted"),
@@ -69,7 +74,8 @@
         requests.append((fields, request.headers))
         if fields["route"] == "refused":
             return web.json_response({"outcome": "not_run", "reason": "quota"}, status=503)
-        return web.Response(body=completed(base64.b64decode(fields["payload"]), fields["tasks"]))
+        # The payload as it was sent: a text.
+        return web.Response(body=completed(json.dumps(fields["payload"]).encode(), fields["tasks"]))
 
     async def scenario():
         async with serving(handle) as address:
