--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: binary demo docs test lint format
+.PHONY: binary demo docs test lint format matrix
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -20,6 +20,7 @@
 	$(BIN)/black --check .
 	$(BIN)/ruff check .
 	$(BIN)/python -m hornbeamramp docs configuration --check
+	$(BIN)/python tools/fault_matrix.py --check
 
 docs: $(STAMP)
 	$(BIN)/python -m hornbeamramp docs configuration
@@ -32,3 +33,6 @@
 format: $(STAMP)
 	$(BIN)/black .
 	$(BIN)/ruff check --fix .
+
+matrix: $(STAMP)
+	$(BIN)/python tools/fault_matrix.py
