--- a/hornbeamramp/entry_parts.py
+++ b/hornbeamramp/entry_parts.py
@@ -108,6 +108,7 @@
             peers.call,
             lambda: self.ready,
         )
+        self.cluster_status.observe(self.metrics)
         self.configuration.subscribe(self._on_tables)
         self.membership.listen(self._on_heartbeat)
         self._peers = peers
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -142,7 +142,7 @@
 
 def test_later_job_can_be_looked_up_and_cancelled(cell):
     """Guards against a 202 whose location does not lead to the job."""
-    body = {"route": "ticket", "run_ms": 600_000, "payload": {"run_ms": 600_000}}
+    body = {"route": "ticket", "run_ms": 600_000}
     accepted = cell.caller("POST", "/v1/jobs", body, Prefer="respond-async")
     assert (accepted.status, accepted.json["state"]) == (202, "accepted")
     assert accepted.headers["preference-applied"] == "respond-async"
@@ -168,7 +168,7 @@
     """
     process = psutil.Process(cell.entry.program.process.pid)
     assert process.children(recursive=True) == []
-    body = {"route": "ticket", "run_ms": 600_000, "payload": {"run_ms": 600_000}}
+    body = {"route": "ticket", "run_ms": 600_000}
     running = cell.caller("POST", "/v1/jobs", body, Prefer="respond-async")
     assert cell.caller("POST", "/v1/jobs", {"route": "ticket"}).status == 200
     assert cell.caller("POST", "/v1/jobs", b"{").status == 400
