--- a/hornbeamramp/forwarding.py
+++ b/hornbeamramp/forwarding.py
@@ -186,7 +186,11 @@
         if owner is None:
             return None
         try:
-            reply = await self._send(owner, SubmitRequest(shard, job), SUBMIT_TIMEOUT, Step.FORWARD)
+            with _tracer.start_as_current_span("forward") as span:
+                span.set_attribute("shard", shard)
+                span.set_attribute("owner", owner)
+                request = SubmitRequest(shard, job)
+                reply = await self._send(owner, request, SUBMIT_TIMEOUT, Step.FORWARD)
         except UnreachableError as error:
             return await self._resolve(shard, job) if error.sent else None
         except ProtocolError as error:
