Renew adopted tasks at once; stop every task of a killed process in the cell

Cause: an adopted task waited 2 s for its first renewal and ended by its lease. The cell missed tasks that the package starts in an empty context, so a killed owner went on in the tests. Change: a link renews right after it has listed. A task belongs to the process of the task that started it, and the checker fails if a process calls anything after its end.

--- a/hornbeamramp/upstream_link.py
+++ b/hornbeamramp/upstream_link.py
@@ -104,6 +104,8 @@
         self.reachable = True
         await self._events.listed(self, shape, tasks)
         self.listed = True
+        # Adopted tasks are near the end of the lease that their former owner renewed last.
+        await self._renew()
         _log.info("{}: connected with {} tasks listed", self.id, len(tasks))
 
     async def _maintain(self) -> None:
--- a/tests/faults/test_process_killed.py
+++ b/tests/faults/test_process_killed.py
@@ -29,3 +29,18 @@
         assert isinstance(outcome, Completed), outcome
 
     run_cell(scenario)
+
+
+@pytest.mark.fault(fault="process killed", step="recover")
+def test_adopted_task_is_renewed_at_once():
+    """Guards against an adopted task that ends by its lease before the first regular renewal."""
+
+    async def scenario(cell):
+        owner = cell.owner_in("gebze")
+        call = cell.other_vm(owner).submit(cell.job(run=20 * SECOND))
+        await cell.advance(2.5 * SECOND)
+        owner.kill()
+        assert isinstance(await cell.outcome(call), Completed)
+        assert len(cell.checker.runs()) == 1
+
+    run_cell(scenario)
--- a/tests/support/checker.py
+++ b/tests/support/checker.py
@@ -74,6 +74,8 @@
 
     def check(self) -> None:
         """Fails if a guarantee is broken by now."""
+        for vm in self._cell.vm.values():
+            assert not vm.calls_after_end, f"{vm.name} has ended, but calls: {vm.calls_after_end}"
         self._note_health()
         runs = self.runs()
         by_payload: dict[bytes, list[Run]] = defaultdict(list)
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -94,6 +94,7 @@
     async def call(
         self, sender: "Vm", address: str, request: Any, timeout: timedelta, step: Step
     ) -> Any:
+        sender.note_call(f"{type(request).__name__} to {address}")
         target = self.vm_by_address.get(address)
         await asyncio.sleep(0)
         if target is None or not (target.listens_to_peers or target.is_lost):
--- a/tests/support/runtime.py
+++ b/tests/support/runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextvars
+import weakref
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
@@ -30,10 +31,14 @@
 _group: contextvars.ContextVar["TaskGroupOfVm | None"] = contextvars.ContextVar(
     "group", default=None
 )
+_outside: contextvars.ContextVar[bool] = contextvars.ContextVar("outside", default=False)
+_group_by_task: "weakref.WeakKeyDictionary[asyncio.Task[Any], TaskGroupOfVm]" = (
+    weakref.WeakKeyDictionary()
+)
 
 
 class TaskGroupOfVm:
-    """All tasks of one process, found through the context that tasks inherit."""
+    """All tasks of one process, found through their context or the task that started them."""
 
     def __init__(self) -> None:
         self._tasks: dict[asyncio.Task[Any], None] = {}
@@ -46,8 +51,14 @@
 
         def factory(loop, coroutine, context=None):
             task = asyncio.Task(coroutine, loop=loop, context=context)
-            group = (context or contextvars.copy_context()).get(_group)
+            current = contextvars.copy_context() if context is None else context
+            group = current.get(_group)
+            if group is None and not current.get(_outside, False):
+                # The package starts some tasks in an empty context; they belong to their parent's.
+                parent = asyncio.current_task(loop)
+                group = _group_by_task.get(parent) if parent is not None else None
             if group is not None:
+                _group_by_task[task] = group
                 group._tasks[task] = None
                 task.add_done_callback(lambda done: group._tasks.pop(done, None))
             return task
@@ -68,7 +79,9 @@
 
 def spawn_outside(coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
     """Starts a task that belongs to no process, such as a message under way."""
-    return asyncio.get_running_loop().create_task(coroutine, context=contextvars.Context())
+    context = contextvars.Context()
+    context.run(_outside.set, True)
+    return asyncio.get_running_loop().create_task(coroutine, context=context)
 
 
 class CellClock(ManualClock):
--- a/tests/support/vm.py
+++ b/tests/support/vm.py
@@ -74,6 +74,7 @@
         self.is_running = True
         self.is_lost = False
         self.was_killed = False
+        self.calls_after_end: list[str] = []
         self.listens_to_peers = True
         self.tasks = TaskGroupOfVm()
         self.calls: list[Call] = []
@@ -107,7 +108,13 @@
     def upstream_faults(self, worker: str) -> UpstreamFaults:
         return self._faults_by_worker.setdefault(worker, UpstreamFaults())
 
+    def note_call(self, what: str) -> None:
+        """Notes a call that this process makes; one after its end is a fault of the cell."""
+        if not self.is_running:
+            self.calls_after_end.append(what)
+
     def _on_store_call(self, name: str, arguments: tuple) -> None:
+        self.note_call(f"{name} at the store")
         if name == "renew_lease":
             self.cell.took_step(Step.RENEW, self)
         for prefix, step in STEP_BY_PREFIX.items():
--- a/tests/support/workers.py
+++ b/tests/support/workers.py
@@ -186,6 +186,7 @@
         lose_reply: bool = False,
         wait: timedelta = timedelta(0),
     ) -> Any:
+        self._vm.note_call(f"{step.value} at {self._worker.name}")
         reply = spawn_outside(self._deliver(step, effect, delay, lose_reply))
         reply.add_done_callback(lambda done: done.cancelled() or done.exception())
         expiry = asyncio.ensure_future(self._clock.sleep(TIMEOUT + wait))
