--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -1,6 +1,6 @@
 """Property test of the guarantees G1 to G8 over a cell of whole entry processes.
 
-`HORNBEAMRAMP_EXAMPLES` sets the number of examples (default 30) and lifts the fixed seed.
+`HORNBEAMRAMP_EXAMPLES` sets the number of examples (default 80) and lifts the fixed seed.
 """
 
 import os
@@ -17,7 +17,7 @@
 
 
 @settings(
-    max_examples=int(EXAMPLES or 30),
+    max_examples=int(EXAMPLES or 80),
     derandomize=EXAMPLES is None,
     deadline=None,
     database=None,
