Let a new entry process join through seed peers without the store

Change: settings name seed peers; a process without a lease introduces itself to them and takes their tables; heartbeats carry the sender's address. Conclusion: such a process forwards work; it owns shards once the store is back.

--- a/hornbeamramp/entry_parts.py
+++ b/hornbeamramp/entry_parts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -12,7 +12,7 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.cluster_status import ClusterStatus
 from hornbeamramp.configuration import ConfigurationStore
-from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.errors import ProtocolError, StoreUnavailableError, UnreachableError
 from hornbeamramp.forwarding import Forwarder
 from hornbeamramp.ids import Revision, ShardId, UpstreamId, VmId, shard_id
 from hornbeamramp.membership import Membership
@@ -31,6 +31,7 @@
 # Shorter than the time for which nobody claims after the store's return.
 STORE_CHECK_INTERVAL = timedelta(milliseconds=500)
 VM_LIST_INTERVAL = timedelta(seconds=3)
+SEED_DELAY = timedelta(seconds=1)
 PULL_TIMEOUT = timedelta(seconds=2)
 
 REQUEST_TYPES: tuple[type, ...] = (
@@ -125,6 +126,7 @@
             self._follow_vm_list(),
             self._follow_store(),
             self._become_ready(),
+            self._join_by_seeds(),
         ):
             self._start_task(part)
 
@@ -212,14 +214,29 @@
         address = self.address_of(vm)
         try:
             if address is not None:
-                await self.configuration.pull_from(
-                    lambda request: self._peers.call(
-                        address, request, PULL_TIMEOUT, Step.CHANGE_APPLIED
-                    )
-                )
+                await self._pull(address)
         finally:
             self._pulling = False
 
+    async def _pull(self, address: str) -> None:
+        def call(request: messages.ConfigDeltaRequest) -> Awaitable[messages.ConfigDeltaReply]:
+            return self._peers.call(address, request, PULL_TIMEOUT, Step.CHANGE_APPLIED)
+
+        await self.configuration.pull_from(call)
+
+    async def _join_by_seeds(self) -> None:
+        """Introduces this process to the seed peers while the store does not answer."""
+        await self.clock.sleep(SEED_DELAY)
+        while self.membership.lease.id is None and self.settings.seed_peers:
+            for address in self.settings.seed_peers:
+                try:
+                    await self.membership.introduce(address, PULL_TIMEOUT)
+                except (UnreachableError, ProtocolError) as error:
+                    _log.debug("seed peer {}: {}", address, error.message)
+                else:
+                    await self._pull(address)
+            await self.clock.sleep(SEED_DELAY)
+
     async def _become_ready(self) -> None:
         await self.configuration.wait_ready()
         self.ready = True
--- a/hornbeamramp/membership.py
+++ b/hornbeamramp/membership.py
@@ -133,7 +133,7 @@
                 group.create_task(self.lease.run())
                 group.create_task(self._watch(group))
                 group.create_task(self._list_vms())
-                group.create_task(self._sweep())
+                group.create_task(self._sweep(group))
         finally:
             self._task_by_peer.clear()
 
@@ -199,6 +199,9 @@
                 log.info("{} appeared by heartbeat", beat.vm)
                 member = Member(beat.vm, beat.data_centre, self._clock.boot_time())
                 self.by_id[beat.vm] = member
+            if member.lease is None and beat.peer_address:
+                # Without the store there is no record to take the address from.
+                member.peer_address = beat.peer_address
             member.heard_at = self._clock.boot_time()
             member.revision = beat.revision
             member.leaving = beat.state is MemberState.LEAVING
@@ -244,13 +247,16 @@
                 await self._clock.sleep(WATCH_RETRY)
                 continue
             self._take_records(result, everything=not synced)
-            for vm in self.by_id.keys() - self._task_by_peer.keys() - {self.vm}:
-                if self.by_id[vm].peer_address is not None:
-                    task = group.create_task(self._send_heartbeats(vm))
-                    self._task_by_peer[vm] = task
+            self._start_senders(group)
             after = result.revision
             synced = True
 
+    def _start_senders(self, group: asyncio.TaskGroup) -> None:
+        """Starts a task for each peer with a known address that has none."""
+        for vm in self.by_id.keys() - self._task_by_peer.keys() - {self.vm}:
+            if self.by_id[vm].peer_address is not None:
+                self._task_by_peer[vm] = group.create_task(self._send_heartbeats(vm))
+
     def _take_records(self, result: WatchResult, everything: bool) -> None:
         present: set[VmId] = set()
         for entry in result.changed:
@@ -292,10 +298,11 @@
                 pass
             await self._clock.sleep(VM_LIST_INTERVAL)
 
-    async def _sweep(self) -> None:
+    async def _sweep(self, group: asyncio.TaskGroup) -> None:
         while True:
             await self._clock.sleep(self._beat)
             self._refresh_states()
+            self._start_senders(group)
             now = self._clock.boot_time()
             for vm, member in list(self.by_id.items()):
                 if vm == self.vm or member.lease is not None or self.lease.id is None:
@@ -317,11 +324,9 @@
                 await self._clock.sleep(self._phase_of(member))
             index += 1
             sent = self._clock.boot_time()
-            revision, shards = self._content()
-            beat = Heartbeat(self.vm, self.data_centre, self._own_state(), revision, shards)
             timeout = min(interval, self._remote_beat)
             try:
-                reply = await self._peers.call(member.peer_address, beat, timeout, Step.FORWARD)
+                reply = await self.introduce(member.peer_address, timeout)
                 member.heard_at = max(member.heard_at, sent)
                 member.revision = max(member.revision, reply.revision)
                 member.leaving = reply.state is MemberState.LEAVING
@@ -329,6 +334,22 @@
                 log.debug("no heartbeat reply from {}: {}", vm, error.message)
             await self._clock.sleep(sent + interval - self._clock.boot_time())
 
+    async def introduce(self, address: str, timeout: timedelta) -> HeartbeatReply:
+        """Sends a heartbeat to an address, of a member or of a peer named in the settings.
+
+        Raises `UnreachableError` or `ProtocolError`.
+        """
+        revision, shards = self._content()
+        beat = Heartbeat(
+            self.vm,
+            self.data_centre,
+            self._own_state(),
+            revision,
+            shards,
+            self._settings.peer_address,
+        )
+        return await self._peers.call(address, beat, timeout, Step.FORWARD)
+
     def _interval_of(self, member: Member) -> timedelta:
         """Returns the time between two heartbeats to a member."""
         if member.data_centre == self.data_centre:
--- a/hornbeamramp/messages.py
+++ b/hornbeamramp/messages.py
@@ -63,11 +63,14 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
+    """Sign of life of a member. ``peer_address`` lets one without a record be answered."""
+
     vm: VmId
     data_centre: DataCentreId
     state: MemberState
     revision: Revision
     shards: dict[ShardId, ShardBeat] = {}
+    peer_address: str = ""
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True):
--- a/hornbeamramp/settings.py
+++ b/hornbeamramp/settings.py
@@ -186,6 +186,8 @@
         ``ip:port`` to listen on for callers.
     `peer_address`
         ``ip:port`` to listen on for other entry VMs.
+    `seed_peers`
+        ``ip:port`` of other entry VMs, asked for tables and members while the store is away.
     `size`
         Weight of this VM, relative to the others, in the choice of shard owners.
     """
@@ -196,6 +198,7 @@
     peer_address: str
     platform: PlatformSettings
     size: float = 1.0
+    seed_peers: list[str] = []
     admin: AdminSettings | None = None
     tls: TlsSettings | None = None
     limits: LimitSettings = LimitSettings()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -158,3 +158,19 @@
             await assert_one_start_each(cell, 1)
 
     run(scenario())
+
+
+def test_a_new_entry_process_serves_without_the_store(cell, run):
+    """Guards against a replaced VM that is of no use for as long as the store is away."""
+
+    async def scenario():
+        async with cell:
+            await prepare(cell)
+            await cell.platform_faults(mode="down")
+            seeds = [f"127.0.0.1:{entry.peers}" for entry in cell.entries]
+            added = await cell.add_entry("gebze-new", DATA_CENTRE, {"seed_peers": seeds})
+            status, _ = await cell.submit(added, {"route": "ticket"})
+            assert status == 200
+            await cell.platform_faults(mode="up")
+
+    run(scenario())
