Let a killed process of the cell start no further tasks

Cause: a task killed while it ran could still start a task or send a message. Change: such a task is cancelled at its next call, and tasks started after the end never run.

--- a/tests/support/runtime.py
+++ b/tests/support/runtime.py
@@ -42,6 +42,7 @@
 
     def __init__(self) -> None:
         self._tasks: dict[asyncio.Task[Any], None] = {}
+        self.has_ended = False
         self._context = contextvars.copy_context()
         self._context.run(_group.set, self)
 
@@ -60,6 +61,9 @@
             if group is not None:
                 _group_by_task[task] = group
                 group._tasks[task] = None
+                if group.has_ended:
+                    # Started by a task that was killed while it ran.
+                    task.cancel()
                 task.add_done_callback(lambda done: group._tasks.pop(done, None))
             return task
 
@@ -73,6 +77,7 @@
         return self.run(asyncio.get_running_loop().create_task, coroutine)
 
     def cancel(self) -> None:
+        self.has_ended = True
         for task in list(self._tasks):
             task.cancel()
 
--- a/tests/support/vm.py
+++ b/tests/support/vm.py
@@ -110,8 +110,12 @@
 
     def note_call(self, what: str) -> None:
         """Notes a call that this process makes; one after its end is a fault of the cell."""
-        if not self.is_running:
-            self.calls_after_end.append(what)
+        if self.is_running:
+            return
+        if asyncio.current_task().cancelling():
+            # The task was killed since its last wait.
+            raise asyncio.CancelledError
+        self.calls_after_end.append(what)
 
     def _on_store_call(self, name: str, arguments: tuple) -> None:
         self.note_call(f"{name} at the store")
