Split the shard owner by concern

Cause: owner.py had grown to 631 lines with acceptance, ends, decisions, recovery and upstream events in one class. Change: JobLifecycle decides the fate of jobs, DecisionExecutor carries out decisions, Reconciler reads task lists, BackgroundTasks holds tasks; owner.py has 360 lines. Behaviour is unchanged.

--- a/hornbeamramp/entry_parts.py
+++ b/hornbeamramp/entry_parts.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
 import logbook
 
 from hornbeamramp import messages
+from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
 from hornbeamramp.cluster_status import ClusterStatus
 from hornbeamramp.configuration import ConfigurationStore
@@ -115,7 +116,7 @@
         self._peers = peers
         self._pulling = False
         self._handler_by_type = self._handlers()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = BackgroundTasks(settings.vm, _log)
 
     def start(self) -> None:
         """Joins the members and begins to serve."""
@@ -128,17 +129,7 @@
             self._become_ready(),
             self._join_by_seeds(),
         ):
-            self._start_task(part)
-
-    def _start_task(self, part: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.get_running_loop().create_task(part)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error("a part of the process failed: {!r}", task.exception())
+            self._tasks.spawn(part)
 
     def set_leaving(self) -> None:
         """Tells balancer and peers that this process takes no new work soon."""
@@ -147,10 +138,7 @@
 
     async def end(self) -> None:
         """Stops everything and ends the process lease. Shards should be handed over before."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.cancel()
         for shard in list(self.shards.owner_by_shard):
             await self.shards.lost(shard)
         with contextlib.suppress(StoreUnavailableError):
@@ -208,7 +196,7 @@
         """Fetches changes that a peer has and this member lacks."""
         if beat.revision > self.configuration.tables.revision and not self._pulling:
             self._pulling = True
-            self._start_task(self._pull_from(beat.vm))
+            self._tasks.spawn(self._pull_from(beat.vm))
 
     async def _pull_from(self, vm: VmId) -> None:
         address = self.address_of(vm)
--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -1,35 +1,24 @@
 """Runs one shard: admits jobs, carries out the scheduler's decisions, answers for their fate."""
 
 import asyncio
-import contextlib
 import contextvars
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
 import logbook
 import msgspec
-from result import Err, Ok, Result
+from result import Err
 
 from hornbeamramp.attempts import AttemptRunner
+from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
-from hornbeamramp.decisions import (
-    Cancellation,
-    CancellationKind,
-    Checkpoint,
-    Decision,
-    Ended,
-    Refusal,
-    Start,
-    Stop,
-    TaskEnd,
-    Throttle,
-)
+from hornbeamramp.decision_executor import DecisionExecutor
 from hornbeamramp.durable_jobs import DurableJobs
-from hornbeamramp.errors import ProtocolError, UnreachableError
-from hornbeamramp.ids import AttemptId, Epoch, JobId, ShardId, UpstreamId, VmId, split_shard_id
-from hornbeamramp.job_records import JobRecord, JobRecords, state_of, task_of
-from hornbeamramp.jobs import Completed, Job, NotRun, Outcome, ServiceJob, TaskResult, Unknown
+from hornbeamramp.ids import Epoch, ShardId, UpstreamId, VmId, split_shard_id
+from hornbeamramp.job_lifecycle import JobLifecycle
+from hornbeamramp.job_records import JobRecord, state_of
+from hornbeamramp.jobs import NotRun, Unknown
 from hornbeamramp.messages import (
     CancelReply,
     CancelRequest,
@@ -42,7 +31,7 @@
     SubmitReply,
     SubmitRequest,
 )
-from hornbeamramp.recovery import reconcile
+from hornbeamramp.recovery import Reconciler
 from hornbeamramp.scheduler import ShardScheduler
 from hornbeamramp.settings import TimingSettings
 from hornbeamramp.states import Band, JobState, RefusalReason, UpstreamState
@@ -55,10 +44,6 @@
 
 DECISION_BATCH = 64
 EXPIRY_INTERVAL = timedelta(milliseconds=250)
-# Recovery lasts up to the lease of a task if an upstream can't be listed.
-SETTLE_PATIENCE = timedelta(seconds=20)
-SETTLE_POLL = timedelta(milliseconds=50)
-RETRY_AFTER_STORE = timedelta(seconds=5)
 
 _log = logbook.Logger("owner")
 
@@ -89,7 +74,6 @@
     ) -> None:
         self.shard = shard
         self.epoch = epoch
-        self.records = JobRecords(clock)
         self.link_by_id: dict[UpstreamId, UpstreamLink] = {}
         self.scheduler = ShardScheduler(pool, clock, pool.quotas, epoch=epoch)
         self._data_centre = split_shard_id(shard)[1]
@@ -103,21 +87,24 @@
         self._closed = asyncio.Event()
         self._recovered = asyncio.Event()
         self._complete_recovery = False
-        # Set once the journal has been merged with what the upstreams run.
-        self._settled = asyncio.Event()
         self._work = asyncio.Event()
-        self._tasks: set[asyncio.Task[Any]] = set()
-        # Jobs with a lost attempt, which end as unknown if their deadline passes in the queue.
-        self._lost_jobs: set[JobId] = set()
-        # Jobs whose acceptance is being recorded: they have no record yet, but may run.
-        self._in_acceptance: set[JobId] = set()
-        self._task_by_upstream: dict[UpstreamId, asyncio.Task[None]] = {}
+        self._tasks = BackgroundTasks(shard, _log)
         # Upstreams that leave by the word of the platform or the pool's row.
         self._withdrawn: set[UpstreamId] = set()
         self._events = UpstreamEvents(
             self._on_listed, self._on_shape, self._on_unreachable, self._on_usage
         )
-        self._runner = AttemptRunner(
+        self._jobs = JobLifecycle(
+            self._data_centre,
+            clock,
+            self.scheduler,
+            durable,
+            self._tasks,
+            lambda stop: self._executor.apply(stop),
+            self._work.set,
+        )
+        self.records = self._jobs.records
+        runner = AttemptRunner(
             shard,
             epoch,
             vm,
@@ -125,17 +112,30 @@
             timing,
             metrics,
             may_start,
-            self._record_intent,
-            self._on_started,
-            self._on_ended,
+            self._jobs.record_intent,
+            self._jobs.started,
+            self._jobs.ended,
+        )
+        self._executor = DecisionExecutor(
+            clock,
+            metrics,
+            self.scheduler,
+            self.records,
+            self.link_by_id,
+            runner,
+            self._tasks,
+            self._work.set,
+        )
+        self._reconciler = Reconciler(
+            shard, epoch, clock, self.records, self.scheduler, self._executor
         )
         self.update_pool(pool)
 
     async def run(self) -> None:
         """Recovers, then decides until `close` is called."""
-        self._spawn(self._bound_recovery())
-        self._spawn(self._expire())
-        self._spawn(self._open_durable())
+        self._tasks.spawn(self._bound_recovery())
+        self._tasks.spawn(self._expire())
+        self._tasks.spawn(self._open_durable())
         while not self._closed.is_set():
             await self._work.wait()
             self._work.clear()
@@ -171,10 +171,10 @@
         record = self.records.get(job.id)
         if record is None:
             if self.records.is_refused(job.id):
-                return SubmitReply(_not_run(job, RefusalReason.RESOLVED_ABSENT, "resolved before"))
+                return SubmitReply(NotRun(job.id, RefusalReason.RESOLVED_ABSENT, "resolved before"))
             if not self._accepting or not self._may_start():
                 return SubmitReply(Misdirected())
-            accepted = await self._accept(job)
+            accepted = await self._jobs.accept(job)
             if isinstance(accepted, Err):
                 if isinstance(accepted.err_value, NotRun):
                     self._metrics.refusals.add(1, {"reason": accepted.err_value.reason.value})
@@ -188,10 +188,11 @@
         """Tells the fate of a job id; one never seen is refused from now on."""
         record = self.records.get(request.job_id)
         if record is None:
-            settled = self._recovered.is_set() and self._settled.is_set()
-            if not settled or self._closed.is_set() or request.job_id in self._in_acceptance:
+            if not self._jobs.is_settled() or self._closed.is_set():
+                return ResolveReply(None)
+            if self._jobs.is_in_acceptance(request.job_id):
                 return ResolveReply(None)
-            recorded = self._recorded_outcome(request.job_id)
+            recorded = self._jobs.recorded_outcome(request.job_id)
             if recorded is not None:
                 return ResolveReply(state_of(recorded), recorded)
             if not self._complete_recovery:
@@ -210,18 +211,11 @@
         outcome = record.outcome.result() if record.outcome.done() else None
         return ResolveReply(record.state(), outcome)
 
-    def _recorded_outcome(self, job_id: JobId) -> Outcome | None:
-        """Returns what the journal tells about a job that no upstream and no record knows."""
-        if self._durable.may_have_run(job_id):
-            detail = "its start was on record, but no upstream knows the attempt"
-            return Unknown(job_id, detail)
-        return self._durable.answer(job_id)
-
     async def get_job(self, request: GetJobRequest) -> GetJobReply:
         """Returns the state of a job, ``None`` if it is not known or not recovered yet."""
         record = self.records.get(request.job_id)
         if record is None:
-            return GetJobReply(None, self._recorded_outcome(request.job_id))
+            return GetJobReply(None, self._jobs.recorded_outcome(request.job_id))
         outcome = record.outcome.result() if record.outcome.done() else None
         return GetJobReply(record.state(), outcome)
 
@@ -230,25 +224,10 @@
         record = self.records.get(request.job_id)
         if record is None:
             return CancelReply(None)
-        if record.ended_at is None:
-            cancellation = self._cancel(record)
-            if cancellation.kind is CancellationKind.QUEUED:
-                self._finish(record, self._cancelled(record, cancellation.ran))
+        self._jobs.cancel(record)
         outcome = record.outcome.result() if record.outcome.done() else None
         return CancelReply(record.state(), outcome)
 
-    def _cancel(self, record: JobRecord) -> Cancellation:
-        cancellation = self.scheduler.cancel(record.job.id)
-        for stop in cancellation.stop:
-            self._apply(stop)
-        self._work.set()
-        return cancellation
-
-    def _cancelled(self, record: JobRecord, ran: bool) -> Outcome:
-        if ran:
-            return Completed(record.job.id, [], self._data_centre, failed=True)
-        return _not_run(record.job, RefusalReason.CANCELLED, "cancelled")
-
     async def store_returned(self) -> None:
         """Makes sure that the store has the journal as this owner last wrote it."""
         await self._durable.check()
@@ -263,76 +242,10 @@
         self._accepting = False
         self._closed.set()
         self._work.set()
-        tasks = [*self._tasks, *self._task_by_upstream.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self._durable.close()
         await close_adapters(list(self.link_by_id.values()))
 
-    # Acceptance.
-
-    async def _accept(self, job: Job) -> Result[JobRecord, NotRun | Unknown]:
-        if self._durable.is_needed(job):
-            self._in_acceptance.add(job.id)
-            try:
-                return await self._accept_durable(job)
-            finally:
-                self._in_acceptance.discard(job.id)
-        return self._enqueue(job)
-
-    async def _accept_durable(self, job: Job) -> Result[JobRecord, NotRun | Unknown]:
-        # Until then a running attempt of the same job, or its key, may not be known yet.
-        if not await self._is_settled_within(SETTLE_PATIENCE):
-            detail = "the shard's journal is not loaded"
-            reason = RefusalReason.STORE_UNAVAILABLE
-            return Err(NotRun(job.id, reason, detail, RETRY_AFTER_STORE))
-        async with self._durable.key_lock(job):
-            known = self._durable.find_key(job)
-            if isinstance(known, Err):
-                return known
-            known_id = known.ok_value or job.id
-            record = self.records.get(known_id)
-            if record is not None:
-                return Ok(record)
-            if known_id != job.id:
-                return Ok(self._answered(job, known_id))
-            refusal = self.scheduler.check(job)
-            if refusal is not None:
-                return Err(_refused(job, refusal))
-            recorded = await self._durable.record_accepted(job)
-            if isinstance(recorded, Err):
-                return recorded
-            accepted = self._enqueue(job)
-            if isinstance(accepted, Err):
-                uncertain = await self._durable.forget(job)
-                return accepted if uncertain is None else Err(uncertain)
-            return accepted
-
-    async def _is_settled_within(self, patience: timedelta) -> bool:
-        if self._settled.is_set():
-            return True
-        give_up_at = self._clock.boot_time() + patience
-        while not self._settled.is_set() and self._clock.boot_time() < give_up_at:
-            await self._clock.sleep(SETTLE_POLL)
-        return self._settled.is_set()
-
-    def _answered(self, job: Job, known_id: JobId) -> JobRecord:
-        """Returns a record with the answer that an idempotency key already has."""
-        record = JobRecord(job)
-        lost = Unknown(known_id, "the answer to the first request with this key is gone")
-        record.answer(self._durable.answer(known_id) or lost)
-        return record
-
-    def _enqueue(self, job: Job) -> Result[JobRecord, NotRun]:
-        admitted = self.scheduler.submit(job)
-        if isinstance(admitted, Err):
-            return Err(_refused(job, admitted.err_value))
-        record = self.records.create(job)
-        record.enter_queue(self._clock.boot_time())
-        self._work.set()
-        return Ok(record)
-
     async def _outcome_of(self, record: JobRecord) -> SubmitReply:
         await self._wait(record, None)
         if record.outcome.done():
@@ -350,132 +263,13 @@
             for future in waits - {record.outcome}:
                 future.cancel()
 
-    # Decisions.
-
     def _decide(self) -> None:
         decisions = self.scheduler.decide(DECISION_BATCH)
         for decision in decisions:
-            self._apply(decision)
+            self._executor.apply(decision)
         if len(decisions) == DECISION_BATCH:
             self._work.set()
 
-    def _apply(self, decision: Decision) -> None:
-        link = self.link_by_id[decision.upstream_id]
-        if isinstance(decision, Start):
-            record = self.records.get(decision.job.id)
-            if record is None:
-                self.scheduler.ended(decision.attempt_id, TaskEnd.NOT_STARTED, None)
-                return
-            record.upstream_by_attempt[decision.attempt_id] = link.id
-            self._note_queue_time(record)
-            self._spawn(self._runner.run(decision, link, record.context))
-        elif isinstance(decision, Stop):
-            self._spawn(self._quietly(link.adapter.stop(decision.attempt_id)))
-        elif isinstance(decision, Checkpoint):
-            self._spawn(self._quietly(link.adapter.checkpoint(decision.attempt_id)))
-        elif isinstance(decision, Throttle):
-            self._spawn(self._throttle(decision, link))
-
-    async def _throttle(self, decision: Throttle, link: UpstreamLink) -> None:
-        try:
-            throttled = await link.adapter.throttle(decision.attempt_id, decision.resources)
-        except (UnreachableError, ProtocolError) as error:
-            _log.info("{}: {}", error.peer, error.message)
-        else:
-            if throttled:
-                self.scheduler.throttled(decision.attempt_id)
-                self._work.set()
-
-    async def _quietly(self, call: Coroutine[Any, Any, Any]) -> None:
-        # A failed stop is not retried here: the task ends or its lease lapses, and both are seen.
-        try:
-            await call
-        except (UnreachableError, ProtocolError) as error:
-            _log.info("{}: {}", error.peer, error.message)
-
-    def _note_queue_time(self, record: JobRecord) -> None:
-        waited = record.leave_queue(self._clock.boot_time())
-        if waited is not None:
-            seconds = waited.total_seconds()
-            self._metrics.queue_time.record(seconds, {"band": record.job.band.name.lower()})
-
-    def _on_started(self, attempt_id: AttemptId) -> None:
-        self.scheduler.started(attempt_id)
-        record = self._record_of(attempt_id)
-        if record is None:
-            return
-        record.running_tasks.add(task_of(attempt_id))
-        if isinstance(record.job, ServiceJob) and len(record.running_tasks) == record.job.tasks:
-            record.answer(Completed(record.job.id, [], self._data_centre))
-
-    def _on_ended(self, attempt_id: AttemptId, end: TaskEnd, result: TaskResult | None) -> None:
-        ended = self.scheduler.ended(attempt_id, end, None)
-        self._work.set()
-        record = self._record_of(attempt_id)
-        if record is None:
-            return
-        record.upstream_by_attempt.pop(attempt_id, None)
-        if result is not None:
-            record.result_by_task[task_of(attempt_id)] = result
-        elif ended is not Ended.TASK_DONE:
-            record.running_tasks.discard(task_of(attempt_id))
-        if end is TaskEnd.LOST:
-            record.lost = True
-            record.uncertain = not record.job.idempotent
-            self._lost_jobs.add(record.job.id)
-        if record.intent_failed and ended is Ended.RETRY:
-            self._refuse_without_store(record)
-        else:
-            self._conclude(record, ended)
-
-    async def _record_intent(self, start: Start) -> bool:
-        recorded = await self._durable.record_intent(start)
-        record = self.records.get(start.job.id)
-        if record is not None:
-            record.intent_failed = not recorded
-        return recorded
-
-    def _refuse_without_store(self, record: JobRecord) -> None:
-        """Ends a non-idempotent job at once, as its start can't be recorded."""
-        cancellation = self._cancel(record)
-        if cancellation.kind is CancellationKind.QUEUED and not cancellation.ran:
-            detail = "the store can't record the start of a non-idempotent job"
-            outcome = NotRun(
-                record.job.id, RefusalReason.STORE_UNAVAILABLE, detail, RETRY_AFTER_STORE
-            )
-            self._finish(record, outcome)
-
-    def _conclude(self, record: JobRecord, ended: Ended) -> None:
-        job = record.job
-        if ended is Ended.JOB_DONE:
-            results = [record.result_by_task[task] for task in sorted(record.result_by_task)]
-            self._finish(record, Completed(job.id, results, self._data_centre))
-        elif ended is Ended.JOB_FAILED:
-            if record.uncertain:
-                self._finish(record, Unknown(job.id, "an attempt was lost at its upstream"))
-            else:
-                self._finish(record, Completed(job.id, [], self._data_centre, failed=True))
-        elif ended is Ended.JOB_CANCELLED:
-            self._finish(record, Completed(job.id, [], self._data_centre, failed=True))
-
-    def _finish(self, record: JobRecord, outcome: Outcome) -> None:
-        if record.ended_at is not None:
-            return
-        self._spawn(self._durable_finish(record, outcome))
-
-    async def _durable_finish(self, record: JobRecord, outcome: Outcome) -> None:
-        # An answer that must be repeatable is in the journal before the caller sees it. With the
-        # store away the caller still gets it; the journal then holds the intent alone. That an
-        # accepted job was not run is not reported before it is recorded.
-        if self._durable.is_needed(record.job):
-            reportable = await self._durable.record_ended(record.job, outcome)
-            if not reportable:
-                return
-        self.records.end(record, outcome)
-
-    def _record_of(self, attempt_id: AttemptId) -> JobRecord | None:
-        return self.records.get(attempt_id.rsplit(".", 3)[0])
-
     # Upstreams.
 
     def _add_link(self, upstream_id: UpstreamId, adapter: UpstreamAdapter) -> None:
@@ -491,16 +285,14 @@
         )
         self.link_by_id[upstream_id] = link
         # An empty context: the calls of the link belong to no request that is being traced.
-        task = asyncio.get_running_loop().create_task(link.run(), context=contextvars.Context())
-        self._task_by_upstream[upstream_id] = task
+        self._tasks.spawn(link.run(), contextvars.Context())
 
     async def _on_listed(
         self, link: UpstreamLink, shape: UpstreamShape, tasks: list[ListedTask]
     ) -> None:
         first = not link.listed
         self._add_shape(link.id, shape)
-        for attempt_id in reconcile(self, link, tasks, first):
-            self._spawn(self._runner.follow(attempt_id, link))
+        self._reconciler.reconcile(link, tasks, first)
         link.listed = True
         self._check_recovered()
         self._work.set()
@@ -542,69 +334,14 @@
             self._recovered.set()
 
     async def _open_durable(self) -> None:
-        """Loads the journal and queues accepted jobs that no upstream runs."""
         await self._durable.open(self.epoch)
         await self._recovered.wait()
-        for record in self.records.live():
-            self._settle(record)
-        await self._durable.release_unstarted(self.records)
-        for job in self._durable.unfinished_jobs():
-            if self.records.get(job.id) is None:
-                self._requeue(job)
-        self._settled.set()
-        self._work.set()
-
-    def _settle(self, record: JobRecord) -> None:
-        """Queues or ends an adopted job whose other tasks no upstream runs."""
-        ended = self.scheduler.settle(record.job.id, record.result_by_task.keys())
-        if ended is Ended.JOB_FAILED:
-            record.uncertain = True
-        self._conclude(record, ended)
-
-    def _requeue(self, job: Job) -> None:
-        if self._durable.may_have_run(job.id):
-            record = self.records.create(job)
-            self._finish(record, self._recorded_outcome(job.id))
-            return
-        accepted = self._enqueue(job)
-        if isinstance(accepted, Err):
-            _log.warning("{}: an accepted job was refused: {}", job.id, accepted.err_value.detail)
-            self._finish(self.records.create(job), accepted.err_value)
+        await self._jobs.merge_journal()
 
     async def _expire(self) -> None:
         while True:
             await self._clock.sleep(EXPIRY_INTERVAL)
-            for job_id in self.scheduler.expire():
-                record = self.records.get(job_id)
-                if record is not None:
-                    detail = "the deadline passed before the job was started"
-                    self._finish(record, _not_run(record.job, RefusalReason.EXPIRED, detail))
-            self._expire_lost()
-            self._work.set()
-
-    def _expire_lost(self) -> None:
-        """Ends jobs past their deadline whose last attempt was lost and that wait for another."""
-        for job_id in list(self._lost_jobs):
-            record = self.records.get(job_id)
-            if record is None or record.ended_at is not None:
-                self._lost_jobs.discard(job_id)
-            elif record.is_expired(self._clock.boot_time()) and not record.upstream_by_attempt:
-                self._lost_jobs.discard(job_id)
-                self._cancel(record)
-                detail = "the deadline passed after an attempt was lost at its upstream"
-                self._finish(record, Unknown(job_id, detail))
-
-    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        with contextlib.suppress(asyncio.CancelledError):
-            error = task.exception()
-            if error is not None:
-                _log.error("{}: a task failed: {!r}", self.shard, error)
+            self._jobs.expire()
 
     def status(self) -> dict[str, Any]:
         """Returns the shard's state for operators."""
@@ -621,11 +358,3 @@
             "jobs_known": len(self.records),
             **snapshot,
         }
-
-
-def _not_run(job: Job, reason: RefusalReason, detail: str) -> NotRun:
-    return NotRun(job.id, reason, detail)
-
-
-def _refused(job: Job, refusal: Refusal) -> NotRun:
-    return NotRun(job.id, refusal.reason, refusal.detail, refusal.retry_after)
