Resume the search for the next job after a job was parked

Change: if a step only parked a job or had it wait for quota, peek_best goes on with the entries left. Keys can't have changed in between, so the jobs are found in the same order.

--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -77,23 +77,27 @@
                 self._refreshed_at = now
                 self._queue.refresh(now, min(due, MOST_REFRESHED_LANES))
         actions: list[Decision] = []
+        resume = False
         while len(actions) < limit:
             if self._outbox:
                 decision, attempt = self._outbox.popleft()
                 if self._is_current(decision, attempt):
                     attempt.emitted = True
                     actions.append(decision)
+                resume = False
                 continue
             hold = self._holds.next_ready()
             if hold is not None:
                 self._start_hold(hold, now)
+                resume = False
                 continue
             if self._pool.touched:
                 self._unpark()
-            best = self._queue.peek_best(now, self._may_start, self._may_fit)
+                resume = False
+            best = self._queue.peek_best(now, self._may_start, self._may_fit, resume)
             if best is None:
                 break
-            self._serve(*best, now)
+            resume = not self._serve(*best, now)
         return actions
 
     def order(self, decision: Decision, attempt: Attempt) -> None:
@@ -190,20 +194,23 @@
             return True
         return not state.standing and any(hold.gang for hold in self._holds.all)
 
-    def _serve(self, state: JobState, first_tier: bool, guaranteed: bool, now: float) -> None:
-        """Starts a task of the job or has the queue skip it until something changes."""
+    def _serve(self, state: JobState, first_tier: bool, guaranteed: bool, now: float) -> bool:
+        """Starts a task of the job or has the queue skip it until something changes.
+
+        Returns false if nothing changed but that the queue skips the job.
+        """
         if state.is_late(now):
             self._queue.cancel(state)
             self.late.append(state)
-            return
+            return True
         job = state.job
         gang = isinstance(job, GangJob)
         count = state.pending if gang else 1
         if not state.flow.account.team_use.allows(state.amount, count):
             self._queue.wait_for_quota(state)
-            return
+            return False
         if not gang and self._start_probe(state, now):
-            return
+            return True
         request = PlacementRequest(
             state.amount,
             count,
@@ -217,14 +224,15 @@
                 chosen = self._backfill(state, now)
             urgent = chosen is None and job.band == Band.URGENT and first_tier
             if urgent and self._preempt(state, count, now):
-                return
+                return True
             if chosen is None and gang and self._reserve(state, count, now):
-                return
+                return True
         if chosen is None:
             self._queue.park(state)
-            return
+            return False
         for attempt in self._start_all(state, self._take_tasks(state, count), chosen, now):
             attempt.guaranteed = guaranteed
+        return True
 
     def _start_all(
         self, state: JobState, tasks: list[int], chosen: list[UpstreamId], now: float
--- a/hornbeamramp/job_queue.py
+++ b/hornbeamramp/job_queue.py
@@ -12,6 +12,7 @@
 
 from hornbeamramp.band_credit import GUARANTEED_SHARE, BandCredit
 from hornbeamramp.flows import Account, Flow, TeamUse
+from hornbeamramp.lane_order import LaneOrder
 from hornbeamramp.lanes import Group, Lane, SizeClass, class_key
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
@@ -44,11 +45,14 @@
     def __init__(self, shares: ShareBook, fair: bool = True) -> None:
         self._shares = shares
         self._fair = fair
+        self._order = LaneOrder(shares, fair, self.park)
         self._class_by_key: dict[tuple, SizeClass] = {}
         self._group_by_key: dict[tuple[Band, tuple], Group] = {}
         self._ready: dict[Band, dict[tuple, Group]] = {band: {} for band in Band}
         self._parked: dict[tuple, SizeClass] = {}
         self._ring: deque[Lane] = deque()
+        # Entries of the last search that are still to be looked at, as a heap.
+        self._tops: list[tuple] = []
         self._credit = BandCredit()
         self.jobs_by_band = dict.fromkeys(Band, 0)
         # Sum of the weights of teams with queued jobs.
@@ -79,7 +83,7 @@
         team_use.jobs += 1
         self.jobs_by_band[flow.account.band] += 1
         self._count(lane, state, state.pending)
-        self._offer(lane)
+        self._order.offer(lane)
 
     def tasks_added(self, state: JobState, count: int) -> None:
         """Counts tasks that were put back to a queued job."""
@@ -117,6 +121,7 @@
         now: float,
         may_start: Callable[[JobState], bool],
         may_fit: Callable[[JobState, bool], bool],
+        resume: bool = False,
     ) -> tuple[JobState, bool, bool] | None:
         """Returns the job to be served next, without removing it.
 
@@ -127,11 +132,19 @@
         `may_fit`
             Tells whether it is worth trying to place a job, given whether it is first tier. The
             size classes of jobs for which it is not are parked.
+        `resume`
+            Goes on from the last search. Allowed only if nothing has changed since, except that
+            the job found was parked or waits for quota; all other keys are then the same.
         """
-        tops = [
-            group.heap[0] for band in Band for group in self._ready[band].values() if group.heap
-        ]
-        best = self._best_of(tops, now, may_start, may_fit)
+        if not resume:
+            self._tops = [
+                group.heap[0]
+                for groups in self._ready.values()
+                for group in groups.values()
+                if group.heap
+            ]
+            heapq.heapify(self._tops)
+        best = self._order.best_of(self._tops, now, may_start, may_fit)
         if not self._fair:
             return best and (*best, False)
         for band in GUARANTEED_SHARE:
@@ -181,7 +194,7 @@
                 entry = lane.entry
                 if reordered or entry is None or (entry[0] and lane.flow.below_claim()):
                     lane.waits_for_quota = False
-                    self._offer(lane, now)
+                    self._order.offer(lane, now)
 
     def set_quota(
         self, team_use: TeamUse, weight: float, limit: Resources | None, now: float
@@ -201,7 +214,7 @@
         for _ in range(min(count, len(ring))):
             lane = ring.popleft()
             if lane.live:
-                self._offer(lane, now)
+                self._order.offer(lane, now)
                 ring.append(lane)
 
     def recount(self) -> None:
@@ -309,80 +322,6 @@
             if group is not None:
                 self._ready[band][size_class.key] = group
 
-    # Order
-
-    def _key(self, lane: Lane, now: float) -> tuple | None:
-        if lane.waits_for_quota:
-            return None
-        state = lane.head()
-        if state is None:
-            return None
-        if not self._fair:
-            return (0, 0, 0, 0.0, state.sequence, lane)
-        flow = lane.flow
-        tier = 0 if self._shares.first_tier(flow, state.amount) else 1
-        account = flow.account
-        level = account.level(now)
-        if level > account.offered:
-            account.offered = level
-        return (tier, account.band, level, state.key, state.sequence, lane)
-
-    def _offer(self, lane: Lane, now: float | None = None) -> None:
-        key = self._key(lane, lane.flow.account.updated if now is None else now)
-        if key is not None and (lane.entry is None or key[:5] < lane.entry[:5]):
-            lane.entry = key
-            heapq.heappush(lane.group.heap, key)
-
-    def _top_key(self, group: Group, now: float) -> tuple | None:
-        heap = group.heap
-        while heap:
-            entry = heap[0]
-            lane = entry[-1]
-            if lane.entry is not entry:
-                heapq.heappop(heap)
-                continue
-            key = self._key(lane, now)
-            if key is None:
-                heapq.heappop(heap)
-                lane.entry = None
-            elif key[:5] > entry[:5]:
-                lane.entry = key
-                heapq.heapreplace(heap, key)
-            else:
-                return key
-        return None
-
-    def _best_of(
-        self,
-        tops: list[tuple],
-        now: float,
-        may_start: Callable[[JobState], bool],
-        may_fit: Callable[[JobState, bool], bool],
-    ) -> tuple[JobState, bool] | None:
-        """Returns the best job of the groups with these entries on top.
-
-        Keys rise without notice but entries are renewed when they fall, so an entry is a lower
-        bound and only the lowest ones are computed anew.
-        """
-        heapq.heapify(tops)
-        while tops:
-            entry = tops[0]
-            group = entry[-1].group
-            key = self._top_key(group, now)
-            if key is None:
-                heapq.heappop(tops)
-                continue
-            if key[:5] > entry[:5]:
-                heapq.heapreplace(tops, key)
-                continue
-            state, first_tier = key[-1].head(), not key[0]
-            if not may_fit(state, first_tier):
-                self.park(state)
-            elif first_tier or may_start(state):
-                return state, first_tier
-            heapq.heappop(tops)
-        return None
-
     def _owed(
         self, band: Band, now: float, may_fit: Callable[[JobState, bool], bool]
     ) -> tuple[JobState, bool] | None:
@@ -391,7 +330,8 @@
         What it has earned is not subject to headroom, or claims of others could shut it out.
         """
         tops = [group.heap[0] for group in self._ready[band].values() if group.heap]
-        best = self._best_of(tops, now, lambda _: True, may_fit)
+        heapq.heapify(tops)
+        best = self._order.best_of(tops, now, lambda _: True, may_fit)
         if best is None:
             return None
         cost = self._shares.share_of(best[0].amount) * best[0].run
