Don't ask the placement policy when no upstream can have room

Cause: in the profile most calls of _serve ended in a search that the root of the capacity tree already refuses; the request, the dispatch on the job type and the scan for holds of gangs were paid each time.

Change: _serve asks may_fit before it builds a PlacementRequest, and Holds counts the holds of gangs.

The decisions are the same (hash).

--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -169,7 +169,7 @@
             for i, have in enumerate(view.available(upstream_id)):
                 if have > most[i]:
                     most[i] = have
-        if any(hold.gang for hold in self._holds.all):
+        if self._holds.gangs:
             # Backfill may use what is free on held upstreams.
             for upstream_id in self._pool.touched:
                 for i, have in enumerate(self._ledger.free(upstream_id)):
@@ -192,7 +192,7 @@
             return True
         if self._health.quarantined:
             return True
-        return not state.standing and any(hold.gang for hold in self._holds.all)
+        return not state.standing and self._holds.gangs > 0
 
     def _serve(self, state: JobState, first_tier: bool, guaranteed: bool, now: float) -> bool:
         """Starts a task of the job or has the queue skip it until something changes.
@@ -211,14 +211,16 @@
             return False
         if not gang and self._start_probe(state, now):
             return True
-        request = PlacementRequest(
-            state.amount,
-            count,
-            state.avoid or frozenset(),
-            state.tasks_by_rack or {},
-            state.rack_position,
-        )
-        chosen = self._policy.place(job, request, self._index)
+        chosen = None
+        if self._index.by_speed.may_fit(state.amount):
+            request = PlacementRequest(
+                state.amount,
+                count,
+                state.avoid or frozenset(),
+                state.tasks_by_rack or {},
+                state.rack_position,
+            )
+            chosen = self._policy.place(job, request, self._index)
         if chosen is None and self._policy.fair:
             if not gang and not isinstance(job, ServiceJob):
                 chosen = self._backfill(state, now)
@@ -304,6 +306,8 @@
     # Holds
 
     def _backfill(self, state: JobState, now: float) -> list[UpstreamId] | None:
+        if not self._holds.gangs:
+            return None
         tried = 0
         for hold in self._holds.all:
             if not hold.gang:
--- a/hornbeamramp/holds.py
+++ b/hornbeamramp/holds.py
@@ -52,16 +52,22 @@
 
 
 class Holds:
-    """Holds by upstream. An upstream's held amount is not free for other work."""
+    """Holds by upstream. An upstream's held amount is not free for other work.
+
+    `gangs`
+        Number of holds that are reservations of gangs.
+    """
 
     def __init__(self, ledger: Ledger) -> None:
         self._ledger = ledger
         self._by_upstream: dict[UpstreamId, list[Hold]] = {}
         self._changed: dict[Hold, None] = {}
         self.all: dict[Hold, None] = {}
+        self.gangs = 0
 
     def add(self, hold: Hold) -> None:
         self.all[hold] = None
+        self.gangs += hold.gang
         if hold.state.holds is None:
             hold.state.holds = []
         hold.state.holds.append(hold)
@@ -75,6 +81,7 @@
             return
         hold.active = False
         del self.all[hold]
+        self.gangs -= hold.gang
         self._changed.pop(hold, None)
         if hold.state.holds is not None:
             hold.state.holds.remove(hold)
