Compare amounts and walk bands without generators

Cause: the profile showed the generator expressions of TeamUse.allows and unpark and the iteration over the Band enumeration in park and _make_ready among the frequent calls.

Change: comparisons are written out; park and _make_ready walk the dict of ready groups. The order of candidates is unchanged.

--- a/hornbeamramp/flows.py
+++ b/hornbeamramp/flows.py
@@ -46,9 +46,13 @@
         """Tells whether ``count`` more tasks of this size stay within the limit."""
         if self.limit is None:
             return True
-        return all(
-            used + need * count <= most
-            for used, need, most in zip(self.used, amount, self.limit, strict=True)
+        used, most = self.used, self.limit
+        return (
+            used[0] + amount[0] * count <= most[0]
+            and used[1] + amount[1] * count <= most[1]
+            and used[2] + amount[2] * count <= most[2]
+            and used[3] + amount[3] * count <= most[3]
+            and used[4] + amount[4] * count <= most[4]
         )
 
 
--- a/hornbeamramp/job_queue.py
+++ b/hornbeamramp/job_queue.py
@@ -168,14 +168,21 @@
             return
         size_class.parked = True
         self._parked[size_class.key] = size_class
-        for band in Band:
-            self._ready[band].pop(size_class.key, None)
+        for groups in self._ready.values():
+            groups.pop(size_class.key, None)
 
     def unpark(self, free: Vector) -> None:
         """Makes ready the parked classes that may fit into ``free``."""
+        f0, f1, f2, f3, f4 = free
         for size_class in list(self._parked.values()):
             need = size_class.needed
-            if all(have >= want for have, want in zip(free, need, strict=True)):
+            if (
+                f0 >= need[0]
+                and f1 >= need[1]
+                and f2 >= need[2]
+                and f3 >= need[3]
+                and f4 >= need[4]
+            ):
                 self._make_ready(size_class)
 
     def wait_for_quota(self, state: JobState) -> None:
@@ -317,10 +324,10 @@
     def _make_ready(self, size_class: SizeClass) -> None:
         size_class.parked = False
         self._parked.pop(size_class.key, None)
-        for band in Band:
+        for band, groups in self._ready.items():
             group = self._group_by_key.get((band, size_class.key))
             if group is not None:
-                self._ready[band][size_class.key] = group
+                groups[size_class.key] = group
 
     def _owed(
         self, band: Band, now: float, may_fit: Callable[[JobState, bool], bool]
