--- a/hornbeamramp/bench/cost.py
+++ b/hornbeamramp/bench/cost.py
@@ -2,6 +2,11 @@
 
 Times are processor time of the measuring thread. The jobs are those of the cell of section 1.7
 without deadlines, so that admission does not keep the queue short.
+
+A step ends one task, calls `decide` once and submits one job. Each action that `decide` returns
+counts as one decision. "Decisions with start and end reports" divides them by the time of `decide`,
+`started` and `ended`; "submits included" adds `submit`. What `ended` releases is placed by the next
+`decide`. The reports of stopped and checkpointed tasks are not timed.
 """
 
 import gc
