--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -77,23 +77,27 @@
                 self._refreshed_at = now
                 self._queue.refresh(now, min(due, MOST_REFRESHED_LANES))
         actions: list[Decision] = []
+        resume = False
         while len(actions) < limit:
             if self._outbox:
                 decision, attempt = self._outbox.popleft()
                 if self._is_current(decision, attempt):
                     attempt.emitted = True
                     actions.append(decision)
+                resume = False
                 continue
             hold = self._holds.next_ready()
             if hold is not None:
                 self._start_hold(hold, now)
+                resume = False
                 continue
             if self._pool.touched:
                 self._unpark()
-            best = self._queue.peek_best(now, self._may_start, self._may_fit)
+                resume = False
+            best = self._queue.peek_best(now, self._may_start, self._may_fit, resume)
             if best is None:
                 break
-            self._serve(*best, now)
+            resume = not self._serve(*best, now)
         return actions
 
     def order(self, decision: Decision, attempt: Attempt) -> None:
@@ -165,7 +169,7 @@
             for i, have in enumerate(view.available(upstream_id)):
                 if have > most[i]:
                     most[i] = have
-        if any(hold.gang for hold in self._holds.all):
+        if self._holds.gangs:
             # Backfill may use what is free on held upstreams.
             for upstream_id in self._pool.touched:
                 for i, have in enumerate(self._ledger.free(upstream_id)):
@@ -188,43 +192,49 @@
             return True
         if self._health.quarantined:
             return True
-        return not state.standing and any(hold.gang for hold in self._holds.all)
+        return not state.standing and self._holds.gangs > 0
 
-    def _serve(self, state: JobState, first_tier: bool, guaranteed: bool, now: float) -> None:
-        """Starts a task of the job or has the queue skip it until something changes."""
+    def _serve(self, state: JobState, first_tier: bool, guaranteed: bool, now: float) -> bool:
+        """Starts a task of the job or has the queue skip it until something changes.
+
+        Returns false if nothing changed but that the queue skips the job.
+        """
         if state.is_late(now):
             self._queue.cancel(state)
             self.late.append(state)
-            return
+            return True
         job = state.job
         gang = isinstance(job, GangJob)
         count = state.pending if gang else 1
         if not state.flow.account.team_use.allows(state.amount, count):
             self._queue.wait_for_quota(state)
-            return
+            return False
         if not gang and self._start_probe(state, now):
-            return
-        request = PlacementRequest(
-            state.amount,
-            count,
-            state.avoid or frozenset(),
-            state.tasks_by_rack or {},
-            state.rack_position,
-        )
-        chosen = self._policy.place(job, request, self._index)
+            return True
+        chosen = None
+        if self._index.by_speed.may_fit(state.amount):
+            request = PlacementRequest(
+                state.amount,
+                count,
+                state.avoid or frozenset(),
+                state.tasks_by_rack or {},
+                state.rack_position,
+            )
+            chosen = self._policy.place(job, request, self._index)
         if chosen is None and self._policy.fair:
             if not gang and not isinstance(job, ServiceJob):
                 chosen = self._backfill(state, now)
             urgent = chosen is None and job.band == Band.URGENT and first_tier
             if urgent and self._preempt(state, count, now):
-                return
+                return True
             if chosen is None and gang and self._reserve(state, count, now):
-                return
+                return True
         if chosen is None:
             self._queue.park(state)
-            return
+            return False
         for attempt in self._start_all(state, self._take_tasks(state, count), chosen, now):
             attempt.guaranteed = guaranteed
+        return True
 
     def _start_all(
         self, state: JobState, tasks: list[int], chosen: list[UpstreamId], now: float
@@ -296,6 +306,8 @@
     # Holds
 
     def _backfill(self, state: JobState, now: float) -> list[UpstreamId] | None:
+        if not self._holds.gangs:
+            return None
         tried = 0
         for hold in self._holds.all:
             if not hold.gang:
