Count urgent bursts per kind of work instead of per flow

Cause: the share up to which urgent work is served like learned demand was counted per team and route, so a flood spread over 12 teams stayed below it in each of them and preempted other work.

Change: the use and queue of all teams' work of one route and band are summed up and compared with the limit.

--- a/hornbeamramp/flows.py
+++ b/hornbeamramp/flows.py
@@ -1,8 +1,8 @@
-"""Flows, accounts and teams: whose use of the pool is counted.
+"""Flows, accounts, teams and kinds of work: whose use of the pool is counted.
 
 A flow is the work of one route of one team in one band. Its demand is learned from what it has in
 use while it is not backlogged, so a flood does not raise the demand of the flow that floods. An
-account is one team in one band.
+account is one team in one band, a kind of work one route in one band.
 """
 
 from math import exp, log2
@@ -13,12 +13,13 @@
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import Band
 
-__all__ = ["BURST_SHARE", "LEAST_SHARE", "TOLERANCE", "Account", "Flow", "TeamUse"]
+__all__ = ["BURST_SHARE", "LEAST_SHARE", "TOLERANCE", "Account", "Flow", "KindUse", "TeamUse"]
 
 # Seconds over which past use counts against a team.
 RECENT_TIME = 30.0
-# A flow of these bands is served like learned demand while all of its work, running and queued,
-# takes less than this share of the pool; beyond it, the flow is a flood.
+# A kind of work of these bands is served like learned demand while all of it, running and queued,
+# takes less than this share of the pool; beyond it, the kind is a flood. Counted over all teams,
+# because a flood spread over many teams leaves each of them below any limit of its own.
 BURST_SHARE = {Band.URGENT: 0.5, Band.SERVICE: 0.25}
 # A flow whose queue needs more than it has in use, and more than this, is backlogged.
 LEAST_BACKLOG = 0.01
@@ -104,6 +105,16 @@
         return int(LEVELS * log2(self.score(now) + LEAST_SHARE))
 
 
+class KindUse:
+    """What all teams together have in use and queued of one route in one band, as shares."""
+
+    __slots__ = ("queued", "share")
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self.queued = 0.0
+
+
 class Flow:
     """A route of an account.
 
@@ -115,6 +126,7 @@
     """
 
     __slots__ = (
+        "_queued",
         "account",
         "accelerators",
         "active_at",
@@ -122,9 +134,9 @@
         "gang_tasks",
         "host",
         "jobs",
+        "kind",
         "lanes",
         "number",
-        "queued",
         "route",
         "states",
         "stopping",
@@ -133,13 +145,16 @@
         "used",
     )
 
-    def __init__(self, account: Account, route: RouteName, number: int, now: float) -> None:
+    def __init__(
+        self, account: Account, route: RouteName, kind: KindUse, number: int, now: float
+    ) -> None:
         self.account = account
+        self.kind = kind
         self.route = route
         self.number = number
         self.used = [0, 0, 0, 0, 0]
         self.share = 0.0
-        self.queued = 0.0
+        self._queued = 0.0
         self.jobs = 0
         self.host = Demand()
         self.accelerators = Demand()
@@ -154,6 +169,15 @@
         # Jobs of the flow that have not ended.
         self.states = 0
 
+    @property
+    def queued(self) -> float:
+        return self._queued
+
+    @queued.setter
+    def queued(self, queued: float) -> None:
+        self.kind.queued += queued - self._queued
+        self._queued = queued
+
     def claim(self) -> float:
         """Returns the larger of the learned claims."""
         return max(self.host.claim(), self.accelerators.claim())
@@ -174,6 +198,6 @@
         return self.backlogged() and not self.bursting()
 
     def bursting(self) -> bool:
-        """Tells whether the flow is urgent work that is no flood."""
+        """Tells whether the flow is of an urgent kind of work that is no flood."""
         most = BURST_SHARE.get(self.account.band)
-        return most is not None and self.share + self.queued <= most
+        return most is not None and self.kind.share + self.kind.queued <= most
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -8,7 +8,15 @@
 from math import exp
 
 from hornbeamramp.demand import DemandSum
-from hornbeamramp.flows import BURST_SHARE, LEAST_SHARE, TOLERANCE, Account, Flow, TeamUse
+from hornbeamramp.flows import (
+    BURST_SHARE,
+    LEAST_SHARE,
+    TOLERANCE,
+    Account,
+    Flow,
+    KindUse,
+    TeamUse,
+)
 from hornbeamramp.ids import RouteName, TeamId
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
@@ -36,6 +44,7 @@
         self.flow_by_key: dict[tuple[Band, TeamId, RouteName], Flow] = {}
         self.account_by_key: dict[tuple[Band, TeamId], Account] = {}
         self.use_by_team: dict[TeamId, TeamUse] = {}
+        self._kind_by_key: dict[tuple[Band, RouteName], KindUse] = {}
         self._share_by_amount: dict[Vector, float] = {}
         self._number = 0
         self._since = now
@@ -88,7 +97,9 @@
             team_use.accounts.append(account)
             self._weights += weight
         self._number += 1
-        flow = self.flow_by_key[(band, team, route)] = Flow(account, route, self._number, now)
+        kind = self._kind_by_key.setdefault((band, route), KindUse())
+        flow = Flow(account, route, kind, self._number, now)
+        self.flow_by_key[(band, team, route)] = flow
         return flow
 
     def take(self, flow: Flow, amount: Vector, now: float) -> None:
@@ -138,7 +149,7 @@
         if flow.bursting():
             return True
         band = flow.account.band
-        if band == Band.URGENT and self._excess > 0 and flow.share < BURST_SHARE[band]:
+        if band == Band.URGENT and self._excess > 0 and flow.kind.share < BURST_SHARE[band]:
             # Less urgent work uses more than its learned demand; that room may be taken.
             return True
         # A backlogged flow would use its whole claim all the time; that is more than it used to.
@@ -250,10 +261,18 @@
         used = flow.used
         flow.host.share = self._host_share(used)
         flow.accelerators.share = used[2] / (self.total[2] or 1) if used[2] else 0.0
-        flow.share = max(flow.host.share, flow.accelerators.share)
+        share = max(flow.host.share, flow.accelerators.share)
+        flow.kind.share += share - flow.share
+        flow.share = share
 
     def _sum_up(self) -> None:
         flows = self.flow_by_key.values()
+        self._kind_by_key = {(flow.account.band, flow.route): flow.kind for flow in flows}
+        for kind in self._kind_by_key.values():
+            kind.share = kind.queued = 0.0
+        for flow in flows:
+            flow.kind.share += flow.share
+            flow.kind.queued += flow.queued
         for flow in flows:
             self._recap_excess(flow)
         self._excess = sum(flow.excess for flow in flows)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -77,3 +77,20 @@
     ]
     simulation = Simulation(kinds).run(120.0)
     assert simulation.scheduler.snapshot().running >= SLOTS * 0.95
+
+
+def test_other_kinds_keep_their_waiting_time_in_an_urgent_flood_over_many_teams(usual):
+    """Guards against a flood whose teams each stay below the limit for urgent work."""
+    kinds = usual_kinds()
+    ticket = next(kind for kind in kinds if kind.name == "ticket")
+    rate = 10 * SLOTS / ticket.run / 12
+    floods = [
+        Kind("ticket", f"t{n}", Band.URGENT, rate, ticket.run, start=FLOOD_START, end=FLOOD_END)
+        for n in range(12)
+    ]
+    flood = Simulation([*kinds, *floods]).run(FLOOD_END)
+    for kind in kinds:
+        if kind.name != "ticket":
+            expected = usual.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+            wait = flood.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+            assert wait <= expected * 1.05 + TICK, kind.name
