Bound the room urgent work takes from others by their actual excess

Cause: as soon as any less urgent flow used more than its learned demand, urgent work up to half of the pool went before all other work. A flood of quotes kept half of the pool while gangs exceeded their demand by 0.1.

Change: excess is the use of a kind beyond the learned demand of all its teams together, and urgent work beyond its own demand may take only that much.

--- a/hornbeamramp/flows.py
+++ b/hornbeamramp/flows.py
@@ -5,9 +5,9 @@
 account is one team in one band, a kind of work one route in one band.
 """
 
-from math import exp, log2
+from math import exp, log2, sqrt
 
-from hornbeamramp.demand import Demand
+from hornbeamramp.demand import DEVIATIONS, Demand
 from hornbeamramp.ids import RouteName, TeamId
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
@@ -106,13 +106,40 @@
 
 
 class KindUse:
-    """What all teams together have in use and queued of one route in one band, as shares."""
+    """What all teams together have in use and queued of one route in one band, as shares.
+
+    `mean`, `variance`
+        Learned demand for the larger of processors, memory, slots and connections.
+    `stopping`
+        Share of tasks that were ordered to end.
+    `excess`
+        What is in use beyond the claim apart from them, for bands that may be preempted.
+    """
 
-    __slots__ = ("queued", "share")
+    __slots__ = ("excess", "mean", "queued", "share", "stopping", "variance")
 
     def __init__(self) -> None:
-        self.share = 0.0
-        self.queued = 0.0
+        self.excess = 0.0
+        self.reset()
+
+    def reset(self) -> None:
+        """Sets all sums over flows to zero."""
+        self.share = self.queued = self.stopping = self.mean = self.variance = 0.0
+
+    def add(self, flow: "Flow") -> None:
+        """Adds a flow to the sums."""
+        self.share += flow.share
+        self.queued += flow.queued
+        self.stopping += flow.stopping
+        self.mean += flow.host.mean
+        self.variance += flow.host.variance
+
+    def claim(self) -> float:
+        """Returns the share of the pool that covers the learned demand of all teams together."""
+        return self.mean + DEVIATIONS * sqrt(max(self.variance, 0.0))
+
+    def beyond_claim(self) -> bool:
+        return self.share - self.stopping > self.claim() + TOLERANCE
 
 
 class Flow:
@@ -130,7 +157,6 @@
         "account",
         "accelerators",
         "active_at",
-        "excess",
         "gang_tasks",
         "host",
         "jobs",
@@ -161,11 +187,9 @@
         self.updated = now
         self.active_at = now
         self.lanes: dict = {}
-        # Share of tasks that were ordered to end, and what is in use beyond the claim apart from
-        # them, for bands that may be preempted.
         self.gang_tasks = 0
+        # Share of tasks that were ordered to end.
         self.stopping = 0.0
-        self.excess = 0.0
         # Jobs of the flow that have not ended.
         self.states = 0
 
@@ -190,8 +214,12 @@
         return self.queued > self.share and self.queued > LEAST_BACKLOG
 
     def beyond_claim(self) -> bool:
-        """Tells whether a task may be taken from the flow without touching its learned demand."""
-        return self.share - self.stopping > self.host.claim() + TOLERANCE
+        """Tells whether a task may be taken from the flow without touching learned demand.
+
+        A job of many tasks exceeds the claim of its team at once but not that of all teams.
+        """
+        beyond = self.share - self.stopping > self.host.claim() + TOLERANCE
+        return beyond and self.kind.beyond_claim()
 
     def flooding(self) -> bool:
         """Tells whether the flow wants more than is served like learned demand."""
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -134,8 +134,13 @@
             weight = 1.0 - exp(-elapsed / IDLE_TIME)
         else:
             weight = elapsed / (min(DEMAND_TIME, now - self._since) + elapsed)
-        self._host.learn(flow.host, weight)
-        self._host.recap(flow.host)
+        kind, host = flow.kind, flow.host
+        kind.mean -= host.mean
+        kind.variance -= host.variance
+        self._host.learn(host, weight)
+        kind.mean += host.mean
+        kind.variance += host.variance
+        self._host.recap(host)
         if flow.accelerators.share or flow.accelerators.mean:
             self._accelerators.learn(flow.accelerators, weight)
             self._accelerators.recap(flow.accelerators)
@@ -149,9 +154,12 @@
         if flow.bursting():
             return True
         band = flow.account.band
-        if band == Band.URGENT and self._excess > 0 and flow.kind.share < BURST_SHARE[band]:
-            # Less urgent work uses more than its learned demand; that room may be taken.
-            return True
+        if band == Band.URGENT and self._excess > 0:
+            # Less urgent work uses more than its learned demand; that room may be taken, but no
+            # more than it, or one kind's excess would open the demand of all others to a flood.
+            most = min(flow.kind.claim() + self._excess, BURST_SHARE[band])
+            if flow.kind.share + self.share_of(amount) <= most:
+                return True
         # A backlogged flow would use its whole claim all the time; that is more than it used to.
         backlogged = flow.backlogged()
         host = flow.host
@@ -210,12 +218,7 @@
         """Forgets flows without use, queue or noticeable demand. Removes rounding errors."""
         for key, flow in list(self.flow_by_key.items()):
             self.observe(flow, now)
-            if (
-                not flow.states
-                and not any(flow.used)
-                and not flow.excess
-                and flow.claim() < LEAST_SHARE
-            ):
+            if not flow.states and not any(flow.used) and flow.claim() < LEAST_SHARE:
                 del self.flow_by_key[key]
         kept = {flow.account for flow in self.flow_by_key.values()}
         for account_key, account in list(self.account_by_key.items()):
@@ -240,22 +243,24 @@
         account.share = self._share(account.used)
         self._set_shares(flow)
         self._host.recap(flow.host)
-        self._recap_excess(flow)
+        self._recap_excess(flow.account.band, flow.kind)
         if amount[2]:
             self._accelerators.recap(flow.accelerators)
 
     def note_stopping(self, flow: Flow, share: float) -> None:
         """Adds to the share of tasks that were ordered to end; negative once they have ended."""
-        flow.stopping = max(flow.stopping + share, 0.0) if flow.share else 0.0
-        self._recap_excess(flow)
+        stopping = max(flow.stopping + share, 0.0) if flow.share else 0.0
+        flow.kind.stopping += stopping - flow.stopping
+        flow.stopping = stopping
+        self._recap_excess(flow.account.band, flow.kind)
 
-    def _recap_excess(self, flow: Flow) -> None:
-        if flow.account.band < Band.NORMAL:
+    def _recap_excess(self, band: Band, kind: KindUse) -> None:
+        if band < Band.NORMAL:
             return
-        excess = flow.share - flow.stopping - flow.host.claim()
+        excess = kind.share - kind.stopping - kind.claim()
         excess = excess if excess > LEAST_SHARE else 0.0
-        self._excess += excess - flow.excess
-        flow.excess = excess
+        self._excess += excess - kind.excess
+        kind.excess = excess
 
     def _set_shares(self, flow: Flow) -> None:
         used = flow.used
@@ -269,13 +274,12 @@
         flows = self.flow_by_key.values()
         self._kind_by_key = {(flow.account.band, flow.route): flow.kind for flow in flows}
         for kind in self._kind_by_key.values():
-            kind.share = kind.queued = 0.0
-        for flow in flows:
-            flow.kind.share += flow.share
-            flow.kind.queued += flow.queued
+            kind.reset()
         for flow in flows:
-            self._recap_excess(flow)
-        self._excess = sum(flow.excess for flow in flows)
+            flow.kind.add(flow)
+        for (band, _), kind in self._kind_by_key.items():
+            self._recap_excess(band, kind)
+        self._excess = sum(kind.excess for kind in self._kind_by_key.values())
         self._host.sum_up([flow.host for flow in flows])
         self._accelerators.sum_up([flow.accelerators for flow in flows])
 
