Spare learned demand from preemption once a kind exceeds its own

Cause: a flood counts as one only once its queue and use exceed half of the pool. Until then it stopped any preemptible task, so half of the pool changed hands in the first half second of a flood.

Change: urgent work of a kind beyond its learned demand preempts only what others use beyond theirs.

--- a/hornbeamramp/preemption.py
+++ b/hornbeamramp/preemption.py
@@ -62,13 +62,14 @@
     """
     ranked: list[tuple[float, int, Plan]] = []
     amount = state.amount
-    flooding = state.flow.flooding()
+    beyond = state.flow.flooding() or state.flow.kind.beyond_claim()
     for number, upstream_id in enumerate(pool.index.reclaimable.candidates(amount)):
         if number >= CANDIDATES + 2 * count:
             break
         attempts = tasks.on_upstream(upstream_id)
-        if flooding:
-            # A flood of urgent work takes no room within what others are learned to need.
+        if beyond:
+            # Urgent work beyond its own learned demand takes no room within that of others; it may
+            # be the start of a flood.
             attempts = [a for a in attempts if a.state.flow.beyond_claim()]
         free = pool.unheld_soon(upstream_id)
         loss = 0.0
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -94,3 +94,16 @@
             expected = usual.mean_wait(kind.name, FLOOD_START, FLOOD_END)
             wait = flood.mean_wait(kind.name, FLOOD_START, FLOOD_END)
             assert wait <= expected * 1.05 + TICK, kind.name
+
+
+def test_an_urgent_flood_over_many_teams_preempts_nothing_within_learned_demand():
+    """Guards against preemption of steady work before the flood exceeds the limit for bursts."""
+    weave = [Kind("weave", f"w{n}", Band.NORMAL, 0.9, 10.0, tasks=2) for n in range(6)]
+    kinds = [*weave, Kind("ticket", "scale", Band.URGENT, 10.0, 0.5)]
+    floods = [
+        Kind("ticket", f"t{n}", Band.URGENT, 300.0, 0.5, start=FLOOD_START, end=FLOOD_START + 3)
+        for n in range(12)
+    ]
+    usual = Simulation(kinds).run(FLOOD_START + 3)
+    flood = Simulation([*kinds, *floods]).run(FLOOD_START + 3)
+    assert sum(flood.preempted.values()) <= sum(usual.preempted.values()) + 0.05 * SLOTS
