Bound services beyond their demand by what others are learned to need

Cause: services that flood were held back only by free capacity, per flow, with half of each team's fair share open in any case. They are never preempted, so what they took was lost to others for good, and one service on a machine leaves too little memory for its last large task.

Change: a kind of standing work may exceed its learned demand only while one and a half times the learned demand of other kinds stays free. The bound holds for all teams together; a pool without other work is open.

--- a/hornbeamramp/demand.py
+++ b/hornbeamramp/demand.py
@@ -69,9 +69,13 @@
 
     def without(self, demand: Demand) -> float:
         """Returns the demand of all other flows, up to ``MOST_HEADROOM``."""
-        variance = self.variance - demand.variance
+        return self.beyond(demand.mean, demand.variance)
+
+    def beyond(self, mean: float, variance: float) -> float:
+        """Returns the demand of all flows but those with these sums, up to ``MOST_HEADROOM``."""
+        variance = self.variance - variance
         deviation = sqrt(variance) if variance > 0 else 0.0
-        return min(self.mean - demand.mean + DEVIATIONS * deviation, MOST_HEADROOM)
+        return min(self.mean - mean + DEVIATIONS * deviation, MOST_HEADROOM)
 
     def headroom(self, demand: Demand) -> float:
         """Returns the share of the pool to leave free for the other flows."""
--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -176,6 +176,8 @@
     def _may_start(self, state: JobState) -> bool:
         if isinstance(state.job, GangJob):
             return self._shares.leaves_headroom_for_gang(state.flow, state.amount, state.pending)
+        if state.standing:
+            return self._shares.leaves_headroom_for_standing(state.flow, state.amount)
         return self._shares.leaves_headroom(state.flow, state.amount)
 
     def _may_fit(self, state: JobState, first_tier: bool) -> bool:
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -34,6 +34,9 @@
 IDLE_TIME = 10.0
 # Part of its fair share that a flow may use whatever others are learned to need.
 UNCLAIMED_PART = 0.5
+# Standing work beyond its claim leaves room for this many times the learned demand of others. It is
+# never preempted and takes slots on each machine, which leaves rooms too small for larger tasks.
+STANDING_MARGIN = 1.5
 
 
 class ShareBook:
@@ -197,6 +200,20 @@
         left = (self.free[2] - amount[2]) / (total[2] or 1)
         return left + TOLERANCE >= self._accelerators.headroom(flow.accelerators)
 
+    def leaves_headroom_for_standing(self, flow: Flow, amount: Vector) -> bool:
+        """Tells whether the flow may run another standing task beyond its claim.
+
+        The bound holds for all teams' work of the kind together. Each flow may run one task, or
+        claims for the whole pool could shut it out.
+        """
+        if not flow.share:
+            return True
+        kind = flow.kind
+        most = max(1.0 - STANDING_MARGIN * self._host.beyond(kind.mean, kind.variance), 0.0)
+        if kind.share + self.share_of(amount) > max(most, kind.claim()) + TOLERANCE:
+            return False
+        return self.leaves_headroom(flow, amount)
+
     def leaves_headroom_for_gang(self, flow: Flow, amount: Vector, count: int) -> bool:
         """Tells whether the flow may run a gang beyond its claim, once there is room for it.
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from hornbeamramp.flows import BURST_SHARE
+from hornbeamramp.jobs import ServiceJob
 from hornbeamramp.states import Band
 from tests.simulation import Kind, Simulation, usual_kinds
 
@@ -107,3 +109,26 @@
     usual = Simulation(kinds).run(FLOOD_START + 3)
     flood = Simulation([*kinds, *floods]).run(FLOOD_START + 3)
     assert sum(flood.preempted.values()) <= sum(usual.preempted.values()) + 0.05 * SLOTS
+
+
+def test_a_flood_of_services_leaves_the_room_others_need(usual):
+    """Guards against services, which are never preempted, that take all slots for good."""
+    kinds = usual_kinds()
+    floods = [
+        Kind("watcher", f"t{n}", Band.SERVICE, 20.0, 1e6, kind=ServiceJob, start=FLOOD_START)
+        for n in range(12)
+    ]
+    flood = Simulation([*kinds, *floods]).run(FLOOD_END)
+    for kind in kinds:
+        assert not flood.refused[kind.name]
+        expected = usual.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+        wait = flood.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+        assert wait <= expected * 1.05 + TICK, kind.name
+    # Others need 60% of the slots, so services get no more than the share open to any burst.
+    assert len(flood.waits["watcher"]) <= BURST_SHARE[Band.SERVICE] * SLOTS
+
+
+def test_services_alone_get_the_whole_pool():
+    """Guards against a bound on services for the sake of work that does not exist."""
+    kinds = [Kind("watcher", "team", Band.SERVICE, 400.0, 1e6, kind=ServiceJob)]
+    assert Simulation(kinds).run(10.0).scheduler.snapshot().running == SLOTS
