--- a/hornbeamramp/flows.py
+++ b/hornbeamramp/flows.py
@@ -1,24 +1,25 @@
-"""Flows, accounts and teams: whose use of the pool is counted.
+"""Flows, accounts, teams and kinds of work: whose use of the pool is counted.
 
 A flow is the work of one route of one team in one band. Its demand is learned from what it has in
 use while it is not backlogged, so a flood does not raise the demand of the flow that floods. An
-account is one team in one band.
+account is one team in one band, a kind of work one route in one band.
 """
 
-from math import exp, log2
+from math import exp, log2, sqrt
 
-from hornbeamramp.demand import Demand
+from hornbeamramp.demand import DEVIATIONS, Demand
 from hornbeamramp.ids import RouteName, TeamId
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import Band
 
-__all__ = ["BURST_SHARE", "LEAST_SHARE", "TOLERANCE", "Account", "Flow", "TeamUse"]
+__all__ = ["BURST_SHARE", "LEAST_SHARE", "TOLERANCE", "Account", "Flow", "KindUse", "TeamUse"]
 
 # Seconds over which past use counts against a team.
 RECENT_TIME = 30.0
-# A flow of these bands is served like learned demand while all of its work, running and queued,
-# takes less than this share of the pool; beyond it, the flow is a flood.
+# A kind of work of these bands is served like learned demand while all of it, running and queued,
+# takes less than this share of the pool; beyond it, the kind is a flood. Counted over all teams,
+# because a flood spread over many teams leaves each of them below any limit of its own.
 BURST_SHARE = {Band.URGENT: 0.5, Band.SERVICE: 0.25}
 # A flow whose queue needs more than it has in use, and more than this, is backlogged.
 LEAST_BACKLOG = 0.01
@@ -108,6 +109,43 @@
         return int(LEVELS * log2(self.score(now) + LEAST_SHARE))
 
 
+class KindUse:
+    """What all teams together have in use and queued of one route in one band, as shares.
+
+    `mean`, `variance`
+        Learned demand for the larger of processors, memory, slots and connections.
+    `stopping`
+        Share of tasks that were ordered to end.
+    `excess`
+        What is in use beyond the claim apart from them, for bands that may be preempted.
+    """
+
+    __slots__ = ("excess", "mean", "queued", "share", "stopping", "variance")
+
+    def __init__(self) -> None:
+        self.excess = 0.0
+        self.reset()
+
+    def reset(self) -> None:
+        """Sets all sums over flows to zero."""
+        self.share = self.queued = self.stopping = self.mean = self.variance = 0.0
+
+    def add(self, flow: "Flow") -> None:
+        """Adds a flow to the sums."""
+        self.share += flow.share
+        self.queued += flow.queued
+        self.stopping += flow.stopping
+        self.mean += flow.host.mean
+        self.variance += flow.host.variance
+
+    def claim(self) -> float:
+        """Returns the share of the pool that covers the learned demand of all teams together."""
+        return self.mean + DEVIATIONS * sqrt(max(self.variance, 0.0))
+
+    def beyond_claim(self) -> bool:
+        return self.share - self.stopping > self.claim() + TOLERANCE
+
+
 class Flow:
     """A route of an account.
 
@@ -119,16 +157,16 @@
     """
 
     __slots__ = (
+        "_queued",
         "account",
         "accelerators",
         "active_at",
-        "excess",
         "gang_tasks",
         "host",
         "jobs",
+        "kind",
         "lanes",
         "number",
-        "queued",
         "route",
         "states",
         "stopping",
@@ -137,27 +175,37 @@
         "used",
     )
 
-    def __init__(self, account: Account, route: RouteName, number: int, now: float) -> None:
+    def __init__(
+        self, account: Account, route: RouteName, kind: KindUse, number: int, now: float
+    ) -> None:
         self.account = account
+        self.kind = kind
         self.route = route
         self.number = number
         self.used = [0, 0, 0, 0, 0]
         self.share = 0.0
-        self.queued = 0.0
+        self._queued = 0.0
         self.jobs = 0
         self.host = Demand()
         self.accelerators = Demand()
         self.updated = now
         self.active_at = now
         self.lanes: dict = {}
-        # Share of tasks that were ordered to end, and what is in use beyond the claim apart from
-        # them, for bands that may be preempted.
         self.gang_tasks = 0
+        # Share of tasks that were ordered to end.
         self.stopping = 0.0
-        self.excess = 0.0
         # Jobs of the flow that have not ended.
         self.states = 0
 
+    @property
+    def queued(self) -> float:
+        return self._queued
+
+    @queued.setter
+    def queued(self, queued: float) -> None:
+        self.kind.queued += queued - self._queued
+        self._queued = queued
+
     def claim(self) -> float:
         """Returns the larger of the learned claims."""
         return max(self.host.claim(), self.accelerators.claim())
@@ -170,14 +218,18 @@
         return self.queued > self.share and self.queued > LEAST_BACKLOG
 
     def beyond_claim(self) -> bool:
-        """Tells whether a task may be taken from the flow without touching its learned demand."""
-        return self.share - self.stopping > self.host.claim() + TOLERANCE
+        """Tells whether a task may be taken from the flow without touching learned demand.
+
+        A job of many tasks exceeds the claim of its team at once but not that of all teams.
+        """
+        beyond = self.share - self.stopping > self.host.claim() + TOLERANCE
+        return beyond and self.kind.beyond_claim()
 
     def flooding(self) -> bool:
         """Tells whether the flow wants more than is served like learned demand."""
         return self.backlogged() and not self.bursting()
 
     def bursting(self) -> bool:
-        """Tells whether the flow is urgent work that is no flood."""
+        """Tells whether the flow is of an urgent kind of work that is no flood."""
         most = BURST_SHARE.get(self.account.band)
-        return most is not None and self.share + self.queued <= most
+        return most is not None and self.kind.share + self.kind.queued <= most
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -8,7 +8,15 @@
 from math import exp
 
 from hornbeamramp.demand import DemandSum
-from hornbeamramp.flows import BURST_SHARE, LEAST_SHARE, TOLERANCE, Account, Flow, TeamUse
+from hornbeamramp.flows import (
+    BURST_SHARE,
+    LEAST_SHARE,
+    TOLERANCE,
+    Account,
+    Flow,
+    KindUse,
+    TeamUse,
+)
 from hornbeamramp.ids import RouteName, TeamId
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
@@ -26,6 +34,9 @@
 IDLE_TIME = 10.0
 # Part of its fair share that a flow may use whatever others are learned to need.
 UNCLAIMED_PART = 0.5
+# Standing work beyond its claim leaves room for this many times the learned demand of others. It is
+# never preempted and takes slots on each machine, which leaves rooms too small for larger tasks.
+STANDING_MARGIN = 1.5
 
 
 class ShareBook:
@@ -36,6 +47,7 @@
         self.flow_by_key: dict[tuple[Band, TeamId, RouteName], Flow] = {}
         self.account_by_key: dict[tuple[Band, TeamId], Account] = {}
         self.use_by_team: dict[TeamId, TeamUse] = {}
+        self._kind_by_key: dict[tuple[Band, RouteName], KindUse] = {}
         self._share_by_amount: dict[Vector, float] = {}
         self._number = 0
         self._since = now
@@ -88,7 +100,9 @@
             team_use.accounts.append(account)
             self._weights += weight
         self._number += 1
-        flow = self.flow_by_key[(band, team, route)] = Flow(account, route, self._number, now)
+        kind = self._kind_by_key.setdefault((band, route), KindUse())
+        flow = Flow(account, route, kind, self._number, now)
+        self.flow_by_key[(band, team, route)] = flow
         return flow
 
     def take(self, flow: Flow, amount: Vector, now: float) -> None:
@@ -123,8 +137,13 @@
             weight = 1.0 - exp(-elapsed / IDLE_TIME)
         else:
             weight = elapsed / (min(DEMAND_TIME, now - self._since) + elapsed)
-        self._host.learn(flow.host, weight)
-        self._host.recap(flow.host)
+        kind, host = flow.kind, flow.host
+        kind.mean -= host.mean
+        kind.variance -= host.variance
+        self._host.learn(host, weight)
+        kind.mean += host.mean
+        kind.variance += host.variance
+        self._host.recap(host)
         if flow.accelerators.share or flow.accelerators.mean:
             self._accelerators.learn(flow.accelerators, weight)
             self._accelerators.recap(flow.accelerators)
@@ -138,9 +157,12 @@
         if flow.bursting():
             return True
         band = flow.account.band
-        if band == Band.URGENT and self._excess > 0 and flow.share < BURST_SHARE[band]:
-            # Less urgent work uses more than its learned demand; that room may be taken.
-            return True
+        if band == Band.URGENT and self._excess > 0:
+            # Less urgent work uses more than its learned demand; that room may be taken, but no
+            # more than it, or one kind's excess would open the demand of all others to a flood.
+            most = min(flow.kind.claim() + self._excess, BURST_SHARE[band])
+            if flow.kind.share + self.share_of(amount) <= most:
+                return True
         # A backlogged flow would use its whole claim all the time; that is more than it used to.
         backlogged = flow.backlogged()
         host = flow.host
@@ -178,6 +200,20 @@
         left = (self.free[2] - amount[2]) / (total[2] or 1)
         return left + TOLERANCE >= self._accelerators.headroom(flow.accelerators)
 
+    def leaves_headroom_for_standing(self, flow: Flow, amount: Vector) -> bool:
+        """Tells whether the flow may run another standing task beyond its claim.
+
+        The bound holds for all teams' work of the kind together. Each flow may run one task, or
+        claims for the whole pool could shut it out.
+        """
+        if not flow.share:
+            return True
+        kind = flow.kind
+        most = max(1.0 - STANDING_MARGIN * self._host.beyond(kind.mean, kind.variance), 0.0)
+        if kind.share + self.share_of(amount) > max(most, kind.claim()) + TOLERANCE:
+            return False
+        return self.leaves_headroom(flow, amount)
+
     def leaves_headroom_for_gang(self, flow: Flow, amount: Vector, count: int) -> bool:
         """Tells whether the flow may run a gang beyond its claim, once there is room for it.
 
@@ -199,12 +235,7 @@
         """Forgets flows without use, queue or noticeable demand. Removes rounding errors."""
         for key, flow in list(self.flow_by_key.items()):
             self.observe(flow, now)
-            if (
-                not flow.states
-                and not any(flow.used)
-                and not flow.excess
-                and flow.claim() < LEAST_SHARE
-            ):
+            if not flow.states and not any(flow.used) and flow.claim() < LEAST_SHARE:
                 del self.flow_by_key[key]
         kept = {flow.account for flow in self.flow_by_key.values()}
         for account_key, account in list(self.account_by_key.items()):
@@ -229,34 +260,43 @@
         account.share = self._share(account.used)
         self._set_shares(flow)
         self._host.recap(flow.host)
-        self._recap_excess(flow)
+        self._recap_excess(flow.account.band, flow.kind)
         if amount[2]:
             self._accelerators.recap(flow.accelerators)
 
     def note_stopping(self, flow: Flow, share: float) -> None:
         """Adds to the share of tasks that were ordered to end; negative once they have ended."""
-        flow.stopping = max(flow.stopping + share, 0.0) if flow.share else 0.0
-        self._recap_excess(flow)
+        stopping = max(flow.stopping + share, 0.0) if flow.share else 0.0
+        flow.kind.stopping += stopping - flow.stopping
+        flow.stopping = stopping
+        self._recap_excess(flow.account.band, flow.kind)
 
-    def _recap_excess(self, flow: Flow) -> None:
-        if flow.account.band < Band.NORMAL:
+    def _recap_excess(self, band: Band, kind: KindUse) -> None:
+        if band < Band.NORMAL:
             return
-        excess = flow.share - flow.stopping - flow.host.claim()
+        excess = kind.share - kind.stopping - kind.claim()
         excess = excess if excess > LEAST_SHARE else 0.0
-        self._excess += excess - flow.excess
-        flow.excess = excess
+        self._excess += excess - kind.excess
+        kind.excess = excess
 
     def _set_shares(self, flow: Flow) -> None:
         used = flow.used
         flow.host.share = self._host_share(used)
         flow.accelerators.share = used[2] / (self.total[2] or 1) if used[2] else 0.0
-        flow.share = max(flow.host.share, flow.accelerators.share)
+        share = max(flow.host.share, flow.accelerators.share)
+        flow.kind.share += share - flow.share
+        flow.share = share
 
     def _sum_up(self) -> None:
         flows = self.flow_by_key.values()
+        self._kind_by_key = {(flow.account.band, flow.route): flow.kind for flow in flows}
+        for kind in self._kind_by_key.values():
+            kind.reset()
         for flow in flows:
-            self._recap_excess(flow)
-        self._excess = sum(flow.excess for flow in flows)
+            flow.kind.add(flow)
+        for (band, _), kind in self._kind_by_key.items():
+            self._recap_excess(band, kind)
+        self._excess = sum(kind.excess for kind in self._kind_by_key.values())
         self._host.sum_up([flow.host for flow in flows])
         self._accelerators.sum_up([flow.accelerators for flow in flows])
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from hornbeamramp.flows import BURST_SHARE
+from hornbeamramp.jobs import ServiceJob
 from hornbeamramp.states import Band
 from tests.simulation import Kind, Simulation, usual_kinds
 
@@ -77,3 +79,56 @@
     ]
     simulation = Simulation(kinds).run(120.0)
     assert simulation.scheduler.snapshot().running >= SLOTS * 0.95
+
+
+def test_other_kinds_keep_their_waiting_time_in_an_urgent_flood_over_many_teams(usual):
+    """Guards against a flood whose teams each stay below the limit for urgent work."""
+    kinds = usual_kinds()
+    ticket = next(kind for kind in kinds if kind.name == "ticket")
+    rate = 10 * SLOTS / ticket.run / 12
+    floods = [
+        Kind("ticket", f"t{n}", Band.URGENT, rate, ticket.run, start=FLOOD_START, end=FLOOD_END)
+        for n in range(12)
+    ]
+    flood = Simulation([*kinds, *floods]).run(FLOOD_END)
+    for kind in kinds:
+        if kind.name != "ticket":
+            expected = usual.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+            wait = flood.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+            assert wait <= expected * 1.05 + TICK, kind.name
+
+
+def test_an_urgent_flood_over_many_teams_preempts_nothing_within_learned_demand():
+    """Guards against preemption of steady work before the flood exceeds the limit for bursts."""
+    weave = [Kind("weave", f"w{n}", Band.NORMAL, 0.9, 10.0, tasks=2) for n in range(6)]
+    kinds = [*weave, Kind("ticket", "scale", Band.URGENT, 10.0, 0.5)]
+    floods = [
+        Kind("ticket", f"t{n}", Band.URGENT, 300.0, 0.5, start=FLOOD_START, end=FLOOD_START + 3)
+        for n in range(12)
+    ]
+    usual = Simulation(kinds).run(FLOOD_START + 3)
+    flood = Simulation([*kinds, *floods]).run(FLOOD_START + 3)
+    assert sum(flood.preempted.values()) <= sum(usual.preempted.values()) + 0.05 * SLOTS
+
+
+def test_a_flood_of_services_leaves_the_room_others_need(usual):
+    """Guards against services, which are never preempted, that take all slots for good."""
+    kinds = usual_kinds()
+    floods = [
+        Kind("watcher", f"t{n}", Band.SERVICE, 20.0, 1e6, kind=ServiceJob, start=FLOOD_START)
+        for n in range(12)
+    ]
+    flood = Simulation([*kinds, *floods]).run(FLOOD_END)
+    for kind in kinds:
+        assert not flood.refused[kind.name]
+        expected = usual.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+        wait = flood.mean_wait(kind.name, FLOOD_START, FLOOD_END)
+        assert wait <= expected * 1.05 + TICK, kind.name
+    # Others need 60% of the slots, so services get no more than the share open to any burst.
+    assert len(flood.waits["watcher"]) <= BURST_SHARE[Band.SERVICE] * SLOTS
+
+
+def test_services_alone_get_the_whole_pool():
+    """Guards against a bound on services for the sake of work that does not exist."""
+    kinds = [Kind("watcher", "team", Band.SERVICE, 400.0, 1e6, kind=ServiceJob)]
+    assert Simulation(kinds).run(10.0).scheduler.snapshot().running == SLOTS
