--- a/hornbeamramp/attempts.py
+++ b/hornbeamramp/attempts.py
@@ -12,7 +12,7 @@
 from hornbeamramp.decisions import Start, TaskEnd
 from hornbeamramp.errors import ProtocolError, UnreachableError
 from hornbeamramp.ids import AttemptId, Epoch, ShardId, VmId
-from hornbeamramp.jobs import ServiceJob, TaskResult
+from hornbeamramp.jobs import Job, ServiceJob, TaskResult
 from hornbeamramp.settings import TimingSettings
 from hornbeamramp.states import Capability, TaskState
 from hornbeamramp.telemetry import Metrics
@@ -23,6 +23,8 @@
 
 # Bounds how long a connection that went silent under a waiting call goes unnoticed.
 RESULT_WAIT = timedelta(seconds=4)
+# A service has no answer to wait for; that its upstream is gone shows in its renewals.
+STANDING_WAIT = timedelta(seconds=30)
 RETRY_PAUSE = timedelta(milliseconds=200)
 
 END_BY_STATE = {
@@ -89,13 +91,14 @@
         self._started(start.attempt_id)
         with _tracer.start_as_current_span("answer", context=parent) as span:
             span.set_attribute("attempt", start.attempt_id)
-            await self.follow(start.attempt_id, link)
+            await self.follow(start.attempt_id, start.job, link)
 
-    async def follow(self, attempt_id: AttemptId, link: UpstreamLink) -> None:
+    async def follow(self, attempt_id: AttemptId, job: Job, link: UpstreamLink) -> None:
         """Waits for the end of an attempt that was started, and reports it."""
+        wait = STANDING_WAIT if isinstance(job, ServiceJob) else RESULT_WAIT
         while True:
             try:
-                answer = await link.adapter.result(attempt_id, RESULT_WAIT)
+                answer = await link.adapter.result(attempt_id, wait)
             except (UnreachableError, ProtocolError):
                 if link.has_lapsed(attempt_id):
                     self._end(link, attempt_id, TaskEnd.LOST)
--- a/hornbeamramp/bench/control.py
+++ b/hornbeamramp/bench/control.py
@@ -25,22 +25,35 @@
 MEMORY_GOAL_MIB = 32.0
 BYTES_GOAL = 9_000.0
 
-ROUTE = {"name": "ticket", "pool": "tickets", "run_ms": 50}
+ROUTE = {
+    "name": "watcher",
+    "pool": "tickets",
+    "kind": "service",
+    "resources": {"processors_milli": 100, "memory_mib": 64},
+}
 
 
 class CellSize(msgspec.Struct, frozen=True):
-    """Size of a cell: data centres, entry processes in each, workers of the one pool."""
+    """Size of a cell: data centres, entry processes in each, workers and running services."""
 
     data_centres: int
     entries: int
     workers: int
+    tasks: int = 0
 
     def label(self) -> str:
-        return f"{self.data_centres} dc, {self.entries} entries each, {self.workers} workers"
+        cell = f"{self.data_centres} dc, {self.entries} entries each, {self.workers} workers"
+        return f"{cell}, {self.tasks} tasks running" if self.tasks else cell
 
 
 BASE = CellSize(1, 2, 4)
-CELLS = (BASE, CellSize(1, 8, 4), CellSize(3, 2, 4), CellSize(1, 2, 64))
+CELLS = (
+    BASE,
+    CellSize(1, 8, 4),
+    CellSize(3, 2, 4),
+    CellSize(1, 2, 64),
+    CellSize(1, 2, 64, tasks=384),
+)
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -73,6 +86,8 @@
     async with LocalCell(names, size.entries, workers) as cell:
         await cell.put_tables([ROUTE])
         await cell.wait_serving()
+        if size.tasks:
+            await _start_services(cell, size.tasks)
         await asyncio.sleep(min(SETTLE_S, window_s))
         before = await _sample(cell)
         await asyncio.sleep(window_s)
@@ -83,6 +98,13 @@
     return usage_by_vm.pop(owner_vm), list(usage_by_vm.values())
 
 
+async def _start_services(cell: LocalCell, tasks: int) -> None:
+    body = {"route": ROUTE["name"], "tasks": tasks}
+    status, answer = await cell.submit(cell.entries[0], body)
+    if status != 201:
+        raise RuntimeError(f"services not started: {answer}")
+
+
 async def _sample(cell: LocalCell) -> dict[str, tuple[float, int, dict[str, int], int]]:
     """Returns processor seconds, resident bytes, bytes by connection, store calls by VM."""
     bytes_by_pid = _connection_bytes()
--- a/hornbeamramp/decision_executor.py
+++ b/hornbeamramp/decision_executor.py
@@ -12,6 +12,7 @@
 from hornbeamramp.errors import ProtocolError, UnreachableError
 from hornbeamramp.ids import AttemptId, UpstreamId
 from hornbeamramp.job_records import JobRecord, JobRecords
+from hornbeamramp.jobs import Job
 from hornbeamramp.scheduler import ShardScheduler
 from hornbeamramp.telemetry import Metrics
 from hornbeamramp.upstream_link import UpstreamLink
@@ -50,9 +51,9 @@
         self._tasks = tasks
         self._wake = wake
 
-    def follow(self, attempt_id: AttemptId, link: UpstreamLink) -> None:
+    def follow(self, attempt_id: AttemptId, job: Job, link: UpstreamLink) -> None:
         """Waits for the end of an attempt that an earlier owner started."""
-        self._tasks.spawn(self._runner.follow(attempt_id, link))
+        self._tasks.spawn(self._runner.follow(attempt_id, job, link))
 
     def apply(self, decision: Decision) -> None:
         """Carries out one decision."""
--- a/hornbeamramp/preemption.py
+++ b/hornbeamramp/preemption.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hornbeamramp.decisions import Checkpoint, Decision, Stop, Throttle
+from hornbeamramp.flows import Flow
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
@@ -63,6 +64,8 @@
     ranked: list[tuple[float, int, Plan]] = []
     amount = state.amount
     beyond = state.flow.flooding() or state.flow.kind.beyond_claim()
+    # The attempts of one flow are many, so the claim of each flow is computed once.
+    beyond_by_flow: dict[Flow, bool] = {}
     for number, upstream_id in enumerate(pool.index.reclaimable.candidates(amount)):
         if number >= CANDIDATES + 2 * count:
             break
@@ -70,7 +73,7 @@
         if beyond:
             # Urgent work beyond its own learned demand takes no room within that of others; it may
             # be the start of a flood.
-            attempts = [a for a in attempts if a.state.flow.beyond_claim()]
+            attempts = [a for a in attempts if _is_beyond(a.state.flow, beyond_by_flow)]
         free = pool.unheld_soon(upstream_id)
         loss = 0.0
         for plan in plan_upstream(upstream_id, amount, count, free, attempts, shares.share_of, now):
@@ -81,6 +84,13 @@
     return [plan for _, _, plan in ranked[:count]]
 
 
+def _is_beyond(flow: Flow, beyond_by_flow: dict[Flow, bool]) -> bool:
+    known = beyond_by_flow.get(flow)
+    if known is None:
+        known = beyond_by_flow[flow] = flow.beyond_claim()
+    return known
+
+
 def plan_upstream(
     upstream_id: UpstreamId,
     amount: Vector,
--- a/hornbeamramp/recovery.py
+++ b/hornbeamramp/recovery.py
@@ -86,7 +86,7 @@
         record.upstream_by_attempt[attempt_id] = link.id
         record.running_tasks.add(task_of(attempt_id))
         link.track(attempt_id)
-        self._executor.follow(attempt_id, link)
+        self._executor.follow(attempt_id, job, link)
         _log.info("{}: adopted attempt {}", link.id, attempt_id)
 
     def _hold(self, link: UpstreamLink, task: ListedTask) -> None:
--- a/hornbeamramp/upstream_link.py
+++ b/hornbeamramp/upstream_link.py
@@ -15,6 +15,13 @@
 __all__ = ["UpstreamEvents", "UpstreamLink", "close_adapters"]
 
 RECONNECT_PAUSE = timedelta(milliseconds=500)
+# Longest time from sending a request to its arrival: the adapter's timeout of 2 s, then as long
+# again until TCP_USER_TIMEOUT ends the connection.
+DELIVERY_BOUND = timedelta(seconds=4)
+# Rounds of maintenance for each usage report; reports lag by seconds anyway.
+ROUNDS_PER_USAGE = 5
+# Renewals for each lease; several may fail before a task ends.
+RENEWALS_PER_LEASE = 4
 
 _log = logbook.Logger("upstream")
 
@@ -65,7 +72,9 @@
         self._may_start = may_start
         self._events = events
         self._lease = timedelta(milliseconds=timing.task_lease_ms)
-        self._margin = timedelta(milliseconds=timing.drift_margin_ms + timing.send_bound_ms)
+        self._margin = timedelta(milliseconds=timing.drift_margin_ms) + DELIVERY_BOUND
+        self._renewed_at: timedelta | None = None
+        self._round = 0
         self._interval = timedelta(milliseconds=timing.usage_ms)
         self._lapses_at_by_attempt: dict[AttemptId, timedelta] = {}
 
@@ -109,20 +118,28 @@
         _log.info("{}: connected with {} tasks listed", self.id, len(tasks))
 
     async def _maintain(self) -> None:
-        await self._renew()
+        if self._is_renewal_due():
+            await self._renew()
         shape = await self.adapter.shape()
         if shape != self.shape:
             self.shape = shape
             self._events.shape_changed(self, shape)
-        if self.attempts:
+        self._round += 1
+        if self.attempts and self._round % ROUNDS_PER_USAGE == 0:
             self._events.usage(self, await self.adapter.usage())
 
+    def _is_renewal_due(self) -> bool:
+        if self._renewed_at is None:
+            return True
+        next_round = self._clock.boot_time() + self._interval
+        return next_round - self._renewed_at > self._lease / RENEWALS_PER_LEASE
+
     async def _renew(self) -> None:
         # Renewals under an epoch tell other members that its owner still serves, so they stop
         # when the proof of ownership has run out.
         if not self.attempts or not self._may_start():
             return
-        sent_at = self._clock.boot_time()
+        sent_at = self._renewed_at = self._clock.boot_time()
         attempts = sorted(self.attempts)
         # A renewal may take effect even if its answer is lost, so it is counted before sending.
         for attempt_id in attempts:
