Let callers wait for the first upstream after a claim

Change: until an upstream is listed or the recovery has ended, the owner answers that it does not serve yet, so the entry VM asks again.

--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -172,7 +172,7 @@
         if record is None:
             if self.records.is_refused(job.id):
                 return SubmitReply(NotRun(job.id, RefusalReason.RESOLVED_ABSENT, "resolved before"))
-            if not self._accepting or not self._may_start():
+            if not self._accepting or not self._may_start() or not self._has_listed():
                 return SubmitReply(Misdirected())
             accepted = await self._jobs.accept(job)
             if isinstance(accepted, Err):
@@ -184,6 +184,10 @@
             return SubmitReply(None, accepted=record.job.id)
         return await self._outcome_of(record)
 
+    def _has_listed(self) -> bool:
+        """Tells whether any upstream is known; before that every job would be refused."""
+        return self._recovered.is_set() or any(link.listed for link in self.link_by_id.values())
+
     async def resolve(self, request: ResolveRequest) -> ResolveReply:
         """Tells the fate of a job id; one never seen is refused from now on."""
         record = self.records.get(request.job_id)
