Resolve calls whose connection was given up under them

Cause: a heartbeat timeout gives up the channel; after 30 s the submits pending on it were cancelled and callers got status 500, though the job had run elsewhere. Waiting calls also greeted a dead peer one after the other, 2 s each. Ruled out: keepalive alone; a channel that is closing sends none. Change: such a call counts as sent without an answer and is resolved; the grace is 5 s; waiting calls share one greeting; the acceptance of a job is no longer cut off when its sender gives up. Conclusion: a paused owner costs a failover, not an answer.

--- a/hornbeamramp/owner.py
+++ b/hornbeamramp/owner.py
@@ -174,7 +174,8 @@
                 return SubmitReply(NotRun(job.id, RefusalReason.RESOLVED_ABSENT, "resolved before"))
             if not self._accepting or not self._may_start() or not self._has_listed():
                 return SubmitReply(Misdirected())
-            accepted = await self._jobs.accept(job)
+            # The sender may give up its call at any time; what is being recorded must be queued.
+            accepted = await asyncio.shield(self._jobs.accept(job))
             if isinstance(accepted, Err):
                 if isinstance(accepted.err_value, NotRun):
                     self._metrics.refusals.add(1, {"reason": accepted.err_value.reason.value})
--- a/hornbeamramp/rpc.py
+++ b/hornbeamramp/rpc.py
@@ -24,6 +24,7 @@
 SERVICE = "hornbeamramp.Peer"
 MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
 HELLO_TIMEOUT = timedelta(seconds=2)
+DROP_GRACE_S = 5.0
 
 REPLY_TYPE_BY_REQUEST_TYPE: dict[type, type] = {
     messages.HelloRequest: messages.HelloReply,
@@ -155,7 +156,7 @@
         self._hello = messages.HelloRequest(messages.PROTOCOL_VERSION, vm, data_centre)
         self._credentials = None if tls is None else _channel_credentials(tls)
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
-        self._greeting_by_address: dict[str, asyncio.Lock] = {}
+        self._greeting_by_address: dict[str, asyncio.Task[None]] = {}
         self._greeted: set[str] = set()
         self._decoder_by_type = {
             request_type: msgspec.msgpack.Decoder(reply_type)
@@ -178,15 +179,29 @@
             await self._drop(address)
 
     async def _greet(self, address: str, timeout: timedelta, step: Step) -> None:
+        """Makes sure that the peer speaks this version. Calls that wait share one greeting."""
         if address in self._greeted:
             return
-        async with self._greeting_by_address.setdefault(address, asyncio.Lock()):
-            if address in self._greeted:
-                return
-            reply = await self._call(address, self._hello, timeout, step, sent=False)
-            if reply.version != messages.PROTOCOL_VERSION:
-                raise ProtocolError(step, address, f"peer speaks version {reply.version}")
-            self._greeted.add(address)
+        greeting = self._greeting_by_address.get(address)
+        if greeting is None:
+            greeting = asyncio.get_running_loop().create_task(
+                self._say_hello(address, timeout, step)
+            )
+            self._greeting_by_address[address] = greeting
+            greeting.add_done_callback(lambda task: self._end_greeting(address, task))
+        await asyncio.shield(greeting)
+
+    async def _say_hello(self, address: str, timeout: timedelta, step: Step) -> None:
+        reply = await self._call(address, self._hello, timeout, step, sent=False)
+        if reply.version != messages.PROTOCOL_VERSION:
+            raise ProtocolError(step, address, f"peer speaks version {reply.version}")
+        self._greeted.add(address)
+
+    def _end_greeting(self, address: str, greeting: asyncio.Task[None]) -> None:
+        del self._greeting_by_address[address]
+        if not greeting.cancelled():
+            # Retrieved here too, as all that waited may have been cancelled.
+            greeting.exception()
 
     async def _call(
         self, address: str, request: Any, timeout: timedelta, step: Step, sent: bool
@@ -208,6 +223,13 @@
                 await self._forget(address, channel, error.code())
                 message = f"{method}: {error.code().name}: {error.details()}"
                 raise UnreachableError(step, address, message, sent) from error
+            except asyncio.CancelledError as error:
+                task = asyncio.current_task()
+                if task is not None and task.cancelling():
+                    raise
+                # The channel was given up under this call; the caller itself goes on.
+                message = f"{method}: the connection was given up"
+                raise UnreachableError(step, address, message, sent) from error
         try:
             return self._decoder_by_type[type(request)].decode(data)
         except msgspec.MsgspecError as error:
@@ -236,8 +258,9 @@
         channel = self._channel_by_address.pop(address, None)
         if channel is not None:
             with contextlib.suppress(grpc.RpcError):
-                # Other calls on this channel get time to finish before it is closed.
-                asyncio.get_running_loop().create_task(channel.close(grace=30.0))
+                # Other calls on this channel get time to finish. Those to a peer that has stopped
+                # would wait for ever, as a channel that is closing sends no keepalives.
+                asyncio.get_running_loop().create_task(channel.close(DROP_GRACE_S))
 
 
 def _read(path: str) -> bytes:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -174,3 +174,18 @@
             await cell.platform_faults(mode="up")
 
     run(scenario())
+
+
+def test_requests_are_answered_while_their_owner_stays_paused(cell, run):
+    """Guards against callers that hang on the connection to a process that has stopped."""
+
+    async def scenario():
+        async with cell:
+            owner, other = await prepare(cell)
+            assert (await cell.submit(other, {"route": "ticket"}))[0] == 200
+            owner.program.send(signal.SIGSTOP)
+            calls = [cell.submit(other, {"route": "ticket", "payload": n}) for n in range(5)]
+            assert {status for status, _ in await asyncio.gather(*calls)} == {200}
+            owner.program.send(signal.SIGCONT)
+
+    run(scenario())
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -90,3 +90,28 @@
         await server.stop(timedelta(0))
 
     run(scenario())
+
+
+def test_a_call_on_a_channel_that_is_given_up_leaves_the_fate_open(run, monkeypatch):
+    """Guards against a cancelled request of a caller whose owner was paused under it."""
+
+    async def scenario():
+        release = asyncio.Event()
+
+        async def handler(request):
+            await release.wait()
+
+        server = await start_server(handler)
+        client = PeerClient("vm-2", "tuzla")
+        pending = asyncio.create_task(call(client, server.port, 60 * SECOND))
+        with pytest.raises(UnreachableError):
+            await call(client, server.port, timedelta(milliseconds=300))
+        with pytest.raises(UnreachableError) as caught:
+            await pending
+        assert caught.value.sent
+        release.set()
+        await client.close()
+        await server.stop(timedelta(0))
+
+    monkeypatch.setattr("hornbeamramp.rpc.DROP_GRACE_S", 0.1)
+    run(scenario())
