--- a/hornbeamramp/messages.py
+++ b/hornbeamramp/messages.py
@@ -79,15 +79,10 @@
 
 
 class SubmitRequest(msgspec.Struct, frozen=True):
-    """A job for a shard. ``deadline`` in the job is the time left when this was sent.
-
-    `home`
-        Whether the receiver must look up the job's idempotency key, as the key's home.
-    """
+    """A job for a shard. ``deadline`` in the job is the time left when this was sent."""
 
     shard: ShardId
     job: BatchJob | ServiceJob | GangJob
-    home: bool = True
 
 
 class Misdirected(msgspec.Struct, frozen=True, tag="misdirected"):
--- a/hornbeamramp/promises.py
+++ b/hornbeamramp/promises.py
@@ -72,7 +72,3 @@
             barriers = self._barrier_by_shard.setdefault(shard, {})
             barriers[candidate] = self._clock.boot_time() + self._term
         return left, owner
-
-    def lower_barrier(self, shard: ShardId, candidate: VmId) -> None:
-        """Withdraws the barrier of a candidate that has given up its claim."""
-        self._barrier_by_shard.get(shard, {}).pop(candidate, None)
