--- a/hornbeamramp/dispatcher.py
+++ b/hornbeamramp/dispatcher.py
@@ -9,15 +9,13 @@
     Start,
     Throttle,
 )
-from hornbeamramp.flows import KindUse
 from hornbeamramp.holds import Hold
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.job_queue import JobQueue
 from hornbeamramp.jobs import GangJob, ServiceJob
-from hornbeamramp.ledger import Vector
 from hornbeamramp.policies.base import PlacementPolicy, PlacementRequest
 from hornbeamramp.policies.gang import times_it_fits
-from hornbeamramp.preemption import plan_tasks
+from hornbeamramp.preemption import FailedSearches, plan_tasks
 from hornbeamramp.reservations import expected_room
 from hornbeamramp.resources import Resources
 from hornbeamramp.retries import DelayedRetries
@@ -32,10 +30,6 @@
 BACKFILL_CANDIDATES = 16
 # Seconds after which room that is being preempted is given up.
 PREEMPTION_TIME = 10.0
-# Seconds for which a kind of work that found no room to preempt does not search again. A failed
-# search looks at many upstreams; an urgent start may take seconds.
-PREEMPTION_PAUSE = 0.05
-PREEMPTION_PAUSES_KEPT = 1_000
 # Bounds in seconds of a gang's reservation; it lasts twice as long as its start is expected away.
 SHORTEST_RESERVATION = 30.0
 LONGEST_RESERVATION = 600.0
@@ -68,8 +62,7 @@
         self._outbox: deque[tuple[Decision, Attempt]] = deque()
         self._refreshed_at = 0.0
         self._reserve_after: dict[JobState, float] = {}
-        # By kind of work and size of a task.
-        self._preempt_after: dict[tuple[KindUse, Vector], float] = {}
+        self._failed_searches = FailedSearches()
         # Jobs found to be past their deadline when their turn came.
         self.late: list[JobState] = []
 
@@ -372,14 +365,11 @@
     # Room for urgent work
 
     def _preempt(self, state: JobState, count: int, now: float) -> bool:
-        key = (state.flow.kind, state.amount)
-        if self._preempt_after.get(key, 0.0) > now:
+        if self._failed_searches.is_paused(state, now):
             return False
         plans = plan_tasks(self._pool, self._tasks, self._shares, state, count, now)
         if len(plans) < count:
-            if len(self._preempt_after) >= PREEMPTION_PAUSES_KEPT:
-                self._preempt_after.clear()
-            self._preempt_after[key] = now + PREEMPTION_PAUSE
+            self._failed_searches.note(state, now)
             return False
         upstream_ids = [plan.upstream_id for plan in plans]
         tasks = self._take_tasks(state, count)
--- a/hornbeamramp/job_records.py
+++ b/hornbeamramp/job_records.py
@@ -8,7 +8,7 @@
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.ids import AttemptId, JobId, UpstreamId
-from hornbeamramp.jobs import Completed, Job, NotRun, Outcome, TaskResult
+from hornbeamramp.jobs import Completed, Job, NotRun, Outcome, TaskResult, split_attempt_id
 from hornbeamramp.states import JobState
 
 __all__ = ["JobRecord", "JobRecords", "state_of", "task_of"]
@@ -21,7 +21,7 @@
 
 def task_of(attempt_id: AttemptId) -> int:
     """Returns the task index of an attempt id."""
-    return int(attempt_id.rsplit(".", 3)[1])
+    return split_attempt_id(attempt_id)[1]
 
 
 def state_of(outcome: Outcome) -> JobState:
--- a/hornbeamramp/jobs.py
+++ b/hornbeamramp/jobs.py
@@ -30,6 +30,7 @@
     "Unknown",
     "attempt_id",
     "payload_digest",
+    "split_attempt_id",
 ]
 
 
@@ -43,6 +44,17 @@
     return AttemptId(f"{job_id}.{task}.{epoch}.{number}")
 
 
+def split_attempt_id(attempt_id: AttemptId) -> tuple[JobId, int, Epoch, int]:
+    """Returns job id, task, epoch and number of an attempt id.
+
+    Raises ``ValueError`` if it is malformed.
+    """
+    parts = attempt_id.rsplit(".", 3)
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        raise ValueError(f"not an attempt id: {attempt_id}")
+    return JobId(parts[0]), int(parts[1]), Epoch(int(parts[2])), int(parts[3])
+
+
 class Job(msgspec.Struct, frozen=True, tag_field="kind", kw_only=True):
     """Work a caller submitted. Base of `BatchJob`, `ServiceJob` and `GangJob`.
 
--- a/hornbeamramp/preemption.py
+++ b/hornbeamramp/preemption.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from hornbeamramp.decisions import Checkpoint, Decision, Stop, Throttle
-from hornbeamramp.flows import Flow
+from hornbeamramp.flows import Flow, KindUse
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.ledger import Vector
 from hornbeamramp.resources import Resources
@@ -14,13 +14,16 @@
 from hornbeamramp.task_table import Attempt, JobState, TaskTable
 from hornbeamramp.upstream_pool import UpstreamPool
 
-__all__ = ["Plan", "plan_tasks", "plan_upstream"]
+__all__ = ["FailedSearches", "Plan", "plan_tasks", "plan_upstream"]
 
 # Upstreams compared when room is made for one urgent task.
 CANDIDATES = 16
 # A task that ran for less time than this is stopped; an older one is checkpointed, which costs
 # about as much as this many seconds of work.
 CHECKPOINT_COST = 2.0
+# Seconds between searches of a kind of work that finds no room.
+SEARCH_PAUSE = 0.05
+PAUSES_KEPT = 1_000
 # A throttled task keeps this part of its processors.
 THROTTLED_PART = 4
 LEAST_PROCESSORS = 100
@@ -49,6 +52,26 @@
         return actions
 
 
+class FailedSearches:
+    """Pauses the search for room of a kind of work and size of task that found none.
+
+    A failed search looks at many upstreams, and an urgent start may take seconds.
+    """
+
+    def __init__(self) -> None:
+        self._paused_until: dict[tuple[KindUse, Vector], float] = {}
+
+    def is_paused(self, state: JobState, now: float) -> bool:
+        """Tells whether a search for a task of the job would be too soon."""
+        return self._paused_until.get((state.flow.kind, state.amount), 0.0) > now
+
+    def note(self, state: JobState, now: float) -> None:
+        """Takes note of a search that found no room."""
+        if len(self._paused_until) >= PAUSES_KEPT:
+            self._paused_until.clear()
+        self._paused_until[state.flow.kind, state.amount] = now + SEARCH_PAUSE
+
+
 def plan_tasks(
     pool: UpstreamPool,
     tasks: TaskTable,
--- a/hornbeamramp/scheduler.py
+++ b/hornbeamramp/scheduler.py
@@ -26,7 +26,7 @@
 from hornbeamramp.estimates import Estimates, Expectation
 from hornbeamramp.ids import AttemptId, Epoch, JobId, TeamId, UpstreamId
 from hornbeamramp.job_queue import JobQueue, class_key
-from hornbeamramp.jobs import GangJob, Job, ServiceJob
+from hornbeamramp.jobs import GangJob, Job, ServiceJob, split_attempt_id
 from hornbeamramp.ledger import Reservation
 from hornbeamramp.policies import POLICIES
 from hornbeamramp.resources import Resources
@@ -139,7 +139,7 @@
         The job does not end before `settle` is called for it. Raises ``ValueError`` if
         ``attempt_id`` is not an attempt of the job.
         """
-        job_id, task, epoch, number = _split_attempt_id(attempt_id)
+        job_id, task, epoch, number = split_attempt_id(attempt_id)
         if job_id != job.id or not 0 <= task < job.tasks:
             raise ValueError(f"not an attempt of job {job.id}: {attempt_id}")
         unknown = self._unknown.pop(attempt_id, None)
@@ -396,10 +396,3 @@
         reservation = self._unknown.pop(attempt_id, None)
         if reservation is not None:
             self._upstreams.ledger.release(reservation)
-
-
-def _split_attempt_id(attempt_id: AttemptId) -> tuple[JobId, int, Epoch, int]:
-    parts = attempt_id.rsplit(".", 3)
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
-        raise ValueError(f"not an attempt id: {attempt_id}")
-    return JobId(parts[0]), int(parts[1]), Epoch(int(parts[2])), int(parts[3])
