--- a/hornbeamramp/logs.py
+++ b/hornbeamramp/logs.py
@@ -1,6 +1,10 @@
-"""Log set-up: logbook to standard error, as text with a fixed prefix for each part, or as JSON."""
+"""Log set-up: logbook to standard error, as text with a fixed prefix for each part, or as JSON.
+
+A process on a platform that collects standard output writes JSON lines there without blocking.
+"""
 
 import json
+import os
 import sys
 
 import logbook
@@ -8,7 +12,7 @@
 
 from hornbeamramp.settings import LogSettings
 
-__all__ = ["json_line", "setup_logs"]
+__all__ = ["NonBlockingHandler", "json_line", "setup_logs", "setup_stdout_logs"]
 
 TEXT_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel}: {record.message}"
@@ -44,3 +48,43 @@
         handler.format_string = TEXT_FORMAT
     handler.push_application()
     return handler
+
+
+class NonBlockingHandler(logbook.Handler):
+    """Writes JSON lines to a descriptor. What it doesn't take at once waits up to a bound; beyond
+    it, lines are dropped, and the next line that is written tells how many."""
+
+    # Some seconds of the busiest log seen (100 kB/s), well below a process's memory.
+    BUFFER_LIMIT_BYTES = 512 * 1024
+
+    def __init__(self, descriptor: int, level: int = logbook.INFO) -> None:
+        super().__init__(level)
+        self._descriptor = descriptor
+        self._pending = b""
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        line = json_line(record, self).encode() + b"\n"
+        if len(self._pending) + len(line) > self.BUFFER_LIMIT_BYTES:
+            self._dropped += 1
+        else:
+            if self._dropped:
+                line = b'{"part": "logs", "dropped_lines": %d}\n' % self._dropped + line
+                self._dropped = 0
+            self._pending += line
+        self._flush()
+
+    def _flush(self) -> None:
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return
+        self._pending = self._pending[written:]
+
+
+def setup_stdout_logs() -> logbook.Handler:
+    """Pushes a handler that writes JSON lines to standard output and returns it."""
+    handler = NonBlockingHandler(sys.stdout.fileno())
+    handler.push_application()
+    return handler
--- /dev/null
+++ b/hornbeamramp/platform/advice.py
@@ -0,0 +1,53 @@
+"""Client of the platform's advice service."""
+
+from datetime import timedelta
+
+import msgspec
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.http_client import HttpClient, RequestFailedError
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner import Advice, AdviceUnavailableError
+from hornbeamramp.vm import AdviceClient
+from hornbeamramp.workload import StepKey
+
+__all__ = ["PlatformAdvice"]
+
+# Beyond the wait that the caller allows: connecting and the way there and back.
+CALL_TIMEOUT = timedelta(milliseconds=300)
+
+
+class WireAdvice(msgspec.Struct, frozen=True, rename="kebab"):
+    """Rows of ``granted``: worker and ticket."""
+
+    granted: list[tuple[str, str]]
+    valid_ms: int
+
+
+class PlatformAdvice(AdviceClient):
+    """The advice service; ``address`` is empty if the platform has none."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._client = HttpClient(address, CALL_TIMEOUT, clock) if address else None
+
+    async def ask(self, step: StepKey, workers: list[UpstreamId], timeout: timedelta) -> Advice:
+        if self._client is None:
+            raise AdviceUnavailableError("there is no advice service")
+        body = msgspec.json.encode({"step": str(step), "workers": workers})
+        try:
+            reply = await self._client.request("POST", "/advise", body, wait=timeout)
+        except RequestFailedError as error:
+            raise AdviceUnavailableError(str(error)) from error
+        if reply.status != 200:
+            raise AdviceUnavailableError(f"status {reply.status}: {reply.body[:100]!r}")
+        try:
+            advice = msgspec.json.decode(reply.body, type=WireAdvice)
+        except msgspec.MsgspecError as error:
+            raise AdviceUnavailableError(str(error)) from error
+        tickets = {UpstreamId(worker): ticket for worker, ticket in advice.granted}
+        return Advice(tickets, timedelta(milliseconds=advice.valid_ms))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._client is not None:
+            await self._client.close()
--- /dev/null
+++ b/hornbeamramp/platform/callers.py
@@ -0,0 +1,157 @@
+"""HTTP server for callers and for the platform's readiness probe."""
+
+import asyncio
+import re
+from datetime import timedelta
+
+import logbook
+import msgspec
+from aiohttp import web
+from result import Err
+
+from hornbeamramp.ids import JobId
+from hornbeamramp.platform.decoding import decode_job
+from hornbeamramp.vm import CallerService, Cancelled, Node, UnavailableError
+from hornbeamramp.workload import Target
+
+__all__ = ["CallerServer"]
+
+JOB_ID = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
+# Time for which a caller waits if it does not say so.
+DEFAULT_PATIENCE = timedelta(seconds=3)
+# Kept back from the caller's deadline for the answer's way.
+ANSWER_MARGIN = timedelta(milliseconds=200)
+# Connections closed earlier could carry a request that is already on its way.
+IDLE_CONNECTION_S = 75.0
+# How often shutdown looks whether callers are still connected.
+DRAIN_POLL = timedelta(milliseconds=100)
+
+_log = logbook.Logger("callers")
+
+
+class CallerServer:
+    """Serves one VM's callers. While it drains, each answer asks the caller to disconnect."""
+
+    def __init__(self, node: Node, service: CallerService) -> None:
+        self._node = node
+        self._clock = node.clock
+        self._service = service
+        self._runner: web.ServerRunner | None = None
+        self._ready_runner: web.ServerRunner | None = None
+        self._in_flight = 0
+        self.is_draining = False
+
+    async def start(self, frontend: str, ready: str) -> None:
+        """Listens on both addresses. Raises ``OSError``."""
+        server = web.Server(self._on_request, keepalive_timeout=IDLE_CONNECTION_S, access_log=None)
+        self._runner = web.ServerRunner(server)
+        self._ready_runner = web.ServerRunner(web.Server(self._on_ready, access_log=None))
+        for runner, address in ((self._runner, frontend), (self._ready_runner, ready)):
+            await runner.setup()
+            host, _, port = address.rpartition(":")
+            await web.TCPSite(runner, host, int(port)).start()
+
+    async def drain(self, limit: timedelta) -> None:
+        """Serves open connections until none is left or ``limit`` has passed."""
+        self.is_draining = True
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                while self._in_flight or self._open_connections():
+                    await self._clock.sleep(DRAIN_POLL)
+        except TimeoutError:
+            _log.info("{} connections left open at shutdown", self._open_connections())
+
+    async def close(self) -> None:
+        """Closes listeners and connections."""
+        for runner in (self._runner, self._ready_runner):
+            if runner is not None:
+                await runner.cleanup()
+
+    def _open_connections(self) -> int:
+        if self._runner is None or self._runner.server is None:
+            return 0
+        return len(self._runner.server.connections)
+
+    async def _on_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        is_ready = self._node.is_ready and not self.is_draining
+        return web.Response(status=200 if is_ready else 503)
+
+    async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._in_flight += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self._in_flight -= 1
+        if self.is_draining:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        config = self._node.config
+        if config is None:
+            return _unavailable("no configuration yet", timedelta(seconds=1))
+        target = config.match(request.host.rpartition(":")[0] or request.host, request.path)
+        if target is None:
+            return _json(404, {"error": "no such queue"})
+        patience = _patience(request)
+        try:
+            if request.method == "GET" and not target.rest:
+                return _json(200, {"pending": await self._service.pending(target.queue, patience)})
+            if not JOB_ID.fullmatch(target.rest):
+                return _json(404, {"error": "the job id must be 16 hexadecimal digits"})
+            return await self._answer_job(request, target, patience)
+        except UnavailableError as error:
+            _log.info("{} {}: {}", request.method, request.path, error)
+            if error.may_have_run:
+                return _json(504, {"error": str(error)})
+            return _unavailable(str(error), timedelta(seconds=1))
+
+    async def _answer_job(
+        self, request: web.BaseRequest, target: Target, patience: timedelta
+    ) -> web.StreamResponse:
+        job_id = JobId(target.rest.lower())
+        if request.method == "POST":
+            return await self._submit(request, target, job_id, patience)
+        if request.method == "GET":
+            phase = await self._service.phase(target.queue, job_id, patience)
+            if phase is None:
+                return _json(410, {"error": "no such job"})
+            return _json(200, {"state": phase.value})
+        if request.method == "DELETE":
+            outcome = await self._service.cancel(target.queue, job_id, patience)
+            return _json(200 if outcome is Cancelled.CANCELLED else 410, {})
+        return _json(405, {"error": f"method {request.method} is not known"})
+
+    async def _submit(
+        self, request: web.BaseRequest, target: Target, job_id: JobId, patience: timedelta
+    ) -> web.StreamResponse:
+        job = decode_job(await request.read())
+        if isinstance(job, Err):
+            _log.info("{} refused as malformed: {}", job_id, job.err_value)
+            return _json(400, {"error": job.err_value})
+        submitted = await self._service.submit(target.queue, job_id, job.ok_value, patience)
+        if submitted.refusal:
+            _log.info("{} refused: {}", job_id, submitted.refusal)
+            return _unavailable(submitted.refusal, submitted.retry_after)
+        return _json(200, {})
+
+
+def _patience(request: web.BaseRequest) -> timedelta:
+    """Returns how long the caller waits, less the way of the answer."""
+    try:
+        deadline = timedelta(milliseconds=float(request.headers.get("Deadline-Ms", "")))
+    except ValueError:
+        deadline = DEFAULT_PATIENCE
+    return max(deadline - ANSWER_MARGIN, ANSWER_MARGIN)
+
+
+def _json(status: int, body: dict[str, object]) -> web.Response:
+    return web.Response(
+        status=status, body=msgspec.json.encode(body), content_type="application/json"
+    )
+
+
+def _unavailable(error: str, retry_after: timedelta) -> web.Response:
+    response = _json(503, {"error": error})
+    response.headers["Retry-After"] = str(max(round(retry_after.total_seconds()), 1))
+    return response
--- /dev/null
+++ b/hornbeamramp/platform/decoding.py
@@ -0,0 +1,243 @@
+"""Decodes what operators, workers and callers write in the platform's words."""
+
+from datetime import timedelta
+
+import msgspec
+from result import Err, Ok, Result
+
+from hornbeamramp.fleet import WorkerListing
+from hornbeamramp.ids import DataCentreId, PoolName, RouteName, UpstreamId
+from hornbeamramp.resources import Resources
+from hornbeamramp.statestore import Item
+from hornbeamramp.workload import (
+    AdviceTerms,
+    ClusterConfig,
+    JobSpec,
+    Pool,
+    Queue,
+    StepSpec,
+    check_job,
+)
+
+__all__ = [
+    "CONFIG_KEY",
+    "CONFIG_PREFIX",
+    "WORKER_PREFIX",
+    "decode_config",
+    "decode_job",
+    "decode_worker",
+]
+
+CONFIG_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+WORKER_PREFIX = "servers/"
+
+
+class WireAdviceTerms(msgspec.Struct, frozen=True, rename="kebab"):
+    """Cost of a question: ``decide_ms`` in all and ``each_ms`` for each worker named."""
+
+    decide_ms: float
+    each_ms: float
+    valid_ms: float
+
+
+class WireRoute(msgspec.Struct, frozen=True, rename="kebab"):
+    """A route of the platform is a queue here."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_completion_ms: float = 0.0
+    timeout_ms: float = 3000.0
+    advice: WireAdviceTerms | None = None
+
+
+class WireService(msgspec.Struct, frozen=True, rename="kebab"):
+    """A service of the platform is a pool here; ``admission_check`` tells whether its workers
+    refuse what does not fit."""
+
+    name: str
+    admission_check: bool = False
+    standby: bool = False
+    max_connections: int = 64
+    health_path: str = ""
+
+
+class WireLimits(msgspec.Struct, frozen=True, rename="kebab"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+
+
+class WireConfig(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService]
+    limits: WireLimits = WireLimits()
+
+
+class WireCapacity(msgspec.Struct, frozen=True, rename="kebab"):
+    """``cpu`` is in thousandths of a core."""
+
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class WireWorker(msgspec.Struct, frozen=True, rename="kebab"):
+    """A worker's report about itself. ``labels`` are its kind and its rack."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: WireCapacity
+    labels: list[str] = []
+    born: int = 0
+    drain_remaining_ms: float | None = None
+
+
+class WireStep(msgspec.Struct, frozen=True, rename="kebab"):
+    """``cpu`` is in thousandths of a core; ``max_per_server`` counts tasks of one occurrence."""
+
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    data_rack: str = ""
+    required_label: str = ""
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int | None = None
+
+
+class WireJob(msgspec.Struct, frozen=True, rename="kebab"):
+    """``spec`` is handed to each task as it is."""
+
+    steps: list[WireStep]
+    spec: str = ""
+    repetitions: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+def _milliseconds(value: float) -> timedelta:
+    return timedelta(milliseconds=value)
+
+
+def decode_config(item: Item) -> Result[ClusterConfig, str]:
+    """Decodes the operators' configuration."""
+    try:
+        wire = msgspec.json.decode(item.value, type=WireConfig)
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+    queues = {RouteName(route.name): _queue(route) for route in wire.routes}
+    pools = {
+        PoolName(service.name): Pool(
+            PoolName(service.name),
+            service.admission_check,
+            service.standby,
+            service.max_connections,
+            service.health_path,
+        )
+        for service in wire.services
+    }
+    limits = wire.limits
+    return Ok(
+        ClusterConfig(wire.version, queues, pools, limits.max_header_bytes, limits.max_body_bytes)
+    )
+
+
+def _queue(route: WireRoute) -> Queue:
+    terms = route.advice
+    return Queue(
+        name=RouteName(route.name),
+        pool=PoolName(route.service),
+        host=route.host,
+        prefix=route.prefix,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        target=_milliseconds(route.target_completion_ms),
+        timeout=_milliseconds(route.timeout_ms),
+        advice=(
+            None
+            if terms is None
+            else AdviceTerms(
+                _milliseconds(terms.decide_ms),
+                _milliseconds(terms.each_ms),
+                _milliseconds(terms.valid_ms),
+            )
+        ),
+    )
+
+
+def decode_worker(item: Item) -> Result[WorkerListing, str]:
+    """Decodes a worker's entry."""
+    try:
+        wire = msgspec.json.decode(item.value, type=WireWorker)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    if wire.state not in ("ready", "draining"):
+        return Err(f"state {wire.state!r} is not known")
+    remaining = wire.drain_remaining_ms
+    return Ok(
+        WorkerListing(
+            worker=UpstreamId(item.key.removeprefix(WORKER_PREFIX)),
+            pool=PoolName(wire.service),
+            address=wire.address,
+            data_centre=DataCentreId(wire.zone),
+            draining=wire.state == "draining",
+            capacity=Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu, 0, 0),
+            labels=tuple(wire.labels),
+            born_ms=wire.born,
+            drain_remaining=None if remaining is None else _milliseconds(remaining),
+        )
+    )
+
+
+def decode_job(body: bytes) -> Result[JobSpec, str]:
+    """Decodes a submitted job. The error names the field."""
+    try:
+        wire = msgspec.json.decode(body, type=WireJob)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(str(error))
+    steps = tuple(_step(step) for step in wire.steps)
+    return check_job(
+        JobSpec(wire.spec, steps, wire.repetitions, wire.start_at_ms, wire.interval_ms)
+    )
+
+
+def _step(wire: WireStep) -> StepSpec:
+    return StepSpec(
+        count=wire.count,
+        processors_milli=wire.cpu,
+        memory_mib=wire.mem_mb,
+        accelerators=wire.gpu,
+        estimate_ms=int(wire.estimated_ms),
+        after=tuple(wire.after),
+        checkpointing=wire.checkpointing,
+        gang=wire.gang,
+        same_rack=wire.same_rack,
+        data_rack=wire.data_rack,
+        required_label=wire.required_label,
+        max_per_worker=wire.max_per_server,
+        speculative=wire.speculative,
+        long_running=wire.long_running,
+        image=wire.image,
+        response_target_ms=int(wire.target_ms),
+        fills=wire.fills,
+        max_unavailable=wire.may_miss,
+    )
--- /dev/null
+++ b/hornbeamramp/platform/serve.py
@@ -0,0 +1,121 @@
+"""Runs one entry VM on the platform, from its settings file to its end."""
+
+import asyncio
+import gc
+import os
+import signal
+import uuid
+from datetime import timedelta
+from pathlib import Path
+
+import logbook
+from result import Err, Result
+
+from hornbeamramp.clock import Clock, SystemClock
+from hornbeamramp.fleet import WorkerListing
+from hornbeamramp.ids import DataCentreId, VmId
+from hornbeamramp.platform import decoding
+from hornbeamramp.platform.advice import PlatformAdvice
+from hornbeamramp.platform.callers import CallerServer
+from hornbeamramp.platform.settings import PlatformSettings, read_settings
+from hornbeamramp.platform.store import PlatformStore
+from hornbeamramp.platform.workers import PlatformWorkers
+from hornbeamramp.rpc import PeerClient, PeerServer
+from hornbeamramp.statestore import Item
+from hornbeamramp.vm import Adapter, CallerService, Node, VmIdentity
+from hornbeamramp.vm.messages import REPLY_TYPE_BY_REQUEST_TYPE
+from hornbeamramp.workload import ClusterConfig
+
+__all__ = ["SETTINGS_VARIABLE", "serve"]
+
+SETTINGS_VARIABLE = "HORNBEAMRAMP_CONFIG"
+# The rest of the grace between the request to end and the kill, for closing and a busy processor.
+SHUTDOWN_RESERVE = timedelta(seconds=1.5)
+# Time for callers' requests that were routed here before the platform noticed the shutdown: two
+# readiness probes of a second each, and some slack.
+ROUTING_LAG = timedelta(milliseconds=2500)
+
+_log = logbook.Logger("serve")
+
+
+class PlatformAdapter(Adapter):
+    """The platform's store, workers, advice and the decoding of what they hold."""
+
+    config_key = decoding.CONFIG_KEY
+    config_prefix = decoding.CONFIG_PREFIX
+    worker_prefix = decoding.WORKER_PREFIX
+
+    def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
+        self.store: PlatformStore = PlatformStore(settings.platform.address, clock)
+        self.workers: PlatformWorkers = PlatformWorkers(clock)
+        self.advice: PlatformAdvice = PlatformAdvice(settings.advice, clock)
+        self.job_retention = settings.job_retention
+
+    def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
+        return decoding.decode_config(item)
+
+    def decode_worker(self, item: Item) -> Result[WorkerListing, str]:
+        return decoding.decode_worker(item)
+
+    async def close(self) -> None:
+        await self.store.close()
+        await self.workers.close()
+        await self.advice.close()
+
+
+async def serve() -> int:
+    """Serves until SIGTERM and returns the exit status."""
+    file = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    settings = read_settings(file)
+    if isinstance(settings, Err):
+        _log.error("settings not usable: {}", settings.err_value)
+        return 2
+    return await _serve(settings.ok_value, file)
+
+
+async def _serve(settings: PlatformSettings, file: Path) -> int:
+    clock = SystemClock()
+    vm, data_centre = VmId(settings.node_name), DataCentreId(settings.zone)
+    address = f"{settings.ip}:{settings.internal_ports[0]}"
+    identity = VmIdentity(vm, data_centre, address, uuid.uuid4().hex)
+    adapter = PlatformAdapter(settings, clock)
+    peers = PeerClient(vm, data_centre, None, REPLY_TYPE_BY_REQUEST_TYPE)
+    server = PeerServer(address, vm, data_centre)
+    node = Node(identity, adapter, clock, peers, server)
+    callers = CallerServer(node, CallerService(node))
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _on_reload(file, settings))
+    await server.start()
+    await node.start()
+    await callers.start(settings.listen.frontend, settings.listen.ready)
+    # What start-up leaves behind is never garbage; without it collections stay short.
+    gc.collect()
+    gc.freeze()
+    _log.info("started {} boot {} in {}", vm, identity.boot, data_centre)
+    await stop.wait()
+    _log.info("stopping {}", vm)
+    await node.stop()
+    grace = settings.shutdown_grace - SHUTDOWN_RESERVE
+    started = clock.boot_time()
+    callers.is_draining = True
+    await clock.sleep(min(ROUTING_LAG, grace))
+    await callers.drain(max(grace - (clock.boot_time() - started), timedelta(0)))
+    await callers.close()
+    await server.stop(timedelta(milliseconds=200))
+    await peers.close()
+    await adapter.close()
+    _log.info("stopped {}", vm)
+    return 0
+
+
+def _on_reload(file: Path, current: PlatformSettings) -> None:
+    """Checks changed settings. Addresses are those of the process; the rest is read at start."""
+    settings = read_settings(file)
+    if isinstance(settings, Err):
+        _log.error("reload: settings not usable, the old ones stay: {}", settings.err_value)
+    elif settings.ok_value == current:
+        _log.info("reload: settings unchanged")
+    else:
+        _log.info("reload: settings changed; they take effect at the next start")
--- /dev/null
+++ b/hornbeamramp/platform/settings.py
@@ -0,0 +1,64 @@
+"""The platform's settings file, read into typed fields."""
+
+import tomllib
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+__all__ = ["PlatformSettings", "read_settings"]
+
+
+class ListenAddresses(msgspec.Struct, frozen=True, rename="kebab"):
+    """``frontend`` takes callers, ``ready`` the platform's readiness probe."""
+
+    frontend: str
+    ready: str
+
+
+class StoreSettings(msgspec.Struct, frozen=True, rename="kebab"):
+    address: str
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, rename="kebab"):
+    """The fields that are used. `platform` is the store; `bounds` has figures by wire name.
+
+    `internal_ports`
+        First and last port that is free for calls between the VMs.
+    `advice`
+        Address of the advice service; empty if there is none.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: ListenAddresses
+    platform: StoreSettings
+    internal_ports: tuple[int, int]
+    bounds: dict[str, Any] = {}
+    advice: str = ""
+
+    @property
+    def job_retention(self) -> timedelta:
+        """Time for which the state of an ended job may be asked for."""
+        return timedelta(seconds=float(self.bounds.get("status_s", 120)))
+
+    @property
+    def shutdown_grace(self) -> timedelta:
+        """Time between the request to end and the kill."""
+        return timedelta(seconds=float(self.bounds.get("grace-s", 6)))
+
+
+def read_settings(file: Path) -> Result[PlatformSettings, str]:
+    """Reads a settings file. The error names the file and the field."""
+    try:
+        document = tomllib.loads(file.read_text())
+        return Ok(msgspec.convert(document, PlatformSettings))
+    except OSError as error:
+        return Err(f"{file}: can't read the file: {error.strerror}")
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, UnicodeDecodeError) as error:
+        return Err(f"{file}: {error}")
--- /dev/null
+++ b/hornbeamramp/platform/store.py
@@ -0,0 +1,182 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+from datetime import timedelta
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.http_client import HttpClient, HttpReply, RequestFailedError
+from hornbeamramp.states import Step
+from hornbeamramp.statestore import (
+    Change,
+    Item,
+    LeaseLostError,
+    StateStore,
+    Txn,
+    TxnConflictError,
+    WatchGapError,
+    WatchReply,
+)
+
+__all__ = ["PlatformStore"]
+
+# A store that is 75 times slower than usual (4 ms) still answers in time.
+CALL_TIMEOUT = timedelta(milliseconds=800)
+
+T = TypeVar("T")
+
+
+class WireItem(msgspec.Struct, frozen=True):
+    key: str
+    value: str
+    revision: int
+    created: int = 0
+    lease: int = 0
+
+    def decode(self) -> Item:
+        return Item(self.key, base64.b64decode(self.value), self.revision, self.created, self.lease)
+
+
+class WireEvent(msgspec.Struct, frozen=True):
+    """Either an item as written, or ``removed``."""
+
+    key: str
+    revision: int
+    value: str | None = None
+    created: int = 0
+    lease: int = 0
+    removed: bool = False
+
+    def decode(self) -> Change:
+        if self.removed or self.value is None:
+            return Change(self.key, self.revision, None)
+        value = base64.b64decode(self.value)
+        item = Item(self.key, value, self.revision, self.created, self.lease)
+        return Change(self.key, self.revision, item)
+
+
+class WirePage(msgspec.Struct, frozen=True, rename="kebab"):
+    items: list[WireItem]
+    as_of: int
+    more_pages: bool = False
+
+
+class WireEvents(msgspec.Struct, frozen=True, rename="kebab"):
+    events: list[WireEvent]
+    as_of: int
+
+
+class WireRevision(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class WireConflict(msgspec.Struct, frozen=True):
+    items: list[WireItem] = []
+
+
+class WireLease(msgspec.Struct, frozen=True):
+    lease: int
+
+
+class PlatformStore(StateStore):
+    """The store at one address. A refusal for overload or outage changes nothing there."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._address = address
+        self._client = HttpClient(address, CALL_TIMEOUT, clock)
+        # Watches fail with the connections they wait on; commits don't share those.
+        self._watch_client = HttpClient(address, CALL_TIMEOUT, clock)
+
+    async def get(self, key: str) -> Item | None:
+        reply = await self._call("GET", f"/kv-key?{urlencode({'key': key})}")
+        return None if reply.status == 404 else self._decode(reply, WireItem).decode()
+
+    async def range(self, prefix: str) -> tuple[list[Item], int]:
+        items: list[Item] = []
+        as_of: int | None = None
+        query: dict[str, str] = {"prefix": prefix}
+        while True:
+            reply = await self._call("GET", f"/kv-range?{urlencode(query)}")
+            page = self._decode(reply, WirePage)
+            items += [item.decode() for item in page.items]
+            as_of = page.as_of if as_of is None else as_of
+            if not page.more_pages or not page.items:
+                return items, as_of
+            query["after"] = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> WatchReply:
+        wait_ms = wait // timedelta(milliseconds=1)
+        query = urlencode({"prefix": prefix, "after": after, "wait-ms": wait_ms})
+        reply = await self._call("GET", f"/kv-watch?{query}", wait=wait)
+        if reply.status == 410:
+            raise WatchGapError(prefix)
+        events = self._decode(reply, WireEvents)
+        return WatchReply(tuple(event.decode() for event in events.events), events.as_of)
+
+    async def commit(self, txn: Txn) -> int:
+        required = [{"key": k, "revision": r} for k, r in txn.revision_by_key.items()]
+        puts: list[dict[str, Any]] = [
+            {"key": put.key, "value": base64.b64encode(put.value).decode()}
+            | ({"lease": put.lease} if put.lease else {})
+            for put in txn.puts
+        ]
+        body = {"precondition": required, "puts": puts, "deletes": list(txn.deletes)}
+        reply = await self._call("POST", "/kv-txn", body)
+        if reply.status == 412:
+            items = self._decode(reply, WireConflict).items
+            # An item of revision 0 stands for a key that does not exist.
+            raise TxnConflictError({item.key: item.decode() for item in items if item.revision})
+        if reply.status == 404:
+            raise LeaseLostError
+        return self._decode(reply, WireRevision).revision
+
+    async def grant_lease(self, ttl: timedelta) -> int:
+        body = {"ttl-ms": ttl // timedelta(milliseconds=1)}
+        return self._decode(await self._call("POST", "/kv-lease", body), WireLease).lease
+
+    async def keep_lease(self, lease: int) -> None:
+        reply = await self._call("POST", f"/kv-keep/{lease}", {})
+        if reply.status == 404:
+            raise LeaseLostError
+        self._expect_success(reply)
+
+    async def end_lease(self, lease: int) -> None:
+        await self._call("DELETE", f"/kv-lease-end/{lease}")
+
+    async def close(self) -> None:
+        await self._client.close()
+        await self._watch_client.close()
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, wait: timedelta = timedelta(0)
+    ) -> HttpReply:
+        data = None if body is None else msgspec.json.encode(body)
+        client = self._watch_client if wait else self._client
+        try:
+            reply = await client.request(method, path, data, wait=wait)
+        except RequestFailedError as error:
+            raise StoreUnavailableError(
+                Step.JOURNAL, self._address, str(error), error.sent
+            ) from error
+        if reply.status in (429, 503):
+            message = f"{method} {path.partition('?')[0]}: status {reply.status}"
+            raise StoreUnavailableError(Step.JOURNAL, self._address, message, sent=False)
+        return reply
+
+    def _expect_success(self, reply: HttpReply) -> None:
+        if reply.status != 200:
+            message = f"status {reply.status}: {reply.body[:200]!r}"
+            raise StoreUnavailableError(Step.JOURNAL, self._address, message)
+
+    def _decode(self, reply: HttpReply, kind: type[T]) -> T:
+        if reply.status != 412:
+            self._expect_success(reply)
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except (msgspec.MsgspecError, binascii.Error) as error:
+            raise StoreUnavailableError(Step.JOURNAL, self._address, str(error)) from error
--- /dev/null
+++ b/hornbeamramp/platform/workers.py
@@ -0,0 +1,186 @@
+"""Client of the workers' interface."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.fleet import (
+    EndedRun,
+    HoldReply,
+    HowEnded,
+    RunningRun,
+    StartOrder,
+    StartReply,
+    WorkerClient,
+    WorkerListing,
+    WorkerUnreachableError,
+)
+from hornbeamramp.fleet.base import FencedError, OtherBootError
+from hornbeamramp.http_client import HttpClient, HttpReply, RequestFailedError
+from hornbeamramp.states import Step
+
+__all__ = ["PlatformWorkers"]
+
+# Workers answer in about 2 ms; a start that is not answered by then has to be settled anyway.
+CALL_TIMEOUT = timedelta(milliseconds=600)
+
+HOW_BY_WORD = {
+    "done": HowEnded.DONE,
+    "failed": HowEnded.FAILED,
+    "stopped": HowEnded.STOPPED,
+    "lapsed": HowEnded.LAPSED,
+    # Another member of the gang ended.
+    "broken": HowEnded.GANG_BROKEN,
+    # The other members did not come in time.
+    "alone": HowEnded.GANG_INCOMPLETE,
+}
+
+REFUSAL_BY_REASON = {
+    "fence": StartReply.FENCED,
+    "old": StartReply.SUPERSEDED,
+    "late": StartReply.PAST_DEADLINE,
+    "room": StartReply.NO_ROOM,
+    "ticket": StartReply.TICKET_INVALID,
+}
+
+
+class WireRefusal(msgspec.Struct, frozen=True):
+    reason: str = ""
+
+
+class WireHold(msgspec.Struct, frozen=True, rename="kebab"):
+    """Rows of ``running``: task, run, checkpoint, percent, load. Rows of ``ended``: number, task,
+    run, how, checkpoint. ``born`` is the Unix time in ms at which the worker started."""
+
+    clock_ms: int
+    running: list[list[Any]]
+    ended: list[list[Any]]
+    born: int = 0
+
+
+def _running(row: list[Any]) -> RunningRun:
+    task, run, checkpoint, percent, *rest = row
+    return RunningRun(task, run, checkpoint or "", percent, rest[0] if rest else 0.0)
+
+
+def _ended(row: list[Any]) -> EndedRun:
+    number, task, run, how, checkpoint = row
+    # An unknown word still means that the run has ended, without an answer.
+    return EndedRun(number, task, run, HOW_BY_WORD.get(how, HowEnded.LOST), checkpoint or "")
+
+
+class PlatformWorkers(WorkerClient):
+    """Orders over HTTP, with one pool of connections for each address."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._client_by_address: dict[str, HttpClient] = {}
+
+    async def start(
+        self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
+    ) -> StartReply:
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "deadline-ms": order.deadline_ms,
+            "fencing-token": order.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        reply = await self._call(worker, "/run-start", body, check=check)
+        if reply.status == 200:
+            return StartReply.STARTED
+        if reply.status in (429, 503):
+            return StartReply.UNHEALTHY
+        if reply.status == 409:
+            return REFUSAL_BY_REASON.get(_reason(reply), StartReply.INVALID)
+        return StartReply.INVALID
+
+    async def stop(self, worker: WorkerListing, task: str, run: int, token: int) -> None:
+        body = {"task": task, "run": run, "fencing-token": token}
+        reply = await self._call(worker, "/run-stop", body)
+        self._expect_unfenced(reply)
+        if reply.status in (429, 503):
+            raise WorkerUnreachableError(Step.CANCEL, worker.worker, f"status {reply.status}")
+
+    async def hold(
+        self,
+        worker: WorkerListing,
+        token: int,
+        last_seen: int,
+        deadline_ms: int | None,
+        wait: timedelta,
+    ) -> HoldReply:
+        body: dict[str, Any] = {"fencing-token": token, "last-seen": last_seen}
+        if deadline_ms is not None:
+            body["deadline-ms"] = deadline_ms
+        if wait:
+            body["wait-ms"] = wait // timedelta(milliseconds=1)
+        reply = await self._call(worker, "/hold", body, wait)
+        self._expect_unfenced(reply)
+        if reply.status != 200:
+            raise WorkerUnreachableError(Step.RENEW, worker.worker, f"status {reply.status}")
+        try:
+            lists = msgspec.json.decode(reply.body, type=WireHold)
+            return HoldReply(
+                lists.clock_ms,
+                lists.born,
+                tuple(_running(row) for row in lists.running),
+                tuple(_ended(row) for row in lists.ended),
+            )
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise WorkerUnreachableError(Step.RENEW, worker.worker, str(error)) from error
+
+    async def pace(
+        self, worker: WorkerListing, task: str, run: int, percent: int, token: int
+    ) -> None:
+        body = {"task": task, "run": run, "percent": percent, "fencing-token": token}
+        self._expect_unfenced(await self._call(worker, "/pace", body))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for client in self._client_by_address.values():
+            await client.close()
+
+    def _expect_unfenced(self, reply: HttpReply) -> None:
+        if reply.status == 409 and _reason(reply) == "fence":
+            raise FencedError
+
+    async def _call(
+        self,
+        worker: WorkerListing,
+        path: str,
+        body: dict[str, Any],
+        wait: timedelta = timedelta(0),
+        check: Callable[[], bool] | None = None,
+    ) -> HttpReply:
+        if not worker.address:
+            raise WorkerUnreachableError(Step.RUN, worker.worker, "no address", sent=False)
+        client = self._client_by_address.get(worker.address)
+        if client is None:
+            client = HttpClient(worker.address, CALL_TIMEOUT, self._clock)
+            self._client_by_address[worker.address] = client
+        headers = {"Expect-Instance": worker.worker}
+        data = msgspec.json.encode(body)
+        try:
+            reply = await client.request("POST", path, data, headers, wait, check)
+        except RequestFailedError as error:
+            raise WorkerUnreachableError(
+                Step.RUN, worker.worker, f"{path}: {error}", error.sent
+            ) from error
+        if reply.status == 421:
+            raise OtherBootError(worker.worker)
+        return reply
+
+
+def _reason(reply: HttpReply) -> str:
+    try:
+        return msgspec.json.decode(reply.body, type=WireRefusal).reason
+    except msgspec.MsgspecError:
+        return ""
--- /dev/null
+++ b/hornbeamramp/poolowner/__init__.py
@@ -0,0 +1,13 @@
+"""The owner of a pool: accepts its jobs, places their tasks on its workers, and records it all."""
+
+from hornbeamramp.poolowner.advice import Advice, AdviceSource, AdviceUnavailableError
+from hornbeamramp.poolowner.owner import OwnerContext, PoolOwner, Refusal
+
+__all__ = [
+    "Advice",
+    "AdviceSource",
+    "AdviceUnavailableError",
+    "OwnerContext",
+    "PoolOwner",
+    "Refusal",
+]
--- /dev/null
+++ b/hornbeamramp/poolowner/advice.py
@@ -0,0 +1,67 @@
+"""Advice on which workers may run a step. Grants last as long as the worker, tickets don't."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from datetime import timedelta
+
+import msgspec
+
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.workload import AdviceTerms, StepKey
+
+__all__ = ["Advice", "AdviceSource", "AdviceUnavailableError", "Grants"]
+
+# A ticket is used only if it stays valid for the commit and the start that follow: two calls with
+# a time-out of 500 ms are rare, two of 50 ms under load usual.
+TICKET_MARGIN = timedelta(milliseconds=250)
+
+
+class AdviceUnavailableError(Exception):
+    """No VM got an answer from the advice service."""
+
+
+class Advice(msgspec.Struct, frozen=True):
+    """Tickets of the workers that may run the step, and for how long they are valid."""
+
+    ticket_by_worker: dict[UpstreamId, str]
+    validity: timedelta
+
+
+class AdviceSource(ABC):
+    """Asks the advice service, which serves one call at a time for each VM."""
+
+    @abstractmethod
+    async def ask(
+        self, step: StepKey, workers: list[UpstreamId], terms: AdviceTerms, priority: int
+    ) -> Advice:
+        """Returns advice on a step for the workers named. Raises `AdviceUnavailableError`."""
+
+
+class Grants:
+    """What is known of one step's advice."""
+
+    __slots__ = ("asked", "granted", "is_pending", "not_before", "ticket_by_worker", "valid_until")
+
+    def __init__(self) -> None:
+        self.asked: set[UpstreamId] = set()
+        self.granted: set[UpstreamId] = set()
+        self.ticket_by_worker: dict[UpstreamId, str] = {}
+        self.valid_until: dict[UpstreamId, timedelta] = {}
+        self.is_pending = False
+        self.not_before = timedelta(0)
+
+    def add(self, workers: Iterable[UpstreamId], advice: Advice, asked_at: timedelta) -> None:
+        """Notes an answer. Validity is counted from the question, so it ends early rather."""
+        self.asked.update(workers)
+        self.granted.difference_update(workers)
+        for worker, ticket in advice.ticket_by_worker.items():
+            self.granted.add(worker)
+            self.ticket_by_worker[worker] = ticket
+            self.valid_until[worker] = asked_at + advice.validity
+
+    def has_ticket(self, worker: UpstreamId, now: timedelta) -> bool:
+        until = self.valid_until.get(worker)
+        return until is not None and now + TICKET_MARGIN < until
+
+    def drop_ticket(self, worker: UpstreamId) -> None:
+        self.valid_until.pop(worker, None)
--- /dev/null
+++ b/hornbeamramp/poolowner/choice.py
@@ -0,0 +1,102 @@
+"""Chooses workers for a unit. Plain code over the sessions' ledgers; changes nothing."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from hornbeamramp.fleet import WorkerSession
+from hornbeamramp.poolowner.jobs import StepRun, Unit
+
+__all__ = ["choose_workers", "could_ever_run"]
+
+Room = tuple[int, int, int]
+
+
+def could_ever_run(step: StepRun, session: WorkerSession) -> bool:
+    """Tells whether an empty worker could run a task of the step."""
+    capacity = session.listing.capacity
+    size = step.size
+    label = step.spec.required_label
+    return (
+        (not label or label in session.listing.labels)
+        and size.processors_milli <= capacity.processors_milli
+        and size.memory_mib <= capacity.memory_mib
+        and size.accelerators <= capacity.accelerators
+    )
+
+
+def choose_workers(
+    unit: Unit,
+    sessions: Iterable[WorkerSession],
+    speed: Callable[[WorkerSession], float],
+    count_on: Counter[str],
+) -> list[WorkerSession] | None:
+    """Returns a worker for each task of the unit, or ``None`` if they don't all fit.
+
+    ``count_on`` holds how many tasks of the step each worker has already.
+    """
+    step = unit.step
+    usable = [session for session in sessions if could_ever_run(step, session)]
+    if step.spec.gang and step.spec.same_rack and len(unit.tasks) > 1:
+        for rack in sorted({session.listing.rack for session in usable}):
+            on_rack = [session for session in usable if session.listing.rack == rack]
+            chosen = _fill(unit, on_rack, speed, count_on)
+            if chosen is not None:
+                return chosen
+        return None
+    return _fill(unit, usable, speed, count_on)
+
+
+def _fill(
+    unit: Unit,
+    sessions: list[WorkerSession],
+    speed: Callable[[WorkerSession], float],
+    count_on: Counter[str],
+) -> list[WorkerSession] | None:
+    step = unit.step
+    size, limit = step.size, step.spec.max_per_worker
+    room_by_worker: dict[str, Room] = {session.worker: session.free() for session in sessions}
+    count_by_worker = Counter(count_on)
+    chosen = []
+    for _ in unit.tasks:
+        best: WorkerSession | None = None
+        best_score: tuple[float, ...] = ()
+        for session in sessions:
+            room = room_by_worker[session.worker]
+            if (
+                size.processors_milli > room[0]
+                or size.memory_mib > room[1]
+                or size.accelerators > room[2]
+            ):
+                continue
+            if limit and count_by_worker[session.worker] >= limit:
+                continue
+            score = _score(unit, session, room, speed(session), count_by_worker[session.worker])
+            if best is None or score > best_score:
+                best, best_score = session, score
+        if best is None:
+            return None
+        chosen.append(best)
+        room = room_by_worker[best.worker]
+        room_by_worker[best.worker] = (
+            room[0] - size.processors_milli,
+            room[1] - size.memory_mib,
+            room[2] - size.accelerators,
+        )
+        count_by_worker[best.worker] += 1
+    return chosen
+
+
+def _score(
+    unit: Unit, session: WorkerSession, room: Room, speed: float, same_step: int
+) -> tuple[float, ...]:
+    """Returns the worth of a worker for one task; higher tuples come first."""
+    step = unit.step
+    is_clean = session.worker not in unit.avoid
+    is_near = not step.spec.data_rack or step.spec.data_rack in session.listing.labels
+    if step.spec.long_running:
+        # Spread, so that the loss of one worker takes few of the step's tasks.
+        return (is_clean, is_near, -same_step, room[0])
+    if step.size.accelerators:
+        # Packed, so that whole workers stay free for tasks that take all accelerators.
+        return (is_clean, is_near, -room[2], speed, -room[0])
+    return (is_clean, is_near, speed, -room[0])
--- /dev/null
+++ b/hornbeamramp/poolowner/jobs.py
@@ -0,0 +1,214 @@
+"""Jobs of an owned pool in memory: their steps, units and tasks, and their progress records."""
+
+from collections.abc import Iterator
+
+from hornbeamramp.fleet import Attempt
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.advice import Grants
+from hornbeamramp.resources import Resources
+from hornbeamramp.statestore import JobProgress, JobRecord, OpenTask
+from hornbeamramp.workload import TERMINAL_PHASES, JobPhase, StepKey, StepSpec, task_name
+
+__all__ = ["Job", "StepRun", "Task", "Unit"]
+
+
+class Task:
+    """One task. ``attempt`` is its run that counts in a worker's ledger, if there is one."""
+
+    __slots__ = ("attempt", "index", "is_done", "name", "unit")
+
+    def __init__(self, unit: "Unit", index: int) -> None:
+        self.unit = unit
+        self.index = index
+        self.name = task_name(unit.step.key, index)
+        self.is_done = False
+        self.attempt: Attempt | None = None
+
+
+class Unit:
+    """What is placed and started together: one task, or all tasks of a gang.
+
+    `run`
+        Number of the latest start, shared by a gang's members.
+    `avoid`
+        Workers on which a run ended badly.
+    """
+
+    __slots__ = ("avoid", "checkpoint", "failed_run", "failures", "run", "step", "tasks")
+
+    def __init__(self, step: "StepRun", indices: range) -> None:
+        self.step = step
+        self.tasks = [Task(self, index) for index in indices]
+        self.run = 0
+        self.failures = 0
+        self.failed_run = 0
+        self.checkpoint = ""
+        self.avoid: set[UpstreamId] = set()
+
+    @property
+    def is_done(self) -> bool:
+        return all(task.is_done for task in self.tasks)
+
+    @property
+    def is_placed(self) -> bool:
+        return any(task.attempt is not None for task in self.tasks)
+
+    def attempts(self) -> list[Attempt]:
+        return [task.attempt for task in self.tasks if task.attempt is not None]
+
+
+class StepRun:
+    """A step of one occurrence. ``waiting`` holds the units to be placed, in order."""
+
+    def __init__(self, job: "Job", key: StepKey, spec: StepSpec) -> None:
+        self.job = job
+        self.key = key
+        self.spec = spec
+        # Tasks that fill use what others leave over, so their processors are not counted.
+        processors = 0 if spec.fills else spec.processors_milli
+        self.size = Resources(processors, spec.memory_mib, spec.accelerators, 0, 0)
+        if spec.gang:
+            self.units = [Unit(self, range(spec.count))]
+        else:
+            self.units = [Unit(self, range(index, index + 1)) for index in range(spec.count)]
+        self.waiting: list[Unit] = []
+        self.is_open = False
+        self.grants = Grants()
+
+    @property
+    def is_done(self) -> bool:
+        return all(unit.is_done for unit in self.units)
+
+    def count_on(self, worker: UpstreamId) -> int:
+        """Returns how many tasks of this step hold room on a worker."""
+        return sum(
+            attempt.session.worker == worker for unit in self.units for attempt in unit.attempts()
+        )
+
+    def queue(self, unit: Unit) -> None:
+        if unit not in self.waiting:
+            self.waiting.append(unit)
+
+    def task(self, index: int) -> Task:
+        if self.spec.gang:
+            return self.units[0].tasks[index]
+        return self.units[index].tasks[0]
+
+
+class Job:
+    """A job. Steps of an occurrence exist from its due time on."""
+
+    def __init__(self, record: JobRecord) -> None:
+        self.record = record
+        self.phase = JobPhase.QUEUED
+        # The phase that is in the store. Callers are shown no other, as only that one lasts.
+        self.recorded_phase = JobPhase.QUEUED
+        self.ended_ms = 0
+        self.steps_by_occurrence: dict[int, list[StepRun]] = {}
+        # A job that ended before this owner's time has no steps; its record is kept as it is.
+        self.ended_progress: JobProgress | None = None
+
+    @property
+    def is_ended(self) -> bool:
+        return self.phase in TERMINAL_PHASES
+
+    def steps(self) -> Iterator[StepRun]:
+        for steps in self.steps_by_occurrence.values():
+            yield from steps
+
+    def attempts(self) -> Iterator[Attempt]:
+        for step in self.steps():
+            for unit in step.units:
+                yield from unit.attempts()
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Creates the steps of an occurrence, once."""
+        if occurrence not in self.steps_by_occurrence:
+            self.steps_by_occurrence[occurrence] = [
+                StepRun(self, StepKey(self.record.job_id, occurrence, number), spec)
+                for number, spec in enumerate(self.record.spec.steps)
+            ]
+
+    def ready_steps(self) -> list[StepRun]:
+        """Opens the steps whose predecessors are done, and returns them with all units waiting."""
+        ready = []
+        for steps in self.steps_by_occurrence.values():
+            for step in steps:
+                if not step.is_open and all(steps[number].is_done for number in step.spec.after):
+                    step.is_open = True
+                    step.waiting = [
+                        unit for unit in step.units if not unit.is_done and not unit.is_placed
+                    ]
+                    ready.append(step)
+        return ready
+
+    def is_complete(self) -> bool:
+        """Tells whether every task of every occurrence is done."""
+        return len(self.steps_by_occurrence) == self.record.spec.occurrences and all(
+            step.is_done for step in self.steps()
+        )
+
+    def close(self, phase: JobPhase, now_ms: int) -> None:
+        self.phase = phase
+        self.ended_ms = now_ms
+
+    def progress(self) -> JobProgress:
+        """Returns the record of what has happened so far."""
+        if self.ended_progress is not None:
+            return self.ended_progress
+        if self.is_ended:
+            return JobProgress(self.phase, ended_ms=self.ended_ms)
+        done = []
+        open_tasks = []
+        for step in self.steps():
+            _, occurrence, number = step.key
+            indices = tuple(
+                task.index for unit in step.units for task in unit.tasks if task.is_done
+            )
+            if indices:
+                done.append((occurrence, number, indices))
+            open_tasks += self._open_tasks(step)
+        return JobProgress(self.phase, tuple(done), tuple(open_tasks))
+
+    @staticmethod
+    def _open_tasks(step: StepRun) -> Iterator[OpenTask]:
+        _, occurrence, number = step.key
+        for unit in step.units:
+            if unit.run == 0:
+                continue
+            for task in unit.tasks:
+                if task.is_done:
+                    continue
+                worker = task.attempt.session.worker if task.attempt else ""
+                yield OpenTask(
+                    occurrence,
+                    number,
+                    task.index,
+                    unit.run,
+                    unit.failures,
+                    UpstreamId(worker),
+                    unit.checkpoint,
+                )
+
+    def restore(self, progress: JobProgress) -> list[tuple[Task, OpenTask]]:
+        """Applies a progress record; returns the tasks that may be running, with their rows."""
+        self.phase = self.recorded_phase = progress.phase
+        if self.is_ended:
+            self.ended_ms = progress.ended_ms
+            self.ended_progress = progress
+            return []
+        for occurrence, number, indices in progress.done:
+            self.open_occurrence(occurrence)
+            for index in indices:
+                self.steps_by_occurrence[occurrence][number].task(index).is_done = True
+        placed = []
+        for row in progress.open_tasks:
+            self.open_occurrence(row.occurrence)
+            task = self.steps_by_occurrence[row.occurrence][row.step].task(row.index)
+            unit = task.unit
+            unit.run = max(unit.run, row.run)
+            unit.failures = max(unit.failures, row.failures)
+            unit.checkpoint = row.checkpoint or unit.checkpoint
+            if row.worker:
+                placed.append((task, row))
+        return placed
--- /dev/null
+++ b/hornbeamramp/poolowner/journal.py
@@ -0,0 +1,161 @@
+"""Group commits of an owner: one transaction at a time, all that came meanwhile in the next."""
+
+import asyncio
+from datetime import timedelta
+
+import logbook
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.ids import JobId, PoolName
+from hornbeamramp.poolowner.jobs import Job
+from hornbeamramp.statestore import (
+    ClaimLostError,
+    KeysExistError,
+    PoolClaim,
+    Put,
+    StateStore,
+    job_key,
+    progress_key,
+)
+from hornbeamramp.statestore.records import encode
+
+__all__ = ["Journal"]
+
+# Pause between two commits. Each store call has a price and all VMs share the store's write rate;
+# 15 ms are a hundredth of the shortest job's objective.
+COMMIT_PAUSE = timedelta(milliseconds=15)
+
+_log = logbook.Logger("journal")
+
+
+class Journal:
+    """Writes the records of jobs in the order in which they were touched."""
+
+    def __init__(self, pool: PoolName, claim: PoolClaim, store: StateStore, clock: Clock) -> None:
+        self._pool = pool
+        self._clock = clock
+        self._claim = claim
+        self._room = store.max_entries - claim.own_entries
+        self._touched = 0
+        self._touch_by_job: dict[Job, int] = {}
+        self._in_flight: dict[Job, int] = {}
+        self._insert_by_id: dict[JobId, tuple[Job, asyncio.Future[bool]]] = {}
+        self._purged: list[JobId] = []
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._wake = asyncio.Event()
+        self._lost: ClaimLostError | None = None
+
+    def touch(self, job: Job) -> None:
+        """Has a job's progress written with the next commit that has room."""
+        self._touched += 1
+        self._touch_by_job.setdefault(job, self._touched)
+        self._wake.set()
+
+    async def insert(self, job: Job) -> bool:
+        """Creates a job's record. False if there is one of this id. Raises `ClaimLostError`."""
+        if self._lost is not None:
+            raise self._lost
+        future = asyncio.get_running_loop().create_future()
+        self._insert_by_id[job.record.job_id] = (job, future)
+        self._wake.set()
+        return await asyncio.shield(future)
+
+    def purge(self, job_id: JobId) -> None:
+        """Deletes the records of a job whose retention has passed."""
+        self._purged.append(job_id)
+        self._wake.set()
+
+    async def recorded(self) -> None:
+        """Returns once all touches so far are in the store. Raises `ClaimLostError`."""
+        if self._lost is not None:
+            raise self._lost
+        if self._touch_by_job or self._in_flight:
+            future = asyncio.get_running_loop().create_future()
+            self._waiters.append((self._touched, future))
+            self._wake.set()
+            await future
+
+    async def run(self) -> None:
+        """Commits until the claim is lost; raises `ClaimLostError` then."""
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                while self._touch_by_job or self._insert_by_id or self._purged:
+                    await self._commit_batch()
+                    await self._clock.sleep(COMMIT_PAUSE)
+        except ClaimLostError as error:
+            self._fail(error)
+            raise
+
+    async def _commit_batch(self) -> None:
+        room = self._room
+        inserts = dict(list(self._insert_by_id.items())[: room // 2])
+        room -= 2 * len(inserts)
+        touched = dict(list(self._touch_by_job.items())[:room])
+        room -= len(touched)
+        purged = self._purged[: room // 2]
+        puts = [
+            Put(job_key(self._pool, job_id), encode(job.record))
+            for job_id, (job, _) in inserts.items()
+        ]
+        phase_by_job = {job: job.phase for job in touched}
+        for job in touched:
+            del self._touch_by_job[job]
+            puts.append(Put(progress_key(self._pool, job.record.job_id), encode(job.progress())))
+        deletes = [key(self._pool, job_id) for job_id in purged for key in (job_key, progress_key)]
+        self._in_flight = touched
+        try:
+            await self._claim.commit(
+                puts, deletes, [job_key(self._pool, job_id) for job_id in inserts]
+            )
+        except KeysExistError as conflict:
+            self._drop_existing(conflict, inserts)
+            # Earlier touches stay first, so that no waiter is passed over.
+            self._touch_by_job = {**self._touch_by_job, **touched}
+            self._touch_by_job = dict(sorted(self._touch_by_job.items(), key=lambda row: row[1]))
+            return
+        finally:
+            self._in_flight = {}
+        for job, phase in phase_by_job.items():
+            job.recorded_phase = phase
+        for job_id, (_, future) in inserts.items():
+            del self._insert_by_id[job_id]
+            if not future.done():
+                future.set_result(True)
+        self._purged = self._purged[len(purged) :]
+        self._resolve_waiters()
+
+    def _drop_existing(
+        self,
+        conflict: KeysExistError,
+        inserts: dict[JobId, tuple[Job, asyncio.Future[bool]]],
+    ) -> None:
+        for job_id, (_, future) in inserts.items():
+            if job_key(self._pool, job_id) in conflict.item_by_key:
+                _log.info("{}: a job of this id is recorded already", job_id)
+                del self._insert_by_id[job_id]
+                if not future.done():
+                    future.set_result(False)
+
+    def _resolve_waiters(self) -> None:
+        oldest = min(self._touch_by_job.values(), default=self._touched + 1)
+        left = []
+        for touch, future in self._waiters:
+            if touch >= oldest:
+                left.append((touch, future))
+            elif not future.done():
+                future.set_result(None)
+        self._waiters = left
+
+    def _fail(self, error: ClaimLostError) -> None:
+        self._lost = error
+        futures = [future for _, future in self._insert_by_id.values()]
+        futures += [future for _, future in self._waiters]
+        for future in futures:
+            if not future.done():
+                future.set_exception(error)
+                # Marks the exception as retrieved: the caller may have given up waiting.
+                future.exception()
+        self._insert_by_id.clear()
+        self._waiters.clear()
--- /dev/null
+++ b/hornbeamramp/poolowner/launch.py
@@ -0,0 +1,199 @@
+"""From a choice of workers to running tasks: advice, the record of the placement, the orders."""
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import logbook
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.fleet import Attempt, AttemptPhase, StartOrder, StartReply, WorkerSession
+from hornbeamramp.fleet.base import FencedError, OtherBootError
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.advice import AdviceSource, AdviceUnavailableError
+from hornbeamramp.poolowner.choice import could_ever_run
+from hornbeamramp.poolowner.jobs import StepRun, Unit
+from hornbeamramp.poolowner.journal import Journal
+from hornbeamramp.statestore import ClaimLostError
+from hornbeamramp.workload import Queue
+
+if TYPE_CHECKING:
+    from hornbeamramp.poolowner.owner import PoolOwner
+
+__all__ = ["Launcher"]
+
+# Most workers named in one question: the platform's bound on a job's time counts one question
+# about 30 workers for each step.
+MAX_WORKERS_ASKED = 30
+# Pause after a question without an answer.
+ADVICE_PAUSE = timedelta(milliseconds=200)
+# Pause before a refused start is tried again, so that the worker's next list has come.
+REFUSED_PAUSE = timedelta(milliseconds=150)
+
+_log = logbook.Logger("launch")
+
+
+class Launcher:
+    """Starts placed units. A unit that can't be started goes back to its step's queue."""
+
+    def __init__(
+        self, owner: "PoolOwner", advice: AdviceSource, clock: Clock, journal: Journal
+    ) -> None:
+        self._owner = owner
+        self._advice = advice
+        self._clock = clock
+        self._journal = journal
+        self._ordering = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def settle(self) -> None:
+        """Returns once no order waits for its answer."""
+        await self._idle.wait()
+
+    def has_grants(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> bool:
+        """Tells whether any worker is known to be allowed; asks about others if none has room."""
+        grants = step.grants
+        if self._clock.boot_time() < grants.not_before:
+            return False
+        if grants.is_pending:
+            return bool(grants.granted)
+        has_room = any(s.worker in grants.granted and s.fits(step.size) for s in sessions)
+        if not has_room:
+            unasked = [
+                session
+                for session in sessions
+                if session.worker not in grants.asked and could_ever_run(step, session)
+            ]
+            if unasked:
+                unasked.sort(key=lambda s: (not s.fits(step.size), -s.free()[0]))
+                names = [UpstreamId(s.worker) for s in unasked[:MAX_WORKERS_ASKED]]
+                grants.is_pending = True
+                self._owner.spawn(self._ask_and_wake(step, queue, names))
+        return bool(grants.granted)
+
+    async def _ask_and_wake(self, step: StepRun, queue: Queue, names: list[UpstreamId]) -> None:
+        try:
+            await self._ask(step, queue, names)
+        finally:
+            step.grants.is_pending = False
+            self._owner.wake()
+
+    async def _ask(self, step: StepRun, queue: Queue, names: list[UpstreamId]) -> None:
+        assert queue.advice is not None
+        asked_at = self._clock.boot_time()
+        try:
+            advice = await self._advice.ask(step.key, names, queue.advice, step.job.record.priority)
+        except AdviceUnavailableError as error:
+            step.grants.not_before = self._clock.boot_time() + ADVICE_PAUSE
+            _log.info("{}: no advice: {}", step.key, error)
+            return
+        step.grants.add(names, advice, asked_at)
+        _log.debug("{}: {} of {} workers granted", step.key, len(advice.ticket_by_worker), names)
+
+    async def launch(self, step: StepRun, units: list[Unit], queue: Queue | None) -> None:
+        """Starts units whose tasks have reserved room."""
+        self._ordering += 1
+        self._idle.clear()
+        try:
+            if queue is not None and queue.advice is not None:
+                units = await self._with_tickets(step, units, queue)
+            if not units:
+                return
+            self._journal.touch(step.job)
+            await self._journal.recorded()
+            _log.info(
+                "{} run {} placed on {}",
+                step.key,
+                [unit.run for unit in units],
+                [attempt.session.worker for unit in units for attempt in unit.attempts()],
+            )
+            await asyncio.gather(*(self._start_unit(unit) for unit in units))
+        except ClaimLostError as error:
+            _log.info("{}: placement dropped: {}", step.key, error)
+        finally:
+            self._ordering -= 1
+            if not self._ordering:
+                self._idle.set()
+
+    async def _with_tickets(self, step: StepRun, units: list[Unit], queue: Queue) -> list[Unit]:
+        """Renews tickets where they have run out; returns the units that have all of theirs."""
+        now = self._clock.boot_time()
+        lacking = sorted(
+            {
+                UpstreamId(attempt.session.worker)
+                for unit in units
+                for attempt in unit.attempts()
+                if not step.grants.has_ticket(UpstreamId(attempt.session.worker), now)
+            }
+        )
+        if lacking:
+            await self._ask(step, queue, lacking)
+        now = self._clock.boot_time()
+        ready = []
+        for unit in units:
+            workers = [UpstreamId(attempt.session.worker) for attempt in unit.attempts()]
+            if all(step.grants.has_ticket(worker, now) for worker in workers):
+                ready.append(unit)
+            else:
+                self._put_back(unit)
+        return ready
+
+    def _put_back(self, unit: Unit) -> None:
+        """Gives reserved room back; the run number stays used up."""
+        for task in unit.tasks:
+            if task.attempt is not None and task.attempt.phase is AttemptPhase.RESERVED:
+                task.attempt.session.release(task.attempt)
+                task.attempt = None
+        self._owner.retry(unit)
+
+    async def _start_unit(self, unit: Unit) -> None:
+        attempts = [a for a in unit.attempts() if a.phase is AttemptPhase.RESERVED]
+        if unit.step.job.is_ended or not self._owner.may_order():
+            self._put_back(unit)
+            return
+        replies = await asyncio.gather(*(self._start(attempt) for attempt in attempts))
+        if all(reply is StartReply.STARTED for reply in replies):
+            return
+        for attempt, reply in zip(attempts, replies, strict=True):
+            if reply is None:
+                # Settles the order: it is either carried out and stopped, or never carried out.
+                if attempt.task.attempt is attempt:
+                    attempt.session.stop(attempt)
+            elif reply is not StartReply.STARTED and attempt.task.attempt is attempt:
+                attempt.session.release(attempt)
+                attempt.task.attempt = None
+        await self._clock.sleep(REFUSED_PAUSE)
+        if unit.step.spec.gang or not unit.is_placed:
+            self._owner.retry(unit)
+
+    async def _start(self, attempt: Attempt) -> StartReply | None:
+        step = attempt.task.unit.step
+        session = attempt.session
+        order = StartOrder(
+            task=attempt.name,
+            run=attempt.run,
+            payload=step.job.record.spec.payload,
+            deadline_ms=session.deadline_ms(),
+            token=self._owner.token,
+            checkpoint=attempt.checkpoint,
+            ticket=step.grants.ticket_by_worker.get(UpstreamId(session.worker), ""),
+        )
+        try:
+            reply = await session.start(attempt, order)
+        except FencedError:
+            self._owner.on_fenced(session)
+            return StartReply.FENCED
+        except OtherBootError:
+            reply = StartReply.OTHER_BOOT
+        if reply is StartReply.STARTED:
+            self._owner.note_started(step.job)
+            if step.job.is_ended and attempt.task.attempt is attempt:
+                session.stop(attempt)
+        else:
+            _log.info(
+                "start of {} run {} on {}: {}", attempt.name, attempt.run, session.worker, reply
+            )
+        if reply is StartReply.TICKET_INVALID:
+            step.grants.drop_ticket(UpstreamId(session.worker))
+        return reply
--- /dev/null
+++ b/hornbeamramp/poolowner/owner.py
@@ -0,0 +1,475 @@
+"""Owner of a pool. Accepts jobs, decides which task starts where, and makes each end final.
+
+The way of a job: `PoolOwner.accept` records it; `_schedule` chooses workers once a step's
+predecessors are done; `Launcher` records the placement and orders the start; `on_ended` applies
+what the worker lists; `_finish_job` ends the job.
+"""
+
+import asyncio
+from collections import Counter
+from datetime import timedelta
+
+import logbook
+import msgspec
+
+from hornbeamramp.background import BackgroundTasks
+from hornbeamramp.clock import Clock
+from hornbeamramp.fleet import (
+    Attempt,
+    AttemptPhase,
+    HowEnded,
+    WorkerClient,
+    WorkerListing,
+    WorkerSession,
+)
+from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
+from hornbeamramp.poolowner.advice import AdviceSource
+from hornbeamramp.poolowner.choice import choose_workers
+from hornbeamramp.poolowner.jobs import Job, StepRun, Task, Unit
+from hornbeamramp.poolowner.journal import Journal
+from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.recovery import ghost_listing, read_jobs
+from hornbeamramp.statestore import ClaimLostError, JobRecord, PoolClaim, StateStore
+from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue
+
+__all__ = ["OwnerContext", "PoolOwner", "Refusal"]
+
+# Time for which an owner goes on extending leases after its claim's last proof. Store outages of
+# up to this length cost no running task.
+EXTENSION_WITHOUT_CLAIM = timedelta(seconds=6)
+# Longest lease that a former owner can have given to a worker this owner doesn't reach: its
+# extension, the lease of 6 s on a clock that is 2% slow, and a second for calls on their way.
+UNSEEN_LEASE = EXTENSION_WITHOUT_CLAIM + timedelta(seconds=7.2)
+# Period of the checks that no event triggers: due times, lapsed tickets, retention.
+TICK = timedelta(milliseconds=200)
+# A job whose commit waits for longer than this is refused at once: the store doesn't answer.
+STORE_PATIENCE = timedelta(milliseconds=600)
+# Kept beyond the time for which callers may ask for the state of an ended job.
+RETENTION_MARGIN = timedelta(seconds=30)
+STORE_RETRY_AFTER = timedelta(seconds=1)
+
+_log = logbook.Logger("owner")
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Why a job was refused; it has not run and never will. ``retry_after`` is for its caller."""
+
+    reason: str
+    retry_after: timedelta
+
+
+class OwnerContext(msgspec.Struct, frozen=True):
+    """What an owner is given by its process.
+
+    `job_retention`
+        Time for which the state of an ended job may be asked for.
+    """
+
+    store: StateStore
+    clock: Clock
+    workers: WorkerClient
+    advice: AdviceSource
+    job_retention: timedelta
+
+
+class PoolOwner:
+    """Decides for one pool while its claim holds.
+
+    `pool`
+        The pool.
+    `claim`
+        An acquired claim.
+    `claim_guard`
+        Gives the boot time until which the claim certainly holds.
+    """
+
+    def __init__(self, pool, claim: PoolClaim, context: OwnerContext, claim_guard) -> None:
+        self.pool: PoolName = pool
+        self.token = claim.token
+        self.config: ClusterConfig | None = None
+        self._claim = claim
+        self._store = context.store
+        self._clock = context.clock
+        self._workers = context.workers
+        self._retention = context.job_retention + RETENTION_MARGIN
+        self._guard = claim_guard
+        self._background = BackgroundTasks(f"pool {pool}", _log)
+        self._journal = Journal(pool, claim, context.store, context.clock)
+        self._launcher = Launcher(self, context.advice, context.clock, self._journal)
+        self.job_by_id: dict[JobId, Job] = {}
+        self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
+        self._open_steps: list[StepRun] = []
+        self._wake = asyncio.Event()
+        self._is_releasing = False
+        self.is_ready = False
+        self.is_lost = asyncio.Event()
+
+    # Life
+
+    async def start(self, listings: dict[UpstreamId, WorkerListing]) -> None:
+        """Reads the records, fences the workers and begins to place. Raises
+        `StoreUnavailableError` if the records can't be read."""
+        for record, progress in await read_jobs(self._store, self.pool):
+            job = Job(record)
+            self.job_by_id[record.job_id] = job
+            self._restore(job, progress, listings)
+        self.set_workers(listings)
+        self.spawn(self._keep_journal())
+        self.spawn(self._keep_schedule())
+        self.is_ready = True
+        _log.info(
+            "{}: owner with token {}, {} jobs recorded, {} workers listed",
+            self.pool,
+            self.token,
+            len(self.job_by_id),
+            len(listings),
+        )
+
+    def _restore(self, job: Job, progress, listings: dict[UpstreamId, WorkerListing]) -> None:
+        for task, row in job.restore(progress):
+            session = self.session_by_worker.get(row.worker)
+            if session is None:
+                session = self._open_session(listings.get(row.worker) or ghost_listing(row.worker))
+            attempt = Attempt(task, task.name, row.run, task.unit.step.size, session)
+            attempt.phase = AttemptPhase.UNCERTAIN
+            attempt.checkpoint = row.checkpoint
+            session.reserve(attempt)
+            task.attempt = attempt
+        self._open_due(job)
+
+    def spawn(self, coroutine) -> None:
+        self._background.spawn(coroutine)
+
+    async def release(self) -> None:
+        """Gives the pool up in good order: nothing more starts, and a successor may claim."""
+        self._is_releasing = True
+        self.is_ready = False
+        await self._launcher.settle()
+        try:
+            await self._journal.recorded()
+        except ClaimLostError as error:
+            _log.info("{}: {}", self.pool, error)
+        await self._background.cancel()
+        await self._claim.release()
+        self.is_lost.set()
+
+    async def close(self) -> None:
+        """Ends all activity, with the claim lost or the process ending."""
+        self.is_ready = False
+        self.is_lost.set()
+        await self._background.cancel()
+
+    def lose(self, why: str) -> None:
+        """Notes that another process may own the pool."""
+        if not self.is_lost.is_set():
+            _log.warn("{}: the claim with token {} is lost: {}", self.pool, self.token, why)
+        self.is_ready = False
+        self.is_lost.set()
+
+    async def _keep_journal(self) -> None:
+        try:
+            await self._journal.run()
+        except ClaimLostError as error:
+            self.lose(str(error))
+
+    # SessionOwner
+
+    def may_order(self) -> bool:
+        return (
+            not self._is_releasing
+            and not self.is_lost.is_set()
+            and self._clock.boot_time() < self._guard()
+        )
+
+    def may_extend(self) -> bool:
+        limit = self._guard() + EXTENSION_WITHOUT_CLAIM
+        return not self.is_lost.is_set() and self._clock.boot_time() < limit
+
+    def on_running(self, attempt: Attempt) -> None:
+        job = attempt.task.unit.step.job
+        if job.is_ended:
+            attempt.session.stop(attempt)
+        else:
+            self.note_started(job)
+
+    def on_room(self, session: WorkerSession) -> None:
+        self._wake.set()
+
+    def on_fenced(self, session: WorkerSession) -> None:
+        self.lose(f"worker {session.worker} has seen a higher token")
+
+    async def recorded(self) -> None:
+        try:
+            await self._journal.recorded()
+        except ClaimLostError as error:
+            # The ends stay listed for the next owner.
+            raise TimeoutError(str(error)) from error
+
+    def on_ended(self, attempt: Attempt, how: HowEnded, checkpoint: str) -> None:
+        """Applies the end of a run."""
+        task: Task = attempt.task
+        unit = task.unit
+        job = unit.step.job
+        task.attempt = None
+        self._wake.set()
+        if job.is_ended:
+            return
+        if checkpoint:
+            unit.checkpoint = checkpoint
+        if how is HowEnded.DONE and not unit.step.spec.long_running:
+            # One member's end stands for the whole gang.
+            for member in unit.tasks:
+                member.is_done = True
+        elif how is HowEnded.FAILED:
+            self._note_failure(unit, attempt)
+        elif how in (HowEnded.LAPSED, HowEnded.LOST):
+            unit.avoid.add(UpstreamId(attempt.session.worker))
+        if how is not HowEnded.DONE:
+            _log.info(
+                "{} run {} on {} ended {} at {}%, failures {}",
+                task.name,
+                attempt.run,
+                attempt.session.worker,
+                how.value,
+                attempt.percent,
+                unit.failures,
+            )
+        self._journal.touch(job)
+        if not unit.is_done:
+            self.retry(unit)
+        if job.is_complete():
+            self._finish_job(job, JobPhase.COMPLETED)
+        elif unit.step.is_done:
+            self._open_ready(job)
+
+    def _note_failure(self, unit: Unit, attempt: Attempt) -> None:
+        unit.avoid.add(UpstreamId(attempt.session.worker))
+        if unit.failed_run == attempt.run:
+            return
+        unit.failed_run = attempt.run
+        unit.failures += 1
+
+    def retry(self, unit: Unit) -> None:
+        """Queues a unit again once none of its runs is left; a broken gang is stopped first."""
+        job = unit.step.job
+        if job.is_ended or unit.is_done:
+            return
+        if unit.is_placed:
+            for attempt in unit.attempts():
+                if attempt.phase is not AttemptPhase.RESERVED:
+                    attempt.session.stop(attempt)
+            return
+        if not unit.step.spec.long_running and unit.failures >= self.max_attempts(job):
+            self._finish_job(job, JobPhase.FAILED)
+            return
+        unit.step.queue(unit)
+        if unit.step not in self._open_steps:
+            self._open_steps.append(unit.step)
+        self._wake.set()
+
+    # Callers
+
+    async def accept(self, job_id: JobId, queue: Queue, spec: JobSpec) -> Refusal | None:
+        """Records a job, once. Raises `ClaimLostError` if its outcome is not known."""
+        if job_id in self.job_by_id:
+            return None
+        failing = self._claim.failing_since
+        if failing is not None and self._clock.boot_time() - failing > STORE_PATIENCE:
+            return Refusal("the store does not answer", STORE_RETRY_AFTER)
+        record = JobRecord(
+            job_id=job_id,
+            queue=queue.name,
+            accepted_ms=self.now_ms(),
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            target_ms=queue.target // timedelta(milliseconds=1),
+            spec=spec,
+        )
+        job = Job(record)
+        if await self._journal.insert(job) and job_id not in self.job_by_id:
+            self.job_by_id[job_id] = job
+            _log.info("{} accepted into {}", job_id, queue.name)
+            self._open_due(job)
+            self._schedule()
+        return None
+
+    async def cancel(self, job_id: JobId) -> bool:
+        """Cancels a job; false if there is none. Raises `ClaimLostError`."""
+        job = self.job_by_id.get(job_id)
+        if job is None:
+            return False
+        if not job.is_ended:
+            self._finish_job(job, JobPhase.CANCELLED)
+        await self._journal.recorded()
+        return True
+
+    def phase(self, job_id: JobId) -> JobPhase | None:
+        job = self.job_by_id.get(job_id)
+        return None if job is None else job.recorded_phase
+
+    def pending(self, queue: RouteName) -> int:
+        """Returns the number of a queue's jobs of which no task has started."""
+        return sum(
+            job.phase is JobPhase.QUEUED and job.record.queue == queue
+            for job in self.job_by_id.values()
+        )
+
+    # Scheduling
+
+    def set_workers(self, listings: dict[UpstreamId, WorkerListing]) -> None:
+        """Applies the current list of workers."""
+        for worker, listing in listings.items():
+            if listing.pool != self.pool:
+                continue
+            session = self.session_by_worker.get(worker)
+            if session is None:
+                self._open_session(listing)
+                continue
+            if listing.draining and not session.listing.draining:
+                _log.info("{}: worker {} is draining", self.pool, worker)
+            session.listing, session.is_listed = listing, True
+        for worker, session in self.session_by_worker.items():
+            if worker not in listings and session.is_listed:
+                _log.info("{}: worker {} is no longer listed", self.pool, worker)
+                session.is_listed = False
+        self._wake.set()
+
+    def _open_session(self, listing: WorkerListing) -> WorkerSession:
+        session = WorkerSession(
+            listing, self._workers, self._clock, self, self._background, UNSEEN_LEASE
+        )
+        session.is_listed = bool(listing.address)
+        self.session_by_worker[listing.worker] = session
+        self.spawn(self._run_session(session))
+        return session
+
+    async def _run_session(self, session: WorkerSession) -> None:
+        await session.run()
+        if self.session_by_worker.get(UpstreamId(session.worker)) is session:
+            del self.session_by_worker[UpstreamId(session.worker)]
+
+    async def _keep_schedule(self) -> None:
+        while not self.is_lost.is_set():
+            try:
+                async with asyncio.timeout(TICK.total_seconds()):
+                    await self._wake.wait()
+            except TimeoutError:
+                self._check_jobs()
+            self._wake.clear()
+            self._schedule()
+
+    def _check_jobs(self) -> None:
+        now_ms = self.now_ms()
+        for job_id, job in list(self.job_by_id.items()):
+            if not job.is_ended:
+                if job.record.spec.repetitions:
+                    self._open_due(job)
+            elif now_ms - job.ended_ms > self._retention / timedelta(milliseconds=1):
+                del self.job_by_id[job_id]
+                self._journal.purge(job_id)
+        self._leave_draining_workers()
+
+    def _leave_draining_workers(self) -> None:
+        """Moves long-running tasks off workers that are about to end them anyway."""
+        for session in self.session_by_worker.values():
+            if not session.listing.draining:
+                continue
+            for attempt in list(session.attempt_by_key.values()):
+                if (
+                    attempt.task.unit.step.spec.long_running
+                    and attempt.phase is AttemptPhase.RUNNING
+                ):
+                    session.stop(attempt)
+
+    def _open_due(self, job: Job) -> None:
+        if job.is_ended:
+            return
+        spec = job.record.spec
+        now_ms = self.now_ms()
+        for occurrence in range(spec.occurrences):
+            if spec.due_ms(occurrence) > now_ms:
+                break
+            job.open_occurrence(occurrence)
+        self._open_ready(job)
+
+    def _open_ready(self, job: Job) -> None:
+        ready = job.ready_steps()
+        self._open_steps += ready
+        if ready:
+            self._wake.set()
+
+    def _schedule(self) -> None:
+        """Places what fits, in order of priority, then of acceptance."""
+        if not self.may_order() or self._claim.failing_since is not None:
+            return
+        self._open_steps = [
+            step for step in self._open_steps if step.waiting and not step.job.is_ended
+        ]
+        self._open_steps.sort(key=self._order)
+        for step in self._open_steps:
+            self._place(step)
+
+    @staticmethod
+    def _order(step: StepRun) -> tuple[float, ...]:
+        record = step.job.record
+        return (record.priority, record.accepted_ms)
+
+    def _place(self, step: StepRun) -> None:
+        queue = self.queue_of(step.job)
+        sessions = [s for s in self.session_by_worker.values() if s.usable]
+        if queue is not None and queue.advice is not None:
+            if not self._launcher.has_grants(step, queue, sessions):
+                return
+            sessions = [s for s in sessions if s.worker in step.grants.granted]
+        placed: list[Unit] = []
+        count_on = Counter(
+            attempt.session.worker for unit in step.units for attempt in unit.attempts()
+        )
+        while step.waiting:
+            unit = step.waiting[0]
+            chosen = choose_workers(unit, sessions, self.speed, count_on)
+            if chosen is None:
+                break
+            step.waiting.pop(0)
+            unit.run += 1
+            for task, session in zip(unit.tasks, chosen, strict=True):
+                task.attempt = Attempt(task, task.name, unit.run, step.size, session)
+                task.attempt.checkpoint = unit.checkpoint
+                session.reserve(task.attempt)
+                count_on[session.worker] += 1
+            placed.append(unit)
+        if placed:
+            self.spawn(self._launcher.launch(step, placed, queue))
+
+    def speed(self, session: WorkerSession) -> float:
+        return 0.0
+
+    def queue_of(self, job: Job) -> Queue | None:
+        return None if self.config is None else self.config.queue_by_name.get(job.record.queue)
+
+    def max_attempts(self, job: Job) -> int:
+        queue = self.queue_of(job)
+        return job.record.max_attempts if queue is None else queue.max_attempts
+
+    def note_started(self, job: Job) -> None:
+        """Notes that a task of the job has begun."""
+        if job.phase is JobPhase.QUEUED:
+            job.phase = JobPhase.RUNNING
+            self._journal.touch(job)
+
+    def wake(self) -> None:
+        self._wake.set()
+
+    def _finish_job(self, job: Job, phase: JobPhase) -> None:
+        """Ends a job. Its runs are stopped and leave the ledger as workers list their ends."""
+        job.close(phase, self.now_ms())
+        self._journal.touch(job)
+        took_ms = job.ended_ms - job.record.accepted_ms
+        _log.info("{} {} after {} ms", job.record.job_id, phase.value, took_ms)
+        for attempt in list(job.attempts()):
+            if attempt.phase is not AttemptPhase.RESERVED:
+                attempt.session.stop(attempt)
+
+    def now_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
--- /dev/null
+++ b/hornbeamramp/poolowner/recovery.py
@@ -0,0 +1,44 @@
+"""What a new owner reads: the records of its pool, and stand-ins for workers it doesn't see."""
+
+import logbook
+import msgspec
+
+from hornbeamramp.fleet import WorkerListing
+from hornbeamramp.ids import DataCentreId, PoolName, UpstreamId
+from hornbeamramp.resources import ZERO
+from hornbeamramp.statestore import (
+    JobProgress,
+    JobRecord,
+    StateStore,
+    decode_progress,
+    decode_record,
+    job_prefix,
+)
+from hornbeamramp.statestore.records import progress_prefix
+
+__all__ = ["ghost_listing", "read_jobs"]
+
+_log = logbook.Logger("recovery")
+
+
+async def read_jobs(store: StateStore, pool: PoolName) -> list[tuple[JobRecord, JobProgress]]:
+    """Returns the pool's jobs. Only its owner writes them, so reads after the claim are stable."""
+    progress_by_id = {}
+    items, _ = await store.range(progress_prefix(pool))
+    for item in items:
+        progress_by_id[item.key.rpartition("/")[2]] = decode_progress(item.value)
+    jobs = []
+    items, _ = await store.range(job_prefix(pool))
+    for item in items:
+        try:
+            record = decode_record(item.value)
+        except msgspec.MsgspecError as error:
+            _log.error("{}: the job's record can't be read: {}", item.key, error)
+            continue
+        jobs.append((record, progress_by_id.get(record.job_id, JobProgress())))
+    return jobs
+
+
+def ghost_listing(worker: UpstreamId) -> WorkerListing:
+    """Returns a listing without address, for a worker that is not listed but may run tasks."""
+    return WorkerListing(worker, PoolName(""), "", DataCentreId(""), True, ZERO)
--- a/hornbeamramp/rpc.py
+++ b/hornbeamramp/rpc.py
@@ -152,7 +152,13 @@
 class PeerClient:
     """Calls other entry VMs. Opens a channel per address and replaces one that failed."""
 
-    def __init__(self, vm: VmId, data_centre: DataCentreId, tls: TlsSettings | None = None) -> None:
+    def __init__(
+        self,
+        vm: VmId,
+        data_centre: DataCentreId,
+        tls: TlsSettings | None = None,
+        reply_type_by_request_type: dict[type, type] = REPLY_TYPE_BY_REQUEST_TYPE,
+    ) -> None:
         self._hello = messages.HelloRequest(messages.PROTOCOL_VERSION, vm, data_centre)
         self._credentials = None if tls is None else _channel_credentials(tls)
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
@@ -160,7 +166,7 @@
         self._greeted: set[str] = set()
         self._decoder_by_type = {
             request_type: msgspec.msgpack.Decoder(reply_type)
-            for request_type, reply_type in REPLY_TYPE_BY_REQUEST_TYPE.items()
+            for request_type, reply_type in reply_type_by_request_type.items()
         }
 
     async def call(self, address: str, request: Any, timeout: timedelta, step: Step) -> Any:
--- /dev/null
+++ b/hornbeamramp/statestore/__init__.py
@@ -0,0 +1,50 @@
+"""Durable state in the platform's store: its contract, ownership and commits, and the records."""
+
+from hornbeamramp.statestore.base import (
+    Change,
+    Item,
+    LeaseLostError,
+    Put,
+    StateStore,
+    Txn,
+    TxnConflictError,
+    WatchGapError,
+    WatchReply,
+)
+from hornbeamramp.statestore.claim import ClaimLostError, KeysExistError, OwnerRecord, PoolClaim
+from hornbeamramp.statestore.records import (
+    JobProgress,
+    JobRecord,
+    OpenTask,
+    decode_progress,
+    decode_record,
+    job_key,
+    job_prefix,
+    owner_key,
+    progress_key,
+)
+
+__all__ = [
+    "Change",
+    "ClaimLostError",
+    "Item",
+    "JobProgress",
+    "JobRecord",
+    "KeysExistError",
+    "LeaseLostError",
+    "OpenTask",
+    "OwnerRecord",
+    "PoolClaim",
+    "Put",
+    "StateStore",
+    "Txn",
+    "TxnConflictError",
+    "WatchGapError",
+    "WatchReply",
+    "decode_progress",
+    "decode_record",
+    "job_key",
+    "job_prefix",
+    "owner_key",
+    "progress_key",
+]
--- /dev/null
+++ b/hornbeamramp/statestore/base.py
@@ -0,0 +1,125 @@
+"""Contract of the store that keeps what must outlive every process."""
+
+from abc import ABC, abstractmethod
+from datetime import timedelta
+
+import msgspec
+
+__all__ = [
+    "Change",
+    "Item",
+    "LeaseLostError",
+    "Put",
+    "StateStore",
+    "Txn",
+    "TxnConflictError",
+    "WatchGapError",
+    "WatchReply",
+]
+
+
+class Item(msgspec.Struct, frozen=True):
+    """A stored value. ``created`` and ``revision`` are the store's revisions of the first and the
+    last write of the key."""
+
+    key: str
+    value: bytes
+    revision: int
+    created: int
+    lease: int = 0
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change that a watch reports; ``item`` is ``None`` if the key was removed."""
+
+    key: str
+    revision: int
+    item: Item | None
+
+
+class WatchReply(msgspec.Struct, frozen=True):
+    """Changes up to store revision ``as_of``, from which the next watch continues."""
+
+    changes: tuple[Change, ...]
+    as_of: int
+
+
+class Put(msgspec.Struct, frozen=True):
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+class Txn(msgspec.Struct, frozen=True):
+    """Writes that take effect together, if each required key has its revision (0: absent)."""
+
+    revision_by_key: dict[str, int]
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+    @property
+    def entries(self) -> int:
+        return len(self.revision_by_key) + len(self.puts) + len(self.deletes)
+
+
+class TxnConflictError(Exception):
+    """A requirement did not hold and nothing was written. Holds the required keys' items."""
+
+    def __init__(self, item_by_key: dict[str, Item]) -> None:
+        super().__init__(f"{len(item_by_key)} of the required keys exist")
+        self.item_by_key = item_by_key
+
+
+class LeaseLostError(Exception):
+    """The lease has ended, and its keys with it."""
+
+
+class WatchGapError(Exception):
+    """The history after the revision asked for is gone; read the prefix again."""
+
+
+class StateStore(ABC):
+    """Key-value store with transactions, leases and watches.
+
+    Each method raises `StoreUnavailableError` when there is no answer or a refusal; a write may
+    then have taken effect, or may take effect later, if the error's ``sent`` is true.
+    """
+
+    # Most entries of one transaction, and the longest wait of a watch.
+    max_entries = 32
+    max_wait = timedelta(seconds=30)
+
+    @abstractmethod
+    async def get(self, key: str) -> Item | None:
+        """Returns the current item."""
+
+    @abstractmethod
+    async def range(self, prefix: str) -> tuple[list[Item], int]:
+        """Returns all items under a prefix and the revision from which to watch it.
+
+        Pages are not a snapshot; the revision is that of the first page, so a watch from there
+        misses nothing.
+        """
+
+    @abstractmethod
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> WatchReply:
+        """Waits for changes after a revision. Raises `WatchGapError`."""
+
+    @abstractmethod
+    async def commit(self, txn: Txn) -> int:
+        """Applies a transaction and returns its revision.
+
+        Raises `TxnConflictError`, and `LeaseLostError` if a put names a lease that has ended.
+        """
+
+    @abstractmethod
+    async def grant_lease(self, ttl: timedelta) -> int:
+        """Creates a lease that ends ``ttl`` after its last renewal."""
+
+    @abstractmethod
+    async def keep_lease(self, lease: int) -> None:
+        """Renews a lease. Raises `LeaseLostError`."""
+
+    @abstractmethod
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease at once."""
--- /dev/null
+++ b/hornbeamramp/statestore/claim.py
@@ -0,0 +1,172 @@
+"""Ownership of a pool: an owner key that others watch, and a chain key that each commit rewrites.
+
+Both are under the owner's lease. Each commit requires the revision that the previous one gave the
+chain key. So a commit of a former owner
+fails, and a commit whose answer was lost can be repeated as it is: either the repetition takes
+effect and the first can't any more, or the conflict shows the first one's sequence number.
+"""
+
+from datetime import timedelta
+
+import logbook
+import msgspec
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.ids import PoolName, VmId
+from hornbeamramp.statestore.base import (
+    Item,
+    LeaseLostError,
+    Put,
+    StateStore,
+    Txn,
+    TxnConflictError,
+)
+from hornbeamramp.statestore.records import chain_key, owner_key
+
+__all__ = ["ClaimLostError", "KeysExistError", "OwnerRecord", "PoolClaim"]
+
+# Pause before a commit is repeated after a failure: a few store round trips (4 ms each).
+RETRY_PAUSE = timedelta(milliseconds=50)
+
+_log = logbook.Logger("claim")
+
+
+class OwnerRecord(msgspec.Struct, frozen=True):
+    """Value of an owner key and of a chain key. ``boot`` tells processes of one VM apart."""
+
+    vm: VmId
+    boot: str
+    address: str
+    sequence: int
+
+
+class ClaimLostError(Exception):
+    """Another process owns the pool, or the owner key is gone."""
+
+
+class KeysExistError(Exception):
+    """Keys that a commit was to create exist already. Nothing was written."""
+
+    def __init__(self, item_by_key: dict[str, Item]) -> None:
+        super().__init__(", ".join(item_by_key))
+        self.item_by_key = item_by_key
+
+
+def decode_owner(value: bytes) -> OwnerRecord | None:
+    """Returns the record, or ``None`` if it can't be read."""
+    try:
+        return msgspec.json.decode(value, type=OwnerRecord)
+    except msgspec.MsgspecError as error:
+        _log.warn("an owner record can't be read: {}", error)
+        return None
+
+
+class PoolClaim:
+    """This process's claim on one pool.
+
+    `token`
+        Fencing token: the revision at which the claim was created, so it grows with each owner.
+    """
+
+    # Entries of each commit that belong to the claim itself.
+    own_entries = 2
+
+    def __init__(
+        self,
+        store: StateStore,
+        clock: Clock,
+        pool: PoolName,
+        identity: OwnerRecord,
+        lease: int,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._owner_key = owner_key(pool)
+        self._key = chain_key(pool)
+        self._record = identity
+        self._lease = lease
+        self._revision = 0
+        self.token = 0
+        self.failing_since: timedelta | None = None
+
+    async def acquire(self) -> bool:
+        """Creates the keys; false if they exist. Raises `StoreUnavailableError` with the outcome
+        unknown; a repeated call finds out."""
+        value = msgspec.json.encode(self._record)
+        puts = tuple(Put(key, value, self._lease) for key in (self._owner_key, self._key))
+        try:
+            self._revision = await self._store.commit(Txn({p.key: 0 for p in puts}, puts))
+        except TxnConflictError as conflict:
+            return self._adopt(conflict.item_by_key.get(self._key))
+        except LeaseLostError:
+            return False
+        self.token = self._revision
+        return True
+
+    def _adopt(self, item: Item | None) -> bool:
+        record = None if item is None else decode_owner(item.value)
+        if item is None or record is None or record.boot != self._record.boot:
+            return False
+        self._record = record
+        self._revision, self.token = item.revision, item.created
+        return True
+
+    async def commit(
+        self, puts: list[Put], deletes: list[str] | None = None, absent: list[str] | None = None
+    ) -> None:
+        """Writes as the owner; retries until the outcome is known.
+
+        Raises `ClaimLostError`, after which the outcome of this commit is unknown, and
+        `KeysExistError` if a key of ``absent`` exists.
+        """
+        record = msgspec.structs.replace(self._record, sequence=self._record.sequence + 1)
+        own = Put(self._key, msgspec.json.encode(record), self._lease)
+        required = {self._key: self._revision, **dict.fromkeys(absent or (), 0)}
+        txn = Txn(required, (own, *puts), tuple(deletes or ()))
+        while True:
+            try:
+                self._revision = await self._store.commit(txn)
+                break
+            except StoreUnavailableError as error:
+                if self.failing_since is None:
+                    self.failing_since = self._clock.boot_time()
+                    _log.warn("commits to {} fail: {}", self._key, error)
+                await self._clock.sleep(RETRY_PAUSE)
+            except LeaseLostError as error:
+                raise ClaimLostError(f"{self._key}: the lease has ended") from error
+            except TxnConflictError as conflict:
+                if self._resolve_conflict(conflict, record):
+                    break
+                existing = {k: i for k, i in conflict.item_by_key.items() if k != self._key}
+                if not existing:
+                    raise ClaimLostError(f"{self._key}: conflict without cause") from conflict
+                raise KeysExistError(existing) from conflict
+        if self.failing_since is not None:
+            outage = self._clock.boot_time() - self.failing_since
+            _log.info("commits to {} work again after {}", self._key, outage)
+            self.failing_since = None
+        self._record = record
+
+    def _resolve_conflict(self, conflict: TxnConflictError, record: OwnerRecord) -> bool:
+        """Tells whether an earlier try of the same commit had taken effect."""
+        item = conflict.item_by_key.get(self._key)
+        current = None if item is None else decode_owner(item.value)
+        if item is None or current is None or current.boot != record.boot:
+            raise ClaimLostError(f"{self._key}: owned by {current}") from conflict
+        if item.revision == self._revision:
+            return False
+        if current.sequence != record.sequence:
+            raise ClaimLostError(f"{self._key}: at sequence {current.sequence}") from conflict
+        self._revision = item.revision
+        return True
+
+    async def release(self) -> None:
+        """Deletes the keys, if they are still this claim's."""
+        keys = (self._owner_key, self._key)
+        txn = Txn({self._key: self._revision}, deletes=keys)
+        try:
+            await self._store.commit(txn)
+        except (StoreUnavailableError, TxnConflictError) as error:
+            # The lease's end removes the key in any case.
+            _log.info("release of {} not confirmed: {!r}", self._key, error)
--- /dev/null
+++ b/hornbeamramp/statestore/records.py
@@ -0,0 +1,109 @@
+"""Records of jobs in the store. A job has one record as submitted and one of its progress.
+
+Both are msgpack. The progress record is rewritten by each commit that touches the job: before a
+task is started, before a worker may forget an end, and before a cancellation is acknowledged.
+"""
+
+import msgspec
+
+from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId, VmId
+from hornbeamramp.workload import JobPhase, JobSpec
+
+__all__ = [
+    "CELL_PREFIX",
+    "chain_key",
+    "JobProgress",
+    "JobRecord",
+    "OpenTask",
+    "decode_progress",
+    "decode_record",
+    "encode",
+    "job_key",
+    "job_prefix",
+    "owner_key",
+    "owner_prefix",
+    "progress_key",
+    "progress_prefix",
+    "vm_key",
+    "vm_prefix",
+]
+
+ROOT = "hbr/"
+# Owners and VMs, which every process watches. What changes with each commit is kept elsewhere.
+CELL_PREFIX = f"{ROOT}cell/"
+
+
+class JobRecord(msgspec.Struct, frozen=True):
+    """A job as accepted. ``accepted_ms`` is Unix time. The limits are those of its queue then."""
+
+    job_id: JobId
+    queue: RouteName
+    accepted_ms: int
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_ms: int
+    spec: JobSpec
+
+
+class OpenTask(msgspec.Struct, frozen=True, array_like=True):
+    """A task that has been placed and is not done. ``worker`` is empty while it waits again."""
+
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    failures: int
+    worker: UpstreamId
+    checkpoint: str
+
+
+class JobProgress(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What has happened to a job. ``done`` has rows of occurrence, step and task indices."""
+
+    phase: JobPhase = JobPhase.QUEUED
+    done: tuple[tuple[int, int, tuple[int, ...]], ...] = ()
+    open_tasks: tuple[OpenTask, ...] = ()
+    ended_ms: int = 0
+
+
+encode = msgspec.msgpack.encode
+decode_record = msgspec.msgpack.Decoder(JobRecord).decode
+decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
+
+
+def owner_prefix() -> str:
+    return f"{CELL_PREFIX}owner/"
+
+
+def owner_key(pool: PoolName) -> str:
+    return f"{owner_prefix()}{pool}"
+
+
+def chain_key(pool: PoolName) -> str:
+    """Returns the key that each commit of a pool's owner rewrites."""
+    return f"{ROOT}chain/{pool}"
+
+
+def vm_prefix() -> str:
+    return f"{CELL_PREFIX}vm/"
+
+
+def vm_key(vm: VmId) -> str:
+    return f"{vm_prefix()}{vm}"
+
+
+def job_prefix(pool: PoolName) -> str:
+    return f"{ROOT}job/{pool}/"
+
+
+def job_key(pool: PoolName, job_id: JobId) -> str:
+    return f"{job_prefix(pool)}{job_id}"
+
+
+def progress_prefix(pool: PoolName) -> str:
+    return f"{ROOT}progress/{pool}/"
+
+
+def progress_key(pool: PoolName, job_id: JobId) -> str:
+    return f"{progress_prefix(pool)}{job_id}"
--- /dev/null
+++ b/hornbeamramp/vm/adapter.py
@@ -0,0 +1,63 @@
+"""What the product needs of its platform, besides the contracts of the other packages."""
+
+from abc import ABC, abstractmethod
+from datetime import timedelta
+
+import msgspec
+from result import Result
+
+from hornbeamramp.fleet import WorkerClient, WorkerListing
+from hornbeamramp.ids import DataCentreId, UpstreamId, VmId
+from hornbeamramp.poolowner import Advice
+from hornbeamramp.statestore import Item, StateStore
+from hornbeamramp.workload import ClusterConfig, StepKey
+
+__all__ = ["Adapter", "AdviceClient", "VmIdentity"]
+
+
+class VmIdentity(msgspec.Struct, frozen=True):
+    """This process. ``address`` is where other VMs reach it; ``boot`` is new with each start."""
+
+    vm: VmId
+    data_centre: DataCentreId
+    address: str
+    boot: str
+
+
+class AdviceClient(ABC):
+    """The advice service, which serves one call at a time for each VM."""
+
+    @abstractmethod
+    async def ask(self, step: StepKey, workers: list[UpstreamId], timeout: timedelta) -> Advice:
+        """Raises `AdviceUnavailableError`."""
+
+
+class Adapter(ABC):
+    """Everything that speaks the platform's protocol.
+
+    `config_key`, `config_prefix`
+        Where the store holds the operators' configuration, and the prefix to watch for it.
+    `worker_prefix`
+        Where the store holds what workers say of themselves.
+    `job_retention`
+        Time for which the state of an ended job may be asked for.
+    """
+
+    store: StateStore
+    workers: WorkerClient
+    advice: AdviceClient
+    config_key: str
+    config_prefix: str
+    worker_prefix: str
+    job_retention: timedelta
+
+    @abstractmethod
+    def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
+        """Returns the configuration, or why it can't be used."""
+
+    @abstractmethod
+    def decode_worker(self, item: Item) -> Result[WorkerListing, str]:
+        """Returns a worker's listing, or why it can't be used."""
+
+    async def close(self) -> None:  # noqa: B027 - adapters without connections need none
+        """Closes the adapter's connections."""
--- /dev/null
+++ b/hornbeamramp/vm/caller_service.py
@@ -0,0 +1,211 @@
+"""Callers' requests on any VM: each goes to the owner of its queue's pool, wherever that is."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from enum import Enum
+from typing import Any, TypeVar
+
+import logbook
+import msgspec
+
+from hornbeamramp.errors import SchedulerError, StoreUnavailableError, UnreachableError
+from hornbeamramp.ids import JobId, PoolName
+from hornbeamramp.poolowner import PoolOwner
+from hornbeamramp.rpc import PeerServer
+from hornbeamramp.states import Step
+from hornbeamramp.statestore import ClaimLostError, decode_progress, job_key, progress_key
+from hornbeamramp.vm.messages import (
+    AdviseRequest,
+    CancelJobReply,
+    CancelJobRequest,
+    CountJobsReply,
+    CountJobsRequest,
+    JobPhaseReply,
+    JobPhaseRequest,
+    SubmitJobReply,
+    SubmitJobRequest,
+)
+from hornbeamramp.vm.node import Node
+from hornbeamramp.workload import JobPhase, JobSpec, Queue
+
+__all__ = ["CallerService", "Cancelled", "Submitted", "UnavailableError"]
+
+# Longest wait of one call to an owner; a commit takes some 10 ms, a slow store 300 ms.
+OWNER_CALL_TIMEOUT = timedelta(milliseconds=900)
+# How long a request waits for a pool without an owner. A takeover by a prepared VM takes less; a
+# longer one is better met by the caller's retry.
+OWNER_PATIENCE = timedelta(milliseconds=500)
+PAUSE = timedelta(milliseconds=50)
+RETRY_AFTER = timedelta(seconds=1)
+
+_log = logbook.Logger("callers")
+
+T = TypeVar("T")
+
+
+class UnavailableError(Exception):
+    """Nobody could answer in time. ``may_have_run`` tells whether an owner may have acted."""
+
+    def __init__(self, message: str, may_have_run: bool) -> None:
+        super().__init__(message)
+        self.may_have_run = may_have_run
+
+
+class Submitted(msgspec.Struct, frozen=True):
+    """``refusal`` is empty if the job is recorded; else it is certain that it never runs."""
+
+    refusal: str = ""
+    retry_after: timedelta = timedelta(0)
+
+
+class Cancelled(Enum):
+    CANCELLED = "cancelled"
+    ABSENT = "absent"
+
+
+class CallerService:
+    """Handles requests of callers, and those that other VMs hand on."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._handle(node.server)
+
+    def _handle(self, server: PeerServer) -> None:
+        server.handle(SubmitJobRequest, self._on_submit)
+        server.handle(JobPhaseRequest, self._on_phase)
+        server.handle(CancelJobRequest, self._on_cancel)
+        server.handle(CountJobsRequest, self._on_count)
+        server.handle(AdviseRequest, self._node.advice_queue.serve)
+
+    # Requests of callers
+
+    async def submit(
+        self, queue: Queue, job_id: JobId, spec: JobSpec, patience: timedelta
+    ) -> Submitted:
+        """Has a job recorded. Raises `UnavailableError`; the job may be recorded then only if the
+        error says so."""
+        assert self._node.config is not None
+        version = self._node.config.version
+        request = SubmitJobRequest(queue.pool, queue.name, version, job_id, spec)
+        try:
+            reply, was_unclear = await self._ask_owner(request, self._on_submit, patience)
+        except UnavailableError as error:
+            if error.may_have_run:
+                raise
+            return Submitted(str(error), RETRY_AFTER)
+        if reply.refusal and was_unclear:
+            raise UnavailableError(reply.refusal, True)
+        return Submitted(reply.refusal, timedelta(milliseconds=reply.retry_after_ms))
+
+    async def phase(self, queue: Queue, job_id: JobId, patience: timedelta) -> JobPhase | None:
+        """Returns a job's phase, ``None`` if there is no such job. Raises `UnavailableError`."""
+        request = JobPhaseRequest(queue.pool, job_id)
+        try:
+            reply, _ = await self._ask_owner(request, self._on_phase, patience)
+            if reply.phase is not None:
+                return reply.phase
+        except UnavailableError as error:
+            _log.info("{}: phase read from the store: {}", job_id, error)
+        return await self._recorded_phase(queue.pool, job_id)
+
+    async def _recorded_phase(self, pool: PoolName, job_id: JobId) -> JobPhase | None:
+        try:
+            progress = await self._node.store.get(progress_key(pool, job_id))
+            if progress is not None:
+                return decode_progress(progress.value).phase
+            record = await self._node.store.get(job_key(pool, job_id))
+        except StoreUnavailableError as error:
+            raise UnavailableError(str(error), False) from error
+        return None if record is None else JobPhase.QUEUED
+
+    async def cancel(self, queue: Queue, job_id: JobId, patience: timedelta) -> Cancelled:
+        """Cancels a job. Raises `UnavailableError`."""
+        request = CancelJobRequest(queue.pool, job_id)
+        reply, _ = await self._ask_owner(request, self._on_cancel, patience)
+        return Cancelled.CANCELLED if reply.is_known else Cancelled.ABSENT
+
+    async def pending(self, queue: Queue, patience: timedelta) -> int:
+        """Returns how many jobs no task has started of. Raises `UnavailableError`."""
+        request = CountJobsRequest(queue.pool, queue.name)
+        reply, _ = await self._ask_owner(request, self._on_count, patience)
+        return reply.pending
+
+    async def _ask_owner(
+        self,
+        request: Any,
+        local: Callable[[Any], Awaitable[Any]],
+        patience: timedelta,
+    ) -> tuple[Any, bool]:
+        """Returns the owner's reply, and whether an earlier try may have taken effect."""
+        clock = self._node.clock
+        end = clock.boot_time() + patience
+        unowned_until = clock.boot_time() + OWNER_PATIENCE
+        was_unclear = False
+        problem = "the pool has no owner"
+        while clock.boot_time() < end:
+            record = self._node.owner_record(request.pool)
+            try:
+                if request.pool in self._node.owner_by_pool:
+                    reply = await local(request)
+                elif record is not None:
+                    timeout = min(OWNER_CALL_TIMEOUT, end - clock.boot_time())
+                    reply = await self._node.peers.call(
+                        record.address, request, timeout, Step.FORWARD
+                    )
+                else:
+                    reply = None
+            except ClaimLostError as error:
+                was_unclear, problem, reply = True, str(error), None
+            except UnreachableError as error:
+                was_unclear = was_unclear or error.sent
+                problem, reply = str(error), None
+            except SchedulerError as error:
+                was_unclear, problem, reply = True, str(error), None
+            if reply is not None and reply.is_owner:
+                return reply, was_unclear
+            if clock.boot_time() > unowned_until:
+                break
+            await self._node.wait_for_cell(PAUSE)
+        raise UnavailableError(problem, was_unclear)
+
+    # Requests for pools that this VM owns
+
+    def _owner(self, pool: PoolName) -> PoolOwner | None:
+        owner = self._node.owner_by_pool.get(pool)
+        return owner if owner is not None and owner.is_ready else None
+
+    async def _on_submit(self, request: SubmitJobRequest) -> SubmitJobReply:
+        try:
+            await self._node.reach_config(request.config_version)
+        except StoreUnavailableError as error:
+            _log.info("configuration {} not reached: {}", request.config_version, error)
+            return SubmitJobReply(False)
+        owner = self._owner(request.pool)
+        if owner is None or not owner.may_order():
+            return SubmitJobReply(False)
+        assert self._node.config is not None
+        queue = self._node.config.queue_by_name.get(request.queue)
+        if queue is None:
+            return SubmitJobReply(True, "the queue is no longer configured", 1000)
+        refusal = await owner.accept(request.job_id, queue, request.spec)
+        if refusal is None:
+            return SubmitJobReply(True)
+        retry_after_ms = refusal.retry_after // timedelta(milliseconds=1)
+        return SubmitJobReply(True, refusal.reason, retry_after_ms)
+
+    async def _on_phase(self, request: JobPhaseRequest) -> JobPhaseReply:
+        owner = self._owner(request.pool)
+        phase = None if owner is None else owner.phase(request.job_id)
+        return JobPhaseReply(owner is not None, phase)
+
+    async def _on_cancel(self, request: CancelJobRequest) -> CancelJobReply:
+        owner = self._owner(request.pool)
+        if owner is None or not owner.may_order():
+            return CancelJobReply(False)
+        return CancelJobReply(True, await owner.cancel(request.job_id))
+
+    async def _on_count(self, request: CountJobsRequest) -> CountJobsReply:
+        owner = self._owner(request.pool)
+        if owner is None:
+            return CountJobsReply(False)
+        return CountJobsReply(True, owner.pending(request.queue))
--- /dev/null
+++ b/hornbeamramp/vm/messages.py
@@ -0,0 +1,100 @@
+"""Messages between entry VMs about jobs of owned pools, carried by `hornbeamramp.rpc`."""
+
+import msgspec
+
+from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
+from hornbeamramp.messages import HelloReply, HelloRequest
+from hornbeamramp.workload import JobPhase, JobSpec, StepKey
+
+__all__ = [
+    "REPLY_TYPE_BY_REQUEST_TYPE",
+    "AdviseReply",
+    "AdviseRequest",
+    "CancelJobReply",
+    "CancelJobRequest",
+    "CountJobsReply",
+    "CountJobsRequest",
+    "JobPhaseReply",
+    "JobPhaseRequest",
+    "SubmitJobReply",
+    "SubmitJobRequest",
+]
+
+
+class SubmitJobRequest(msgspec.Struct, frozen=True):
+    """A job for the owner of its queue's pool, as routed by ``config_version``."""
+
+    pool: PoolName
+    queue: RouteName
+    config_version: int
+    job_id: JobId
+    spec: JobSpec
+
+
+class SubmitJobReply(msgspec.Struct, frozen=True):
+    """``refusal`` is empty if the job is recorded. ``is_owner`` is false if nothing was done."""
+
+    is_owner: bool
+    refusal: str = ""
+    retry_after_ms: int = 0
+
+
+class JobPhaseRequest(msgspec.Struct, frozen=True):
+    pool: PoolName
+    job_id: JobId
+
+
+class JobPhaseReply(msgspec.Struct, frozen=True):
+    """``phase`` is ``None`` if the owner knows no such job."""
+
+    is_owner: bool
+    phase: JobPhase | None = None
+
+
+class CancelJobRequest(msgspec.Struct, frozen=True):
+    pool: PoolName
+    job_id: JobId
+
+
+class CancelJobReply(msgspec.Struct, frozen=True):
+    is_owner: bool
+    is_known: bool = False
+
+
+class CountJobsRequest(msgspec.Struct, frozen=True):
+    """Asks how many jobs of a queue no task has started of."""
+
+    pool: PoolName
+    queue: RouteName
+
+
+class CountJobsReply(msgspec.Struct, frozen=True):
+    is_owner: bool
+    pending: int = 0
+
+
+class AdviseRequest(msgspec.Struct, frozen=True):
+    """Asks another VM to call the advice service, which serves each VM in turn."""
+
+    step: StepKey
+    workers: tuple[UpstreamId, ...]
+    priority: int
+    timeout_ms: int
+
+
+class AdviseReply(msgspec.Struct, frozen=True):
+    """``problem`` is empty if there is advice; ``validity_ms`` is the life of the tickets."""
+
+    problem: str = ""
+    ticket_by_worker: dict[UpstreamId, str] = {}
+    validity_ms: int = 0
+
+
+REPLY_TYPE_BY_REQUEST_TYPE: dict[type, type] = {
+    HelloRequest: HelloReply,
+    SubmitJobRequest: SubmitJobReply,
+    JobPhaseRequest: JobPhaseReply,
+    CancelJobRequest: CancelJobReply,
+    CountJobsRequest: CountJobsReply,
+    AdviseRequest: AdviseReply,
+}
--- /dev/null
+++ b/hornbeamramp/vm/node.py
@@ -0,0 +1,317 @@
+"""One entry VM: follows the configuration and the cell, and owns the pools that it has claimed."""
+
+import asyncio
+from datetime import timedelta
+
+import logbook
+import msgspec
+from result import Err
+
+from hornbeamramp.background import BackgroundTasks
+from hornbeamramp.clock import Clock
+from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.fleet import WorkerListing
+from hornbeamramp.ids import PoolName, UpstreamId, VmId
+from hornbeamramp.poolowner import OwnerContext, PoolOwner
+from hornbeamramp.rendezvous import rank
+from hornbeamramp.rpc import PeerClient, PeerServer
+from hornbeamramp.statestore import LeaseLostError, OwnerRecord, PoolClaim, Put, Txn
+from hornbeamramp.statestore.base import TxnConflictError
+from hornbeamramp.statestore.claim import decode_owner
+from hornbeamramp.statestore.records import CELL_PREFIX, chain_key, owner_key, vm_key, vm_prefix
+from hornbeamramp.vm.adapter import Adapter, VmIdentity
+from hornbeamramp.vm.advice_queue import AdviceQueue, SpreadAdvice
+from hornbeamramp.vm.lease import VmLease
+from hornbeamramp.vm.watching import PrefixFollower
+from hornbeamramp.workload import ClusterConfig
+
+__all__ = ["Node"]
+
+# How long a candidate waits for each VM that comes before it in the order of a pool's candidates.
+# A claim takes two store calls, so the first has usually claimed before the second tries.
+CANDIDATE_DELAY = timedelta(milliseconds=300)
+# Period of the check for pools without an owner, beside each change of the cell.
+CLAIM_TICK = timedelta(milliseconds=250)
+# Worker reports come at up to 20 a second; draining has to be noticed within two seconds.
+WORKER_WATCH_PAUSE = timedelta(milliseconds=400)
+
+_log = logbook.Logger("node")
+
+
+class Node:
+    """This VM's part of the cell.
+
+    `config`
+        The newest configuration seen; it never goes back to an older version.
+    """
+
+    def __init__(
+        self,
+        identity: VmIdentity,
+        adapter: Adapter,
+        clock: Clock,
+        peers: PeerClient,
+        server: PeerServer,
+    ) -> None:
+        self.identity = identity
+        self.adapter = adapter
+        self.clock = clock
+        self.peers = peers
+        self.server = server
+        self.store = adapter.store
+        self.config: ClusterConfig | None = None
+        self.owner_by_pool: dict[PoolName, PoolOwner] = {}
+        self.is_stopping = False
+        self.lease = VmLease(self.store, clock, self._on_new_lease)
+        self.advice_queue = AdviceQueue(adapter.advice)
+        advice = SpreadAdvice(identity.vm, self.advice_queue, peers, self._peer_addresses, clock)
+        self._context = OwnerContext(
+            self.store, clock, adapter.workers, advice, adapter.job_retention
+        )
+        self._background = BackgroundTasks("node", _log)
+        self._configs = PrefixFollower(self.store, clock, adapter.config_prefix, self._on_config)
+        self._cell = PrefixFollower(self.store, clock, CELL_PREFIX, self._on_cell)
+        self._listings: PrefixFollower | None = None
+        self._claiming: set[PoolName] = set()
+        self._unowned_since: dict[PoolName, timedelta] = {}
+        self._unreadable: set[str] = set()
+        self._cell_changed = asyncio.Event()
+
+    async def start(self) -> None:
+        """Starts following and claiming."""
+        for coroutine in (self.lease.run(), self._configs.run(), self._cell.run()):
+            self._background.spawn(coroutine)
+        self._background.spawn(self._keep_claims())
+
+    async def stop(self) -> None:
+        """Releases all pools and the lease."""
+        self.is_stopping = True
+        await asyncio.gather(*(owner.release() for owner in self.owner_by_pool.values()))
+        await self.lease.end()
+        await self._background.cancel()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tells whether this VM can serve callers: it has a configuration and has seen the cell."""
+        return not self.is_stopping and self.config is not None and self._cell.is_loaded
+
+    # Configuration
+
+    def _on_config(self, changed: set[str]) -> None:
+        if self.adapter.config_key not in changed:
+            return
+        item = self._configs.item_by_key.get(self.adapter.config_key)
+        if item is None:
+            return
+        decoded = self.adapter.decode_config(item)
+        if isinstance(decoded, Err):
+            _log.error(
+                "configuration of revision {} not used: {}", item.revision, decoded.err_value
+            )
+            return
+        config = decoded.ok_value
+        if self.config is not None and config.version <= self.config.version:
+            return
+        _log.info(
+            "configuration {} in force, store revision {}, {} queues",
+            config.version,
+            item.revision,
+            len(config.queue_by_name),
+        )
+        self.config = config
+        for owner in self.owner_by_pool.values():
+            owner.config = config
+            owner.wake()
+        self._notify_cell()
+
+    async def reach_config(self, version: int) -> None:
+        """Reads the configuration again if another VM has seen a newer one."""
+        if self.config is None or self.config.version < version:
+            await self._configs.refresh()
+
+    # Cell
+
+    def owner_record(self, pool: PoolName) -> OwnerRecord | None:
+        """Returns the pool's owner as the store last told."""
+        item = self._cell.item_by_key.get(owner_key(pool))
+        return None if item is None else decode_owner(item.value)
+
+    async def wait_for_cell(self, patience: timedelta) -> None:
+        """Returns after the next change of the cell, or after ``patience``."""
+        try:
+            async with asyncio.timeout(patience.total_seconds()):
+                await self._cell_changed.wait()
+        except TimeoutError:
+            return
+
+    def _vm_records(self) -> dict[VmId, OwnerRecord]:
+        records = {}
+        for key, item in self._cell.item_by_key.items():
+            if key.startswith(vm_prefix()):
+                record = decode_owner(item.value)
+                if record is not None:
+                    records[record.vm] = record
+        return records
+
+    def _peer_addresses(self) -> dict[VmId, str]:
+        return {
+            vm: record.address
+            for vm, record in self._vm_records().items()
+            if vm != self.identity.vm
+        }
+
+    def _on_cell(self, changed: set[str]) -> None:
+        for pool, owner in list(self.owner_by_pool.items()):
+            if owner_key(pool) in changed:
+                record = self.owner_record(pool)
+                if owner.is_ready and (record is None or record.boot != self.identity.boot):
+                    owner.lose(f"the store names {record} as the owner")
+        self._notify_cell()
+
+    def _notify_cell(self) -> None:
+        self._cell_changed.set()
+        self._cell_changed = asyncio.Event()
+
+    def _on_new_lease(self, lease: int) -> None:
+        for owner in self.owner_by_pool.values():
+            owner.lose("the VM's lease was replaced")
+        self._notify_cell()
+
+    # Claims
+
+    async def _keep_claims(self) -> None:
+        while True:
+            await self.wait_for_cell(CLAIM_TICK)
+            if self.config is None or not self._cell.is_loaded or not self.lease.is_valid:
+                continue
+            if self.is_stopping:
+                return
+            try:
+                await self._announce()
+                await self._drop_predecessor()
+            except StoreUnavailableError as error:
+                _log.info("announcement failed: {}", error)
+                continue
+            for pool in sorted(self.config.pool_by_name):
+                self._consider(pool)
+
+    async def _announce(self) -> None:
+        """Writes this VM's key if the store lacks it."""
+        key = vm_key(self.identity.vm)
+        item = self._cell.item_by_key.get(key)
+        if item is not None and item.lease == self.lease.lease_id:
+            return
+        value = msgspec.json.encode(self._record())
+        try:
+            await self.store.commit(Txn({}, (Put(key, value, self.lease.lease_id),)))
+        except LeaseLostError:
+            return
+        await self._cell.refresh()
+
+    async def _drop_predecessor(self) -> None:
+        """Deletes the claims of this VM's previous process, which has ended."""
+        for key, item in list(self._cell.item_by_key.items()):
+            record = None if key.startswith(vm_prefix()) else decode_owner(item.value)
+            if record is None or record.vm != self.identity.vm:
+                continue
+            if record.boot == self.identity.boot or record.address != self.identity.address:
+                continue
+            pool = PoolName(key.rpartition("/")[2])
+            try:
+                await self.store.commit(Txn({key: item.revision}, deletes=(key, chain_key(pool))))
+            except TxnConflictError:
+                continue
+            await self._cell.refresh()
+
+    def _record(self) -> OwnerRecord:
+        identity = self.identity
+        return OwnerRecord(identity.vm, identity.boot, identity.address, 0)
+
+    def _consider(self, pool: PoolName) -> None:
+        if pool in self.owner_by_pool or pool in self._claiming:
+            return
+        if self.owner_record(pool) is not None:
+            self._unowned_since.pop(pool, None)
+            return
+        now = self.clock.boot_time()
+        since = self._unowned_since.setdefault(pool, now)
+        if now - since >= self._position(pool) * CANDIDATE_DELAY:
+            self._claiming.add(pool)
+            self._background.spawn(self._own(pool))
+
+    def _position(self, pool: PoolName) -> int:
+        """Returns how many VMs come before this one as candidates: those with fewer pools, then
+        those that rendezvous hashing prefers."""
+        records = self._vm_records()
+        records.setdefault(self.identity.vm, self._record())
+        pools_by_vm = dict.fromkeys(records, 0)
+        for key, item in self._cell.item_by_key.items():
+            if not key.startswith(vm_prefix()):
+                record = decode_owner(item.value)
+                if record is not None and record.vm in pools_by_vm:
+                    pools_by_vm[record.vm] += 1
+        preference = rank(pool, dict.fromkeys(records, 1.0))
+        order = sorted(preference, key=lambda vm: pools_by_vm[vm])
+        return order.index(self.identity.vm)
+
+    async def _own(self, pool: PoolName) -> None:
+        lease = self.lease.lease_id
+        claim = PoolClaim(self.store, self.clock, pool, self._record(), lease)
+        try:
+            if not await claim.acquire():
+                await self._cell.refresh()
+                return
+            owner = PoolOwner(pool, claim, self._context, lambda: self.lease.guard(lease))
+            owner.config = self.config
+            self.owner_by_pool[pool] = owner
+        except StoreUnavailableError as error:
+            _log.info("{}: claim not confirmed: {}", pool, error)
+            return
+        finally:
+            self._claiming.discard(pool)
+        try:
+            await self._cell.refresh()
+            await owner.start(await self._load_listings())
+            self._notify_cell()
+            await owner.is_lost.wait()
+        except StoreUnavailableError as error:
+            _log.warn("{}: recovery failed: {}", pool, error)
+            await claim.release()
+        finally:
+            del self.owner_by_pool[pool]
+            await owner.close()
+
+    # Workers
+
+    async def _load_listings(self) -> dict[UpstreamId, WorkerListing]:
+        if self._listings is None:
+            self._listings = PrefixFollower(
+                self.store,
+                self.clock,
+                self.adapter.worker_prefix,
+                self._on_listings,
+                WORKER_WATCH_PAUSE,
+            )
+            self._background.spawn(self._listings.run())
+        await self._listings.refresh()
+        return self._decode_listings()
+
+    def _on_listings(self, changed: set[str]) -> None:
+        if any(owner.is_ready for owner in self.owner_by_pool.values()):
+            listings = self._decode_listings()
+            for owner in self.owner_by_pool.values():
+                if owner.is_ready:
+                    owner.set_workers(listings)
+
+    def _decode_listings(self) -> dict[UpstreamId, WorkerListing]:
+        assert self._listings is not None
+        listings = {}
+        for key, item in self._listings.item_by_key.items():
+            decoded = self.adapter.decode_worker(item)
+            if isinstance(decoded, Err):
+                if key not in self._unreadable:
+                    _log.warn("{} left aside: {}", key, decoded.err_value)
+                self._unreadable.add(key)
+                continue
+            listings[decoded.ok_value.worker] = decoded.ok_value
+        return listings
--- /dev/null
+++ b/hornbeamramp/workload/__init__.py
@@ -0,0 +1,27 @@
+"""What callers and operators hand in: jobs made of steps, queues, pools and their configuration."""
+
+from hornbeamramp.workload.config import AdviceTerms, ClusterConfig, Pool, Queue, Target
+from hornbeamramp.workload.model import (
+    TERMINAL_PHASES,
+    JobPhase,
+    JobSpec,
+    StepKey,
+    StepSpec,
+    check_job,
+    task_name,
+)
+
+__all__ = [
+    "TERMINAL_PHASES",
+    "AdviceTerms",
+    "ClusterConfig",
+    "JobPhase",
+    "JobSpec",
+    "Pool",
+    "Queue",
+    "StepKey",
+    "StepSpec",
+    "Target",
+    "check_job",
+    "task_name",
+]
--- /dev/null
+++ b/hornbeamramp/workload/config.py
@@ -0,0 +1,75 @@
+"""The operators' configuration: queues that callers name, and pools of workers."""
+
+from datetime import timedelta
+
+import msgspec
+
+from hornbeamramp.ids import PoolName, RouteName
+
+__all__ = ["AdviceTerms", "ClusterConfig", "Pool", "Queue", "Target"]
+
+
+class AdviceTerms(msgspec.Struct, frozen=True):
+    """Cost of asking which workers may run a step, and how long a ticket stays valid."""
+
+    base: timedelta
+    per_worker: timedelta
+    validity: timedelta
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """A queue of jobs. Priority 0 is served first.
+
+    `stretch`, `target`
+        A job is on time within ``stretch`` times its longest chain of work plus ``target``.
+    """
+
+    name: RouteName
+    pool: PoolName
+    host: str
+    prefix: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target: timedelta
+    timeout: timedelta
+    advice: AdviceTerms | None = None
+
+
+class Pool(msgspec.Struct, frozen=True):
+    """A pool of workers. ``standby`` pools hold machines that are switched off."""
+
+    name: PoolName
+    guards_capacity: bool = False
+    standby: bool = False
+    max_connections: int = 64
+    health_path: str = ""
+
+
+class Target(msgspec.Struct, frozen=True):
+    """What a caller's host and path name: a queue and the rest of the path."""
+
+    queue: Queue
+    rest: str
+
+
+class ClusterConfig(msgspec.Struct, frozen=True):
+    """One version of the configuration. Versions only grow."""
+
+    version: int
+    queue_by_name: dict[RouteName, Queue]
+    pool_by_name: dict[PoolName, Pool]
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+
+    def match(self, host: str, path: str) -> Target | None:
+        """Returns the queue with the longest prefix of ``path`` on ``host``."""
+        matching = [
+            queue
+            for queue in self.queue_by_name.values()
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+        if not matching:
+            return None
+        best = max(matching, key=lambda queue: len(queue.prefix))
+        return Target(best, path[len(best.prefix) :])
