Ask for advice once per ticket window and hand questions to free VMs

Change: a step asks once for all its granted workers and holds the room it found meanwhile; an owner has one call outstanding on a VM, the rest wait at the owner in order of priority and age.

--- a/hornbeamramp/poolowner/advice.py
+++ b/hornbeamramp/poolowner/advice.py
@@ -30,6 +30,11 @@
 class AdviceSource(ABC):
     """Asks the advice service, which serves one call at a time for each VM."""
 
+    @property
+    @abstractmethod
+    def backlog(self) -> int:
+        """Number of questions that wait for a VM to be free."""
+
     @abstractmethod
     async def ask(
         self, step: StepKey, workers: list[UpstreamId], terms: AdviceTerms, priority: int
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -30,6 +30,9 @@
 # Pause before a refused start is tried again, so that the worker's next list has come.
 REFUSED_PAUSE = timedelta(milliseconds=150)
 
+# Priority of queues that come first and need not wait for others' questions.
+URGENT = 0
+
 _log = logbook.Logger("launch")
 
 
@@ -51,33 +54,50 @@
         """Returns once no order waits for its answer."""
         await self._idle.wait()
 
-    def has_grants(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> bool:
-        """Tells whether any worker is known to be allowed; asks about others if none has room."""
-        grants = step.grants
-        if self._clock.boot_time() < grants.not_before:
-            return False
-        if grants.is_pending:
-            return bool(grants.granted)
-        has_room = any(s.worker in grants.granted and s.fits(step.size) for s in sessions)
-        if not has_room:
-            unasked = [
-                session
-                for session in sessions
-                if session.worker not in grants.asked and could_ever_run(step, session)
-            ]
-            if unasked:
-                unasked.sort(key=lambda s: (not s.fits(step.size), -s.free()[0]))
-                names = [UpstreamId(s.worker) for s in unasked[:MAX_WORKERS_ASKED]]
-                grants.is_pending = True
-                self._owner.spawn(self._ask_and_wake(step, queue, names))
-        return bool(grants.granted)
-
-    async def _ask_and_wake(self, step: StepRun, queue: Queue, names: list[UpstreamId]) -> None:
+    def may_ask(self, step: StepRun) -> bool:
+        """Tells whether a question about the step would be sent soon. The less urgent wait here
+        rather than behind others, so that they are asked with the room there is then."""
+        return self._advice.backlog < 1 or step.job.record.priority == URGENT
+
+    def ask_first(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
+        """Asks which of these workers may run the step, those with most room first."""
+        candidates = [session for session in sessions if could_ever_run(step, session)]
+        candidates.sort(key=lambda s: (not s.fits(step.size), -s.free()[0]))
+        step.grants.is_pending = True
+        self._owner.spawn(self._ask_then(step, queue, candidates, []))
+
+    def ask_and_launch(
+        self, step: StepRun, queue: Queue, units: list[Unit], sessions: list[WorkerSession]
+    ) -> None:
+        """Renews the tickets of workers, then starts the units that hold room on them."""
+        needed = {attempt.session.worker for unit in units for attempt in unit.attempts()}
+        sessions = sorted(sessions, key=lambda s: s.worker not in needed)
+        step.grants.is_pending = True
+        self._owner.spawn(self._ask_then(step, queue, sessions, units))
+
+    async def _ask_then(
+        self, step: StepRun, queue: Queue, sessions: list[WorkerSession], units: list[Unit]
+    ) -> None:
+        names = [UpstreamId(session.worker) for session in sessions[:MAX_WORKERS_ASKED]]
         try:
             await self._ask(step, queue, names)
         finally:
             step.grants.is_pending = False
+            ready = [unit for unit in units if self._has_tickets(unit)]
+            for unit in units:
+                if unit not in ready:
+                    self._put_back(unit)
             self._owner.wake()
+        if ready:
+            await self.launch(step, ready)
+
+    def _has_tickets(self, unit: Unit) -> bool:
+        now = self._clock.boot_time()
+        grants = unit.step.grants
+        return all(
+            grants.has_ticket(UpstreamId(attempt.session.worker), now)
+            for attempt in unit.attempts()
+        )
 
     async def _ask(self, step: StepRun, queue: Queue, names: list[UpstreamId]) -> None:
         assert queue.advice is not None
@@ -91,15 +111,11 @@
         step.grants.add(names, advice, asked_at)
         _log.debug("{}: {} of {} workers granted", step.key, len(advice.ticket_by_worker), names)
 
-    async def launch(self, step: StepRun, units: list[Unit], queue: Queue | None) -> None:
+    async def launch(self, step: StepRun, units: list[Unit]) -> None:
         """Starts units whose tasks have reserved room."""
         self._ordering += 1
         self._idle.clear()
         try:
-            if queue is not None and queue.advice is not None:
-                units = await self._with_tickets(step, units, queue)
-            if not units:
-                return
             self._journal.touch(step.job)
             await self._journal.recorded()
             _log.info(
@@ -116,29 +132,6 @@
             if not self._ordering:
                 self._idle.set()
 
-    async def _with_tickets(self, step: StepRun, units: list[Unit], queue: Queue) -> list[Unit]:
-        """Renews tickets where they have run out; returns the units that have all of theirs."""
-        now = self._clock.boot_time()
-        lacking = sorted(
-            {
-                UpstreamId(attempt.session.worker)
-                for unit in units
-                for attempt in unit.attempts()
-                if not step.grants.has_ticket(UpstreamId(attempt.session.worker), now)
-            }
-        )
-        if lacking:
-            await self._ask(step, queue, lacking)
-        now = self._clock.boot_time()
-        ready = []
-        for unit in units:
-            workers = [UpstreamId(attempt.session.worker) for attempt in unit.attempts()]
-            if all(step.grants.has_ticket(worker, now) for worker in workers):
-                ready.append(unit)
-            else:
-                self._put_back(unit)
-        return ready
-
     def _put_back(self, unit: Unit) -> None:
         """Gives reserved room back; the run number stays used up."""
         for task in unit.tasks:
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -24,7 +24,7 @@
 )
 from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
 from hornbeamramp.poolowner.advice import AdviceSource
-from hornbeamramp.poolowner.choice import choose_workers
+from hornbeamramp.poolowner.choice import choose_workers, could_ever_run
 from hornbeamramp.poolowner.jobs import Job, StepRun, Task, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.launch import Launcher
@@ -418,11 +418,35 @@
     def _place(self, step: StepRun) -> None:
         queue = self.queue_of(step.job)
         sessions = [s for s in self.session_by_worker.values() if s.usable]
-        if queue is not None and queue.advice is not None:
-            if not self._launcher.has_grants(step, queue, sessions):
-                return
-            sessions = [s for s in sessions if s.worker in step.grants.granted]
-        placed: list[Unit] = []
+        if queue is None or queue.advice is None:
+            placed = self._reserve(step, sessions)
+            if placed:
+                self.spawn(self._launcher.launch(step, placed))
+            return
+        grants, now = step.grants, self._clock.boot_time()
+        granted = [s for s in sessions if s.worker in grants.granted]
+        ticketed = [s for s in granted if grants.has_ticket(UpstreamId(s.worker), now)]
+        placed = self._reserve(step, ticketed)
+        if placed:
+            self.spawn(self._launcher.launch(step, placed))
+        if not step.waiting or grants.is_pending or now < grants.not_before:
+            return
+        if not self._launcher.may_ask(step):
+            return
+        # Room found on granted workers is kept while their tickets are renewed.
+        held = self._reserve(step, granted)
+        if held:
+            self._launcher.ask_and_launch(step, queue, held, granted)
+            return
+        unasked = [s for s in sessions if s.worker not in grants.asked]
+        if any(could_ever_run(step, s) and s.fits(step.size) for s in unasked):
+            self._launcher.ask_first(step, queue, unasked)
+
+    def _reserve(self, step: StepRun, sessions: list[WorkerSession]) -> list[Unit]:
+        """Takes units off the step's queue and counts them on workers, as far as they fit."""
+        reserved: list[Unit] = []
+        if not sessions:
+            return reserved
         count_on = Counter(
             attempt.session.worker for unit in step.units for attempt in unit.attempts()
         )
@@ -438,9 +462,8 @@
                 task.attempt.checkpoint = unit.checkpoint
                 session.reserve(task.attempt)
                 count_on[session.worker] += 1
-            placed.append(unit)
-        if placed:
-            self.spawn(self._launcher.launch(step, placed, queue))
+            reserved.append(unit)
+        return reserved
 
     def speed(self, session: WorkerSession) -> float:
         return 0.0
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -20,12 +20,14 @@
 
 __all__ = ["AdviceQueue", "SpreadAdvice"]
 
-# A call may wait in the service behind others; beyond its own cost this much is allowed.
-CALL_SLACK = timedelta(milliseconds=1500)
+# Beyond a call's own cost: one costly call of another owner before it on the same VM.
+CALL_SLACK = timedelta(milliseconds=1000)
 # Time for which a VM whose call failed gets none.
-VM_PAUSE = timedelta(seconds=1)
+VM_PAUSE = timedelta(seconds=2)
 # Calls above this cost leave a third of the VMs to cheap ones, which are the urgent ones.
 COSTLY_CALL = timedelta(milliseconds=100)
+# By how long a question of the next lower priority counts as younger.
+AGE_PER_PRIORITY = timedelta(seconds=1)
 
 _log = logbook.Logger("advice")
 
@@ -78,7 +80,7 @@
 
 
 class SpreadAdvice(AdviceSource):
-    """Sends each question to the VM with the least outstanding work.
+    """Hands questions out to VMs that are free; the rest wait here, the urgent ones first.
 
     `addresses`
         Returns the addresses of the VMs that are alive.
@@ -99,51 +101,78 @@
         self._peers = peers
         self._addresses = addresses
         self._clock = clock
-        self._backlog_by_vm: dict[VmId, timedelta] = {}
+        self._sequence = itertools.count()
+        self._waiting: list[tuple[timedelta, int, bool, asyncio.Future[VmId]]] = []
+        self._busy: set[VmId] = set()
         self._paused_until: dict[VmId, timedelta] = {}
 
+    @property
+    def backlog(self) -> int:
+        return len(self._waiting)
+
     async def ask(
         self, step: StepKey, workers: list[UpstreamId], terms: AdviceTerms, priority: int
     ) -> Advice:
         cost = terms.base + len(workers) * terms.per_worker
-        vm, address = self._choose(cost)
-        self._backlog_by_vm[vm] = self._backlog_by_vm.get(vm, timedelta(0)) + cost
-        timeout = cost + CALL_SLACK
+        vm = await self._take_vm(cost > COSTLY_CALL, priority)
         try:
             if vm == self._own_vm:
-                return await self._queue.ask(step, workers, priority, timeout)
-            return await self._ask_peer(vm, address, step, workers, priority, timeout)
+                return await self._queue.ask(step, workers, priority, cost + CALL_SLACK)
+            return await self._ask_peer(vm, step, workers, priority, cost + CALL_SLACK)
         finally:
-            self._backlog_by_vm[vm] -= cost
+            self._busy.discard(vm)
+            self._hand_out()
+
+    async def _take_vm(self, is_costly: bool, priority: int) -> VmId:
+        turn: asyncio.Future[VmId] = asyncio.get_running_loop().create_future()
+        # A question gains on more urgent ones while it waits, so that none waits for ever.
+        due = self._clock.boot_time() + priority * AGE_PER_PRIORITY
+        heapq.heappush(self._waiting, (due, next(self._sequence), is_costly, turn))
+        self._hand_out()
+        try:
+            return await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._busy.discard(turn.result())
+            raise
 
-    def _choose(self, cost: timedelta) -> tuple[VmId, str]:
+    def _hand_out(self) -> None:
         now = self._clock.boot_time()
-        addresses = {**self._addresses(), self._own_vm: ""}
-        open_vms = sorted(
-            vm for vm in addresses if self._paused_until.get(vm, timedelta(0)) <= now
-        ) or [self._own_vm]
-        if cost > COSTLY_CALL and len(open_vms) > 2:
-            open_vms = open_vms[: len(open_vms) - len(open_vms) // 3]
-        else:
-            # Cheap calls look first where no costly one goes.
-            open_vms.reverse()
-        vm = min(open_vms, key=lambda vm: self._backlog_by_vm.get(vm, timedelta(0)))
-        return vm, addresses[vm]
+        vms = sorted({*self._addresses(), self._own_vm})
+        free = [
+            vm
+            for vm in vms
+            if vm not in self._busy and self._paused_until.get(vm, timedelta(0)) <= now
+        ]
+        # A third of the VMs serves cheap questions only, which are the urgent ones.
+        for_cheap = set(vms[: len(vms) // 3])
+        left = []
+        while self._waiting:
+            entry = heapq.heappop(self._waiting)
+            _, _, is_costly, turn = entry
+            if turn.done():
+                continue
+            usable = [vm for vm in free if not (is_costly and vm in for_cheap)]
+            if not usable:
+                left.append(entry)
+                if not free:
+                    break
+                continue
+            vm = usable[0]
+            free.remove(vm)
+            self._busy.add(vm)
+            turn.set_result(vm)
+        for entry in left:
+            heapq.heappush(self._waiting, entry)
 
     async def _ask_peer(
-        self,
-        vm: VmId,
-        address: str,
-        step: StepKey,
-        workers: list[UpstreamId],
-        priority: int,
-        timeout: timedelta,
+        self, vm: VmId, step: StepKey, workers: list[UpstreamId], priority: int, timeout: timedelta
     ) -> Advice:
         timeout_ms = timeout // timedelta(milliseconds=1)
         request = AdviseRequest(step, tuple(workers), priority, timeout_ms)
-        limit = timeout + self._backlog_by_vm[vm]
+        address = self._addresses().get(vm, "")
         try:
-            reply = await self._peers.call(address, request, limit, Step.ADMIT)
+            reply = await self._peers.call(address, request, timeout, Step.ADMIT)
         except SchedulerError as error:
             self._paused_until[vm] = self._clock.boot_time() + VM_PAUSE
             raise AdviceUnavailableError(str(error)) from error
