Ask again after a failed VM's pause; keep trying to stop what must stop

Cause: a question that waited for VMs which had all failed was never handed out, and no question of lower priority was put after that; stops were given up while the claim was in doubt. Change: the end of a pause hands questions out; stops wait for the claim.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -242,15 +242,15 @@
 
     async def _stop_until_answered(self, attempt: Attempt) -> None:
         key = (attempt.name, attempt.run)
-        while self.attempt_by_key.get(key) is attempt and self._owner.may_extend():
-            if await self._send_stop(*key):
+        while self.attempt_by_key.get(key) is attempt:
+            if self._owner.may_extend() and await self._send_stop(*key):
                 attempt.confirmed_at = self._clock.boot_time()
                 return
             await self._clock.sleep(RETRY_PAUSE)
 
     async def _stop_stray(self, key: tuple[str, int]) -> None:
-        while key in self.stray_by_key and self._owner.may_extend():
-            if await self._send_stop(*key):
+        while key in self.stray_by_key:
+            if self._owner.may_extend() and await self._send_stop(*key):
                 self.stray_by_key[key] = self._clock.boot_time()
                 return
             await self._clock.sleep(RETRY_PAUSE)
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -175,6 +175,8 @@
             reply = await self._peers.call(address, request, timeout, Step.ADMIT)
         except SchedulerError as error:
             self._paused_until[vm] = self._clock.boot_time() + VM_PAUSE
+            # Questions that wait for this VM alone have nothing else to wake them.
+            asyncio.get_running_loop().call_later(VM_PAUSE.total_seconds(), self._hand_out)
             raise AdviceUnavailableError(str(error)) from error
         if reply.problem:
             raise AdviceUnavailableError(f"{vm}: {reply.problem}")
