Learn worker speeds, keep fast workers for urgent work, preempt by checkpoint

Cause: quotes took workers of any speed, and in a burst found all room taken by batch work that has four times its length to spare. Change: speeds learned from runs of one image; urgent tasks take fast workers, batch work slow ones; an urgent task without room stops checkpointing runs of lower priority, the least advanced first.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -61,6 +61,8 @@
 
     `task`
         The owner's task; sessions don't look into it.
+    `resumed`
+        It began at a checkpoint, so its duration says little of the worker's speed.
     `confirmed_at`
         Boot time of the latest proof that the run is there, or that it can't come any more. A list
         asked for later that lacks the run settles it.
@@ -74,6 +76,7 @@
         "percent",
         "phase",
         "progress_at",
+        "resumed",
         "run",
         "session",
         "size",
@@ -98,6 +101,7 @@
         self.started_at: timedelta | None = None
         self.progress_at: timedelta | None = None
         self.stop_wanted = False
+        self.resumed = False
 
 
 class SessionOwner(Protocol):
@@ -399,7 +403,8 @@
         _log.warning("worker {} was reborn at {}", self.worker, reply.born_ms)
         self._last_seen = self._handled = 0
         self._longest_deadline_ms = 0
-        listed = {(row.task, row.run) for row in reply.running}
+        # Runs may have been started, and may even have ended, in the new boot already.
+        listed = {(row.task, row.run) for row in (*reply.running, *reply.ended)}
         for key, attempt in list(self.attempt_by_key.items()):
             if key in listed or attempt.phase is AttemptPhase.RESERVED:
                 continue
--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -1,10 +1,13 @@
 """Chooses workers for a unit. Plain code over the sessions' ledgers; changes nothing."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from hornbeamramp.fleet import WorkerSession
+from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.jobs import StepRun, Unit
+from hornbeamramp.poolowner.speeds import WorkerSpeeds
+from hornbeamramp.workload import URGENT
 
 __all__ = ["choose_workers", "could_ever_run"]
 
@@ -27,7 +30,7 @@
 def choose_workers(
     unit: Unit,
     sessions: Iterable[WorkerSession],
-    speed: Callable[[WorkerSession], float],
+    speeds: WorkerSpeeds,
     count_on: Counter[str],
 ) -> list[WorkerSession] | None:
     """Returns a worker for each task of the unit, or ``None`` if they don't all fit.
@@ -39,17 +42,17 @@
     if step.spec.gang and step.spec.same_rack and len(unit.tasks) > 1:
         for rack in sorted({session.listing.rack for session in usable}):
             on_rack = [session for session in usable if session.listing.rack == rack]
-            chosen = _fill(unit, on_rack, speed, count_on)
+            chosen = _fill(unit, on_rack, speeds, count_on)
             if chosen is not None:
                 return chosen
         return None
-    return _fill(unit, usable, speed, count_on)
+    return _fill(unit, usable, speeds, count_on)
 
 
 def _fill(
     unit: Unit,
     sessions: list[WorkerSession],
-    speed: Callable[[WorkerSession], float],
+    speeds: WorkerSpeeds,
     count_on: Counter[str],
 ) -> list[WorkerSession] | None:
     step = unit.step
@@ -70,7 +73,7 @@
                 continue
             if limit and count_by_worker[session.worker] >= limit:
                 continue
-            score = _score(unit, session, room, speed(session), count_by_worker[session.worker])
+            score = _score(unit, session, room, speeds, count_by_worker[session.worker])
             if best is None or score > best_score:
                 best, best_score = session, score
         if best is None:
@@ -87,16 +90,21 @@
 
 
 def _score(
-    unit: Unit, session: WorkerSession, room: Room, speed: float, same_step: int
+    unit: Unit, session: WorkerSession, room: Room, speeds: WorkerSpeeds, same_step: int
 ) -> tuple[float, ...]:
     """Returns the worth of a worker for one task; higher tuples come first."""
     step = unit.step
-    is_clean = session.worker not in unit.avoid
+    worker = UpstreamId(session.worker)
+    speed = round(speeds.speed(worker), 1)
+    is_clean = worker not in unit.avoid and not speeds.is_suspect(worker)
     is_near = not step.spec.data_rack or step.spec.data_rack in session.listing.labels
     if step.spec.long_running:
         # Spread, so that the loss of one worker takes few of the step's tasks.
-        return (is_clean, is_near, -same_step, room[0])
+        return (is_clean, is_near, -same_step, -speed, room[0])
     if step.size.accelerators:
         # Packed, so that whole workers stay free for tasks that take all accelerators.
         return (is_clean, is_near, -room[2], speed, -room[0])
+    if step.job.record.priority > URGENT:
+        # Slow workers first: the fast ones are left to those that have the least time.
+        return (is_clean, is_near, -speed, -room[0])
     return (is_clean, is_near, speed, -room[0])
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -15,7 +15,7 @@
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.statestore import ClaimLostError
-from hornbeamramp.workload import Queue
+from hornbeamramp.workload import URGENT, Queue
 
 if TYPE_CHECKING:
     from hornbeamramp.poolowner.owner import PoolOwner
@@ -30,9 +30,6 @@
 # Pause before a refused start is tried again, so that the worker's next list has come.
 REFUSED_PAUSE = timedelta(milliseconds=150)
 
-# Priority of queues that come first and need not wait for others' questions.
-URGENT = 0
-
 _log = logbook.Logger("launch")
 
 
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -28,9 +28,11 @@
 from hornbeamramp.poolowner.jobs import Job, StepRun, Task, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.preemption import choose_victims, coming_room
 from hornbeamramp.poolowner.recovery import ghost_listing, read_jobs
+from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.statestore import ClaimLostError, JobRecord, PoolClaim, StateStore
-from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue
+from hornbeamramp.workload import URGENT, ClusterConfig, JobPhase, JobSpec, Queue
 
 __all__ = ["OwnerContext", "PoolOwner", "Refusal"]
 
@@ -47,6 +49,8 @@
 # Kept beyond the time for which callers may ask for the state of an ended job.
 RETENTION_MARGIN = timedelta(seconds=30)
 STORE_RETRY_AFTER = timedelta(seconds=1)
+# Tasks of one step for which runs are preempted at a time; more would outrun the next list.
+MAX_PREEMPTED_FOR = 16
 
 _log = logbook.Logger("owner")
 
@@ -98,6 +102,7 @@
         self._launcher = Launcher(self, context.advice, context.clock, self._journal)
         self.job_by_id: dict[JobId, Job] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
+        self.speeds = WorkerSpeeds()
         self._open_steps: list[StepRun] = []
         self._wake = asyncio.Event()
         self._is_releasing = False
@@ -212,6 +217,9 @@
         job = unit.step.job
         task.attempt = None
         self._wake.set()
+        if how is HowEnded.DONE and attempt.started_at is not None and not attempt.resumed:
+            elapsed = self._clock.boot_time() - attempt.started_at
+            self.speeds.note(attempt, elapsed.total_seconds(), 1.0)
         if job.is_ended:
             return
         if checkpoint:
@@ -427,6 +435,8 @@
             placed = self._reserve(step, sessions)
             if placed:
                 self.spawn(self._launcher.launch(step, placed))
+            if step.waiting:
+                self._make_room(step, sessions)
             return
         grants, now = step.grants, self._clock.boot_time()
         granted = [s for s in sessions if s.worker in grants.granted]
@@ -446,6 +456,27 @@
         unasked = [s for s in sessions if s.worker not in grants.asked]
         if any(could_ever_run(step, s) and s.fits(step.size) for s in unasked):
             self._launcher.ask_first(step, queue, unasked)
+        elif grants.granted:
+            self._make_room(step, granted)
+        elif unasked and step.job.record.priority == URGENT:
+            # An urgent step learns where it may run before there is room, to make some there.
+            self._launcher.ask_first(step, queue, unasked)
+
+    def _make_room(self, step: StepRun, sessions: list[WorkerSession]) -> None:
+        """Stops less urgent runs for the tasks of a step that find no room."""
+        wanted = sum(len(unit.tasks) for unit in step.waiting)
+        missing = min(wanted, MAX_PREEMPTED_FOR) - coming_room(step, sessions)
+        if missing <= 0:
+            return
+        for victim in choose_victims(step, missing, sessions, self._clock.boot_time()):
+            _log.info(
+                "{} on {} at {}% is preempted for {}",
+                victim.name,
+                victim.session.worker,
+                victim.percent,
+                step.key,
+            )
+            victim.session.stop(victim)
 
     def _reserve(self, step: StepRun, sessions: list[WorkerSession]) -> list[Unit]:
         """Takes units off the step's queue and counts them on workers, as far as they fit."""
@@ -457,7 +488,7 @@
         )
         while step.waiting:
             unit = step.waiting[0]
-            chosen = choose_workers(unit, sessions, self.speed, count_on)
+            chosen = choose_workers(unit, sessions, self.speeds, count_on)
             if chosen is None:
                 break
             step.waiting.pop(0)
@@ -465,14 +496,12 @@
             for task, session in zip(unit.tasks, chosen, strict=True):
                 task.attempt = Attempt(task, task.name, unit.run, step.size, session)
                 task.attempt.checkpoint = unit.checkpoint
+                task.attempt.resumed = bool(unit.checkpoint)
                 session.reserve(task.attempt)
                 count_on[session.worker] += 1
             reserved.append(unit)
         return reserved
 
-    def speed(self, session: WorkerSession) -> float:
-        return 0.0
-
     def queue_of(self, job: Job) -> Queue | None:
         return None if self.config is None else self.config.queue_by_name.get(job.record.queue)
 
--- /dev/null
+++ b/hornbeamramp/poolowner/preemption.py
@@ -0,0 +1,93 @@
+"""Makes room for an urgent task by stopping less urgent ones that resume from their checkpoints."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from hornbeamramp.fleet import Attempt, AttemptPhase, WorkerSession
+from hornbeamramp.poolowner.choice import could_ever_run
+from hornbeamramp.poolowner.jobs import StepRun
+
+__all__ = ["choose_victims", "coming_room"]
+
+# A run is not stopped before it has worked for this long, so that each run makes some progress.
+SHORTEST_WORK = timedelta(seconds=1)
+# Nearly finished runs are left alone: their room comes free soon in any case.
+LATEST_PERCENT = 90.0
+
+
+def _is_victim(attempt: Attempt, step: StepRun, now: timedelta) -> bool:
+    other = attempt.task.unit.step
+    return (
+        attempt.phase is AttemptPhase.RUNNING
+        and not attempt.stop_wanted
+        and other.spec.checkpointing
+        and not other.spec.long_running
+        and not other.spec.gang
+        and other.job.record.priority > step.job.record.priority
+        and attempt.started_at is not None
+        and now - attempt.started_at > SHORTEST_WORK
+        and attempt.percent < LATEST_PERCENT
+    )
+
+
+def coming_room(step: StepRun, sessions: Iterable[WorkerSession]) -> int:
+    """Returns how many tasks of the step fit into what is free or being stopped."""
+    total = 0
+    for session in sessions:
+        if could_ever_run(step, session):
+            stopping = [a for a in session.attempt_by_key.values() if a.stop_wanted]
+            total += _count_fitting(step, session, stopping)
+    return total
+
+
+def _count_fitting(step: StepRun, session: WorkerSession, ending: Iterable[Attempt]) -> int:
+    room = list(session.free())
+    for attempt in ending:
+        size = attempt.size
+        room[0] += size.processors_milli
+        room[1] += size.memory_mib
+        room[2] += size.accelerators
+    size = step.size
+    needs = (size.processors_milli, size.memory_mib, size.accelerators)
+    counts = [have // need for have, need in zip(room, needs, strict=True) if need]
+    return max(min(counts, default=0), 0)
+
+
+def choose_victims(
+    step: StepRun, missing: int, sessions: Iterable[WorkerSession], now: timedelta
+) -> list[Attempt]:
+    """Returns runs whose end makes room for up to ``missing`` tasks of the step.
+
+    Takes workers where the fewest runs have to end for a task, and there those that have done the
+    least work.
+    """
+    victims: list[Attempt] = []
+    options = []
+    for session in sessions:
+        if not could_ever_run(step, session):
+            continue
+        candidates = [a for a in session.attempt_by_key.values() if _is_victim(a, step, now)]
+        candidates.sort(key=lambda a: a.percent)
+        ending = [a for a in session.attempt_by_key.values() if a.stop_wanted]
+        chosen = _fewest(step, session, candidates, ending)
+        if chosen:
+            options.append((len(chosen), session.worker, chosen))
+    for _, _, chosen in sorted(options, key=lambda option: option[:2]):
+        if missing <= 0:
+            break
+        victims += chosen
+        missing -= 1
+    return victims
+
+
+def _fewest(
+    step: StepRun, session: WorkerSession, candidates: list[Attempt], ending: list[Attempt]
+) -> list[Attempt]:
+    """Returns the first candidates whose end lets one more task fit, or none."""
+    before = _count_fitting(step, session, ending)
+    chosen: list[Attempt] = []
+    for candidate in candidates:
+        chosen.append(candidate)
+        if _count_fitting(step, session, [*ending, *chosen]) > before:
+            return chosen
+    return []
--- /dev/null
+++ b/hornbeamramp/poolowner/speeds.py
@@ -0,0 +1,55 @@
+"""Learns how fast each worker is, from how long runs take against their estimates.
+
+Estimates are off, but alike for tasks of one image, and their errors don't depend on the worker. So
+the logarithm of estimate over duration is split into a part of the image and one of the worker.
+"""
+
+import math
+
+from hornbeamramp.fleet import Attempt
+from hornbeamramp.ids import UpstreamId
+
+__all__ = ["WorkerSpeeds"]
+
+# Weight of one run in a worker's figure: some ten runs outweigh the past, so that a worker that
+# turns slow is noticed within a second or two of usual load.
+WORKER_WEIGHT = 0.1
+# Weight in an image's figure, which doesn't change during the life of the image.
+IMAGE_WEIGHT = 0.05
+# Shorter runs are dominated by the way of the order and of the end.
+SHORTEST_RUN_S = 0.1
+# A worker below this share of the usual speed takes part only when no other has room.
+SUSPECT_SPEED = 0.4
+
+
+class WorkerSpeeds:
+    """Relative speeds; 1.0 is usual and stands for workers of which nothing is known."""
+
+    def __init__(self) -> None:
+        self._log_by_worker: dict[UpstreamId, float] = {}
+        self._log_by_image: dict[str, float] = {}
+
+    def speed(self, worker: UpstreamId) -> float:
+        return math.exp(self._log_by_worker.get(worker, 0.0))
+
+    def is_suspect(self, worker: UpstreamId) -> bool:
+        return self.speed(worker) < SUSPECT_SPEED
+
+    def note(self, attempt: Attempt, elapsed_s: float, share: float) -> None:
+        """Notes that a run has done ``share`` (0 to 1) of its work in ``elapsed_s`` seconds."""
+        step = attempt.task.unit.step
+        estimate_s = step.spec.estimate_ms / 1000
+        if elapsed_s < SHORTEST_RUN_S or share <= 0.0 or estimate_s <= 0.0:
+            return
+        image = step.spec.image or str(step.job.record.queue)
+        worker = UpstreamId(attempt.session.worker)
+        observed = math.log(estimate_s * share / elapsed_s)
+        of_image = self._log_by_image.setdefault(image, observed)
+        of_worker = self._log_by_worker.get(worker, 0.0)
+        error = observed - of_image - of_worker
+        self._log_by_image[image] = of_image + IMAGE_WEIGHT * error
+        self._log_by_worker[worker] = of_worker + WORKER_WEIGHT * error
+
+    def forget(self, worker: UpstreamId) -> None:
+        """Drops what is known of a worker that may have become another kind."""
+        self._log_by_worker.pop(worker, None)
--- a/hornbeamramp/workload/__init__.py
+++ b/hornbeamramp/workload/__init__.py
@@ -1,6 +1,6 @@
 """What callers and operators hand in: jobs made of steps, queues, pools and their configuration."""
 
-from hornbeamramp.workload.config import AdviceTerms, ClusterConfig, Pool, Queue, Target
+from hornbeamramp.workload.config import URGENT, AdviceTerms, ClusterConfig, Pool, Queue, Target
 from hornbeamramp.workload.model import (
     TERMINAL_PHASES,
     JobPhase,
@@ -13,6 +13,7 @@
 
 __all__ = [
     "TERMINAL_PHASES",
+    "URGENT",
     "AdviceTerms",
     "ClusterConfig",
     "JobPhase",
--- a/hornbeamramp/workload/config.py
+++ b/hornbeamramp/workload/config.py
@@ -6,7 +6,10 @@
 
 from hornbeamramp.ids import PoolName, RouteName
 
-__all__ = ["AdviceTerms", "ClusterConfig", "Pool", "Queue", "Target"]
+__all__ = ["URGENT", "AdviceTerms", "ClusterConfig", "Pool", "Queue", "Target"]
+
+# Priority of queues that come first.
+URGENT = 0
 
 
 class AdviceTerms(msgspec.Struct, frozen=True):
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -176,3 +176,19 @@
         assert bench.owner.ended == [(attempt.name, HowEnded.LOST)]
 
     on_bench(scenario)
+
+
+def test_run_that_the_new_boot_started_and_ended_is_done_and_not_lost():
+    """The list that showed the rebirth also held the end, and the task was started again."""
+
+    async def scenario(bench):
+        spec = job(StepSpec(1, 1000, 100, estimate_ms=300))
+        bench.fleet.spec_by_job[JobId("a" * 16)] = spec
+        bench.worker.crash()
+        bench.worker.rebirth()
+        attempt = bench.attempt()
+        await bench.start(attempt)
+        await asyncio.sleep(4.0)
+        assert bench.owner.ended == [(attempt.name, HowEnded.DONE)]
+
+    on_bench(scenario)
