Reach the store through another VM while it turns this one away; look for a VM again

Cause: a VM that the store turned away kept an old configuration, did not see new owners and refused its callers for as long; its pools stood still until the lease had run out. Change: store calls that fail go through up to two other VMs; the direct way is tried again after a second. Waiting questions look for a free VM every 200 ms. Asked and granted workers are logged.

--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -106,7 +106,9 @@
             _log.info("{}: no advice: {}", step.key, error)
             return
         step.grants.add(names, advice, asked_at)
-        _log.debug("{}: {} of {} workers granted", step.key, len(advice.ticket_by_worker), names)
+        took = self._clock.boot_time() - asked_at
+        granted = len(advice.ticket_by_worker)
+        _log.info("{}: {} of {} workers granted after {}", step.key, granted, len(names), took)
 
     async def launch(self, step: StepRun, units: list[Unit]) -> None:
         """Starts units whose tasks have reserved room."""
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -29,6 +29,9 @@
 # By how long a question of the next lower priority counts as younger.
 AGE_PER_PRIORITY = timedelta(seconds=1)
 
+# How often waiting questions look for a VM again.
+RECHECK = timedelta(milliseconds=200)
+
 _log = logbook.Logger("advice")
 
 
@@ -128,13 +131,17 @@
         # A question gains on more urgent ones while it waits, so that none waits for ever.
         due = self._clock.boot_time() + priority * AGE_PER_PRIORITY
         heapq.heappush(self._waiting, (due, next(self._sequence), is_costly, turn))
-        self._hand_out()
         try:
-            return await turn
+            while not turn.done():
+                self._hand_out()
+                # VMs join, leave and end their pauses without telling; so it is looked at again.
+                await asyncio.wait({turn}, timeout=RECHECK.total_seconds())
         except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled():
+            if turn.done():
                 self._busy.discard(turn.result())
+            turn.cancel()
             raise
+        return turn.result()
 
     def _hand_out(self) -> None:
         now = self._clock.boot_time()
@@ -175,8 +182,6 @@
             reply = await self._peers.call(address, request, timeout, Step.ADMIT)
         except SchedulerError as error:
             self._paused_until[vm] = self._clock.boot_time() + VM_PAUSE
-            # Questions that wait for this VM alone have nothing else to wake them.
-            asyncio.get_running_loop().call_later(VM_PAUSE.total_seconds(), self._hand_out)
             raise AdviceUnavailableError(str(error)) from error
         if reply.problem:
             raise AdviceUnavailableError(f"{vm}: {reply.problem}")
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -4,6 +4,7 @@
 
 from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
 from hornbeamramp.messages import HelloReply, HelloRequest
+from hornbeamramp.vm.relay import RelayReply, RelayRequest
 from hornbeamramp.workload import JobPhase, JobSpec, StepKey
 
 __all__ = [
@@ -97,4 +98,5 @@
     CancelJobRequest: CancelJobReply,
     CountJobsRequest: CountJobsReply,
     AdviseRequest: AdviseReply,
+    RelayRequest: RelayReply,
 }
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -22,6 +22,7 @@
 from hornbeamramp.vm.adapter import Adapter, VmIdentity
 from hornbeamramp.vm.advice_queue import AdviceQueue, SpreadAdvice
 from hornbeamramp.vm.lease import VmLease
+from hornbeamramp.vm.relay import RelayedStore, RelayRequest
 from hornbeamramp.vm.watching import PrefixFollower
 from hornbeamramp.workload import ClusterConfig
 
@@ -58,7 +59,8 @@
         self.clock = clock
         self.peers = peers
         self.server = server
-        self.store = adapter.store
+        self.store = RelayedStore(adapter.store, peers, clock, self._peer_addresses)
+        server.handle(RelayRequest, self.store.serve)
         self.config: ClusterConfig | None = None
         self.owner_by_pool: dict[PoolName, PoolOwner] = {}
         self.is_stopping = False
--- /dev/null
+++ b/hornbeamramp/vm/relay.py
@@ -0,0 +1,238 @@
+"""The store reached through another VM while it can't be reached from here, or turns this VM away.
+
+A repeated commit is safe, as each is conditional on the one before; see `statestore.claim`.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from typing import TypeVar
+
+import logbook
+import msgspec
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.errors import SchedulerError, StoreUnavailableError
+from hornbeamramp.ids import VmId
+from hornbeamramp.rpc import PeerClient
+from hornbeamramp.states import Step
+from hornbeamramp.statestore import (
+    Change,
+    Item,
+    LeaseLostError,
+    StateStore,
+    Txn,
+    TxnConflictError,
+    WatchGapError,
+    WatchReply,
+)
+
+__all__ = ["RelayReply", "RelayRequest", "RelayedStore", "StoreOperation"]
+
+# After a failure the direct way is tried again this much later; until then calls are relayed.
+DIRECT_PAUSE = timedelta(seconds=1)
+# A VM through which the store wasn't reached is left out for this long.
+RELAY_PAUSE = timedelta(seconds=2)
+# Longest time of a relayed call beside its wait: the store's own time-out and the way there.
+RELAY_TIMEOUT = timedelta(milliseconds=1000)
+# VMs tried for one call. More would only lengthen an outage of the whole store.
+MAX_RELAYS = 2
+
+_log = logbook.Logger("relay")
+
+T = TypeVar("T")
+
+
+class StoreOperation(Enum):
+    GET = "get"
+    RANGE = "range"
+    WATCH = "watch"
+    COMMIT = "commit"
+    GRANT = "grant"
+    KEEP = "keep"
+    END = "end"
+
+
+class RelayOutcome(Enum):
+    DONE = "done"
+    CONFLICT = "conflict"
+    LEASE_LOST = "lease_lost"
+    GAP = "gap"
+    UNAVAILABLE = "unavailable"
+
+
+class RelayRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A store call for another VM to make. ``key`` is a key or a prefix."""
+
+    operation: StoreOperation
+    key: str = ""
+    after: int = 0
+    wait_ms: int = 0
+    ttl_ms: int = 0
+    lease: int = 0
+    txn: Txn | None = None
+
+
+class RelayReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """``number`` is the revision of a commit, a new lease, or where to watch from. ``may_apply``
+    tells whether a call without answer may still take effect."""
+
+    outcome: RelayOutcome
+    problem: str = ""
+    may_apply: bool = False
+    number: int = 0
+    items: tuple[Item, ...] = ()
+    changes: tuple[Change, ...] = ()
+
+
+class RelayedStore(StateStore):
+    """The store by the direct way, or by a VM that reaches it.
+
+    `addresses`
+        Returns the addresses of the other VMs, as last known.
+    """
+
+    def __init__(
+        self,
+        direct: StateStore,
+        peers: PeerClient,
+        clock: Clock,
+        addresses: Callable[[], dict[VmId, str]],
+    ) -> None:
+        self._direct = direct
+        self._peers = peers
+        self._clock = clock
+        self._addresses = addresses
+        self._direct_from = timedelta(0)
+        self._relay_from: dict[str, timedelta] = {}
+        self._last_relay = ""
+        self.max_entries = direct.max_entries
+
+    async def get(self, key: str) -> Item | None:
+        request = RelayRequest(StoreOperation.GET, key)
+        reply = await self._call(request, timedelta(0))
+        return reply.items[0] if reply.items else None
+
+    async def range(self, prefix: str) -> tuple[list[Item], int]:
+        reply = await self._call(RelayRequest(StoreOperation.RANGE, prefix), timedelta(0))
+        return list(reply.items), reply.number
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> WatchReply:
+        wait_ms = wait // timedelta(milliseconds=1)
+        request = RelayRequest(StoreOperation.WATCH, prefix, after, wait_ms)
+        reply = await self._call(request, wait)
+        return WatchReply(reply.changes, reply.number)
+
+    async def commit(self, txn: Txn) -> int:
+        request = RelayRequest(StoreOperation.COMMIT, txn=txn)
+        return (await self._call(request, timedelta(0))).number
+
+    async def grant_lease(self, ttl: timedelta) -> int:
+        ttl_ms = ttl // timedelta(milliseconds=1)
+        request = RelayRequest(StoreOperation.GRANT, ttl_ms=ttl_ms)
+        return (await self._call(request, timedelta(0))).number
+
+    async def keep_lease(self, lease: int) -> None:
+        await self._call(RelayRequest(StoreOperation.KEEP, lease=lease), timedelta(0))
+
+    async def end_lease(self, lease: int) -> None:
+        await self._call(RelayRequest(StoreOperation.END, lease=lease), timedelta(0))
+
+    async def serve(self, request: RelayRequest) -> RelayReply:
+        """Makes a call for another VM, by the direct way only."""
+        if self._clock.boot_time() < self._direct_from:
+            return RelayReply(RelayOutcome.UNAVAILABLE, "the store can't be reached from here")
+        return await self._call_direct(request)
+
+    async def _call(self, request: RelayRequest, wait: timedelta) -> RelayReply:
+        reply = RelayReply(RelayOutcome.UNAVAILABLE, "the direct way failed lately")
+        if self._clock.boot_time() >= self._direct_from:
+            reply = await self._call_direct(request)
+        may_apply = reply.may_apply
+        if reply.outcome is RelayOutcome.UNAVAILABLE:
+            for address in self._relays():
+                reply = await self._call_relay(address, request, wait)
+                may_apply = may_apply or reply.may_apply
+                if reply.outcome is not RelayOutcome.UNAVAILABLE:
+                    break
+        return _unpack(reply, may_apply)
+
+    async def _call_direct(self, request: RelayRequest) -> RelayReply:
+        try:
+            return await _perform(self._direct, request)
+        except StoreUnavailableError as error:
+            now = self._clock.boot_time()
+            if now >= self._direct_from:
+                _log.info("store not reached by the direct way: {}", error)
+            self._direct_from = now + DIRECT_PAUSE
+            return RelayReply(RelayOutcome.UNAVAILABLE, str(error), error.sent)
+
+    def _relays(self) -> list[str]:
+        now = self._clock.boot_time()
+        addresses = sorted(
+            address
+            for address in self._addresses().values()
+            if self._relay_from.get(address, timedelta(0)) <= now
+        )
+        # The one that served last is tried first: its connection is open.
+        addresses.sort(key=lambda address: address != self._last_relay)
+        return addresses[:MAX_RELAYS]
+
+    async def _call_relay(self, address: str, request: RelayRequest, wait: timedelta) -> RelayReply:
+        try:
+            reply = await self._peers.call(address, request, RELAY_TIMEOUT + wait, Step.JOURNAL)
+        except SchedulerError as error:
+            reply = RelayReply(RelayOutcome.UNAVAILABLE, str(error), True)
+        if reply.outcome is RelayOutcome.UNAVAILABLE:
+            self._relay_from[address] = self._clock.boot_time() + RELAY_PAUSE
+        elif address != self._last_relay:
+            _log.info("store reached through {}", address)
+            self._last_relay = address
+        return reply
+
+
+async def _perform(store: StateStore, request: RelayRequest) -> RelayReply:
+    done = RelayOutcome.DONE
+    try:
+        match request.operation:
+            case StoreOperation.GET:
+                item = await store.get(request.key)
+                return RelayReply(done, items=() if item is None else (item,))
+            case StoreOperation.RANGE:
+                items, as_of = await store.range(request.key)
+                return RelayReply(done, items=tuple(items), number=as_of)
+            case StoreOperation.WATCH:
+                wait = timedelta(milliseconds=request.wait_ms)
+                reply = await store.watch(request.key, request.after, wait)
+                return RelayReply(done, changes=reply.changes, number=reply.as_of)
+            case StoreOperation.COMMIT:
+                assert request.txn is not None
+                return RelayReply(done, number=await store.commit(request.txn))
+            case StoreOperation.GRANT:
+                ttl = timedelta(milliseconds=request.ttl_ms)
+                return RelayReply(done, number=await store.grant_lease(ttl))
+            case StoreOperation.KEEP:
+                await store.keep_lease(request.lease)
+            case StoreOperation.END:
+                await store.end_lease(request.lease)
+    except TxnConflictError as conflict:
+        return RelayReply(RelayOutcome.CONFLICT, items=tuple(conflict.item_by_key.values()))
+    except LeaseLostError:
+        return RelayReply(RelayOutcome.LEASE_LOST)
+    except WatchGapError:
+        return RelayReply(RelayOutcome.GAP)
+    return RelayReply(done)
+
+
+def _unpack(reply: RelayReply, may_apply: bool) -> RelayReply:
+    """Raises what the outcome stands for."""
+    match reply.outcome:
+        case RelayOutcome.CONFLICT:
+            raise TxnConflictError({item.key: item for item in reply.items})
+        case RelayOutcome.LEASE_LOST:
+            raise LeaseLostError
+        case RelayOutcome.GAP:
+            raise WatchGapError
+        case RelayOutcome.UNAVAILABLE:
+            raise StoreUnavailableError(Step.JOURNAL, "store", reply.problem, may_apply)
+    return reply
