Count tickets as valid from the answer, keep those of the next steps fresh

While advice was asked for, room for whole workers stood empty. Change: validity from the answer; the three steps that are next renew their tickets before there is room; a refusal for want of the store names three seconds and comes at once.

--- a/hornbeamramp/poolowner/advice.py
+++ b/hornbeamramp/poolowner/advice.py
@@ -55,14 +55,14 @@
         self.is_pending = False
         self.not_before = timedelta(0)
 
-    def add(self, workers: Iterable[UpstreamId], advice: Advice, asked_at: timedelta) -> None:
-        """Notes an answer. Validity is counted from the question, so it ends early rather."""
+    def add(self, workers: Iterable[UpstreamId], advice: Advice, received_at: timedelta) -> None:
+        """Notes an answer. Tickets are valid from the answer on, however long it took."""
         self.asked.update(workers)
         self.granted.difference_update(workers)
         for worker, ticket in advice.ticket_by_worker.items():
             self.granted.add(worker)
             self.ticket_by_worker[worker] = ticket
-            self.valid_until[worker] = asked_at + advice.validity
+            self.valid_until[worker] = received_at + advice.validity
 
     def has_ticket(self, worker: UpstreamId, now: timedelta) -> bool:
         until = self.valid_until.get(worker)
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -72,6 +72,15 @@
         step.grants.is_pending = True
         self._owner.spawn(self._ask_then(step, queue, sessions, units))
 
+    def renew_ahead(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
+        """Renews the tickets of a step without room, if they end before an answer would come."""
+        assert queue.advice is not None
+        cost = queue.advice.base + len(sessions) * queue.advice.per_worker
+        limit = self._clock.boot_time() + cost
+        if any(step.grants.has_ticket(UpstreamId(s.worker), limit) for s in sessions):
+            return
+        self.ask_and_launch(step, queue, [], sessions)
+
     async def _ask_then(
         self, step: StepRun, queue: Queue, sessions: list[WorkerSession], units: list[Unit]
     ) -> None:
@@ -105,8 +114,9 @@
             step.grants.not_before = self._clock.boot_time() + ADVICE_PAUSE
             _log.info("{}: no advice: {}", step.key, error)
             return
-        step.grants.add(names, advice, asked_at)
-        took = self._clock.boot_time() - asked_at
+        received_at = self._clock.boot_time()
+        step.grants.add(names, advice, received_at)
+        took = received_at - asked_at
         granted = len(advice.ticket_by_worker)
         _log.info("{}: {} of {} workers granted after {}", step.key, granted, len(names), took)
 
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -32,7 +32,7 @@
 from hornbeamramp.poolowner.recovery import ghost_listing, read_jobs
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.statestore import ClaimLostError, JobRecord, PoolClaim, StateStore
-from hornbeamramp.workload import URGENT, ClusterConfig, JobPhase, JobSpec, Queue
+from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue
 
 __all__ = ["OwnerContext", "PoolOwner", "Refusal"]
 
@@ -48,7 +48,10 @@
 STORE_PATIENCE = timedelta(milliseconds=600)
 # Kept beyond the time for which callers may ask for the state of an ended job.
 RETENTION_MARGIN = timedelta(seconds=30)
-STORE_RETRY_AFTER = timedelta(seconds=1)
+STORE_RETRY_AFTER = timedelta(seconds=3)
+# Steps of a pool that keep their tickets fresh while they wait for room. Each takes up to half of
+# a VM's turn at the advice service.
+MAX_STEPS_AHEAD = 3
 # Tasks of one step for which runs are preempted at a time; more would outrun the next list.
 MAX_PREEMPTED_FOR = 16
 
@@ -420,15 +423,20 @@
             step for step in self._open_steps if step.waiting and not step.job.is_ended
         ]
         self._open_steps.sort(key=self._order)
+        ahead = MAX_STEPS_AHEAD
         for step in self._open_steps:
-            self._place(step)
+            self._place(step, ahead > 0)
+            # What still waits after its turn is next when room comes free.
+            ahead -= bool(step.waiting)
 
     @staticmethod
     def _order(step: StepRun) -> tuple[float, ...]:
         record = step.job.record
         return (record.priority, record.accepted_ms)
 
-    def _place(self, step: StepRun) -> None:
+    def _place(self, step: StepRun, is_next: bool) -> None:
+        """Starts what fits. The steps that are next keep their tickets fresh without room too, so
+        that no room stands empty while advice is asked for."""
         queue = self.queue_of(step.job)
         sessions = [s for s in self.session_by_worker.values() if s.usable]
         if queue is None or queue.advice is None:
@@ -453,14 +461,14 @@
         if held:
             self._launcher.ask_and_launch(step, queue, held, granted)
             return
-        unasked = [s for s in sessions if s.worker not in grants.asked]
-        if any(could_ever_run(step, s) and s.fits(step.size) for s in unasked):
+        unasked = [s for s in sessions if s.worker not in grants.asked and could_ever_run(step, s)]
+        if unasked and (is_next or any(s.fits(step.size) for s in unasked)):
             self._launcher.ask_first(step, queue, unasked)
-        elif grants.granted:
+            return
+        if granted:
             self._make_room(step, granted)
-        elif unasked and step.job.record.priority == URGENT:
-            # An urgent step learns where it may run before there is room, to make some there.
-            self._launcher.ask_first(step, queue, unasked)
+            if is_next:
+                self._launcher.renew_ahead(step, queue, granted)
 
     def _make_room(self, step: StepRun, sessions: list[WorkerSession]) -> None:
         """Stops less urgent runs for the tasks of a step that find no room."""
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -37,7 +37,13 @@
 # longer one is better met by the caller's retry.
 OWNER_PATIENCE = timedelta(milliseconds=500)
 PAUSE = timedelta(milliseconds=50)
-RETRY_AFTER = timedelta(seconds=1)
+# Without an owner the caller returns after a takeover, which takes some two seconds.
+OWNER_RETRY_AFTER = timedelta(seconds=2)
+# Without the store nothing is accepted. Outages last some five seconds; callers that return after
+# three, spread by a second, still come in time with their later tries.
+STORE_RETRY_AFTER = timedelta(seconds=3)
+# Calls that have failed for this long, with another VM's help too, mean an outage.
+STORE_OUTAGE = timedelta(milliseconds=600)
 
 _log = logbook.Logger("callers")
 
@@ -85,6 +91,8 @@
     ) -> Submitted:
         """Has a job recorded. Raises `UnavailableError`; the job may be recorded then only if the
         error says so."""
+        if self._is_store_out():
+            return Submitted("the store can't be reached", STORE_RETRY_AFTER)
         assert self._node.config is not None
         version = self._node.config.version
         request = SubmitJobRequest(queue.pool, queue.name, version, job_id, spec)
@@ -93,11 +101,15 @@
         except UnavailableError as error:
             if error.may_have_run:
                 raise
-            return Submitted(str(error), RETRY_AFTER)
+            return Submitted(str(error), OWNER_RETRY_AFTER)
         if reply.refusal and was_unclear:
             raise UnavailableError(reply.refusal, True)
         return Submitted(reply.refusal, timedelta(milliseconds=reply.retry_after_ms))
 
+    def _is_store_out(self) -> bool:
+        since = self._node.store.failing_since
+        return since is not None and self._node.clock.boot_time() - since > STORE_OUTAGE
+
     async def phase(self, queue: Queue, job_id: JobId, patience: timedelta) -> JobPhase | None:
         """Returns a job's phase, ``None`` if there is no such job. Raises `UnavailableError`."""
         request = JobPhaseRequest(queue.pool, job_id)
--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -90,6 +90,8 @@
 
     `addresses`
         Returns the addresses of the other VMs, as last known.
+    `failing_since`
+        Boot time of the first of the calls that have failed since the last answer.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         self._direct_from = timedelta(0)
         self._relay_from: dict[str, timedelta] = {}
         self._last_relay = ""
+        self.failing_since: timedelta | None = None
         self.max_entries = direct.max_entries
 
     async def get(self, key: str) -> Item | None:
@@ -146,7 +149,7 @@
 
     async def _call(self, request: RelayRequest, wait: timedelta) -> RelayReply:
         reply = RelayReply(RelayOutcome.UNAVAILABLE, "the direct way failed lately")
-        if self._clock.boot_time() >= self._direct_from:
+        if self._clock.boot_time() >= self._direct_from or not self._relays():
             reply = await self._call_direct(request)
         may_apply = reply.may_apply
         if reply.outcome is RelayOutcome.UNAVAILABLE:
@@ -155,6 +158,10 @@
                 may_apply = may_apply or reply.may_apply
                 if reply.outcome is not RelayOutcome.UNAVAILABLE:
                     break
+        if reply.outcome is not RelayOutcome.UNAVAILABLE:
+            self.failing_since = None
+        elif self.failing_since is None:
+            self.failing_since = self._clock.boot_time()
         return _unpack(reply, may_apply)
 
     async def _call_direct(self, request: RelayRequest) -> RelayReply:
--- a/tests/vm/test_guarantees_under_faults.py
+++ b/tests/vm/test_guarantees_under_faults.py
@@ -211,7 +211,11 @@
     end = cell.clock.boot_time() + timedelta(seconds=SETTLE_S)
     while open_jobs and cell.clock.boot_time() < end:
         for job_id in sorted(open_jobs):
-            phase = await cell.phase(job_id)
+            try:
+                phase = await cell.phase(job_id)
+            except UnavailableError:
+                # The store may have come back a moment ago; asked again below.
+                continue
             assert phase is not None, f"{job_id} was accepted and is not known"
             if phase in TERMINAL_PHASES:
                 open_jobs.discard(job_id)
