--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -91,6 +91,7 @@
         await asyncio.gather(*(owner.release() for owner in self.owner_by_pool.values()))
         await self.lease.end()
         await self._background.cancel()
+        await self.store.close()
 
     @property
     def is_ready(self) -> bool:
--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -11,6 +11,7 @@
 import logbook
 import msgspec
 
+from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import SchedulerError, StoreUnavailableError
 from hornbeamramp.ids import VmId
@@ -26,11 +27,13 @@
     WatchGapError,
     WatchReply,
 )
+from hornbeamramp.statestore.records import CELL_PREFIX
 
 __all__ = ["RelayReply", "RelayRequest", "RelayedStore", "StoreOperation"]
 
-# After a failure the direct way is tried again this much later; until then calls are relayed.
-DIRECT_PAUSE = timedelta(seconds=1)
+# After a failure the direct way is probed this often. Calls are relayed until a probe succeeds, as
+# one that gets no answer would wait for the store's time-out.
+PROBE_PERIOD = timedelta(seconds=1)
 # A VM through which the store wasn't reached is left out for this long.
 RELAY_PAUSE = timedelta(seconds=2)
 # Longest time of a relayed call beside its wait: the store's own time-out and the way there.
@@ -105,7 +108,8 @@
         self._peers = peers
         self._clock = clock
         self._addresses = addresses
-        self._direct_from = timedelta(0)
+        self._is_direct = True
+        self._probes = BackgroundTasks("relay", _log)
         self._relay_from: dict[str, timedelta] = {}
         self._last_relay = ""
         self.failing_since: timedelta | None = None
@@ -143,13 +147,13 @@
 
     async def serve(self, request: RelayRequest) -> RelayReply:
         """Makes a call for another VM, by the direct way only."""
-        if self._clock.boot_time() < self._direct_from:
+        if not self._is_direct:
             return RelayReply(RelayOutcome.UNAVAILABLE, "the store can't be reached from here")
         return await self._call_direct(request)
 
     async def _call(self, request: RelayRequest, wait: timedelta) -> RelayReply:
         reply = RelayReply(RelayOutcome.UNAVAILABLE, "the direct way failed lately")
-        if self._clock.boot_time() >= self._direct_from or not self._relays():
+        if self._is_direct or not self._relays():
             reply = await self._call_direct(request)
         may_apply = reply.may_apply
         if reply.outcome is RelayOutcome.UNAVAILABLE:
@@ -168,12 +172,27 @@
         try:
             return await _perform(self._direct, request)
         except StoreUnavailableError as error:
-            now = self._clock.boot_time()
-            if now >= self._direct_from:
+            if self._is_direct:
                 _log.info("store not reached by the direct way: {}", error)
-            self._direct_from = now + DIRECT_PAUSE
+                self._is_direct = False
+                self._probes.spawn(self._probe())
             return RelayReply(RelayOutcome.UNAVAILABLE, str(error), error.sent)
 
+    async def _probe(self) -> None:
+        while not self._is_direct:
+            await self._clock.sleep(PROBE_PERIOD)
+            try:
+                await self._direct.get(CELL_PREFIX)
+            except StoreUnavailableError as error:
+                _log.debug("probe of the direct way: {}", error)
+                continue
+            _log.info("store reached by the direct way again")
+            self._is_direct = True
+
+    async def close(self) -> None:
+        """Ends the probes."""
+        await self._probes.cancel()
+
     def _relays(self) -> list[str]:
         now = self._clock.boot_time()
         addresses = sorted(
