Settle unanswered starts at once; never let a reborn worker forget unseen ends

Change: 300 ms for an order, a list at once after the stop; ends are forgotten only right after an answer of the same boot.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -38,6 +38,8 @@
 RETRY_PAUSE = timedelta(milliseconds=250)
 # Worker clocks may be 2% slow (the platform's bound).
 SLOWEST_WORKER_CLOCK = 0.98
+# No worker is reborn within this time of an answer.
+SAME_BOOT = timedelta(milliseconds=300)
 # How long the loop waits for ends to be recorded before it extends the lease again.
 RECORD_WAIT = timedelta(milliseconds=500)
 
@@ -156,6 +158,8 @@
         self._longest_deadline_ms = 0
         self._last_seen = 0
         self._handled = 0
+        # When the newest list that has been applied was asked for.
+        self._listed_at = timedelta(0)
         # Until the first contact the former owner's leases count, whose length is only bounded.
         self._unseen_until = clock.boot_time() + unseen_lease
         self._stop_paused = False
@@ -249,9 +253,22 @@
         while self.attempt_by_key.get(key) is attempt:
             if self._owner.may_extend() and await self._send_stop(*key):
                 attempt.confirmed_at = self._clock.boot_time()
+                if attempt.phase is AttemptPhase.UNCERTAIN:
+                    await self._look()
                 return
             await self._clock.sleep(RETRY_PAUSE)
 
+    async def _look(self) -> None:
+        """Asks for a list at once, as the pending call may wait for an end that never comes."""
+        # Counts as later than the stop's answer, which may bear the same time.
+        asked_at = self._clock.boot_time() + timedelta.resolution
+        try:
+            reply = await self._client.hold(self.listing, self._owner.token, 0, None, timedelta(0))
+        except (WorkerUnreachableError, FencedError, OtherBootError) as error:
+            _log.info("{}: no list after a stop: {!r}", self.worker, error)
+            return
+        self._apply(reply, asked_at, False)
+
     async def _stop_stray(self, key: tuple[str, int]) -> None:
         while key in self.stray_by_key:
             if self._owner.may_extend() and await self._send_stop(*key):
@@ -308,7 +325,7 @@
             self._longest_deadline_ms = max(self._longest_deadline_ms, deadline)
         try:
             reply = await self._client.hold(
-                self.listing, self._owner.token, self._last_seen, deadline, wait
+                self.listing, self._owner.token, self._forgettable(), deadline, wait
             )
         except WorkerUnreachableError as error:
             self.failures_in_row += 1
@@ -327,6 +344,16 @@
             await self._record_ends()
         return True
 
+    def _forgettable(self) -> int:
+        """Returns the number of the last end that the worker may forget.
+
+        A worker that was reborn since its last answer counts its ends from one again, and would
+        forget those of its new boot. It is asked to forget only right after an answer.
+        """
+        now = self._clock.boot_time()
+        is_fresh = self._clock_at is not None and now - self._clock_at < SAME_BOOT
+        return self._last_seen if is_fresh and self.failures_in_row == 0 else 0
+
     async def _record_ends(self) -> None:
         handled, born_ms = self._handled, self._born_ms
         try:
@@ -338,6 +365,10 @@
             self._last_seen = handled
 
     def _apply(self, reply: HoldReply, asked_at: timedelta, first: bool) -> None:
+        if asked_at < self._listed_at:
+            # A newer list has been applied; what this one adds is listed again.
+            return
+        self._listed_at = asked_at
         now = self._clock.boot_time()
         if self._born_ms is not None and reply.born_ms != self._born_ms:
             self._on_reborn(reply)
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -24,8 +24,8 @@
 
 __all__ = ["PlatformWorkers"]
 
-# Workers answer in about 2 ms; a start that is not answered by then has to be settled anyway.
-CALL_TIMEOUT = timedelta(milliseconds=600)
+# Workers answer in about 2 ms. A lost packet is sent again after some 200 ms.
+CALL_TIMEOUT = timedelta(milliseconds=300)
 
 HOW_BY_WORD = {
     "done": HowEnded.DONE,
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -192,3 +192,41 @@
         assert bench.owner.ended == [(attempt.name, HowEnded.DONE)]
 
     on_bench(scenario)
+
+
+def test_start_without_answer_is_settled_within_half_a_second():
+    """Orders carried out late: each waited for the pending list, up to two seconds."""
+
+    async def scenario(bench):
+        attempt = bench.attempt()
+        await asyncio.sleep(0.5)
+        bench.view.late_share = 1.0
+        assert await bench.start(attempt) is None
+        bench.view.late_share = 0.0
+        bench.session.stop(attempt)
+        await asyncio.sleep(0.1)
+        assert bench.owner.ended == [(attempt.name, HowEnded.LOST)]
+        await asyncio.sleep(13.0)
+        assert bench.fleet.starts == []
+
+    on_bench(scenario)
+
+
+def test_reborn_worker_is_not_told_to_forget_the_ends_of_its_new_boot():
+    """The numbers of the old boot were sent to the new one, which dropped an unseen end."""
+
+    async def scenario(bench):
+        spec = job(StepSpec(9, 1000, 100, estimate_ms=300))
+        bench.fleet.spec_by_job[JobId("a" * 16)] = spec
+        for index in range(4):
+            await bench.start(bench.attempt(index))
+        await asyncio.sleep(1.0)
+        bench.worker.crash()
+        await asyncio.sleep(0.5)
+        bench.worker.rebirth()
+        attempt = bench.attempt(5)
+        await bench.start(attempt)
+        await asyncio.sleep(4.0)
+        assert bench.owner.ended[-1] == (attempt.name, HowEnded.DONE)
+
+    on_bench(scenario)
