Pace filling tasks beside serving ones; make periodic checks under load; serve metrics

Cause: nothing kept filling tasks from disturbing tasks with a response target; an owner that had an event every 200 ms never looked at due times and draining workers. Change: pacing by the tails that workers report; checks by the clock; counters and histograms on port 9464 at /metrics.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -63,6 +63,8 @@
 
     `task`
         The owner's task; sessions don't look into it.
+    `pace_percent`
+        Share of its speed at which the run was last told to work; -1 if that is not known.
     `resumed`
         It began at a checkpoint, so its duration says little of the worker's speed.
     `confirmed_at`
@@ -75,6 +77,7 @@
         "confirmed_at",
         "load",
         "name",
+        "pace_percent",
         "percent",
         "phase",
         "progress_at",
@@ -104,6 +107,7 @@
         self.progress_at: timedelta | None = None
         self.stop_wanted = False
         self.resumed = False
+        self.pace_percent = 100
 
 
 class SessionOwner(Protocol):
@@ -298,6 +302,21 @@
             self.stray_by_key[key] = timedelta.max
             self._background.spawn(self._stop_stray(key))
 
+    async def pace(self, attempt: Attempt, percent: int) -> None:
+        """Lets a run work at a share of its speed. Without an answer the pace counts as unset."""
+        attempt.pace_percent = percent
+        try:
+            await self._client.pace(
+                self.listing, attempt.name, attempt.run, percent, self._owner.token
+            )
+        except WorkerUnreachableError as error:
+            _log.info("pace of {} run {}: {}", attempt.name, attempt.run, error)
+            attempt.pace_percent = -1
+        except FencedError:
+            self._owner.on_fenced(self)
+        except OtherBootError:
+            self._on_other_boot()
+
     # The lease loop
 
     async def run(self) -> None:
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -9,8 +9,10 @@
 from aiohttp import web
 from result import Err
 
+from hornbeamramp import instruments
 from hornbeamramp.ids import JobId
 from hornbeamramp.platform.decoding import decode_job
+from hornbeamramp.telemetry import prometheus_text
 from hornbeamramp.vm import CallerService, Cancelled, Node, UnavailableError
 from hornbeamramp.workload import Target
 
@@ -23,6 +25,7 @@
 ANSWER_MARGIN = timedelta(milliseconds=200)
 # Connections closed earlier could carry a request that is already on its way.
 IDLE_CONNECTION_S = 75.0
+METRICS_PATH = "/metrics"
 # How often shutdown looks whether callers are still connected.
 DRAIN_POLL = timedelta(milliseconds=100)
 
@@ -38,15 +41,22 @@
         self._service = service
         self._runner: web.ServerRunner | None = None
         self._ready_runner: web.ServerRunner | None = None
+        self._metrics_runner: web.ServerRunner | None = None
         self._in_flight = 0
         self.is_draining = False
 
-    async def start(self, frontend: str, ready: str) -> None:
-        """Listens on both addresses. Raises ``OSError``."""
+    async def start(self, frontend: str, ready: str, metrics: str) -> None:
+        """Listens on the three addresses. Raises ``OSError``."""
         server = web.Server(self._on_request, keepalive_timeout=IDLE_CONNECTION_S, access_log=None)
         self._runner = web.ServerRunner(server)
         self._ready_runner = web.ServerRunner(web.Server(self._on_ready, access_log=None))
-        for runner, address in ((self._runner, frontend), (self._ready_runner, ready)):
+        self._metrics_runner = web.ServerRunner(web.Server(_on_metrics, access_log=None))
+        listeners = (
+            (self._runner, frontend),
+            (self._ready_runner, ready),
+            (self._metrics_runner, metrics),
+        )
+        for runner, address in listeners:
             await runner.setup()
             host, _, port = address.rpartition(":")
             await web.TCPSite(runner, host, int(port)).start()
@@ -63,7 +73,7 @@
 
     async def close(self) -> None:
         """Closes listeners and connections."""
-        for runner in (self._runner, self._ready_runner):
+        for runner in (self._runner, self._ready_runner, self._metrics_runner):
             if runner is not None:
                 await runner.cleanup()
 
@@ -78,10 +88,14 @@
 
     async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
         self._in_flight += 1
+        started = self._clock.boot_time()
         try:
             response = await self._answer(request)
         finally:
             self._in_flight -= 1
+        elapsed = (self._clock.boot_time() - started).total_seconds()
+        instruments.requests.add(1, {"method": request.method, "status": response.status})
+        instruments.request_time.record(elapsed, {"method": request.method})
         if self.is_draining:
             response.force_close()
         return response
@@ -136,6 +150,14 @@
         return _json(200, {})
 
 
+async def _on_metrics(request: web.BaseRequest) -> web.StreamResponse:
+    if request.path != METRICS_PATH:
+        return web.Response(status=404)
+    return web.Response(
+        body=prometheus_text(), headers={"Content-Type": "text/plain; version=0.0.4"}
+    )
+
+
 def _patience(request: web.BaseRequest) -> timedelta:
     """Returns how long the caller waits, less the way of the answer."""
     try:
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -22,6 +22,7 @@
 from hornbeamramp.platform.workers import PlatformWorkers
 from hornbeamramp.rpc import PeerClient, PeerServer
 from hornbeamramp.statestore import Item
+from hornbeamramp.telemetry import setup_metrics
 from hornbeamramp.vm import Adapter, CallerService, Node, VmIdentity
 from hornbeamramp.vm.messages import REPLY_TYPE_BY_REQUEST_TYPE
 from hornbeamramp.workload import ClusterConfig
@@ -35,6 +36,9 @@
 # readiness probes of a second each, and some slack.
 ROUTING_LAG = timedelta(milliseconds=2500)
 
+# Named in deploy/system.toml too.
+METRICS_PORT = 9464
+
 _log = logbook.Logger("serve")
 
 
@@ -89,7 +93,9 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: _on_reload(file, settings))
     await server.start()
     await node.start()
-    await callers.start(settings.listen.frontend, settings.listen.ready)
+    setup_metrics(settings.node_name)
+    metrics = f"{settings.ip}:{METRICS_PORT}"
+    await callers.start(settings.listen.frontend, settings.listen.ready, metrics)
     # What start-up leaves behind is never garbage; without it collections stay short.
     gc.collect()
     gc.freeze()
--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -6,6 +6,7 @@
 from hornbeamramp.fleet import WorkerSession
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.jobs import StepRun, Unit
+from hornbeamramp.poolowner.pacing import is_serving
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.workload import URGENT
 
@@ -98,6 +99,10 @@
     speed = round(speeds.speed(worker), 1)
     is_clean = worker not in unit.avoid and not speeds.is_suspect(worker)
     is_near = not step.spec.data_rack or step.spec.data_rack in session.listing.labels
+    if step.spec.fills:
+        # Away from those that they would disturb.
+        serving = sum(is_serving(attempt) for attempt in session.attempt_by_key.values())
+        return (is_clean, is_near, -serving, room[1])
     if step.spec.long_running:
         # Spread, so that the loss of one worker takes few of the step's tasks.
         return (is_clean, is_near, -same_step, -speed, room[0])
--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from hornbeamramp import instruments
 from hornbeamramp.clock import Clock
 from hornbeamramp.ids import JobId, PoolName
 from hornbeamramp.poolowner.jobs import Job
@@ -120,6 +121,7 @@
             puts.append(Put(progress_key(self._pool, job.record.job_id), encode(job.progress())))
         deletes = [key(self._pool, job_id) for job_id in purged for key in (job_key, progress_key)]
         self._in_flight = touched
+        started = self._clock.boot_time()
         try:
             await self._claim.commit(
                 puts, deletes, [job_key(self._pool, job_id) for job_id in inserts]
@@ -132,6 +134,8 @@
             return
         finally:
             self._in_flight = {}
+        elapsed = self._clock.boot_time() - started
+        instruments.commit_time.record(elapsed.total_seconds())
         for job, phase in phase_by_job.items():
             job.recorded_phase = phase
         for job_id, (job, future) in inserts.items():
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from hornbeamramp import instruments
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import Attempt, AttemptPhase, StartOrder, StartReply, WorkerSession
 from hornbeamramp.fleet.base import FencedError, OtherBootError
@@ -117,6 +118,7 @@
         received_at = self._clock.boot_time()
         step.grants.add(names, advice, received_at)
         took = received_at - asked_at
+        instruments.advice_time.record(took.total_seconds())
         granted = len(advice.ticket_by_worker)
         _log.info("{}: {} of {} workers granted after {}", step.key, granted, len(names), took)
 
@@ -188,6 +190,7 @@
             return StartReply.FENCED
         except OtherBootError:
             reply = StartReply.OTHER_BOOT
+        instruments.starts.add(1, {"reply": "no_answer" if reply is None else reply.value})
         if reply is StartReply.STARTED:
             self._owner.note_started(step.job)
             if step.job.is_ended and attempt.task.attempt is attempt:
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -12,6 +12,7 @@
 import logbook
 import msgspec
 
+from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import (
@@ -28,6 +29,7 @@
 from hornbeamramp.poolowner.jobs import Job, StepRun, Task, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.pacing import Pacer
 from hornbeamramp.poolowner.preemption import choose_victims, coming_room
 from hornbeamramp.poolowner.recovery import ghost_listing, read_jobs
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
@@ -106,6 +108,7 @@
         self.job_by_id: dict[JobId, Job] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
         self.speeds = WorkerSpeeds()
+        self._pacer = Pacer()
         self._open_steps: list[StepRun] = []
         self._wake = asyncio.Event()
         self._is_releasing = False
@@ -125,6 +128,7 @@
         self.spawn(self._keep_journal())
         self.spawn(self._keep_schedule())
         self.is_ready = True
+        instruments.takeovers.add(1, {"pool": self.pool})
         _log.info(
             "{}: owner with token {}, {} jobs recorded, {} workers listed",
             self.pool,
@@ -220,6 +224,7 @@
         job = unit.step.job
         task.attempt = None
         self._wake.set()
+        instruments.run_ends.add(1, {"how": how.value})
         if how is HowEnded.DONE and attempt.started_at is not None and not attempt.resumed:
             elapsed = self._clock.boot_time() - attempt.started_at
             self.speeds.note(attempt, elapsed.total_seconds(), 1.0)
@@ -366,11 +371,16 @@
             del self.session_by_worker[UpstreamId(session.worker)]
 
     async def _keep_schedule(self) -> None:
+        checked_at = self._clock.boot_time()
         while not self.is_lost.is_set():
             try:
                 async with asyncio.timeout(TICK.total_seconds()):
                     await self._wake.wait()
             except TimeoutError:
+                # Nothing has happened, which is checked for below in any case.
+                pass
+            if self._clock.boot_time() - checked_at >= TICK:
+                checked_at = self._clock.boot_time()
                 self._check_jobs()
             self._wake.clear()
             self._schedule()
@@ -385,6 +395,13 @@
                 del self.job_by_id[job_id]
                 self._journal.purge(job_id)
         self._leave_draining_workers()
+        self._pace_filling_tasks()
+
+    def _pace_filling_tasks(self) -> None:
+        now = self._clock.boot_time()
+        for attempt, percent in self._pacer.changes(self.session_by_worker.values(), now):
+            _log.info("{} on {} paced to {}%", attempt.name, attempt.session.worker, percent)
+            self.spawn(attempt.session.pace(attempt, percent))
 
     def _leave_draining_workers(self) -> None:
         """Moves long-running tasks off workers that are about to end them anyway."""
@@ -484,6 +501,7 @@
                 victim.percent,
                 step.key,
             )
+            instruments.preemptions.add(1)
             victim.session.stop(victim)
 
     def _reserve(self, step: StepRun, sessions: list[WorkerSession]) -> list[Unit]:
@@ -522,6 +540,8 @@
         if job.phase is JobPhase.QUEUED:
             job.phase = JobPhase.RUNNING
             self._journal.touch(job)
+            waited = (self.now_ms() - job.record.accepted_ms) / 1000
+            instruments.first_start_time.record(waited, {"queue": job.record.queue})
 
     def wake(self) -> None:
         self._wake.set()
--- a/hornbeamramp/telemetry.py
+++ b/hornbeamramp/telemetry.py
@@ -13,7 +13,7 @@
 
 from hornbeamramp.settings import Settings
 
-__all__ = ["Metrics", "Reading", "prometheus_text", "setup_telemetry"]
+__all__ = ["Metrics", "Reading", "prometheus_text", "setup_metrics", "setup_telemetry"]
 
 # Name, unit and description of each counter.
 COUNTERS = {
@@ -95,14 +95,23 @@
         return SpanExportResult.SUCCESS
 
 
+def _resource(vm: str) -> Resource:
+    return Resource.create({"service.name": "hornbeamramp", "service.instance.id": vm})
+
+
+def setup_metrics(vm: str) -> None:
+    """Installs the reader whose text `prometheus_text` returns. To be called once in a process."""
+    provider = MeterProvider(
+        [PrometheusMetricReader(scope_info_enabled=False)], resource=_resource(vm)
+    )
+    metrics.set_meter_provider(provider)
+
+
 def setup_telemetry(settings: Settings) -> None:
     """Installs the providers named in the settings. To be called once in a process."""
-    resource = Resource.create({"service.name": "hornbeamramp", "service.instance.id": settings.vm})
+    resource = _resource(settings.vm)
     if settings.telemetry.metrics:
-        provider = MeterProvider(
-            [PrometheusMetricReader(scope_info_enabled=False)], resource=resource
-        )
-        metrics.set_meter_provider(provider)
+        setup_metrics(settings.vm)
     if settings.telemetry.traces == "log":
         tracer_provider = TracerProvider(resource=resource)
         tracer_provider.add_span_processor(SimpleSpanProcessor(LogSpanExporter()))
--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -11,6 +11,7 @@
 import logbook
 import msgspec
 
+from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import SchedulerError, StoreUnavailableError
@@ -153,15 +154,20 @@
 
     async def _call(self, request: RelayRequest, wait: timedelta) -> RelayReply:
         reply = RelayReply(RelayOutcome.UNAVAILABLE, "the direct way failed lately")
-        if self._is_direct or not self._relays():
+        used_direct = self._is_direct or not self._relays()
+        if used_direct:
             reply = await self._call_direct(request)
         may_apply = reply.may_apply
         if reply.outcome is RelayOutcome.UNAVAILABLE:
+            used_direct = False
             for address in self._relays():
                 reply = await self._call_relay(address, request, wait)
                 may_apply = may_apply or reply.may_apply
                 if reply.outcome is not RelayOutcome.UNAVAILABLE:
                     break
+        way = "direct" if used_direct else "relayed"
+        labels = {"operation": request.operation.value, "way": way, "outcome": reply.outcome.value}
+        instruments.store_calls.add(1, labels)
         if reply.outcome is not RelayOutcome.UNAVAILABLE:
             self.failing_since = None
         elif self.failing_since is None:
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -325,3 +325,20 @@
         assert outcome is Cancelled.CANCELLED
 
     in_cell(scenario)
+
+
+def test_draining_worker_is_left_under_steady_load_too():
+    """Periodic checks ran only when nothing else happened, so a busy owner never made them."""
+
+    async def scenario(cell):
+        await cell.submit("f" * 16, job(StepSpec(1, 1000, 100, long_running=True)))
+        await cell.wait_for_phase("f" * 16, JobPhase.RUNNING)
+        [(_, worker, _, _)] = cell.fleet.starts
+        cell.list_worker(worker, draining=True)
+        for number in range(40):
+            await cell.submit(f"{number:016x}", job(StepSpec(1, 1000, 100, estimate_ms=100)))
+            await asyncio.sleep(0.05)
+        [*_, last] = [w for _, w, task, _ in cell.fleet.starts if task.startswith("f" * 16)]
+        assert last != worker
+
+    in_cell(scenario)
