Follow the cell until a shutting-down VM's callers are served; spread claims over VMs

Cause: after SIGTERM a VM no longer saw the new owners and refused its callers for five seconds; a VM that claims two pools at once counted none of them.

--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -102,13 +102,14 @@
     _log.info("started {} boot {} in {}", vm, identity.boot, data_centre)
     await stop.wait()
     _log.info("stopping {}", vm)
-    await node.stop()
+    callers.is_draining = True
+    await node.release()
     grace = settings.shutdown_grace - SHUTDOWN_RESERVE
     started = clock.boot_time()
-    callers.is_draining = True
     await clock.sleep(min(ROUTING_LAG, grace))
     await callers.drain(max(grace - (clock.boot_time() - started), timedelta(0)))
     await callers.close()
+    await node.stop()
     await server.stop(timedelta(milliseconds=200))
     await peers.close()
     await adapter.close()
--- a/hornbeamramp/vm/lease.py
+++ b/hornbeamramp/vm/lease.py
@@ -11,7 +11,7 @@
 
 __all__ = ["VmLease"]
 
-# Time after which another VM may claim the pools of a dead one. A renewal that gets no answer within
+# Time after which another VM may claim the pools of a dead one. A renewal without an answer within
 # the store's time-out of 800 ms still leaves time for one through another VM.
 LEASE_TTL = timedelta(milliseconds=1700)
 RENEW_PERIOD = timedelta(milliseconds=400)
@@ -75,8 +75,9 @@
 
     async def end(self) -> None:
         """Ends the lease so that its keys vanish at once."""
-        if self.lease_id:
+        lease, self.lease_id, self.valid_until = self.lease_id, 0, timedelta(0)
+        if lease:
             try:
-                await self._store.end_lease(self.lease_id)
+                await self._store.end_lease(lease)
             except StoreUnavailableError as error:
                 _log.info("end of the lease not confirmed: {}", error)
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -31,7 +31,7 @@
 # How long a candidate waits for each VM that comes before it in the order of a pool's candidates.
 # A claim takes two store calls, so the first has usually claimed before the second tries.
 CANDIDATE_DELAY = timedelta(milliseconds=300)
-# All VMs start within 0.3 s of each other; a claim before the others are seen would put all pools on
+# VMs start within 0.3 s of each other; a claim before the others are seen would put all pools on
 # the VM that starts first.
 START_SETTLE = timedelta(milliseconds=400)
 # Period of the check for pools without an owner, beside each change of the cell.
@@ -82,19 +82,28 @@
         self._unreadable: set[str] = set()
         self._cell_changed = asyncio.Event()
         self._started_at = clock.boot_time()
+        self._lease_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Starts following and claiming."""
         self._started_at = self.clock.boot_time()
-        for coroutine in (self.lease.run(), self._configs.run(), self._cell.run()):
+        self._lease_task = asyncio.create_task(self.lease.run())
+        for coroutine in (self._configs.run(), self._cell.run()):
             self._background.spawn(coroutine)
         self._background.spawn(self._keep_claims())
 
-    async def stop(self) -> None:
-        """Releases all pools and the lease."""
+    async def release(self) -> None:
+        """Gives up all pools and the lease. Callers can still be served: the configuration and the
+        owners are followed until `stop`."""
         self.is_stopping = True
+        if self._lease_task is not None:
+            self._lease_task.cancel()
         await asyncio.gather(*(owner.release() for owner in self.owner_by_pool.values()))
         await self.lease.end()
+
+    async def stop(self) -> None:
+        """Ends all activity."""
+        await self.release()
         await self._background.cancel()
         await self.store.close()
 
@@ -263,6 +272,8 @@
                 record = decode_owner(item.value)
                 if record is not None and record.vm in pools_by_vm:
                     pools_by_vm[record.vm] += 1
+        # Claims of this VM that the cell doesn't show yet count too.
+        pools_by_vm[self.identity.vm] = len({*self.owner_by_pool, *self._claiming})
         preference = rank(pool, dict.fromkeys(records, 1.0))
         order = sorted(preference, key=lambda vm: pools_by_vm[vm])
         return order.index(self.identity.vm)
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -184,6 +184,7 @@
         """Ends the process: nothing that it had not sent is sent any more."""
         self.store.is_closed = self.workers.is_closed = True
         self.cell.network.silent.add(self.address)
+        self.node._lease_task.cancel()
         await self.node._background.cancel()
         for owner in list(self.node.owner_by_pool.values()):
             await owner.close()
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -203,6 +203,21 @@
     in_cell(scenario)
 
 
+def test_vm_that_shuts_down_serves_its_callers_through_the_new_owner():
+    """It followed the cell no more and refused the callers of its open connections."""
+
+    async def scenario(cell):
+        leaving = await cell.wait_for_owner()
+        await leaving.node.release()
+        await cell.wait_for_owner()
+        await asyncio.sleep(0.2)
+        reply = await cell.submit("0" * 16, job(), vm=leaving)
+        assert reply is not None and reply.refusal == ""
+        await cell.wait_for_phase("0" * 16, JobPhase.COMPLETED, vm=leaving)
+
+    in_cell(scenario)
+
+
 def test_owner_cut_off_from_store_and_vms_starts_nothing_after_its_lease():
     async def scenario(cell):
         owner = await cell.wait_for_owner()
