--- a/hornbeamramp/cli.py
+++ b/hornbeamramp/cli.py
@@ -14,6 +14,7 @@
 
 from hornbeamramp import __version__
 from hornbeamramp.admin_client import AdminClient, AdminProblem
+from hornbeamramp.ids import JobId
 from hornbeamramp.settings import load_settings
 from hornbeamramp.status_view import print_rows, print_status
 
@@ -104,6 +105,22 @@
         print_status(document, Console())
 
 
+@app.command
+def explain(job_id: str, *files: Path) -> None:
+    """Print the life of one job from the log files of several VMs."""
+    from hornbeamramp.explain import explain_job
+
+    try:
+        lines = explain_job(JobId(job_id), files)
+    except OSError as error:
+        _fail(f"{error.filename}: {error.strerror}", EXIT_USAGE)
+    if not lines:
+        _fail(f"no line names {job_id}", EXIT_REFUSED)
+    for line in lines:
+        after = (line.time - lines[0].time).total_seconds()
+        print(f"{after:9.3f} s  {line.vm}  {line.part}  {line.message}")
+
+
 @app.command(show=False)
 def docs(page: Literal["configuration"], *, check: bool = False) -> None:
     """Write docs/configuration.md from the settings model, or check that it is up to date."""
--- a/hornbeamramp/logs.py
+++ b/hornbeamramp/logs.py
@@ -19,10 +19,11 @@
 )
 
 
-def json_line(record: logbook.LogRecord, handler: logbook.Handler) -> str:
-    """Formats a record as one JSON object: time, level, part, message, trace id and extras."""
+def json_line(record: logbook.LogRecord, handler: logbook.Handler, vm: str = "") -> str:
+    """Formats a record as one JSON object: time, VM, level, part, message, trace id and extras."""
     line = {
         "time": record.time.isoformat() + "Z",
+        **({"vm": vm} if vm else {}),
         "level": record.level_name,
         "part": record.channel,
         "message": record.message,
@@ -59,13 +60,14 @@
 
     def __init__(self, descriptor: int, level: int = logbook.INFO) -> None:
         super().__init__(level)
+        self.vm = ""
         self._descriptor = descriptor
         self._pending = b""
         self._dropped = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logbook.LogRecord) -> None:
-        line = json_line(record, self).encode() + b"\n"
+        line = json_line(record, self, vm=self.vm).encode() + b"\n"
         if len(self._pending) + len(line) > self.BUFFER_LIMIT_BYTES:
             self._dropped += 1
         else:
@@ -83,7 +85,7 @@
         self._pending = self._pending[written:]
 
 
-def setup_stdout_logs() -> logbook.Handler:
+def setup_stdout_logs() -> NonBlockingHandler:
     """Pushes a handler that writes JSON lines to standard output and returns it."""
     handler = NonBlockingHandler(sys.stdout.fileno())
     handler.push_application()
--- a/hornbeamramp/platform/__main__.py
+++ b/hornbeamramp/platform/__main__.py
@@ -10,8 +10,7 @@
 
 def main() -> int:
     """Runs one process until SIGTERM."""
-    setup_stdout_logs()
-    return uvloop.run(serve())
+    return uvloop.run(serve(setup_stdout_logs()))
 
 
 if __name__ == "__main__":
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -14,6 +14,7 @@
 from hornbeamramp.clock import Clock, SystemClock
 from hornbeamramp.fleet import WorkerListing
 from hornbeamramp.ids import DataCentreId, VmId
+from hornbeamramp.logs import NonBlockingHandler
 from hornbeamramp.platform import decoding
 from hornbeamramp.platform.advice import PlatformAdvice
 from hornbeamramp.platform.callers import CallerServer
@@ -67,13 +68,14 @@
         await self.advice.close()
 
 
-async def serve() -> int:
-    """Serves until SIGTERM and returns the exit status."""
+async def serve(logs: NonBlockingHandler) -> int:
+    """Serves until SIGTERM and returns the exit status. Log lines name the VM of the settings."""
     file = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     settings = read_settings(file)
     if isinstance(settings, Err):
         _log.error("settings not usable: {}", settings.err_value)
         return 2
+    logs.vm = settings.ok_value.node_name
     return await _serve(settings.ok_value, file)
 
 
--- a/hornbeamramp/statestore/claim.py
+++ b/hornbeamramp/statestore/claim.py
@@ -141,12 +141,16 @@
                 existing = {k: i for k, i in conflict.item_by_key.items() if k != self._key}
                 if not existing:
                     raise ClaimLostError(f"{self._key}: conflict without cause") from conflict
+                self._note_answer()
                 raise KeysExistError(existing) from conflict
+        self._note_answer()
+        self._record = record
+
+    def _note_answer(self) -> None:
         if self.failing_since is not None:
             outage = self._clock.boot_time() - self.failing_since
             _log.info("commits to {} work again after {}", self._key, outage)
             self.failing_since = None
-        self._record = record
 
     def _resolve_conflict(self, conflict: TxnConflictError, record: OwnerRecord) -> bool:
         """Tells whether an earlier try of the same commit had taken effect."""
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,124 @@
+"""What operators, workers and callers write on the platform, well formed and not."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from result import Err, Ok
+
+from hornbeamramp.platform.decoding import decode_config, decode_job, decode_worker
+from hornbeamramp.statestore import Item
+
+ROUTE = {
+    "name": "r-1",
+    "host": "kaya.example",
+    "prefix": "/gate/",
+    "type": "unsafe",
+    "timeout-ms": 3000,
+    "target-completion-ms": 250,
+    "priority": 0,
+    "service": "s-1",
+    "max-attempts": 3,
+    "stretch": 1.5,
+    "advice": {"decide-ms": 16.0, "each-ms": 0.14, "valid-ms": 2000},
+}
+SERVICE = {"name": "s-1", "health-path": "/health", "admission-check": False, "standby": False}
+CONFIG = {"version": 7, "routes": [ROUTE], "services": [SERVICE], "limits": {}}
+WORKER = {
+    "service": "s-1",
+    "address": "10.128.0.9:8080",
+    "zone": "gebze",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "sequence": 4,
+    "born": 1776994203015,
+}
+
+
+def item(key, value):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return Item(key, data, 5, 5)
+
+
+def test_configuration_becomes_queues_and_pools():
+    config = decode_config(item("op/config", CONFIG)).unwrap()
+    queue = config.queue_by_name["r-1"]
+    assert (config.version, queue.pool, queue.max_attempts) == (7, "s-1", 3)
+    assert queue.target == timedelta(milliseconds=250)
+    assert queue.advice.validity == timedelta(seconds=2)
+
+
+def test_longest_prefix_of_the_host_names_the_queue():
+    longer = {**ROUTE, "name": "r-2", "prefix": "/gate/fast/"}
+    wire = {**CONFIG, "routes": [ROUTE, longer]}
+    config = decode_config(item("op/config", wire)).unwrap()
+    assert config.match("kaya.example", "/gate/fast/ab").queue.name == "r-2"
+    assert config.match("kaya.example", "/gate/ab").rest == "ab"
+    assert config.match("other.example", "/gate/ab") is None
+
+
+@pytest.mark.parametrize("value", [b"\xff\xfe", b"{}", {**CONFIG, "version": "7"}])
+def test_configuration_that_is_not_valid_is_refused_with_a_reason(value):
+    assert isinstance(decode_config(item("op/config", value)), Err)
+
+
+def test_worker_entry_becomes_a_listing():
+    listing = decode_worker(item("servers/i-1", WORKER)).unwrap()
+    assert (listing.worker, listing.rack, listing.draining) == ("i-1", "r1-3", False)
+    assert listing.capacity.processors_milli == 16000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "resting"}, {"capacity": None}, {"address": 5}, {"service": None}],
+    ids=["state", "capacity", "address", "service"],
+)
+def test_entry_of_another_writer_names_no_worker(change):
+    assert isinstance(decode_worker(item("servers/i-1", {**WORKER, **change})), Err)
+
+
+def test_entry_that_is_not_json_names_no_worker():
+    assert isinstance(decode_worker(item("servers/i-1", b"\x80garbage")), Err)
+
+
+def test_job_fields_that_are_left_out_have_their_defaults():
+    body = {"spec": "x", "steps": [{"count": 2, "cpu": 500, "estimated-ms": 900}]}
+    job = decode_job(json.dumps(body).encode()).unwrap()
+    [step] = job.steps
+    assert (step.count, step.processors_milli, step.gang, step.after) == (2, 500, False, ())
+    assert job.occurrences == 1
+
+
+def test_repeated_job_is_due_at_its_times():
+    body = {
+        "spec": "x",
+        "steps": [{"count": 1}],
+        "repetitions": 3,
+        "start-at-ms": 5000,
+        "interval-ms": 200,
+    }
+    job = decode_job(json.dumps(body).encode()).unwrap()
+    assert [job.due_ms(k) for k in range(job.occurrences)] == [5000, 5200, 5400]
+
+
+@pytest.mark.parametrize(
+    ("body", "field"),
+    [
+        (b"not json", ""),
+        ({"spec": "x"}, "steps"),
+        ({"spec": "x", "steps": []}, "steps"),
+        ({"spec": "x", "steps": [{"count": 0}]}, "steps[0].count"),
+        ({"spec": "x", "steps": [{"count": 1, "cpu": -5}]}, "steps[0]"),
+        ({"spec": "x", "steps": [{"count": 1, "after": [0]}]}, "steps[0].after"),
+        ({"spec": "x", "steps": [{"count": 30_000}]}, "steps"),
+        ({"spec": 5, "steps": [{"count": 1}]}, "spec"),
+    ],
+)
+def test_malformed_job_is_refused_with_its_field(body, field):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    result = decode_job(data)
+    assert not isinstance(result, Ok)
+    assert field in result.err_value
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,197 @@
+"""The platform's clients against its interface on loopback."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from hornbeamramp.clock import SystemClock
+from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.fleet import HowEnded, StartOrder, StartReply, WorkerListing
+from hornbeamramp.fleet.base import FencedError, OtherBootError, WorkerUnreachableError
+from hornbeamramp.ids import JobId
+from hornbeamramp.platform.store import PlatformStore
+from hornbeamramp.platform.workers import PlatformWorkers
+from hornbeamramp.resources import Resources
+from hornbeamramp.statestore import LeaseLostError, Put, Txn, TxnConflictError, WatchGapError
+from hornbeamramp.workload import StepSpec
+from tests.model.cell import job
+from tests.model.fleet import ModelFleet
+from tests.model.store import ModelStore
+from tests.platform.wire_server import serve_store, serve_worker
+
+CAPACITY = Resources(8000, 8000, 4, 0, 0)
+NO_WAIT = timedelta(0)
+TASK = f"{'a' * 16}.0.0.0"
+
+
+def with_store(scenario):
+    async def main():
+        model = ModelStore(SystemClock())
+        address, runner = await serve_store(model)
+        client = PlatformStore(address, SystemClock())
+        try:
+            await scenario(client, model)
+        finally:
+            await client.close()
+            await runner.cleanup()
+
+    asyncio.run(main())
+
+
+def with_worker(scenario):
+    async def main():
+        fleet = ModelFleet(SystemClock())
+        fleet.spec_by_job[JobId("a" * 16)] = job(StepSpec(4, 1000, 100, estimate_ms=50))
+        worker = fleet.add("w0", CAPACITY)
+        address, runner = await serve_worker(worker)
+        client = PlatformWorkers(SystemClock())
+        listing = WorkerListing("w0", "pool", address, "gebze", False, CAPACITY)
+        try:
+            await scenario(client, listing, worker)
+        finally:
+            await client.close()
+            await runner.cleanup()
+
+    asyncio.run(main())
+
+
+def order(run=1, token=5, deadline_ms=5000):
+    return StartOrder(TASK, run, "payload", deadline_ms, token)
+
+
+def test_values_of_any_bytes_are_written_and_read_back():
+    async def scenario(client, model):
+        revision = await client.commit(Txn({"a": 0}, (Put("a", b"\x00\xff"),)))
+        item = await client.get("a")
+        assert (item.value, item.revision) == (b"\x00\xff", revision)
+        assert await client.get("b") is None
+
+    with_store(scenario)
+
+
+def test_range_reads_all_pages():
+    async def scenario(client, model):
+        for number in range(5):
+            model.put(f"p/{number}", b"x")
+        model.put("q/0", b"x")
+        items, as_of = await client.range("p/")
+        assert [item.key for item in items] == [f"p/{n}" for n in range(5)]
+        assert as_of == model.revision
+
+    with_store(scenario)
+
+
+def test_conflict_tells_the_required_items_that_exist():
+    async def scenario(client, model):
+        model.put("a", b"theirs")
+        with pytest.raises(TxnConflictError) as conflict:
+            await client.commit(Txn({"a": 0, "b": 0}, (Put("a", b"mine"),)))
+        assert list(conflict.value.item_by_key) == ["a"]
+
+    with_store(scenario)
+
+
+def test_watch_tells_changes_and_removals_and_gaps():
+    async def scenario(client, model):
+        start = model.revision
+        model.put("p/a", b"1")
+        model.remove("p/a")
+        reply = await client.watch("p/", start, timedelta(milliseconds=10))
+        assert [change.item is None for change in reply.changes] == [False, True]
+        model.forget_history()
+        with pytest.raises(WatchGapError):
+            await client.watch("p/", start, timedelta(milliseconds=10))
+
+    with_store(scenario)
+
+
+def test_lease_that_has_ended_is_told():
+    async def scenario(client, model):
+        lease = await client.grant_lease(timedelta(seconds=5))
+        await client.keep_lease(lease)
+        model.end_lease(lease)
+        with pytest.raises(LeaseLostError):
+            await client.keep_lease(lease)
+        with pytest.raises(LeaseLostError):
+            await client.commit(Txn({}, (Put("a", b"", lease),)))
+
+    with_store(scenario)
+
+
+def test_store_that_refuses_connections_is_unavailable():
+    async def scenario():
+        client = PlatformStore("127.0.0.1:1", SystemClock())
+        try:
+            with pytest.raises(StoreUnavailableError) as error:
+                await client.get("a")
+            assert not error.value.sent
+        finally:
+            await client.close()
+
+    asyncio.run(scenario())
+
+
+def test_run_is_started_listed_and_forgotten():
+    async def scenario(client, listing, worker):
+        assert await client.start(listing, order(), lambda: True) is StartReply.STARTED
+        reply = await client.hold(listing, 5, 0, 9000, NO_WAIT)
+        assert [(row.task, row.run) for row in reply.running] == [(TASK, 1)]
+        assert reply.born_ms == worker.born_ms
+        async with asyncio.timeout(5):
+            await worker.has_ended.wait()
+        reply = await client.hold(listing, 5, 0, None, NO_WAIT)
+        assert [(end.task, end.how) for end in reply.ended] == [(TASK, HowEnded.DONE)]
+        assert (await client.hold(listing, 5, 1, None, NO_WAIT)).ended == ()
+
+    with_worker(scenario)
+
+
+@pytest.mark.parametrize(
+    ("later", "reply"),
+    [
+        (order(token=4), StartReply.FENCED),
+        (order(run=1), StartReply.SUPERSEDED),
+        (order(run=2, deadline_ms=0), StartReply.PAST_DEADLINE),
+    ],
+    ids=["fence", "old", "late"],
+)
+def test_refusals_of_a_start_are_told_apart(later, reply):
+    async def scenario(client, listing, worker):
+        await client.stop(listing, TASK, 1, 5)
+        assert await client.start(listing, later, lambda: True) is reply
+
+    with_worker(scenario)
+
+
+def test_lower_token_is_fenced_and_another_worker_recognized():
+    async def scenario(client, listing, worker):
+        worker.fence(9)
+        with pytest.raises(FencedError):
+            await client.hold(listing, 5, 0, None, NO_WAIT)
+        with pytest.raises(FencedError):
+            await client.stop(listing, TASK, 1, 5)
+        worker.name = "w1"
+        with pytest.raises(OtherBootError):
+            await client.hold(listing, 9, 0, None, NO_WAIT)
+
+    with_worker(scenario)
+
+
+def test_order_is_not_sent_when_the_check_fails():
+    async def scenario(client, listing, worker):
+        with pytest.raises(WorkerUnreachableError) as error:
+            await client.start(listing, order(), lambda: False)
+        assert not error.value.sent
+        assert worker.run_by_task == {}
+
+    with_worker(scenario)
+
+
+def test_worker_without_address_is_unreachable():
+    async def scenario(client, listing, worker):
+        ghost = WorkerListing("w9", "", "", "", True, CAPACITY)
+        with pytest.raises(WorkerUnreachableError):
+            await client.hold(ghost, 5, 0, None, NO_WAIT)
+
+    with_worker(scenario)
