Set failing workers aside; restart tasks that stand still

Cause: a worker that fails all it starts is always free and drew task after task; a task on a hung worker waited for the worker to recover. In the model an order no longer crosses its worker's rebirth, as a connection doesn't.

--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -27,6 +27,7 @@
 from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
 from hornbeamramp.poolowner.advice import AdviceSource
 from hornbeamramp.poolowner.choice import choose_workers, could_ever_run
+from hornbeamramp.poolowner.health import WorkerHealth, stalled
 from hornbeamramp.poolowner.jobs import Job, StepRun, Task, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.launch import Launcher
@@ -110,6 +111,7 @@
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
         self.speeds = WorkerSpeeds()
         self._pacer = Pacer()
+        self._health = WorkerHealth()
         self._open_steps: list[StepRun] = []
         self._wake = asyncio.Event()
         self._is_releasing = False
@@ -231,6 +233,7 @@
         task.attempt = None
         self._wake.set()
         instruments.run_ends.add(1, {"how": how.value})
+        self._note_health(attempt, how)
         if how is HowEnded.DONE and attempt.started_at is not None and not attempt.resumed:
             elapsed = self._clock.boot_time() - attempt.started_at
             self.speeds.note(attempt, elapsed.total_seconds(), 1.0)
@@ -264,6 +267,14 @@
         elif unit.step.is_done:
             self._open_ready(job)
 
+    def _note_health(self, attempt: Attempt, how: HowEnded) -> None:
+        now = self._clock.boot_time()
+        worker = UpstreamId(attempt.session.worker)
+        was_aside = self._health.is_aside(worker, now)
+        self._health.note_end(attempt, how, now)
+        if self._health.is_aside(worker, now) and not was_aside:
+            _log.warning("{}: worker {} fails task after task; set aside", self.pool, worker)
+
     def _note_failure(self, unit: Unit, attempt: Attempt) -> None:
         unit.avoid.add(UpstreamId(attempt.session.worker))
         if unit.failed_run == attempt.run:
@@ -375,6 +386,8 @@
         await session.run()
         if self.session_by_worker.get(UpstreamId(session.worker)) is session:
             del self.session_by_worker[UpstreamId(session.worker)]
+            self._health.forget(UpstreamId(session.worker))
+            self.speeds.forget(UpstreamId(session.worker))
 
     async def _keep_schedule(self) -> None:
         checked_at = self._clock.boot_time()
@@ -402,6 +415,22 @@
                 self._journal.purge(job_id)
         self._leave_draining_workers()
         self._pace_filling_tasks()
+        self._restart_stalled()
+
+    def _restart_stalled(self) -> None:
+        """Stops tasks that stand still; they start again on another worker."""
+        now = self._clock.boot_time()
+        for attempt in stalled(self.session_by_worker.values(), now):
+            _log.warning(
+                "{} run {} on {} stands still at {}%",
+                attempt.name,
+                attempt.run,
+                attempt.session.worker,
+                attempt.percent,
+            )
+            self._health.note_stall(attempt, now)
+            attempt.task.unit.avoid.add(UpstreamId(attempt.session.worker))
+            attempt.session.stop(attempt)
 
     def _pace_filling_tasks(self) -> None:
         now = self._clock.boot_time()
@@ -461,7 +490,12 @@
         """Starts what fits. The steps that are next keep their tickets fresh without room too, so
         that no room stands empty while advice is asked for."""
         queue = self.queue_of(step.job)
-        sessions = [s for s in self.session_by_worker.values() if s.usable]
+        now = self._clock.boot_time()
+        sessions = [
+            session
+            for worker, session in self.session_by_worker.items()
+            if session.usable and not self._health.is_aside(worker, now)
+        ]
         if queue is None or queue.advice is None:
             placed = self._reserve(step, sessions)
             if placed:
@@ -469,7 +503,7 @@
             if step.waiting:
                 self._make_room(step, sessions)
             return
-        grants, now = step.grants, self._clock.boot_time()
+        grants = step.grants
         granted = [s for s in sessions if s.worker in grants.granted]
         ticketed = [s for s in granted if grants.has_ticket(UpstreamId(s.worker), now)]
         placed = self._reserve(step, ticketed)
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -380,8 +380,12 @@
         target = await self._reach(worker)
         if not check():
             raise WorkerUnreachableError(Step.START, worker.worker, "not allowed", sent=False)
-        # A VM may freeze right after the check, with the order written but not on its way.
+        # A VM may freeze right after the check, with the order written but not on its way. Its
+        # connection does not outlive the worker's boot.
+        born = target.born_ms
         await self._wait_while_frozen()
+        if not target.is_up or target.born_ms != born:
+            await self._no_answer(worker)
         if not self._fleet.ticket_valid(order.task, worker.worker, order.ticket):
             return StartReply.TICKET_INVALID
         if self._random.random() < self.late_share:
