--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -134,7 +134,13 @@
 
 
 class WorkerSession:
-    """Contact with one worker."""
+    """Contact with one worker.
+
+    `unseen_lease`
+        Longest lease that a former owner can have given, counted from now.
+    `longest_lease`
+        Longest lease that a worker gives, whatever it is asked for.
+    """
 
     def __init__(
         self,
@@ -144,12 +150,14 @@
         owner: SessionOwner,
         background: BackgroundTasks,
         unseen_lease: timedelta,
+        longest_lease: timedelta,
     ) -> None:
         self.listing = listing
         self._client = client
         self._clock = clock
         self._owner = owner
         self._background = background
+        self._longest_lease = longest_lease
         self.attempt_by_key: dict[tuple[str, int], Attempt] = {}
         self.used = [0, 0, 0]
         self.stray_by_key: dict[tuple[str, int], timedelta] = {}
@@ -452,7 +460,9 @@
         """The worker has started anew: nothing of before runs there, and its counts start at 0."""
         _log.warning("worker {} was reborn at {}", self.worker, reply.born_ms)
         self._last_seen = self._handled = 0
-        self._longest_deadline_ms = 0
+        # An order on its way named a time on the old boot's clock, which may give the longest lease
+        # on the new one.
+        self._longest_deadline_ms = int(reply.clock_ms + self._longest_lease / MILLISECOND)
         # Runs may have been started, and may even have ended, in the new boot already.
         listed = {(row.task, row.run) for row in (*reply.running, *reply.ended)}
         for key, attempt in list(self.attempt_by_key.items()):
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -55,6 +55,7 @@
         self.workers: PlatformWorkers = PlatformWorkers(clock)
         self.advice: PlatformAdvice = PlatformAdvice(settings.advice, clock)
         self.job_retention = settings.job_retention
+        self.longest_lease = settings.longest_lease
 
     def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
         return decoding.decode_config(item)
--- a/hornbeamramp/platform/settings.py
+++ b/hornbeamramp/platform/settings.py
@@ -47,6 +47,11 @@
         """Time for which the state of an ended job may be asked for."""
         return timedelta(seconds=float(self.bounds.get("status_s", 120)))
 
+    @property
+    def longest_lease(self) -> timedelta:
+        """Longest lease that a worker gives its runs."""
+        return timedelta(milliseconds=float(self.bounds.get("hold-max-ms", 10_000)))
+
     @property
     def shutdown_grace(self) -> timedelta:
         """Time between the request to end and the kill."""
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -74,6 +74,8 @@
 
     `job_retention`
         Time for which the state of an ended job may be asked for.
+    `longest_lease`
+        Longest lease that a worker gives its runs.
     """
 
     store: StateStore
@@ -81,6 +83,7 @@
     workers: WorkerClient
     advice: AdviceSource
     job_retention: timedelta
+    longest_lease: timedelta
 
 
 class PoolOwner:
@@ -103,6 +106,7 @@
         self._clock = context.clock
         self._workers = context.workers
         self._retention = context.job_retention + RETENTION_MARGIN
+        self._longest_lease = context.longest_lease
         self._guard = claim_guard
         self._background = BackgroundTasks(f"pool {pool}", _log)
         self._journal = Journal(pool, claim, context.store, context.clock, self._on_recorded)
@@ -375,7 +379,13 @@
 
     def _open_session(self, listing: WorkerListing) -> WorkerSession:
         session = WorkerSession(
-            listing, self._workers, self._clock, self, self._background, UNSEEN_LEASE
+            listing,
+            self._workers,
+            self._clock,
+            self,
+            self._background,
+            UNSEEN_LEASE,
+            self._longest_lease,
         )
         session.is_listed = bool(listing.address)
         self.session_by_worker[listing.worker] = session
--- a/hornbeamramp/vm/adapter.py
+++ b/hornbeamramp/vm/adapter.py
@@ -41,6 +41,8 @@
         Where the store holds what workers say of themselves.
     `job_retention`
         Time for which the state of an ended job may be asked for.
+    `longest_lease`
+        Longest lease that a worker gives its runs.
     """
 
     store: StateStore
@@ -50,6 +52,7 @@
     config_prefix: str
     worker_prefix: str
     job_retention: timedelta
+    longest_lease: timedelta
 
     @abstractmethod
     def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -71,7 +71,12 @@
         self.advice_queue = AdviceQueue(adapter.advice)
         advice = SpreadAdvice(identity.vm, self.advice_queue, peers, self._peer_addresses, clock)
         self._context = OwnerContext(
-            self.store, clock, adapter.workers, advice, adapter.job_retention
+            self.store,
+            clock,
+            adapter.workers,
+            advice,
+            adapter.job_retention,
+            adapter.longest_lease,
         )
         self._background = BackgroundTasks("node", _log)
         self._configs = PrefixFollower(self.store, clock, adapter.config_prefix, self._on_config)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -61,7 +61,13 @@
         listing = WorkerListing("w0", "pool", "w0", "gebze", False, CAPACITY, ("a", "r0"))
         self.background = BackgroundTasks("test", logbook.Logger("test"))
         self.session = WorkerSession(
-            listing, self.view, self.clock, self.owner, self.background, timedelta(seconds=13)
+            listing,
+            self.view,
+            self.clock,
+            self.owner,
+            self.background,
+            timedelta(seconds=13),
+            timedelta(seconds=10),
         )
         self.background.spawn(self.session.run())
         spec = job(StepSpec(9, 1000, 100, estimate_ms=60_000))
@@ -230,3 +236,19 @@
         assert bench.owner.ended[-1] == (attempt.name, HowEnded.DONE)
 
     on_bench(scenario)
+
+
+def test_run_on_a_reborn_worker_is_not_taken_as_lapsed_with_the_next_failed_call():
+    """The rebirth set the longest lease to none, and the task was started a second time."""
+
+    async def scenario(bench):
+        bench.worker.crash()
+        bench.worker.rebirth()
+        attempt = bench.attempt()
+        await bench.start(attempt)
+        # The list after a stop shows the rebirth before the pending call has failed.
+        await bench.session._look()
+        await asyncio.sleep(4.0)
+        assert bench.owner.ended == []
+
+    on_bench(scenario)
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -107,6 +107,7 @@
     config_prefix = "op/"
     worker_prefix = WORKER_PREFIX
     job_retention = timedelta(seconds=120)
+    longest_lease = timedelta(seconds=10)
 
     def __init__(self, store: StoreView, workers: FleetView, advice: ModelAdvice) -> None:
         self.store = store
--- a/tests/poolowner/builders.py
+++ b/tests/poolowner/builders.py
@@ -40,7 +40,9 @@
     clock.set(timedelta(seconds=100))
     listing = WorkerListing(name, "pool", name, "gebze", False, capacity, ("a", rack))
     background = BackgroundTasks("test", logbook.Logger("test"))
-    made = WorkerSession(listing, None, clock, None, background, timedelta(seconds=13))
+    made = WorkerSession(
+        listing, None, clock, None, background, timedelta(seconds=13), timedelta(seconds=10)
+    )
     made.reachable = True
     made.now = clock.boot_time()
     return made
