--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN = $(VENV)/bin
+# Half of the developers' machines' processors, so that tests with real processes keep their pace.
+TEST_PROCESSES ?= 3
 STAMP = $(VENV)/.installed
 
 .PHONY: binary demo docs test lint format matrix
@@ -14,7 +16,7 @@
 	$(BIN)/python -m hornbeamramp demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
 
 lint: $(STAMP)
 	$(BIN)/black --check .
