--- a/hornbeamramp/fleet/__init__.py
+++ b/hornbeamramp/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Workers: the contract of their client, and one session for each worker of an owned pool."""
 
+from hornbeamramp.fleet.attempt import Attempt, AttemptPhase
 from hornbeamramp.fleet.base import (
     EndedRun,
     HoldReply,
@@ -11,7 +12,7 @@
     WorkerListing,
     WorkerUnreachableError,
 )
-from hornbeamramp.fleet.session import Attempt, AttemptPhase, SessionOwner, WorkerSession
+from hornbeamramp.fleet.session import SessionOwner, WorkerSession
 
 __all__ = [
     "Attempt",
--- /dev/null
+++ b/hornbeamramp/poolowner/checks.py
@@ -0,0 +1,68 @@
+"""Periodic checks of what runs: stalled tasks, paces, and workers that are draining."""
+
+from typing import TYPE_CHECKING
+
+import logbook
+
+from hornbeamramp.clock import Clock
+from hornbeamramp.fleet import AttemptPhase
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.health import stalled
+from hornbeamramp.poolowner.pacing import Pacer
+from hornbeamramp.poolowner.placer import Placer
+
+if TYPE_CHECKING:
+    from hornbeamramp.poolowner.owner import PoolOwner
+
+__all__ = ["RunChecks"]
+
+_log = logbook.Logger("owner")
+
+
+class RunChecks:
+    """Looks at all runs of a pool and corrects what no event tells."""
+
+    def __init__(self, owner: "PoolOwner", placer: Placer, clock: Clock) -> None:
+        self._owner = owner
+        self._placer = placer
+        self._clock = clock
+        self._pacer = Pacer()
+
+    def run(self) -> None:
+        """Makes all checks once."""
+        self._leave_draining_workers()
+        self._pace_filling_tasks()
+        self._restart_stalled()
+
+    def _restart_stalled(self) -> None:
+        """Stops tasks that stand still; they start again on another worker."""
+        now = self._clock.boot_time()
+        for attempt in stalled(self._owner.session_by_worker.values(), now):
+            _log.warning(
+                "{} run {} on {} stands still at {}%",
+                attempt.name,
+                attempt.run,
+                attempt.session.worker,
+                attempt.percent,
+            )
+            self._placer.health.note_stall(attempt, now)
+            attempt.task.unit.avoid.add(UpstreamId(attempt.session.worker))
+            attempt.session.stop(attempt)
+
+    def _pace_filling_tasks(self) -> None:
+        now = self._clock.boot_time()
+        for attempt, percent in self._pacer.changes(self._owner.session_by_worker.values(), now):
+            _log.info("{} on {} paced to {}%", attempt.name, attempt.session.worker, percent)
+            self._owner.spawn(attempt.session.pace(attempt, percent))
+
+    def _leave_draining_workers(self) -> None:
+        """Moves long-running tasks off workers that are about to end them anyway."""
+        for session in self._owner.session_by_worker.values():
+            if not session.listing.draining:
+                continue
+            for attempt in list(session.attempt_by_key.values()):
+                if (
+                    attempt.task.unit.step.spec.long_running
+                    and attempt.phase is AttemptPhase.RUNNING
+                ):
+                    session.stop(attempt)
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -1,14 +1,15 @@
 """Owner of a pool. Accepts jobs, decides which task starts where, and makes each end final.
 
-The way of a job: `PoolOwner.accept` records it; `_schedule` chooses workers once a step's
-predecessors are done; `Launcher` records the placement and orders the start; `on_ended` applies
-what the worker lists; `_finish_job` ends the job.
+The way of a job: `PoolOwner.accept` records it; `Placer.schedule` chooses workers once a step's
+predecessors are done; `Launcher.launch` records the placement and orders the start;
+`PoolOwner.on_ended` applies what the worker lists; `_finish_job` ends the job.
 """
 
 import asyncio
-from collections import Counter
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
+from typing import Any
 
 import logbook
 import msgspec
@@ -26,16 +27,19 @@
 )
 from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
 from hornbeamramp.poolowner.advice import AdviceSource
-from hornbeamramp.poolowner.choice import choose_workers, could_ever_run
-from hornbeamramp.poolowner.health import WorkerHealth, stalled
-from hornbeamramp.poolowner.jobs import Job, StepRun, Task, Unit
+from hornbeamramp.poolowner.checks import RunChecks
+from hornbeamramp.poolowner.jobs import Job, Task, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.launch import Launcher
-from hornbeamramp.poolowner.pacing import Pacer
-from hornbeamramp.poolowner.preemption import choose_victims, coming_room
+from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.recovery import ghost_listing, read_jobs
-from hornbeamramp.poolowner.speeds import WorkerSpeeds
-from hornbeamramp.statestore import ClaimLostError, JobRecord, PoolClaim, StateStore
+from hornbeamramp.statestore import (
+    ClaimLostError,
+    JobProgress,
+    JobRecord,
+    PoolClaim,
+    StateStore,
+)
 from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue
 
 __all__ = ["OwnerContext", "PoolOwner", "Refusal"]
@@ -52,12 +56,8 @@
 STORE_PATIENCE = timedelta(milliseconds=600)
 # Kept beyond the time for which callers may ask for the state of an ended job.
 RETENTION_MARGIN = timedelta(seconds=30)
+# Outages of the store last some five seconds; the caller's later tries still come in time.
 STORE_RETRY_AFTER = timedelta(seconds=3)
-# Steps of a pool that keep their tickets fresh while they wait for room. Each takes up to half of
-# a VM's turn at the advice service.
-MAX_STEPS_AHEAD = 3
-# Tasks of one step for which runs are preempted at a time; more would outrun the next list.
-MAX_PREEMPTED_FOR = 16
 
 _log = logbook.Logger("owner")
 
@@ -97,8 +97,14 @@
         Gives the boot time until which the claim certainly holds.
     """
 
-    def __init__(self, pool, claim: PoolClaim, context: OwnerContext, claim_guard) -> None:
-        self.pool: PoolName = pool
+    def __init__(
+        self,
+        pool: PoolName,
+        claim: PoolClaim,
+        context: OwnerContext,
+        claim_guard: Callable[[], timedelta],
+    ) -> None:
+        self.pool = pool
         self.token = claim.token
         self.config: ClusterConfig | None = None
         self._claim = claim
@@ -113,10 +119,8 @@
         self._launcher = Launcher(self, context.advice, context.clock, self._journal)
         self.job_by_id: dict[JobId, Job] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
-        self.speeds = WorkerSpeeds()
-        self._pacer = Pacer()
-        self._health = WorkerHealth()
-        self._open_steps: list[StepRun] = []
+        self._placer = Placer(self, self._launcher, context.clock)
+        self._checks = RunChecks(self, self._placer, context.clock)
         self._wake = asyncio.Event()
         self._is_releasing = False
         self.is_ready = False
@@ -147,7 +151,9 @@
             len(listings),
         )
 
-    def _restore(self, job: Job, progress, listings: dict[UpstreamId, WorkerListing]) -> None:
+    def _restore(
+        self, job: Job, progress: JobProgress, listings: dict[UpstreamId, WorkerListing]
+    ) -> None:
         for task, row in job.restore(progress):
             session = self.session_by_worker.get(row.worker)
             if session is None:
@@ -159,7 +165,8 @@
             task.attempt = attempt
         self._open_due(job)
 
-    def spawn(self, coroutine) -> None:
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Runs a coroutine until the pool is given up."""
         self._background.spawn(coroutine)
 
     async def release(self) -> None:
@@ -198,6 +205,10 @@
 
     # SessionOwner
 
+    def may_place(self) -> bool:
+        """Tells whether new runs may be placed: the claim holds and commits succeed."""
+        return self.may_order() and self._claim.failing_since is None
+
     def may_order(self) -> bool:
         return (
             not self._is_releasing
@@ -237,10 +248,7 @@
         task.attempt = None
         self._wake.set()
         instruments.run_ends.add(1, {"how": how.value})
-        self._note_health(attempt, how)
-        if how is HowEnded.DONE and attempt.started_at is not None and not attempt.resumed:
-            elapsed = self._clock.boot_time() - attempt.started_at
-            self.speeds.note(attempt, elapsed.total_seconds(), 1.0)
+        self._placer.note_end(attempt, how)
         if job.is_ended:
             return
         if checkpoint:
@@ -271,14 +279,6 @@
         elif unit.step.is_done:
             self._open_ready(job)
 
-    def _note_health(self, attempt: Attempt, how: HowEnded) -> None:
-        now = self._clock.boot_time()
-        worker = UpstreamId(attempt.session.worker)
-        was_aside = self._health.is_aside(worker, now)
-        self._health.note_end(attempt, how, now)
-        if self._health.is_aside(worker, now) and not was_aside:
-            _log.warning("{}: worker {} fails task after task; set aside", self.pool, worker)
-
     def _note_failure(self, unit: Unit, attempt: Attempt) -> None:
         unit.avoid.add(UpstreamId(attempt.session.worker))
         if unit.failed_run == attempt.run:
@@ -299,9 +299,7 @@
         if not unit.step.spec.long_running and unit.failures >= self.max_attempts(job):
             self._finish_job(job, JobPhase.FAILED)
             return
-        unit.step.queue(unit)
-        if unit.step not in self._open_steps:
-            self._open_steps.append(unit.step)
+        self._placer.queue(unit)
         self._wake.set()
 
     # Callers
@@ -334,7 +332,7 @@
             self.job_by_id[record.job_id] = job
             _log.info("{} accepted into {}", record.job_id, record.queue)
             self._open_due(job)
-            self._schedule()
+            self._placer.schedule()
 
     async def cancel(self, job_id: JobId) -> bool:
         """Cancels a job; false if there is none. Raises `ClaimLostError`."""
@@ -396,23 +394,19 @@
         await session.run()
         if self.session_by_worker.get(UpstreamId(session.worker)) is session:
             del self.session_by_worker[UpstreamId(session.worker)]
-            self._health.forget(UpstreamId(session.worker))
-            self.speeds.forget(UpstreamId(session.worker))
+            self._placer.forget(UpstreamId(session.worker))
 
     async def _keep_schedule(self) -> None:
         checked_at = self._clock.boot_time()
         while not self.is_lost.is_set():
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK.total_seconds()):
                     await self._wake.wait()
-            except TimeoutError:
-                # Nothing has happened, which is checked for below in any case.
-                pass
             if self._clock.boot_time() - checked_at >= TICK:
                 checked_at = self._clock.boot_time()
                 self._check_jobs()
             self._wake.clear()
-            self._schedule()
+            self._placer.schedule()
 
     def _check_jobs(self) -> None:
         now_ms = self.now_ms()
@@ -423,42 +417,7 @@
             elif now_ms - job.ended_ms > self._retention / timedelta(milliseconds=1):
                 del self.job_by_id[job_id]
                 self._journal.purge(job_id)
-        self._leave_draining_workers()
-        self._pace_filling_tasks()
-        self._restart_stalled()
-
-    def _restart_stalled(self) -> None:
-        """Stops tasks that stand still; they start again on another worker."""
-        now = self._clock.boot_time()
-        for attempt in stalled(self.session_by_worker.values(), now):
-            _log.warning(
-                "{} run {} on {} stands still at {}%",
-                attempt.name,
-                attempt.run,
-                attempt.session.worker,
-                attempt.percent,
-            )
-            self._health.note_stall(attempt, now)
-            attempt.task.unit.avoid.add(UpstreamId(attempt.session.worker))
-            attempt.session.stop(attempt)
-
-    def _pace_filling_tasks(self) -> None:
-        now = self._clock.boot_time()
-        for attempt, percent in self._pacer.changes(self.session_by_worker.values(), now):
-            _log.info("{} on {} paced to {}%", attempt.name, attempt.session.worker, percent)
-            self.spawn(attempt.session.pace(attempt, percent))
-
-    def _leave_draining_workers(self) -> None:
-        """Moves long-running tasks off workers that are about to end them anyway."""
-        for session in self.session_by_worker.values():
-            if not session.listing.draining:
-                continue
-            for attempt in list(session.attempt_by_key.values()):
-                if (
-                    attempt.task.unit.step.spec.long_running
-                    and attempt.phase is AttemptPhase.RUNNING
-                ):
-                    session.stop(attempt)
+        self._checks.run()
 
     def _open_due(self, job: Job) -> None:
         if job.is_ended:
@@ -472,112 +431,9 @@
         self._open_ready(job)
 
     def _open_ready(self, job: Job) -> None:
-        ready = job.ready_steps()
-        self._open_steps += ready
-        if ready:
+        if self._placer.add(job.ready_steps()):
             self._wake.set()
 
-    def _schedule(self) -> None:
-        """Places what fits, in order of priority, then of acceptance."""
-        if not self.may_order() or self._claim.failing_since is not None:
-            return
-        self._open_steps = [
-            step for step in self._open_steps if step.waiting and not step.job.is_ended
-        ]
-        self._open_steps.sort(key=self._order)
-        ahead = MAX_STEPS_AHEAD
-        for step in self._open_steps:
-            self._place(step, ahead > 0)
-            # What still waits after its turn is next when room comes free.
-            ahead -= bool(step.waiting)
-
-    @staticmethod
-    def _order(step: StepRun) -> tuple[float, ...]:
-        record = step.job.record
-        return (record.priority, record.accepted_ms)
-
-    def _place(self, step: StepRun, is_next: bool) -> None:
-        """Starts what fits. The steps that are next keep their tickets fresh without room too, so
-        that no room stands empty while advice is asked for."""
-        queue = self.queue_of(step.job)
-        now = self._clock.boot_time()
-        sessions = [
-            session
-            for worker, session in self.session_by_worker.items()
-            if session.usable and not self._health.is_aside(worker, now)
-        ]
-        if queue is None or queue.advice is None:
-            placed = self._reserve(step, sessions)
-            if placed:
-                self.spawn(self._launcher.launch(step, placed))
-            if step.waiting:
-                self._make_room(step, sessions)
-            return
-        grants = step.grants
-        granted = [s for s in sessions if s.worker in grants.granted]
-        ticketed = [s for s in granted if grants.has_ticket(UpstreamId(s.worker), now)]
-        placed = self._reserve(step, ticketed)
-        if placed:
-            self.spawn(self._launcher.launch(step, placed))
-        if not step.waiting or grants.is_pending or now < grants.not_before:
-            return
-        if not self._launcher.may_ask(step):
-            return
-        # Room found on granted workers is kept while their tickets are renewed.
-        held = self._reserve(step, granted)
-        if held:
-            self._launcher.ask_and_launch(step, queue, held, granted)
-            return
-        unasked = [s for s in sessions if s.worker not in grants.asked and could_ever_run(step, s)]
-        if unasked and (is_next or any(s.fits(step.size) for s in unasked)):
-            self._launcher.ask_first(step, queue, unasked)
-            return
-        if granted:
-            self._make_room(step, granted)
-            if is_next:
-                self._launcher.renew_ahead(step, queue, granted)
-
-    def _make_room(self, step: StepRun, sessions: list[WorkerSession]) -> None:
-        """Stops less urgent runs for the tasks of a step that find no room."""
-        wanted = sum(len(unit.tasks) for unit in step.waiting)
-        missing = min(wanted, MAX_PREEMPTED_FOR) - coming_room(step, sessions)
-        if missing <= 0:
-            return
-        for victim in choose_victims(step, missing, sessions, self._clock.boot_time()):
-            _log.info(
-                "{} on {} at {}% is preempted for {}",
-                victim.name,
-                victim.session.worker,
-                victim.percent,
-                step.key,
-            )
-            instruments.preemptions.add(1)
-            victim.session.stop(victim)
-
-    def _reserve(self, step: StepRun, sessions: list[WorkerSession]) -> list[Unit]:
-        """Takes units off the step's queue and counts them on workers, as far as they fit."""
-        reserved: list[Unit] = []
-        if not sessions:
-            return reserved
-        count_on = Counter(
-            attempt.session.worker for unit in step.units for attempt in unit.attempts()
-        )
-        while step.waiting:
-            unit = step.waiting[0]
-            chosen = choose_workers(unit, sessions, self.speeds, count_on)
-            if chosen is None:
-                break
-            step.waiting.pop(0)
-            unit.run += 1
-            for task, session in zip(unit.tasks, chosen, strict=True):
-                task.attempt = Attempt(task, task.name, unit.run, step.size, session)
-                task.attempt.checkpoint = unit.checkpoint
-                task.attempt.resumed = bool(unit.checkpoint)
-                session.reserve(task.attempt)
-                count_on[session.worker] += 1
-            reserved.append(unit)
-        return reserved
-
     def queue_of(self, job: Job) -> Queue | None:
         return None if self.config is None else self.config.queue_by_name.get(job.record.queue)
 
--- /dev/null
+++ b/hornbeamramp/poolowner/placer.py
@@ -0,0 +1,172 @@
+"""Places the waiting units of an owned pool: in which order, on which workers, for whose room."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+import logbook
+
+from hornbeamramp import instruments
+from hornbeamramp.clock import Clock
+from hornbeamramp.fleet import Attempt, HowEnded, WorkerSession
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.choice import choose_workers, could_ever_run
+from hornbeamramp.poolowner.health import WorkerHealth
+from hornbeamramp.poolowner.jobs import StepRun, Unit
+from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.preemption import choose_victims, coming_room
+from hornbeamramp.poolowner.speeds import WorkerSpeeds
+
+if TYPE_CHECKING:
+    from hornbeamramp.poolowner.owner import PoolOwner
+
+__all__ = ["Placer"]
+
+# Steps of a pool that keep their tickets fresh while they wait for room. Each takes up to half of
+# a VM's turn at the advice service.
+MAX_STEPS_AHEAD = 3
+# Tasks of one step for which runs are preempted at a time; more would outrun the next list.
+MAX_PREEMPTED_FOR = 16
+
+_log = logbook.Logger("owner")
+
+
+class Placer:
+    """Keeps the steps with waiting units, and what is learned of workers from ended runs."""
+
+    def __init__(self, owner: "PoolOwner", launcher: Launcher, clock: Clock) -> None:
+        self._owner = owner
+        self._launcher = launcher
+        self._clock = clock
+        self._open_steps: list[StepRun] = []
+        self.speeds = WorkerSpeeds()
+        self.health = WorkerHealth()
+
+    def add(self, steps: Iterable[StepRun]) -> bool:
+        """Adds steps whose predecessors are done; tells whether there were any."""
+        before = len(self._open_steps)
+        self._open_steps += steps
+        return len(self._open_steps) > before
+
+    def queue(self, unit: Unit) -> None:
+        """Queues a unit again."""
+        unit.step.queue(unit)
+        if unit.step not in self._open_steps:
+            self._open_steps.append(unit.step)
+
+    def note_end(self, attempt: Attempt, how: HowEnded) -> None:
+        """Learns from the end of a run."""
+        now = self._clock.boot_time()
+        worker = UpstreamId(attempt.session.worker)
+        was_aside = self.health.is_aside(worker, now)
+        self.health.note_end(attempt, how, now)
+        if self.health.is_aside(worker, now) and not was_aside:
+            _log.warning("worker {} fails task after task; set aside", worker)
+        if how is HowEnded.DONE and attempt.started_at is not None and not attempt.resumed:
+            self.speeds.note(attempt, (now - attempt.started_at).total_seconds(), 1.0)
+
+    def forget(self, worker: UpstreamId) -> None:
+        """Drops what is known of a worker that has left."""
+        self.health.forget(worker)
+        self.speeds.forget(worker)
+
+    def schedule(self) -> None:
+        """Places what fits, in order of priority, then of acceptance."""
+        if not self._owner.may_place():
+            return
+        self._open_steps = [
+            step for step in self._open_steps if step.waiting and not step.job.is_ended
+        ]
+        self._open_steps.sort(key=self._order)
+        ahead = MAX_STEPS_AHEAD
+        for step in self._open_steps:
+            self._place(step, ahead > 0)
+            # What still waits after its turn is next when room comes free.
+            ahead -= bool(step.waiting)
+
+    @staticmethod
+    def _order(step: StepRun) -> tuple[float, ...]:
+        record = step.job.record
+        return (record.priority, record.accepted_ms)
+
+    def _place(self, step: StepRun, is_next: bool) -> None:
+        """Starts what fits. The steps that are next keep their tickets fresh without room too, so
+        that no room stands empty while advice is asked for."""
+        queue = self._owner.queue_of(step.job)
+        now = self._clock.boot_time()
+        sessions = [
+            session
+            for worker, session in self._owner.session_by_worker.items()
+            if session.usable and not self.health.is_aside(worker, now)
+        ]
+        if queue is None or queue.advice is None:
+            placed = self._reserve(step, sessions)
+            if placed:
+                self._owner.spawn(self._launcher.launch(step, placed))
+            if step.waiting:
+                self._make_room(step, sessions)
+            return
+        grants = step.grants
+        granted = [s for s in sessions if s.worker in grants.granted]
+        ticketed = [s for s in granted if grants.has_ticket(UpstreamId(s.worker), now)]
+        placed = self._reserve(step, ticketed)
+        if placed:
+            self._owner.spawn(self._launcher.launch(step, placed))
+        if not step.waiting or grants.is_pending or now < grants.not_before:
+            return
+        if not self._launcher.may_ask(step):
+            return
+        # Room found on granted workers is kept while their tickets are renewed.
+        held = self._reserve(step, granted)
+        if held:
+            self._launcher.ask_and_launch(step, queue, held, granted)
+            return
+        unasked = [s for s in sessions if s.worker not in grants.asked and could_ever_run(step, s)]
+        if unasked and (is_next or any(s.fits(step.size) for s in unasked)):
+            self._launcher.ask_first(step, queue, unasked)
+            return
+        if granted:
+            self._make_room(step, granted)
+            if is_next:
+                self._launcher.renew_ahead(step, queue, granted)
+
+    def _make_room(self, step: StepRun, sessions: list[WorkerSession]) -> None:
+        """Stops less urgent runs for the tasks of a step that find no room."""
+        wanted = sum(len(unit.tasks) for unit in step.waiting)
+        missing = min(wanted, MAX_PREEMPTED_FOR) - coming_room(step, sessions)
+        if missing <= 0:
+            return
+        for victim in choose_victims(step, missing, sessions, self._clock.boot_time()):
+            _log.info(
+                "{} on {} at {}% is preempted for {}",
+                victim.name,
+                victim.session.worker,
+                victim.percent,
+                step.key,
+            )
+            instruments.preemptions.add(1)
+            victim.session.stop(victim)
+
+    def _reserve(self, step: StepRun, sessions: list[WorkerSession]) -> list[Unit]:
+        """Takes units off the step's queue and counts them on workers, as far as they fit."""
+        reserved: list[Unit] = []
+        if not sessions:
+            return reserved
+        count_on = Counter(
+            attempt.session.worker for unit in step.units for attempt in unit.attempts()
+        )
+        while step.waiting:
+            unit = step.waiting[0]
+            chosen = choose_workers(unit, sessions, self.speeds, count_on)
+            if chosen is None:
+                break
+            step.waiting.pop(0)
+            unit.run += 1
+            for task, session in zip(unit.tasks, chosen, strict=True):
+                task.attempt = Attempt(task, task.name, unit.run, step.size, session)
+                task.attempt.checkpoint = unit.checkpoint
+                task.attempt.resumed = bool(unit.checkpoint)
+                session.reserve(task.attempt)
+                count_on[session.worker] += 1
+            reserved.append(unit)
+        return reserved
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -93,7 +93,8 @@
         error says so."""
         if self._is_store_out():
             return Submitted("the store can't be reached", STORE_RETRY_AFTER)
-        assert self._node.config is not None
+        if self._node.config is None:
+            return Submitted("there is no configuration yet", OWNER_RETRY_AFTER)
         version = self._node.config.version
         request = SubmitJobRequest(queue.pool, queue.name, version, job_id, spec)
         try:
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -378,3 +378,14 @@
         assert last != worker
 
     in_cell(scenario)
+
+
+def test_vm_without_a_configuration_refuses_definitely():
+    """A process that had just started raised an error instead (model seed 68)."""
+
+    async def scenario(cell):
+        vm = await cell.start_vm("vm9")
+        reply = await cell.submit("a" * 16, job(), vm=vm)
+        assert reply is not None and reply.refusal
+
+    in_cell(scenario)
