Forget ends under slow commits; draw no conclusion from a cut list of ends

Cause: ends are told to be forgotten only right after an answer, and a slow commit lay between, so an overloaded owner never did; beyond 500 ends a worker's list lacked new ones, whose runs were taken as lost and started again. Change: what is recorded is told before more is recorded; a full list of ends proves no absence. The grown deployment stays overloaded (open).

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -40,6 +40,8 @@
 SLOWEST_WORKER_CLOCK = 0.98
 # No worker is reborn within this time of an answer.
 SAME_BOOT = timedelta(milliseconds=300)
+# Most ends that a worker lists at a time (the platform's bound), the oldest first.
+ENDS_PER_LIST = 500
 # How long the loop waits for ends to be recorded before it extends the lease again.
 RECORD_WAIT = timedelta(milliseconds=500)
 
@@ -108,6 +110,8 @@
         self._longest_deadline_ms = 0
         self._last_seen = 0
         self._handled = 0
+        # Number of the last end that the worker has been told to forget.
+        self._told = 0
         # When the newest list that has been applied was asked for.
         self._listed_at = timedelta(0)
         # Until the first contact the former owner's leases count, whose length is only bounded.
@@ -288,9 +292,10 @@
         wait = HOLD_WAIT if is_answering and not is_behind else timedelta(0)
         if deadline is not None:
             self._longest_deadline_ms = max(self._longest_deadline_ms, deadline)
+        forgettable = self._forgettable()
         try:
             reply = await self._client.hold(
-                self.listing, self._owner.token, self._forgettable(), deadline, wait
+                self.listing, self._owner.token, forgettable, deadline, wait
             )
         except WorkerUnreachableError as error:
             self.failures_in_row += 1
@@ -304,8 +309,10 @@
         except OtherBootError:
             self._on_other_boot()
             return False
+        self._told = max(self._told, forgettable)
         self._apply(reply, asked_at, first)
-        if self._handled > self._last_seen:
+        # What is recorded is told right after an answer; recording more first would take too long.
+        if self._handled > self._last_seen and self._last_seen <= self._told:
             await self._record_ends()
         return True
 
@@ -378,6 +385,9 @@
 
     def _end_missing(self, reply: HoldReply, asked_at: timedelta, first: bool) -> None:
         """Ends the runs that the list lacks although they must have been in it."""
+        if len(reply.ended) >= ENDS_PER_LIST:
+            # The list is cut: newer ends are not in it.
+            return
         listed = {(row.task, row.run) for row in reply.running}
         for key, attempt in list(self.attempt_by_key.items()):
             if key in listed or attempt.phase is AttemptPhase.RESERVED:
@@ -397,7 +407,7 @@
     def _on_reborn(self, reply: HoldReply) -> None:
         """The worker has started anew: nothing of before runs there, and its counts start at 0."""
         _log.warning("worker {} was reborn at {}", self.worker, reply.born_ms)
-        self._last_seen = self._handled = 0
+        self._last_seen = self._handled = self._told = 0
         # An order on its way named a time on the old boot's clock, which may give the longest lease
         # on the new one.
         self._longest_deadline_ms = int(reply.clock_ms + self._longest_lease / MILLISECOND)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -252,3 +252,42 @@
         assert bench.owner.ended == []
 
     on_bench(scenario)
+
+
+def slow_records(bench, seconds):
+    async def recorded():
+        await asyncio.sleep(seconds)
+
+    bench.owner.recorded = recorded
+
+
+async def run_many(bench, count, pause=0.0):
+    """Runs many short tasks one after the other."""
+    bench.fleet.spec_by_job[JobId("a" * 16)] = job(StepSpec(count, 1000, 100, estimate_ms=20))
+    for index in range(count):
+        await bench.start(bench.attempt(index))
+        await asyncio.sleep(pause)
+
+
+def test_ends_are_forgotten_although_recording_them_takes_long():
+    """With commits of 400 ms an owner never told a worker to forget, and its list grew."""
+
+    async def scenario(bench):
+        slow_records(bench, 0.4)
+        await run_many(bench, 300, pause=0.02)
+        # The ends of a second, with the commit and the list that precede their forgetting.
+        assert len(bench.worker.ended) < 50
+
+    on_bench(scenario)
+
+
+def test_run_whose_end_is_beyond_a_cut_list_is_not_lost():
+    """Grown deployment: beyond 500 ends a list lacked new ones, and the tasks were run again."""
+
+    async def scenario(bench):
+        slow_records(bench, 1000.0)
+        await run_many(bench, 600)
+        await asyncio.sleep(5.0)
+        assert all(how is HowEnded.DONE for _, how in bench.owner.ended)
+
+    on_bench(scenario)
