--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -116,7 +116,6 @@
         self._listed_at = timedelta(0)
         # Until the first contact the former owner's leases count, whose length is only bounded.
         self._unseen_until = clock.boot_time() + unseen_lease
-        self._stop_paused = False
 
     @property
     def worker(self) -> str:
--- a/hornbeamramp/platform/settings.py
+++ b/hornbeamramp/platform/settings.py
@@ -20,8 +20,6 @@
 
 class StoreSettings(msgspec.Struct, frozen=True, rename="kebab"):
     address: str
-    writes_per_s: float = 400.0
-    reads_per_s: float = 2000.0
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, rename="kebab"):
--- a/hornbeamramp/statestore/base.py
+++ b/hornbeamramp/statestore/base.py
@@ -85,9 +85,8 @@
     then have taken effect, or may take effect later, if the error's ``sent`` is true.
     """
 
-    # Most entries of one transaction, and the longest wait of a watch.
+    # Most entries of one transaction.
     max_entries = 32
-    max_wait = timedelta(seconds=30)
 
     @abstractmethod
     async def get(self, key: str) -> Item | None:
