--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -123,7 +123,7 @@
     async def _answer_job(
         self, request: web.BaseRequest, target: Target, patience: timedelta
     ) -> web.StreamResponse:
-        job_id = JobId(target.rest.lower())
+        job_id = JobId(target.rest)
         if request.method == "POST":
             return await self._submit(request, target, job_id, patience)
         if request.method == "GET":
