--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -3,6 +3,7 @@
 A repeated commit is safe, as each is conditional on the one before; see `statestore.claim`.
 """
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
@@ -110,6 +111,7 @@
         self._clock = clock
         self._addresses = addresses
         self._is_direct = True
+        self._regained = asyncio.Event()
         self._probes = BackgroundTasks("relay", _log)
         self._relay_from: dict[str, timedelta] = {}
         self._last_relay = ""
@@ -163,8 +165,12 @@
             for address in self._relays():
                 reply = await self._call_relay(address, request, wait)
                 may_apply = may_apply or reply.may_apply
-                if reply.outcome is not RelayOutcome.UNAVAILABLE:
+                if reply.outcome is not RelayOutcome.UNAVAILABLE or self._is_direct:
                     break
+            if reply.outcome is RelayOutcome.UNAVAILABLE and self._is_direct:
+                # The direct way came back meanwhile.
+                reply, used_direct = await self._call_direct(request), True
+                may_apply = may_apply or reply.may_apply
         way = "direct" if used_direct else "relayed"
         labels = {"operation": request.operation.value, "way": way, "outcome": reply.outcome.value}
         instruments.store_calls.add(1, labels)
@@ -181,6 +187,7 @@
             if self._is_direct:
                 _log.info("store not reached by the direct way: {}", error)
                 self._is_direct = False
+                self._regained.clear()
                 self._probes.spawn(self._probe())
             return RelayReply(RelayOutcome.UNAVAILABLE, str(error), error.sent)
 
@@ -194,6 +201,7 @@
                 continue
             _log.info("store reached by the direct way again")
             self._is_direct = True
+            self._regained.set()
 
     async def close(self) -> None:
         """Ends the probes."""
@@ -211,10 +219,21 @@
         return addresses[:MAX_RELAYS]
 
     async def _call_relay(self, address: str, request: RelayRequest, wait: timedelta) -> RelayReply:
+        call = asyncio.ensure_future(
+            self._peers.call(address, request, RELAY_TIMEOUT + wait, Step.JOURNAL)
+        )
+        regained = asyncio.ensure_future(self._regained.wait())
         try:
-            reply = await self._peers.call(address, request, RELAY_TIMEOUT + wait, Step.JOURNAL)
+            await asyncio.wait({call, regained}, return_when=asyncio.FIRST_COMPLETED)
+            if not call.done():
+                # A call through a VM that has fallen silent too would wait for its time-out.
+                return RelayReply(RelayOutcome.UNAVAILABLE, "the direct way is back", True)
+            reply = call.result()
         except SchedulerError as error:
             reply = RelayReply(RelayOutcome.UNAVAILABLE, str(error), True)
+        finally:
+            call.cancel()
+            regained.cancel()
         if reply.outcome is RelayOutcome.UNAVAILABLE:
             self._relay_from[address] = self._clock.boot_time() + RELAY_PAUSE
         elif address != self._last_relay:
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -389,3 +389,21 @@
         assert reply is not None and reply.refusal
 
     in_cell(scenario)
+
+
+@pytest.mark.parametrize("cut_s", [3.0, 3.5, 4.0, 4.5, 5.0, 5.5, 6.0, 6.5, 7.0, 7.5])
+def test_vm_cut_off_from_all_has_the_configuration_soon_after_the_cut(cut_s):
+    """A call through a silent VM, up to four seconds long, held the watch up after the cut."""
+
+    async def scenario(cell):
+        vm = next(iter(cell.vm_by_name.values()))
+        vm.store.is_down = True
+        cell.network.silent.add(vm.address)
+        await asyncio.sleep(cut_s)
+        cell.configure()
+        vm.store.is_down = False
+        # A probe a second, the time-out of one that was under way, and the answer.
+        await asyncio.sleep(2.0)
+        assert vm.node.config.version == cell.version
+
+    in_cell(scenario)
