Refuse no job whose record may still be written; reuse what stood twice

Cause, found on re-reading: during a store outage the owner answered a caller's second try with a definite refusal while the first try's record was still being committed, so the job ran although the answer said that it never would. The test failed before the change. Also: the conversion to milliseconds moves from upstreams.wire to durations and serves both; one Retry-After for store outages; one walk over the owner records of the cell. The test of a job recorded after its caller gave up passed by way of a takeover; it now requires the same owner, and fails when only a waiting caller takes the job up.

--- a/hornbeamramp/platform/store.py
+++ b/hornbeamramp/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.http_client import HttpClient, HttpReply, RequestFailedError
 from hornbeamramp.states import Step
@@ -110,7 +111,7 @@
             query["after"] = page.items[-1].key
 
     async def watch(self, prefix: str, after: int, wait: timedelta) -> WatchReply:
-        wait_ms = wait // timedelta(milliseconds=1)
+        wait_ms = to_ms(wait)
         query = urlencode({"prefix": prefix, "after": after, "wait-ms": wait_ms})
         reply = await self._call("GET", f"/kv-watch?{query}", wait=wait)
         if reply.status == 410:
@@ -136,7 +137,7 @@
         return self._decode(reply, WireRevision).revision
 
     async def grant_lease(self, ttl: timedelta) -> int:
-        body = {"ttl-ms": ttl // timedelta(milliseconds=1)}
+        body = {"ttl-ms": to_ms(ttl)}
         return self._decode(await self._call("POST", "/kv-lease", body), WireLease).lease
 
     async def keep_lease(self, lease: int) -> None:
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet import (
     EndedRun,
     HoldReply,
@@ -121,7 +122,7 @@
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
         if wait:
-            body["wait-ms"] = wait // timedelta(milliseconds=1)
+            body["wait-ms"] = to_ms(wait)
         reply = await self._call(worker, "/hold", body, wait)
         self._expect_unfenced(reply)
         if reply.status != 200:
--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -76,6 +76,10 @@
             self._wake.set()
         await asyncio.shield(pending[1])
 
+    def is_inserting(self, job_id: JobId) -> bool:
+        """Tells whether a job's record is about to be written or may have been."""
+        return job_id in self._insert_by_id
+
     def purge(self, job_id: JobId) -> None:
         """Deletes the records of a job whose retention has passed."""
         self._purged.append(job_id)
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -17,6 +17,7 @@
 from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet import (
     Attempt,
     AttemptPhase,
@@ -42,7 +43,7 @@
 )
 from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue
 
-__all__ = ["OwnerContext", "PoolOwner", "Refusal"]
+__all__ = ["STORE_RETRY_AFTER", "OwnerContext", "PoolOwner", "Refusal"]
 
 # Time for which an owner goes on extending leases after its claim's last proof. With the leases of
 # 6 s themselves, store outages of up to ten seconds cost no running task.
@@ -56,7 +57,8 @@
 STORE_PATIENCE = timedelta(milliseconds=600)
 # Kept beyond the time for which callers may ask for the state of an ended job.
 RETENTION_MARGIN = timedelta(seconds=30)
-# Outages of the store last some five seconds; the caller's later tries still come in time.
+# Without the store nothing is accepted. Outages last some five seconds; callers that return after
+# three still come in time with their later tries.
 STORE_RETRY_AFTER = timedelta(seconds=3)
 
 _log = logbook.Logger("owner")
@@ -309,7 +311,9 @@
         if job_id in self.job_by_id:
             return None
         failing = self._claim.failing_since
-        if failing is not None and self._clock.boot_time() - failing > STORE_PATIENCE:
+        is_out = failing is not None and self._clock.boot_time() - failing > STORE_PATIENCE
+        # An earlier call's record may still be written, so a refusal would not be certain.
+        if is_out and not self._journal.is_inserting(job_id):
             return Refusal("the store does not answer", STORE_RETRY_AFTER)
         record = JobRecord(
             job_id=job_id,
@@ -318,7 +322,7 @@
             priority=queue.priority,
             max_attempts=queue.max_attempts,
             stretch=queue.stretch,
-            target_ms=queue.target // timedelta(milliseconds=1),
+            target_ms=to_ms(queue.target),
             spec=spec,
         )
         job = Job(record)
@@ -414,7 +418,7 @@
             if not job.is_ended:
                 if job.record.spec.repetitions:
                     self._open_due(job)
-            elif now_ms - job.ended_ms > self._retention / timedelta(milliseconds=1):
+            elif now_ms - job.ended_ms > to_ms(self._retention):
                 del self.job_by_id[job_id]
                 self._journal.purge(job_id)
         self._checks.run()
--- a/hornbeamramp/upstreams/wire.py
+++ b/hornbeamramp/upstreams/wire.py
@@ -2,10 +2,9 @@
 base64. Shared by the adapter and the stand-in.
 """
 
-from datetime import timedelta
-
 import msgspec
 
+from hornbeamramp.durations import from_ms, to_ms
 from hornbeamramp.ids import AttemptId, Epoch, ShardId, UpstreamId
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import TaskState
@@ -31,16 +30,6 @@
 TIME_HEADER = "Upstream-Time-Ms"
 
 
-def to_ms(duration: timedelta) -> int:
-    """Returns the duration in whole milliseconds, rounded down."""
-    return duration // timedelta(milliseconds=1)
-
-
-def from_ms(milliseconds: int) -> timedelta:
-    """Returns a duration of whole milliseconds."""
-    return timedelta(milliseconds=milliseconds)
-
-
 class StartBody(msgspec.Struct, frozen=True, kw_only=True):
     """Body of ``PUT /v1/tasks/{attempt}``.
 
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -9,6 +9,7 @@
 import logbook
 
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import SchedulerError
 from hornbeamramp.ids import UpstreamId, VmId
 from hornbeamramp.poolowner import Advice, AdviceSource, AdviceUnavailableError
@@ -78,7 +79,7 @@
             advice = await self.ask(request.step, list(request.workers), request.priority, timeout)
         except AdviceUnavailableError as error:
             return AdviseReply(str(error))
-        validity_ms = advice.validity // timedelta(milliseconds=1)
+        validity_ms = to_ms(advice.validity)
         return AdviseReply("", advice.ticket_by_worker, validity_ms)
 
 
@@ -175,7 +176,7 @@
     async def _ask_peer(
         self, vm: VmId, step: StepKey, workers: list[UpstreamId], priority: int, timeout: timedelta
     ) -> Advice:
-        timeout_ms = timeout // timedelta(milliseconds=1)
+        timeout_ms = to_ms(timeout)
         request = AdviseRequest(step, tuple(workers), priority, timeout_ms)
         address = self._addresses().get(vm, "")
         try:
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -9,9 +9,10 @@
 import logbook
 import msgspec
 
+from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import SchedulerError, StoreUnavailableError, UnreachableError
 from hornbeamramp.ids import JobId, PoolName
-from hornbeamramp.poolowner import PoolOwner
+from hornbeamramp.poolowner import STORE_RETRY_AFTER, PoolOwner
 from hornbeamramp.rpc import PeerServer
 from hornbeamramp.states import Step
 from hornbeamramp.statestore import ClaimLostError, decode_progress, job_key, progress_key
@@ -39,9 +40,6 @@
 PAUSE = timedelta(milliseconds=50)
 # Without an owner the caller returns after a takeover, which takes some two seconds.
 OWNER_RETRY_AFTER = timedelta(seconds=2)
-# Without the store nothing is accepted. Outages last some five seconds; callers that return after
-# three, spread by a second, still come in time with their later tries.
-STORE_RETRY_AFTER = timedelta(seconds=3)
 # Calls that have failed for this long, with another VM's help too, mean an outage.
 STORE_OUTAGE = timedelta(milliseconds=600)
 
@@ -212,7 +210,7 @@
         refusal = await owner.accept(request.job_id, queue, request.spec)
         if refusal is None:
             return SubmitJobReply(True)
-        retry_after_ms = refusal.retry_after // timedelta(milliseconds=1)
+        retry_after_ms = to_ms(refusal.retry_after)
         return SubmitJobReply(True, refusal.reason, retry_after_ms)
 
     async def _on_phase(self, request: JobPhaseRequest) -> JobPhaseReply:
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -18,7 +18,14 @@
 from hornbeamramp.statestore import LeaseLostError, OwnerRecord, PoolClaim, Put, Txn
 from hornbeamramp.statestore.base import TxnConflictError
 from hornbeamramp.statestore.claim import decode_owner
-from hornbeamramp.statestore.records import CELL_PREFIX, chain_key, owner_key, vm_key, vm_prefix
+from hornbeamramp.statestore.records import (
+    CELL_PREFIX,
+    chain_key,
+    owner_key,
+    owner_prefix,
+    vm_key,
+    vm_prefix,
+)
 from hornbeamramp.vm.adapter import Adapter, VmIdentity
 from hornbeamramp.vm.advice_queue import AdviceQueue, SpreadAdvice
 from hornbeamramp.vm.lease import VmLease
@@ -166,15 +173,21 @@
         except TimeoutError:
             return
 
-    def _vm_records(self) -> dict[VmId, OwnerRecord]:
+    def _records(self, prefix: str) -> dict[str, OwnerRecord]:
+        """Returns the records under a prefix of the cell, by what follows it in their keys."""
         records = {}
         for key, item in self._cell.item_by_key.items():
-            if key.startswith(vm_prefix()):
-                record = decode_owner(item.value)
-                if record is not None:
-                    records[record.vm] = record
+            record = decode_owner(item.value) if key.startswith(prefix) else None
+            if record is not None:
+                records[key.removeprefix(prefix)] = record
         return records
 
+    def _vm_records(self) -> dict[VmId, OwnerRecord]:
+        return {record.vm: record for record in self._records(vm_prefix()).values()}
+
+    def _owner_records(self) -> dict[PoolName, OwnerRecord]:
+        return {PoolName(name): r for name, r in self._records(owner_prefix()).items()}
+
     def _peer_addresses(self) -> dict[VmId, str]:
         return {
             vm: record.address
@@ -234,15 +247,14 @@
 
     async def _drop_predecessor(self) -> None:
         """Deletes the claims of this VM's previous process, which has ended."""
-        for key, item in list(self._cell.item_by_key.items()):
-            record = None if key.startswith(vm_prefix()) else decode_owner(item.value)
-            if record is None or record.vm != self.identity.vm:
-                continue
-            if record.boot == self.identity.boot or record.address != self.identity.address:
+        for pool, record in self._owner_records().items():
+            is_same_vm = record.vm == self.identity.vm and record.address == self.identity.address
+            if not is_same_vm or record.boot == self.identity.boot:
                 continue
-            pool = PoolName(key.rpartition("/")[2])
+            key = owner_key(pool)
+            revision = self._cell.item_by_key[key].revision
             try:
-                await self.store.commit(Txn({key: item.revision}, deletes=(key, chain_key(pool))))
+                await self.store.commit(Txn({key: revision}, deletes=(key, chain_key(pool))))
             except TxnConflictError:
                 continue
             await self._cell.refresh()
@@ -272,11 +284,9 @@
         records = self._vm_records()
         records.setdefault(self.identity.vm, self._record())
         pools_by_vm = dict.fromkeys(records, 0)
-        for key, item in self._cell.item_by_key.items():
-            if not key.startswith(vm_prefix()):
-                record = decode_owner(item.value)
-                if record is not None and record.vm in pools_by_vm:
-                    pools_by_vm[record.vm] += 1
+        for record in self._owner_records().values():
+            if record.vm in pools_by_vm:
+                pools_by_vm[record.vm] += 1
         # Claims of this VM that the cell doesn't show yet count too.
         pools_by_vm[self.identity.vm] = len({*self.owner_by_pool, *self._claiming})
         preference = rank(pool, dict.fromkeys(records, 1.0))
--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -15,6 +15,7 @@
 from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import SchedulerError, StoreUnavailableError
 from hornbeamramp.ids import VmId
 from hornbeamramp.rpc import PeerClient
@@ -128,7 +129,7 @@
         return list(reply.items), reply.number
 
     async def watch(self, prefix: str, after: int, wait: timedelta) -> WatchReply:
-        wait_ms = wait // timedelta(milliseconds=1)
+        wait_ms = to_ms(wait)
         request = RelayRequest(StoreOperation.WATCH, prefix, after, wait_ms)
         reply = await self._call(request, wait)
         return WatchReply(reply.changes, reply.number)
@@ -138,7 +139,7 @@
         return (await self._call(request, timedelta(0))).number
 
     async def grant_lease(self, ttl: timedelta) -> int:
-        ttl_ms = ttl // timedelta(milliseconds=1)
+        ttl_ms = to_ms(ttl)
         request = RelayRequest(StoreOperation.GRANT, ttl_ms=ttl_ms)
         return (await self._call(request, timedelta(0))).number
 
--- a/tests/model/store.py
+++ b/tests/model/store.py
@@ -121,6 +121,8 @@
 
     `is_down`
         Calls get no answer and have no effect.
+    `commit_delay`
+        Time that commits take beside the usual.
     `lost_share`, `late_share`
         Share of commits that take effect without an answer, at once or seconds later.
     """
@@ -132,6 +134,7 @@
         self.lost_share = 0.0
         self.late_share = 0.0
         self.delay = ANSWER_TIME
+        self.commit_delay = timedelta(0)
         self.is_closed = False
 
     async def get(self, key: str) -> Item | None:
@@ -168,6 +171,7 @@
 
     async def commit(self, txn: Txn) -> int:
         await self._reach()
+        await self._store.clock.sleep(self.commit_delay)
         luck = self._random.random()
         if luck < self.late_share:
             asyncio.get_running_loop().call_later(
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -83,12 +83,14 @@
     """A commit slower than the caller's patience left the job recorded but never scheduled."""
 
     async def scenario(cell):
-        for vm in cell.vm_by_name.values():
-            vm.store.delay = timedelta(milliseconds=1500)
-        await cell.submit("8" * 16, job())
-        for vm in cell.vm_by_name.values():
-            vm.store.delay = timedelta(milliseconds=4)
+        owner = await cell.wait_for_owner()
+        token = owner.owner.token
+        owner.store.commit_delay = timedelta(milliseconds=1500)
+        assert await cell.submit("8" * 16, job()) is None
+        owner.store.commit_delay = timedelta(0)
         await cell.wait_for_phase("8" * 16, JobPhase.COMPLETED)
+        # A successor would have found the job in the store.
+        assert owner.owner.token == token
 
     in_cell(scenario)
 
@@ -407,3 +409,24 @@
         assert vm.node.config.version == cell.version
 
     in_cell(scenario)
+
+
+def test_job_that_may_still_be_recorded_is_not_refused():
+    """The caller's second try was told that the job never runs, and the first one was recorded."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        owner, queue = vm.owner, cell.queues["batch"]
+        cell.fleet.spec_by_job["a" * 16] = job()
+        cell.queue_by_job["a" * 16] = "batch"
+        vm.store.commit_delay = timedelta(seconds=1)
+        first = asyncio.create_task(owner.accept("a" * 16, queue, job()))
+        await asyncio.sleep(0.1)
+        owner._claim.failing_since = timedelta(0)
+        second = asyncio.create_task(owner.accept("a" * 16, queue, job()))
+        async with asyncio.timeout(0.5):
+            assert await owner.accept("b" * 16, queue, job()) is not None
+        assert (await first, await second) == (None, None)
+        await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
+
+    in_cell(scenario)
