Let the largest VM own a pool

Ruled out: placing itself; a cell of the test model with 128 workers spends less than a tenth of a core on it. Change: a VM's record carries its size (share of a core times its speed), and candidates are ordered by the size they would have for each of their pools. An owner on a small VM is still possible after failures.

--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -84,7 +84,7 @@
     clock = SystemClock()
     vm, data_centre = VmId(settings.node_name), DataCentreId(settings.zone)
     address = f"{settings.ip}:{settings.internal_ports[0]}"
-    identity = VmIdentity(vm, data_centre, address, uuid.uuid4().hex)
+    identity = VmIdentity(vm, data_centre, address, uuid.uuid4().hex, settings.size)
     adapter = PlatformAdapter(settings, clock)
     peers = PeerClient(vm, data_centre, None, REPLY_TYPE_BY_REQUEST_TYPE)
     server = PeerServer(address, vm, data_centre)
--- a/hornbeamramp/platform/settings.py
+++ b/hornbeamramp/platform/settings.py
@@ -22,6 +22,13 @@
     address: str
 
 
+class LimitSettings(msgspec.Struct, frozen=True, rename="kebab"):
+    """``cpu_share`` of a core that is ``cores`` times as fast as a usual one."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, rename="kebab"):
     """The fields that are used. `platform` is the store; `bounds` has figures by wire name.
 
@@ -37,9 +44,15 @@
     listen: ListenAddresses
     platform: StoreSettings
     internal_ports: tuple[int, int]
+    limits: LimitSettings = LimitSettings()
     bounds: dict[str, Any] = {}
     advice: str = ""
 
+    @property
+    def size(self) -> float:
+        """Speed of this VM's processor, in usual cores."""
+        return self.limits.cpu_share * self.limits.cores
+
     @property
     def job_retention(self) -> timedelta:
         """Time for which the state of an ended job may be asked for."""
--- a/hornbeamramp/statestore/claim.py
+++ b/hornbeamramp/statestore/claim.py
@@ -33,12 +33,14 @@
 
 
 class OwnerRecord(msgspec.Struct, frozen=True):
-    """Value of an owner key and of a chain key. ``boot`` tells processes of one VM apart."""
+    """Value of an owner key, of a chain key and of a VM's key. ``boot`` tells processes of one VM
+    apart; ``size`` is the speed of the VM's processor, in usual cores."""
 
     vm: VmId
     boot: str
     address: str
     sequence: int
+    size: float = 1.0
 
 
 class ClaimLostError(Exception):
--- a/hornbeamramp/vm/adapter.py
+++ b/hornbeamramp/vm/adapter.py
@@ -16,12 +16,14 @@
 
 
 class VmIdentity(msgspec.Struct, frozen=True):
-    """This process. ``address`` is where other VMs reach it; ``boot`` is new with each start."""
+    """This process. ``address`` is where other VMs reach it; ``boot`` is new with each start.
+    ``size`` is the speed of the VM's processor, in usual cores."""
 
     vm: VmId
     data_centre: DataCentreId
     address: str
     boot: str
+    size: float = 1.0
 
 
 class AdviceClient(ABC):
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -261,7 +261,7 @@
 
     def _record(self) -> OwnerRecord:
         identity = self.identity
-        return OwnerRecord(identity.vm, identity.boot, identity.address, 0)
+        return OwnerRecord(identity.vm, identity.boot, identity.address, 0, identity.size)
 
     def _consider(self, pool: PoolName) -> None:
         if pool in self.owner_by_pool or pool in self._claiming:
@@ -279,8 +279,8 @@
             self._background.spawn(self._own(pool))
 
     def _position(self, pool: PoolName) -> int:
-        """Returns how many VMs come before this one as candidates: those with fewer pools, then
-        those that rendezvous hashing prefers."""
+        """Returns how many VMs come before this one as candidates: those that would have the most
+        processor time for each of their pools, then those that rendezvous hashing prefers."""
         records = self._vm_records()
         records.setdefault(self.identity.vm, self._record())
         pools_by_vm = dict.fromkeys(records, 0)
@@ -290,7 +290,7 @@
         # Claims of this VM that the cell doesn't show yet count too.
         pools_by_vm[self.identity.vm] = len({*self.owner_by_pool, *self._claiming})
         preference = rank(pool, dict.fromkeys(records, 1.0))
-        order = sorted(preference, key=lambda vm: pools_by_vm[vm])
+        order = sorted(preference, key=lambda vm: -records[vm].size / (pools_by_vm[vm] + 1))
         return order.index(self.identity.vm)
 
     async def _own(self, pool: PoolName) -> None:
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -170,7 +170,10 @@
         self.store = StoreView(cell.store, seed)
         self.workers = FleetView(cell.fleet, name, seed)
         adapter = ModelAdapter(self.store, self.workers, cell.advice)
-        identity = VmIdentity(VmId(name), DataCentreId("gebze"), self.address, f"{name}#{boot}")
+        size = cell.size_by_vm.get(name, 1.0)
+        identity = VmIdentity(
+            VmId(name), DataCentreId("gebze"), self.address, f"{name}#{boot}", size
+        )
         server = ModelServer(cell.network, self.address)
         peers = ModelPeers(cell.network, self.address)
         self.node = Node(identity, adapter, cell.clock, peers, server)
@@ -196,10 +199,20 @@
 
     `vms`, `workers`
         Their numbers. Workers have 8 cores, 8,000 MiB and 4 accelerators.
+    `size_by_vm`
+        Sizes of VMs that are not of size 1.
     """
 
-    def __init__(self, vms: int = 3, workers: int = 4, granted: float = 1.0, seed: int = 0):
+    def __init__(
+        self,
+        vms: int = 3,
+        workers: int = 4,
+        granted: float = 1.0,
+        seed: int = 0,
+        size_by_vm: dict[str, float] | None = None,
+    ) -> None:
         self.seed = seed
+        self.size_by_vm = size_by_vm or {}
         self.clock = LoopClock()
         self.store = ModelStore(self.clock)
         self.fleet = ModelFleet(self.clock)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -15,6 +15,10 @@
 [listen]
 frontend = "10.1.0.30:8149"
 ready = "10.1.0.30:8141"
+[limits]
+cpu-share = 0.5
+cores = 3
+memory-mb = 300
 [bounds]
 status_s = 90
 [platform]
@@ -29,6 +33,7 @@
     assert (settings.node_name, settings.internal_ports) == ("frontend-gebze-1", (7380, 7395))
     assert settings.job_retention.total_seconds() == 90
     assert settings.shutdown_grace.total_seconds() == 6
+    assert settings.size == 1.5
 
 
 @pytest.mark.parametrize(
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -178,6 +178,16 @@
     in_cell(scenario)
 
 
+@pytest.mark.parametrize("large", ["vm0", "vm1", "vm2"])
+def test_largest_vm_owns_the_pool(large):
+    """Guards against an owner on a VM whose processor can't keep up with the pool's calls."""
+
+    async def scenario(cell):
+        assert cell.owner_vm().name == large
+
+    in_cell(scenario, size_by_vm={large: 2.15})
+
+
 def test_store_that_turns_the_owner_away_is_reached_through_another_vm():
     """The pool stood still until the owner's lease had run out and another VM had claimed it."""
 
