Report a VM that is cut off as not ready

Change: a VM whose store calls have had no answer for 600 ms, by any way, pings VMs of other data centres. If none answers, it reports itself as not ready, and refuses jobs at once with a Retry-After after which the platform sends their callers elsewhere. With the store away for all, VMs answer each other and stay ready.

--- a/hornbeamramp/statestore/claim.py
+++ b/hornbeamramp/statestore/claim.py
@@ -13,7 +13,7 @@
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
-from hornbeamramp.ids import PoolName, VmId
+from hornbeamramp.ids import DataCentreId, PoolName, VmId
 from hornbeamramp.statestore.base import (
     Item,
     LeaseLostError,
@@ -41,6 +41,7 @@
     address: str
     sequence: int
     size: float = 1.0
+    data_centre: DataCentreId = DataCentreId("")
 
 
 class ClaimLostError(Exception):
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -40,6 +40,9 @@
 PAUSE = timedelta(milliseconds=50)
 # Without an owner the caller returns after a takeover, which takes some two seconds.
 OWNER_RETRY_AFTER = timedelta(seconds=2)
+# A VM that is cut off reports itself as not ready. The platform leaves it out after two missed
+# probes, a second apart.
+ISOLATED_RETRY_AFTER = timedelta(seconds=2)
 # Calls that have failed for this long, with another VM's help too, mean an outage.
 STORE_OUTAGE = timedelta(milliseconds=600)
 
@@ -89,6 +92,8 @@
     ) -> Submitted:
         """Has a job recorded. Raises `UnavailableError`; the job may be recorded then only if the
         error says so."""
+        if self._node.isolation.is_isolated:
+            return Submitted("this VM is cut off from the others", ISOLATED_RETRY_AFTER)
         if self._is_store_out():
             return Submitted("the store can't be reached", STORE_RETRY_AFTER)
         if self._node.config is None:
@@ -183,7 +188,7 @@
                 was_unclear, problem, reply = True, str(error), None
             if reply is not None and reply.is_owner:
                 return reply, was_unclear
-            if clock.boot_time() > unowned_until:
+            if clock.boot_time() > unowned_until or self._node.isolation.is_isolated:
                 break
             await self._node.wait_for_cell(PAUSE)
         raise UnavailableError(problem, was_unclear)
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -17,6 +17,8 @@
     "CountJobsRequest",
     "JobPhaseReply",
     "JobPhaseRequest",
+    "PingReply",
+    "PingRequest",
     "SubmitJobReply",
     "SubmitJobRequest",
 ]
@@ -91,6 +93,14 @@
     validity_ms: int = 0
 
 
+class PingRequest(msgspec.Struct, frozen=True):
+    """Asks only whether the VM can be reached."""
+
+
+class PingReply(msgspec.Struct, frozen=True):
+    pass
+
+
 REPLY_TYPE_BY_REQUEST_TYPE: dict[type, type] = {
     HelloRequest: HelloReply,
     SubmitJobRequest: SubmitJobReply,
@@ -98,5 +108,6 @@
     CancelJobRequest: CancelJobReply,
     CountJobsRequest: CountJobsReply,
     AdviseRequest: AdviseReply,
+    PingRequest: PingReply,
     RelayRequest: RelayReply,
 }
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -28,7 +28,9 @@
 )
 from hornbeamramp.vm.adapter import Adapter, VmIdentity
 from hornbeamramp.vm.advice_queue import AdviceQueue, SpreadAdvice
+from hornbeamramp.vm.isolation import IsolationDetector
 from hornbeamramp.vm.lease import VmLease
+from hornbeamramp.vm.messages import PingRequest
 from hornbeamramp.vm.relay import RelayedStore, RelayRequest
 from hornbeamramp.vm.watching import PrefixFollower
 from hornbeamramp.workload import ClusterConfig
@@ -85,6 +87,10 @@
             adapter.job_retention,
             adapter.longest_lease,
         )
+        self.isolation = IsolationDetector(
+            peers, clock, lambda: self.store.last_answer, self._outside_addresses
+        )
+        server.handle(PingRequest, self.isolation.serve)
         self._background = BackgroundTasks("node", _log)
         self._configs = PrefixFollower(self.store, clock, adapter.config_prefix, self._on_config)
         self._cell = PrefixFollower(self.store, clock, CELL_PREFIX, self._on_cell)
@@ -100,7 +106,7 @@
         """Starts following and claiming."""
         self._started_at = self.clock.boot_time()
         self._lease_task = asyncio.create_task(self.lease.run())
-        for coroutine in (self._configs.run(), self._cell.run()):
+        for coroutine in (self._configs.run(), self._cell.run(), self.isolation.run()):
             self._background.spawn(coroutine)
         self._background.spawn(self._keep_claims())
 
@@ -121,8 +127,14 @@
 
     @property
     def is_ready(self) -> bool:
-        """Tells whether this VM can serve callers: it has a configuration and has seen the cell."""
-        return not self.is_stopping and self.config is not None and self._cell.is_loaded
+        """Tells whether this VM can serve callers: it has a configuration, has seen the cell and is
+        not cut off."""
+        return (
+            not self.is_stopping
+            and self.config is not None
+            and self._cell.is_loaded
+            and not self.isolation.is_isolated
+        )
 
     # Configuration
 
@@ -195,6 +207,12 @@
             if vm != self.identity.vm
         }
 
+    def _outside_addresses(self) -> list[str]:
+        """Returns the addresses of the VMs in other data centres, or of all if there is one."""
+        others = [r for vm, r in sorted(self._vm_records().items()) if vm != self.identity.vm]
+        outside = [r for r in others if r.data_centre != self.identity.data_centre]
+        return [record.address for record in outside or others]
+
     def _on_cell(self, changed: set[str]) -> None:
         for pool, owner in list(self.owner_by_pool.items()):
             if owner_key(pool) in changed:
@@ -261,7 +279,14 @@
 
     def _record(self) -> OwnerRecord:
         identity = self.identity
-        return OwnerRecord(identity.vm, identity.boot, identity.address, 0, identity.size)
+        return OwnerRecord(
+            vm=identity.vm,
+            boot=identity.boot,
+            address=identity.address,
+            sequence=0,
+            size=identity.size,
+            data_centre=identity.data_centre,
+        )
 
     def _consider(self, pool: PoolName) -> None:
         if pool in self.owner_by_pool or pool in self._claiming:
--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -98,6 +98,8 @@
         Returns the addresses of the other VMs, as last known.
     `failing_since`
         Boot time of the first of the calls that have failed since the last answer.
+    `last_answer`
+        Boot time of the last answer, whichever way it came.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self._relay_from: dict[str, timedelta] = {}
         self._last_relay = ""
         self.failing_since: timedelta | None = None
+        self.last_answer = clock.boot_time()
         self.max_entries = direct.max_entries
 
     async def get(self, key: str) -> Item | None:
@@ -177,6 +180,7 @@
         instruments.store_calls.add(1, labels)
         if reply.outcome is not RelayOutcome.UNAVAILABLE:
             self.failing_since = None
+            self.last_answer = self._clock.boot_time()
         elif self.failing_since is None:
             self.failing_since = self._clock.boot_time()
         return _unpack(reply, may_apply)
--- /dev/null
+++ b/tests/vm/test_isolation.py
@@ -0,0 +1,107 @@
+"""When a VM counts as cut off, and what its callers are told then."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from hornbeamramp.errors import UnreachableError
+from hornbeamramp.states import Step
+from hornbeamramp.vm.isolation import IsolationDetector
+from hornbeamramp.vm.messages import PingReply
+from tests.model.cell import ModelCell, job
+from tests.model.virtual_time import LoopClock, run_in_virtual_time
+
+
+class Peers:
+    """VMs that answer a ping, and those that don't."""
+
+    def __init__(self, answering):
+        self.answering = answering
+        self.asked = []
+
+    async def call(self, address, request, timeout, step):
+        self.asked.append(address)
+        if address not in self.answering:
+            await asyncio.sleep(timeout.total_seconds())
+            raise UnreachableError(Step.FORWARD, address, "no answer")
+        await asyncio.sleep(0.001)
+        return PingReply()
+
+
+async def detect(answering, outside, store_age_s, seconds=2.0):
+    """Runs a detector while the store's last answer has a constant age."""
+    clock = LoopClock()
+    peers = Peers(answering)
+    detector = IsolationDetector(
+        peers, clock, lambda: clock.boot_time() - timedelta(seconds=store_age_s), lambda: outside
+    )
+    task = asyncio.create_task(detector.run())
+    await asyncio.sleep(seconds)
+    task.cancel()
+    return detector.is_isolated, peers
+
+
+@pytest.mark.parametrize(
+    ("answering", "outside", "store_age_s", "expected"),
+    [
+        (set(), ["a", "b"], 5.0, True),
+        ({"b"}, ["a", "b"], 5.0, False),
+        (set(), ["a", "b"], 0.3, False),
+        (set(), [], 5.0, False),
+    ],
+    ids=["all-silent", "store-away-for-all", "store-answers", "only-vm"],
+)
+def test_vm_is_cut_off_without_store_and_other_vms(answering, outside, store_age_s, expected):
+    is_isolated, _ = run_in_virtual_time(detect(answering, outside, store_age_s))
+    assert is_isolated is expected
+
+
+def test_no_vm_is_pinged_while_the_store_answers():
+    _, peers = run_in_virtual_time(detect({"a"}, ["a"], 0.4))
+    assert peers.asked == []
+
+
+def test_all_vms_get_their_turn_to_be_pinged():
+    """A VM was taken as cut off although the one that was never asked could be reached."""
+    outside = [f"vm{number}" for number in range(20)]
+    is_isolated, peers = run_in_virtual_time(detect(set(), outside, 5.0, 4.0))
+    assert set(peers.asked) == set(outside)
+    assert is_isolated
+
+
+def test_caller_in_a_data_centre_that_is_cut_off_is_refused_at_once_and_sent_elsewhere():
+    """Callers of a VM that was cut off waited a second each for as long as the cut lasted."""
+
+    async def scenario():
+        async with ModelCell(vms=3) as cell:
+            owner = await cell.wait_for_owner()
+            vm = next(v for v in cell.vm_by_name.values() if v is not owner)
+            assert vm.node.is_ready
+            vm.store.is_down = True
+            cell.network.silent.add(vm.address)
+            await asyncio.sleep(1.5)
+            assert not vm.node.is_ready
+            before = cell.clock.boot_time()
+            reply = await cell.submit("a" * 16, job(), vm=vm)
+            assert reply.refusal
+            assert reply.retry_after >= timedelta(seconds=1)
+            assert cell.clock.boot_time() - before < timedelta(milliseconds=50)
+            vm.store.is_down = False
+            cell.network.silent.discard(vm.address)
+            await asyncio.sleep(1.5)
+            assert vm.node.is_ready
+
+    run_in_virtual_time(scenario())
+
+
+def test_vms_stay_ready_while_the_store_is_away_for_all():
+    async def scenario():
+        async with ModelCell(vms=3) as cell:
+            for vm in cell.vm_by_name.values():
+                vm.store.is_down = True
+            for _ in range(20):
+                await asyncio.sleep(0.2)
+                assert all(vm.node.is_ready for vm in cell.vm_by_name.values())
+
+    run_in_virtual_time(scenario())
