Give the turns for tickets ahead to steps that can run

Cause: steps that none of the asked workers may run (0 of 7 granted), and gangs with too few, stay at the head of the queue for good. Ruled out: too little room; renders need 5 of the 7 workers. Change: a step keeps a turn only if its granted workers could run it empty.

--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -8,9 +8,9 @@
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.pacing import is_serving
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
-from hornbeamramp.workload import URGENT
+from hornbeamramp.workload import MAX_TASKS, URGENT
 
-__all__ = ["choose_workers", "could_ever_run"]
+__all__ = ["choose_workers", "could_all_run", "could_ever_run"]
 
 Room = tuple[int, int, int]
 
@@ -28,6 +28,30 @@
     )
 
 
+def could_all_run(unit: Unit, sessions: Iterable[WorkerSession]) -> bool:
+    """Tells whether these workers could run all tasks of the unit at once if they were empty."""
+    step = unit.step
+    usable = [session for session in sessions if could_ever_run(step, session)]
+    if step.spec.same_rack and step.spec.gang:
+        racks = {session.listing.rack for session in usable}
+        groups = [[s for s in usable if s.listing.rack == rack] for rack in racks]
+    else:
+        groups = [usable]
+    return any(sum(_most_tasks(step, s) for s in group) >= len(unit.tasks) for group in groups)
+
+
+def _most_tasks(step: StepRun, session: WorkerSession) -> int:
+    """Returns how many tasks of the step an empty worker holds."""
+    capacity, size = session.listing.capacity, step.size
+    pairs = (
+        (capacity.processors_milli, size.processors_milli),
+        (capacity.memory_mib, size.memory_mib),
+        (capacity.accelerators, size.accelerators),
+    )
+    most = min((have // need for have, need in pairs if need), default=MAX_TASKS)
+    return min(most, step.spec.max_per_worker or most)
+
+
 def choose_workers(
     unit: Unit,
     sessions: Iterable[WorkerSession],
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -10,7 +10,7 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import Attempt, HowEnded, WorkerSession
 from hornbeamramp.ids import UpstreamId
-from hornbeamramp.poolowner.choice import choose_workers, could_ever_run
+from hornbeamramp.poolowner.choice import choose_workers, could_all_run, could_ever_run
 from hornbeamramp.poolowner.health import WorkerHealth
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.launch import Launcher
@@ -81,8 +81,9 @@
         ahead = MAX_STEPS_AHEAD
         for step in self._open_steps:
             self._place(step, ahead > 0)
-            # What still waits after its turn is next when room comes free.
-            ahead -= bool(step.waiting)
+            # What still waits after its turn is next when room comes free. Steps that no worker may
+            # run stay in the queue for good, and would keep the others from being next.
+            ahead -= bool(step.waiting and self._is_possible(step))
 
     @staticmethod
     def _order(step: StepRun) -> tuple[float, ...]:
@@ -130,6 +131,15 @@
             if is_next:
                 self._launcher.renew_ahead(step, queue, granted)
 
+    def _is_possible(self, step: StepRun) -> bool:
+        """Tells whether the workers known to be allowed could run the step if they were empty."""
+        grants = step.grants
+        if not grants.asked:
+            return True
+        by_worker = self._owner.session_by_worker
+        granted = [by_worker[worker] for worker in grants.granted if worker in by_worker]
+        return could_all_run(step.waiting[0], granted)
+
     def _make_room(self, step: StepRun, sessions: list[WorkerSession]) -> None:
         """Stops less urgent runs for the tasks of a step that find no room."""
         wanted = sum(len(unit.tasks) for unit in step.waiting)
--- a/hornbeamramp/workload/__init__.py
+++ b/hornbeamramp/workload/__init__.py
@@ -2,6 +2,7 @@
 
 from hornbeamramp.workload.config import URGENT, AdviceTerms, ClusterConfig, Pool, Queue, Target
 from hornbeamramp.workload.model import (
+    MAX_TASKS,
     TERMINAL_PHASES,
     JobPhase,
     JobSpec,
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "MAX_TASKS",
     "TERMINAL_PHASES",
     "URGENT",
     "AdviceTerms",
--- a/hornbeamramp/workload/model.py
+++ b/hornbeamramp/workload/model.py
@@ -9,6 +9,7 @@
 from hornbeamramp.ids import JobId
 
 __all__ = [
+    "MAX_TASKS",
     "TERMINAL_PHASES",
     "JobPhase",
     "JobSpec",
--- a/tests/poolowner/builders.py
+++ b/tests/poolowner/builders.py
@@ -20,16 +20,16 @@
 CAPACITY = Resources(8000, 8000, 4, 0, 0)
 
 
-def record(*steps, priority=0, **fields):
+def record(*steps, priority=0, queue="gate", accepted_ms=0, stretch=2.0, target_ms=1000, **fields):
     """Returns the record of a job with the given steps."""
     return JobRecord(
         job_id=f"{next(_numbers):016x}",
-        queue="gate",
-        accepted_ms=0,
+        queue=queue,
+        accepted_ms=accepted_ms,
         priority=priority,
         max_attempts=2,
-        stretch=2.0,
-        target_ms=1000,
+        stretch=stretch,
+        target_ms=target_ms,
         spec=job(*steps, **fields),
     )
 
--- /dev/null
+++ b/tests/poolowner/test_placer.py
@@ -0,0 +1,100 @@
+"""In which order steps are placed and who holds room for whom, by load pattern."""
+
+from datetime import timedelta
+
+from hornbeamramp.clock import ManualClock
+from hornbeamramp.poolowner.advice import Advice
+from hornbeamramp.poolowner.jobs import Job
+from hornbeamramp.poolowner.placer import Placer
+from hornbeamramp.workload import StepSpec
+from tests.model.cell import queue
+from tests.poolowner.builders import record, running, session
+
+VALIDITY = timedelta(seconds=1.5)
+
+
+class Launcher:
+    """Notes what a placer hands over instead of sending it."""
+
+    def __init__(self):
+        self.launched = []
+        self.held = []
+        self.asked = []
+        self.renewed = []
+
+    def may_ask(self, step):
+        return True
+
+    def ask_first(self, step, queue, sessions):
+        self.asked.append(step)
+
+    def ask_and_launch(self, step, queue, units, sessions):
+        self.held += units
+
+    def renew_ahead(self, step, queue, sessions):
+        self.renewed.append(step)
+
+    def launch(self, step, units):
+        self.launched += units
+        return units
+
+
+class Owner:
+    """A pool with the given workers; jobs of the queue "gate" need advice."""
+
+    def __init__(self, sessions):
+        self.clock = ManualClock()
+        self.clock.set(timedelta(seconds=100))
+        self.session_by_worker = {s.worker: s for s in sessions}
+        self.queues = {"gate": queue("gate"), "batch": queue("batch", 2, advice=False)}
+        self.launcher = Launcher()
+        self.placer = Placer(self, self.launcher, self.clock)
+
+    def may_place(self):
+        return True
+
+    def spawn(self, work):
+        pass
+
+    def queue_of(self, job):
+        return self.queues[job.record.queue]
+
+    def now_ms(self):
+        return int(self.clock.now().timestamp() * 1000)
+
+    def submit(self, *steps, name="batch", priority=2, age_s=0.0, **fields):
+        """Opens the first steps of a job that was accepted ``age_s`` seconds ago."""
+        accepted_ms = self.now_ms() - int(age_s * 1000)
+        made = record(*steps, priority=priority, queue=name, accepted_ms=accepted_ms, **fields)
+        job = Job(made)
+        job.open_occurrence(0)
+        self.placer.add(job.ready_steps())
+        return job.steps_by_occurrence[0][0]
+
+    def grant(self, step, *workers):
+        """Notes an answer of the advice service that names these of all workers."""
+        advice = Advice(dict.fromkeys(workers, "ticket"), VALIDITY)
+        step.grants.add(list(self.session_by_worker), advice, self.clock.boot_time())
+
+
+def placed_on(step):
+    return [a.session.worker for unit in step.units for a in unit.attempts()]
+
+
+WHOLE = StepSpec(1, 1000, 100, 4)
+
+
+def test_renders_that_no_worker_may_run_do_not_keep_others_from_being_next():
+    """Three such renders held all turns for tickets ahead; each later one waited for advice with
+    its worker standing idle, and the design room fell 20 s behind (hcjs-ramp scale-2)."""
+    owner = Owner([session("w0"), session("w1")])
+    for worker in ("w0", "w1"):
+        running(owner.session_by_worker[worker], WHOLE, priority=1)
+    for _ in range(4):
+        owner.grant(owner.submit(WHOLE, name="gate", age_s=5.0))
+    gang = owner.submit(StepSpec(2, 1000, 100, 4, gang=True), name="gate", age_s=4.0)
+    owner.grant(gang, "w0")
+    possible = owner.submit(WHOLE, name="gate", age_s=1.0)
+    owner.grant(possible, "w0")
+    owner.placer.schedule()
+    assert possible in owner.launcher.renewed
