Place first what can still be in time for its caller

Change: within a priority, steps whose job can still be in time come first, by the time at which they must begin; then those that come late; what comes too late to matter (three times its time) comes after all others and stops nothing. Durations are the estimates, corrected by what runs of the image took.

--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -5,6 +5,7 @@
 from hornbeamramp.fleet import Attempt
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.advice import Grants
+from hornbeamramp.poolowner.outlook import Chain, Outlook, Prospect
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import JobProgress, JobRecord, OpenTask
 from hornbeamramp.workload import TERMINAL_PHASES, JobPhase, StepKey, StepSpec, task_name
@@ -74,6 +75,8 @@
         self.waiting: list[Unit] = []
         self.is_open = False
         self.grants = Grants()
+        # As of the latest pass of the placer.
+        self.prospect = Prospect(Outlook.IN_TIME, 0.0)
 
     @property
     def is_done(self) -> bool:
@@ -100,6 +103,7 @@
 
     def __init__(self, record: JobRecord) -> None:
         self.record = record
+        self.chain = Chain.of(record.spec.steps)
         self.phase = JobPhase.QUEUED
         # The phase that is in the store. Callers are shown no other, as only that one lasts.
         self.recorded_phase = JobPhase.QUEUED
--- /dev/null
+++ b/hornbeamramp/poolowner/outlook.py
@@ -0,0 +1,99 @@
+"""What a job can still be for its caller: in time, late, or too late to be of use.
+
+A job is in time within its queue's stretch times its longest chain of work, plus the queue's
+target. Durations are the submitter's estimates, corrected by what runs of the same image took.
+Long-running tasks are of use from whenever they begin.
+"""
+
+from enum import IntEnum
+from functools import cached_property
+
+import msgspec
+
+from hornbeamramp.durations import to_ms
+from hornbeamramp.statestore import JobRecord
+from hornbeamramp.workload import AdviceTerms, StepSpec
+
+__all__ = ["Chain", "Outlook", "Prospect", "prospect"]
+
+# Beyond this many times the time in which a job counts as in time, its answer is worth nothing to
+# its caller (the users' rule on what a job earns).
+LATE_FACTOR = 3.0
+# Workers named in the question that each step's time allows for (the users' rule).
+WORKERS_ASKED = 30
+
+
+class Outlook(IntEnum):
+    """What can still be reached, the best first."""
+
+    IN_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
+class Prospect(msgspec.Struct, frozen=True):
+    """A step's outlook, and the latest Unix time in ms at which it can begin to keep it."""
+
+    outlook: Outlook
+    begin_by_ms: float
+
+
+class Chain(msgspec.Struct, frozen=True, dict=True):
+    """The longest way through a job's steps, in declared ms and in steps.
+
+    ``left_by_step`` holds for each step what is left from its beginning on.
+    """
+
+    left_by_step: tuple[tuple[float, int], ...]
+
+    @cached_property
+    def longest(self) -> tuple[float, int]:
+        return max(self.left_by_step)
+
+    @classmethod
+    def of(cls, steps: tuple[StepSpec, ...]) -> "Chain":
+        """Returns the chain of a job's steps; each comes after those it names."""
+        left = [(float(step.estimate_ms), 1) for step in steps]
+        for number in range(len(steps) - 1, -1, -1):
+            work, depth = left[number]
+            for earlier in steps[number].after:
+                own = steps[earlier].estimate_ms
+                left[earlier] = max(left[earlier], (own + work, depth + 1))
+        return cls(tuple(left))
+
+
+def prospect(
+    record: JobRecord,
+    chain: Chain,
+    step: int,
+    since_ms: float,
+    now_ms: float,
+    correction: float,
+    terms: AdviceTerms | None,
+) -> Prospect:
+    """Returns what a step's job can still reach if the step begins now.
+
+    `since_ms`
+        Unix time from which the job's time counts.
+    `correction`
+        Duration of runs over their declared duration.
+    """
+    if record.spec.steps[step].long_running:
+        return Prospect(Outlook.IN_TIME, since_ms)
+    advice_ms = 0.0
+    if terms is not None:
+        advice_ms = to_ms(terms.base + WORKERS_ASKED * terms.per_worker)
+
+    def duration(way: tuple[float, int]) -> float:
+        return way[0] * correction + way[1] * advice_ms
+
+    in_time_ms = record.stretch * duration(chain.longest) + record.target_ms
+    left_ms = duration(chain.left_by_step[step])
+    for outlook, limit_ms in (
+        (Outlook.IN_TIME, in_time_ms),
+        (Outlook.LATE, LATE_FACTOR * in_time_ms),
+    ):
+        begin_by_ms = since_ms + limit_ms - left_ms
+        if now_ms <= begin_by_ms:
+            return Prospect(outlook, begin_by_ms)
+    return Prospect(Outlook.TOO_LATE, since_ms)
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -14,6 +14,7 @@
 from hornbeamramp.poolowner.health import WorkerHealth
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.outlook import Outlook, Prospect, prospect
 from hornbeamramp.poolowner.preemption import choose_victims, coming_room
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 
@@ -71,13 +72,16 @@
         self.speeds.forget(worker)
 
     def schedule(self) -> None:
-        """Places what fits, in order of priority, then of acceptance."""
+        """Places what fits, in order of priority. Within one, those that can still be in time come
+        first; what is too late for its caller comes after all others."""
         if not self._owner.may_place():
             return
         self._open_steps = [
             step for step in self._open_steps if step.waiting and not step.job.is_ended
         ]
-        self._open_steps.sort(key=self._order)
+        for step in self._open_steps:
+            step.prospect = self._prospect(step)
+        self._open_steps.sort(key=_order)
         ahead = MAX_STEPS_AHEAD
         for step in self._open_steps:
             self._place(step, ahead > 0)
@@ -85,10 +89,18 @@
             # run stay in the queue for good, and would keep the others from being next.
             ahead -= bool(step.waiting and self._is_possible(step))
 
-    @staticmethod
-    def _order(step: StepRun) -> tuple[float, ...]:
-        record = step.job.record
-        return (record.priority, record.accepted_ms)
+    def _prospect(self, step: StepRun) -> Prospect:
+        job = step.job
+        queue = self._owner.queue_of(job)
+        return prospect(
+            record=job.record,
+            chain=job.chain,
+            step=step.key.step,
+            since_ms=max(job.record.accepted_ms, job.record.spec.due_ms(step.key.occurrence)),
+            now_ms=self._owner.now_ms(),
+            correction=self.speeds.correction(step),
+            terms=None if queue is None else queue.advice,
+        )
 
     def _place(self, step: StepRun, is_next: bool) -> None:
         """Starts what fits. The steps that are next keep their tickets fresh without room too, so
@@ -142,6 +154,8 @@
 
     def _make_room(self, step: StepRun, sessions: list[WorkerSession]) -> None:
         """Stops less urgent runs for the tasks of a step that find no room."""
+        if step.prospect.outlook is Outlook.TOO_LATE:
+            return
         wanted = sum(len(unit.tasks) for unit in step.waiting)
         missing = min(wanted, MAX_PREEMPTED_FOR) - coming_room(step, sessions)
         if missing <= 0:
@@ -180,3 +194,8 @@
                 count_on[session.worker] += 1
             reserved.append(unit)
         return reserved
+
+
+def _order(step: StepRun) -> tuple[float, ...]:
+    outlook, priority = step.prospect.outlook, step.job.record.priority
+    return (outlook is Outlook.TOO_LATE, priority, outlook, step.prospect.begin_by_ms)
--- a/hornbeamramp/poolowner/speeds.py
+++ b/hornbeamramp/poolowner/speeds.py
@@ -8,6 +8,7 @@
 
 from hornbeamramp.fleet import Attempt
 from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.jobs import StepRun
 
 __all__ = ["WorkerSpeeds"]
 
@@ -35,13 +36,18 @@
     def is_suspect(self, worker: UpstreamId) -> bool:
         return self.speed(worker) < SUSPECT_SPEED
 
+    def correction(self, step: StepRun) -> float:
+        """Returns how long runs of the step's image take at the usual speed, over their estimates;
+        1.0 as long as nothing is known."""
+        return math.exp(-self._log_by_image.get(_image(step), 0.0))
+
     def note(self, attempt: Attempt, elapsed_s: float, share: float) -> None:
         """Notes that a run has done ``share`` (0 to 1) of its work in ``elapsed_s`` seconds."""
         step = attempt.task.unit.step
         estimate_s = step.spec.estimate_ms / 1000
         if elapsed_s < SHORTEST_RUN_S or share <= 0.0 or estimate_s <= 0.0:
             return
-        image = step.spec.image or str(step.job.record.queue)
+        image = _image(step)
         worker = UpstreamId(attempt.session.worker)
         observed = math.log(estimate_s * share / elapsed_s)
         of_image = self._log_by_image.setdefault(image, observed)
@@ -53,3 +59,7 @@
     def forget(self, worker: UpstreamId) -> None:
         """Drops what is known of a worker that may have become another kind."""
         self._log_by_worker.pop(worker, None)
+
+
+def _image(step: StepRun) -> str:
+    return step.spec.image or str(step.job.record.queue)
--- /dev/null
+++ b/tests/poolowner/test_outlook.py
@@ -0,0 +1,58 @@
+"""What a job can still be for its caller."""
+
+from datetime import timedelta
+
+import pytest
+
+from hornbeamramp.poolowner.outlook import Chain, Outlook, prospect
+from hornbeamramp.workload import AdviceTerms, StepSpec
+from tests.poolowner.builders import record
+
+STEPS = (
+    StepSpec(1, estimate_ms=1000),
+    StepSpec(1, estimate_ms=3000),
+    StepSpec(1, estimate_ms=500, after=(0, 1)),
+)
+TERMS = AdviceTerms(timedelta(milliseconds=40), timedelta(milliseconds=2), timedelta(seconds=1))
+
+
+def at(now_ms, step=0, correction=1.0, terms=None, steps=STEPS):
+    """Returns the prospect of a step whose job was accepted at 0, with stretch 2 and 1 s on top."""
+    job = record(*steps, stretch=2.0, target_ms=1000)
+    return prospect(job, Chain.of(steps), step, 0, now_ms, correction, terms)
+
+
+def test_chain_is_the_longest_way_through_the_steps():
+    chain = Chain.of(STEPS)
+    assert chain.left_by_step == ((1500.0, 2), (3500.0, 2), (500.0, 1))
+    assert chain.longest == (3500.0, 2)
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "outlook"),
+    [
+        (4500, Outlook.IN_TIME),
+        (4501, Outlook.LATE),
+        (20500, Outlook.LATE),
+        (20501, Outlook.TOO_LATE),
+    ],
+)
+def test_job_is_late_beyond_its_time_and_too_late_beyond_three_times_that(now_ms, outlook):
+    assert at(now_ms, step=1).outlook is outlook
+
+
+def test_later_steps_have_until_their_own_work_must_begin():
+    assert at(0, step=2).begin_by_ms == 7500
+
+
+def test_durations_are_corrected_by_what_runs_of_the_image_took():
+    assert at(0, step=1, correction=2.0).begin_by_ms == 2 * 7000 + 1000 - 7000
+
+
+def test_a_question_for_each_step_counts_as_work():
+    assert at(0, step=1, terms=TERMS).begin_by_ms == 2 * 3700 + 1000 - 3700
+
+
+def test_long_running_tasks_are_never_late():
+    steps = (StepSpec(1, long_running=True),)
+    assert at(10**9, steps=steps).outlook is Outlook.IN_TIME
--- a/tests/poolowner/test_placer.py
+++ b/tests/poolowner/test_placer.py
@@ -81,7 +81,7 @@
     return [a.session.worker for unit in step.units for a in unit.attempts()]
 
 
-WHOLE = StepSpec(1, 1000, 100, 4)
+WHOLE = StepSpec(1, 1000, 100, 4, estimate_ms=5000)
 
 
 def test_renders_that_no_worker_may_run_do_not_keep_others_from_being_next():
@@ -98,3 +98,35 @@
     owner.grant(possible, "w0")
     owner.placer.schedule()
     assert possible in owner.launcher.renewed
+
+
+def test_after_an_outage_those_that_can_still_be_in_time_come_before_the_late():
+    """Served in order of acceptance, each render behind the backlog of an outage of five seconds
+    came late for another twenty (hcjs-ramp scale-2)."""
+    owner = Owner([session("w0")])
+    too_late, late, in_time = (owner.submit(WHOLE, age_s=age) for age in (60.0, 20.0, 1.0))
+    placed = []
+    for _ in range(3):
+        owner.placer.schedule()
+        [step] = [s for s in (too_late, late, in_time) if placed_on(s) and s not in placed]
+        placed.append(step)
+        worker = owner.session_by_worker["w0"]
+        worker.release(next(iter(worker.attempt_by_key.values())))
+    assert placed == [in_time, late, too_late]
+
+
+def test_what_comes_too_late_does_not_go_before_less_urgent_work_that_is_in_time():
+    owner = Owner([session("w0")])
+    quote = owner.submit(WHOLE, priority=0, age_s=60.0)
+    batch = owner.submit(WHOLE, priority=2, age_s=1.0)
+    owner.placer.schedule()
+    assert (placed_on(quote), placed_on(batch)) == ([], ["w0"])
+
+
+def test_nothing_is_stopped_for_what_comes_too_late():
+    owner = Owner([session("w0")])
+    resumable = StepSpec(1, 1000, 100, 4, checkpointing=True)
+    victim = running(owner.session_by_worker["w0"], resumable, priority=2)
+    owner.submit(WHOLE, priority=0, age_s=60.0)
+    owner.placer.schedule()
+    assert not victim.stop_wanted
