Record who may run a step; ask first where room stands empty

Cause: after a takeover nothing was known of who may run which step. Change: answers that cost 50 ms or more are written with the job's progress. Questions for which room is free go first, those for jobs that come too late last.

--- a/hornbeamramp/poolowner/advice.py
+++ b/hornbeamramp/poolowner/advice.py
@@ -37,15 +37,35 @@
 
     @abstractmethod
     async def ask(
-        self, step: StepKey, workers: list[UpstreamId], terms: AdviceTerms, priority: int
+        self,
+        step: StepKey,
+        workers: list[UpstreamId],
+        terms: AdviceTerms,
+        priority: int,
+        deferral: timedelta,
     ) -> Advice:
-        """Returns advice on a step for the workers named. Raises `AdviceUnavailableError`."""
+        """Returns advice on a step for the workers named. Raises `AdviceUnavailableError`.
 
+        Questions are sent in order of priority and age; ``deferral`` makes one count as younger.
+        """
 
-class Grants:
-    """What is known of one step's advice."""
 
-    __slots__ = ("asked", "granted", "is_pending", "not_before", "ticket_by_worker", "valid_until")
+class Grants:
+    """What is known of one step's advice.
+
+    `is_recorded`
+        Whether a successor should find in the store who may run the step.
+    """
+
+    __slots__ = (
+        "asked",
+        "granted",
+        "is_pending",
+        "is_recorded",
+        "not_before",
+        "ticket_by_worker",
+        "valid_until",
+    )
 
     def __init__(self) -> None:
         self.asked: set[UpstreamId] = set()
@@ -53,6 +73,7 @@
         self.ticket_by_worker: dict[UpstreamId, str] = {}
         self.valid_until: dict[UpstreamId, timedelta] = {}
         self.is_pending = False
+        self.is_recorded = False
         self.not_before = timedelta(0)
 
     def add(self, workers: Iterable[UpstreamId], advice: Advice, received_at: timedelta) -> None:
--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -1,13 +1,14 @@
 """Jobs of an owned pool in memory: their steps, units and tasks, and their progress records."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 
 from hornbeamramp.fleet import Attempt
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.advice import Grants
 from hornbeamramp.poolowner.outlook import Chain, Outlook, Prospect
 from hornbeamramp.resources import Resources
-from hornbeamramp.statestore import JobProgress, JobRecord, OpenTask
+from hornbeamramp.statestore import JobProgress, JobRecord, OpenTask, StepGrants
 from hornbeamramp.workload import TERMINAL_PHASES, JobPhase, StepKey, StepSpec, task_name
 
 __all__ = ["Job", "StepRun", "Task", "Unit"]
@@ -75,6 +76,8 @@
         self.waiting: list[Unit] = []
         self.is_open = False
         self.grants = Grants()
+        # When runs were last looked for that could be stopped for this step.
+        self.searched_at: timedelta | None = None
         # As of the latest pass of the placer.
         self.prospect = Prospect(Outlook.IN_TIME, 0.0)
 
@@ -164,6 +167,7 @@
             return JobProgress(self.phase, ended_ms=self.ended_ms)
         done = []
         open_tasks = []
+        grants = []
         for step in self.steps():
             _, occurrence, number = step.key
             indices = tuple(
@@ -172,7 +176,10 @@
             if indices:
                 done.append((occurrence, number, indices))
             open_tasks += self._open_tasks(step)
-        return JobProgress(self.phase, tuple(done), tuple(open_tasks))
+            if step.grants.is_recorded and not step.is_done:
+                asked, granted = tuple(step.grants.asked), tuple(step.grants.granted)
+                grants.append(StepGrants(occurrence, number, asked, granted))
+        return JobProgress(self.phase, tuple(done), tuple(open_tasks), tuple(grants))
 
     @staticmethod
     def _open_tasks(step: StepRun) -> Iterator[OpenTask]:
@@ -205,6 +212,12 @@
             self.open_occurrence(occurrence)
             for index in indices:
                 self.steps_by_occurrence[occurrence][number].task(index).is_done = True
+        for row in progress.grants:
+            self.open_occurrence(row.occurrence)
+            grants = self.steps_by_occurrence[row.occurrence][row.step].grants
+            grants.is_recorded = True
+            grants.asked.update(row.asked)
+            grants.granted.update(row.granted)
         placed = []
         for row in progress.open_tasks:
             self.open_occurrence(row.occurrence)
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -15,6 +15,7 @@
 from hornbeamramp.poolowner.choice import could_ever_run
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.journal import Journal
+from hornbeamramp.poolowner.outlook import Outlook
 from hornbeamramp.statestore import ClaimLostError
 from hornbeamramp.workload import URGENT, Queue
 
@@ -26,6 +27,13 @@
 # Most workers named in one question: the platform's bound on a job's time counts one question
 # about 30 workers for each step.
 MAX_WORKERS_ASKED = 30
+# Questions from this cost on are not asked again by a successor: their answers are recorded. For
+# cheaper ones a write costs more than a question.
+RECORDED_COST = timedelta(milliseconds=50)
+# By how long questions count as younger if no room stands empty for want of their answer, and if
+# the answer comes too late for the job's caller. Costly questions take about half a second.
+AHEAD_DEFERRAL = timedelta(milliseconds=500)
+TOO_LATE_DEFERRAL = timedelta(seconds=2)
 # Pause after a question without an answer.
 ADVICE_PAUSE = timedelta(milliseconds=200)
 # Pause before a refused start is tried again, so that the worker's next list has come.
@@ -85,9 +93,11 @@
     async def _ask_then(
         self, step: StepRun, queue: Queue, sessions: list[WorkerSession], units: list[Unit]
     ) -> None:
-        names = [UpstreamId(session.worker) for session in sessions[:MAX_WORKERS_ASKED]]
+        sessions = sessions[:MAX_WORKERS_ASKED]
+        names = [UpstreamId(session.worker) for session in sessions]
+        has_room = bool(units) or any(session.fits(step.size) for session in sessions)
         try:
-            await self._ask(step, queue, names)
+            await self._ask(step, queue, names, _deferral(step, has_room))
         finally:
             step.grants.is_pending = False
             ready = [unit for unit in units if self._has_tickets(unit)]
@@ -106,17 +116,24 @@
             for attempt in unit.attempts()
         )
 
-    async def _ask(self, step: StepRun, queue: Queue, names: list[UpstreamId]) -> None:
+    async def _ask(
+        self, step: StepRun, queue: Queue, names: list[UpstreamId], deferral: timedelta
+    ) -> None:
         assert queue.advice is not None
         asked_at = self._clock.boot_time()
+        priority = step.job.record.priority
         try:
-            advice = await self._advice.ask(step.key, names, queue.advice, step.job.record.priority)
+            advice = await self._advice.ask(step.key, names, queue.advice, priority, deferral)
         except AdviceUnavailableError as error:
             step.grants.not_before = self._clock.boot_time() + ADVICE_PAUSE
             _log.info("{}: no advice: {}", step.key, error)
             return
         received_at = self._clock.boot_time()
+        knew = len(step.grants.asked)
         step.grants.add(names, advice, received_at)
+        if queue.advice.base >= RECORDED_COST and len(step.grants.asked) > knew:
+            step.grants.is_recorded = True
+            self._journal.touch(step.job)
         took = received_at - asked_at
         instruments.advice_time.record(took.total_seconds())
         granted = len(advice.ticket_by_worker)
@@ -202,3 +219,10 @@
         if reply is StartReply.TICKET_INVALID:
             step.grants.drop_ticket(UpstreamId(session.worker))
         return reply
+
+
+def _deferral(step: StepRun, has_room: bool) -> timedelta:
+    """Returns by how long a question counts as younger."""
+    if step.prospect.outlook is Outlook.TOO_LATE:
+        return TOO_LATE_DEFERRAL
+    return timedelta(0) if has_room else AHEAD_DEFERRAL
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -15,6 +15,7 @@
     "JobProgress",
     "JobRecord",
     "OpenTask",
+    "StepGrants",
     "decode_progress",
     "decode_record",
     "encode",
@@ -58,12 +59,22 @@
     checkpoint: str
 
 
+class StepGrants(msgspec.Struct, frozen=True, array_like=True):
+    """What the advice service said of a step: workers asked about, and those that may run it."""
+
+    occurrence: int
+    step: int
+    asked: tuple[UpstreamId, ...]
+    granted: tuple[UpstreamId, ...]
+
+
 class JobProgress(msgspec.Struct, frozen=True, omit_defaults=True):
     """What has happened to a job. ``done`` has rows of occurrence, step and task indices."""
 
     phase: JobPhase = JobPhase.QUEUED
     done: tuple[tuple[int, int, tuple[int, ...]], ...] = ()
     open_tasks: tuple[OpenTask, ...] = ()
+    grants: tuple[StepGrants, ...] = ()
     ended_ms: int = 0
 
 
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -115,10 +115,15 @@
         return len(self._waiting)
 
     async def ask(
-        self, step: StepKey, workers: list[UpstreamId], terms: AdviceTerms, priority: int
+        self,
+        step: StepKey,
+        workers: list[UpstreamId],
+        terms: AdviceTerms,
+        priority: int,
+        deferral: timedelta,
     ) -> Advice:
         cost = terms.base + len(workers) * terms.per_worker
-        vm = await self._take_vm(cost > COSTLY_CALL, priority)
+        vm = await self._take_vm(cost > COSTLY_CALL, priority * AGE_PER_PRIORITY + deferral)
         try:
             if vm == self._own_vm:
                 return await self._queue.ask(step, workers, priority, cost + CALL_SLACK)
@@ -127,10 +132,10 @@
             self._busy.discard(vm)
             self._hand_out()
 
-    async def _take_vm(self, is_costly: bool, priority: int) -> VmId:
+    async def _take_vm(self, is_costly: bool, deferral: timedelta) -> VmId:
         turn: asyncio.Future[VmId] = asyncio.get_running_loop().create_future()
         # A question gains on more urgent ones while it waits, so that none waits for ever.
-        due = self._clock.boot_time() + priority * AGE_PER_PRIORITY
+        due = self._clock.boot_time() + deferral
         heapq.heappush(self._waiting, (due, next(self._sequence), is_costly, turn))
         try:
             while not turn.done():
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -48,10 +48,12 @@
 PATIENCE = timedelta(seconds=3)
 
 
-def queue(name: str = "gate", priority: int = 0, advice: bool = True) -> Queue:
-    """Returns a queue of the pool."""
+def queue(
+    name: str = "gate", priority: int = 0, advice: bool = True, decide_ms: float = 10.0
+) -> Queue:
+    """Returns a queue of the pool, with the time in which the advice service decides."""
     terms = AdviceTerms(
-        timedelta(milliseconds=10), timedelta(milliseconds=0.2), timedelta(seconds=2)
+        timedelta(milliseconds=decide_ms), timedelta(milliseconds=0.2), timedelta(seconds=2)
     )
     return Queue(
         name=RouteName(name),
@@ -222,7 +224,8 @@
         self.vm_by_name: dict[str, ModelVm] = {}
         self.queue_by_job: dict[JobId, str] = {}
         self._boots = 0
-        self.queues = {q.name: q for q in (queue("gate"), queue("batch", 2, advice=False))}
+        queues = (queue("gate"), queue("batch", 2, advice=False), queue("render", 1, decide_ms=500))
+        self.queues = {q.name: q for q in queues}
         self.version = 0
         self.configure()
         for number in range(workers):
--- a/tests/vm/test_advice_queue.py
+++ b/tests/vm/test_advice_queue.py
@@ -16,6 +16,7 @@
 STEP = StepKey("a" * 16, 0, 0)
 COSTLY = AdviceTerms(timedelta(milliseconds=500), timedelta(0), timedelta(seconds=2))
 CHEAP = AdviceTerms(timedelta(milliseconds=10), timedelta(0), timedelta(seconds=2))
+NO_DEFERRAL = timedelta(0)
 SECOND = timedelta(seconds=1)
 
 
@@ -73,7 +74,7 @@
     async def scenario():
         peers = Peers()
         advice = spread(peers)
-        await asyncio.gather(*(advice.ask(STEP, [], CHEAP, 0) for _ in range(4)))
+        await asyncio.gather(*(advice.ask(STEP, [], CHEAP, 0, NO_DEFERRAL) for _ in range(4)))
         assert sorted(peers.called) == ["vm1", "vm2", "vm3"]
 
     run_in_virtual_time(scenario())
@@ -83,10 +84,12 @@
     async def scenario():
         peers = Peers()
         advice = spread(peers)
-        costly = [asyncio.create_task(advice.ask(STEP, [], COSTLY, 1)) for _ in range(10)]
+        costly = [
+            asyncio.create_task(advice.ask(STEP, [], COSTLY, 1, NO_DEFERRAL)) for _ in range(10)
+        ]
         await asyncio.sleep(0)
         started = LoopClock().boot_time()
-        await advice.ask(STEP, [], CHEAP, 0)
+        await advice.ask(STEP, [], CHEAP, 0, NO_DEFERRAL)
         assert LoopClock().boot_time() - started < timedelta(milliseconds=150)
         await asyncio.gather(*costly)
 
@@ -99,7 +102,7 @@
     async def scenario():
         peers = Peers({"vm1", "vm2", "vm3"})
         advice = spread(peers)
-        first = [advice.ask(STEP, [], COSTLY, 1) for _ in range(6)]
+        first = [advice.ask(STEP, [], COSTLY, 1, NO_DEFERRAL) for _ in range(6)]
 
         async def mend():
             await asyncio.sleep(1.0)
@@ -116,6 +119,28 @@
     async def scenario():
         advice = spread(Peers({"vm1"}), ("vm1",))
         with pytest.raises(AdviceUnavailableError):
-            await asyncio.gather(*(advice.ask(STEP, [], COSTLY, 0) for _ in range(2)))
+            await asyncio.gather(*(advice.ask(STEP, [], COSTLY, 0, NO_DEFERRAL) for _ in range(2)))
+
+    run_in_virtual_time(scenario())
+
+
+def test_question_for_a_worker_that_stands_empty_goes_before_those_asked_ahead():
+    """After a takeover, questions ahead of room kept freed workers empty for up to three seconds
+    (hcjs-ramp scale-2)."""
+
+    async def scenario():
+        peers = Peers()
+        advice = spread(peers)
+        order = []
+
+        async def ask(name, deferral):
+            await advice.ask(STEP, [], COSTLY, 1, deferral)
+            order.append(name)
+
+        ahead = [asyncio.create_task(ask("ahead", timedelta(seconds=0.5))) for _ in range(8)]
+        await asyncio.sleep(0)
+        await asyncio.gather(ask("empty", NO_DEFERRAL), *ahead)
+        # Three of the four VMs take costly questions; those under way are not called back.
+        assert order.index("empty") <= 3
 
     run_in_virtual_time(scenario())
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -85,7 +85,7 @@
     async def scenario(cell):
         owner = await cell.wait_for_owner()
         token = owner.owner.token
-        owner.store.commit_delay = timedelta(milliseconds=1500)
+        owner.store.commit_delay = PATIENCE + timedelta(seconds=1)
         assert await cell.submit("8" * 16, job()) is None
         owner.store.commit_delay = timedelta(0)
         await cell.wait_for_phase("8" * 16, JobPhase.COMPLETED)
@@ -432,7 +432,7 @@
         vm.store.commit_delay = timedelta(seconds=1)
         first = asyncio.create_task(owner.accept("a" * 16, queue, job()))
         await asyncio.sleep(0.1)
-        owner._claim.failing_since = timedelta(0)
+        owner._claim.failing_since = cell.clock.boot_time() - timedelta(seconds=1)
         second = asyncio.create_task(owner.accept("a" * 16, queue, job()))
         async with asyncio.timeout(0.5):
             assert await owner.accept("b" * 16, queue, job()) is not None
@@ -440,3 +440,25 @@
         await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
 
     in_cell(scenario)
+
+
+def test_successor_knows_who_may_run_a_step_without_asking_all_again():
+    """After a takeover every waiting step was asked about anew for all workers, half a second for
+    each on a VM, and work stood still for up to three seconds (hcjs-ramp scale-2)."""
+
+    async def scenario(cell):
+        # Nothing fits beside it, so the steps behind it only wait.
+        await cell.submit("f" * 16, job(StepSpec(4, 8000, 100, estimate_ms=60_000)), "batch")
+        await asyncio.sleep(0.5)
+        for number in range(3):
+            await cell.submit(f"{number:016x}", job(StepSpec(1, 8000, 100)), "render")
+        await asyncio.sleep(4.0)
+        await (await cell.wait_for_owner()).kill()
+        successor = await cell.wait_for_owner()
+        for number in range(3):
+            [step] = successor.owner.job_by_id[f"{number:016x}"].steps()
+            expected = {w for w in step.grants.asked if cell.advice.is_granted(str(step.key), w)}
+            assert len(step.grants.asked) == 4
+            assert step.grants.granted == expected
+
+    in_cell(scenario, granted=0.5)
