--- a/tests/platform/wire_server.py
+++ b/tests/platform/wire_server.py
@@ -149,11 +149,17 @@
     return await listen(handle, host)
 
 
+def _drop(request):
+    """Breaks the connection, if the caller has not done so."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 async def serve_worker(worker: ModelWorker, host="127.0.0.1"):
     async def handle(request):
         body = json.loads(await request.read())
         if not worker.is_up:
-            request.transport.abort()
+            _drop(request)
         if request.headers["Expect-Instance"] != worker.name:
             return web.json_response({}, status=421)
         if request.path == "/run-start":
@@ -174,7 +180,7 @@
                 async with asyncio.timeout(body["wait-ms"] / 1000):
                     await worker.has_ended.wait()
         if not worker.is_up or worker.born_ms != born:
-            request.transport.abort()
+            _drop(request)
         return web.json_response(_lists(worker))
 
     return await listen(handle, host)
