--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -166,7 +166,7 @@
             if task.attempt is not None and task.attempt.phase is AttemptPhase.RESERVED:
                 task.attempt.session.release(task.attempt)
                 task.attempt = None
-        self._owner.retry(unit)
+        self._owner.lifecycle.retry(unit)
 
     async def _start_unit(self, unit: Unit) -> None:
         attempts = [a for a in unit.attempts() if a.phase is AttemptPhase.RESERVED]
@@ -186,7 +186,7 @@
                 attempt.task.attempt = None
         await self._clock.sleep(REFUSED_PAUSE)
         if unit.step.spec.gang or not unit.is_placed:
-            self._owner.retry(unit)
+            self._owner.lifecycle.retry(unit)
 
     async def _start(self, attempt: Attempt) -> StartReply | None:
         step = attempt.task.unit.step
@@ -209,7 +209,7 @@
             reply = StartReply.OTHER_BOOT
         instruments.starts.add(1, {"reply": "no_answer" if reply is None else reply.value})
         if reply is StartReply.STARTED:
-            self._owner.note_started(step.job)
+            self._owner.lifecycle.note_started(step.job)
             if step.job.is_ended and attempt.task.attempt is attempt:
                 session.stop(attempt)
         else:
--- /dev/null
+++ b/hornbeamramp/poolowner/lifecycle.py
@@ -0,0 +1,131 @@
+"""From an opened step to a job's end: which steps are open, and what the end of a run means."""
+
+from typing import TYPE_CHECKING
+
+import logbook
+
+from hornbeamramp import instruments
+from hornbeamramp.fleet import Attempt, AttemptPhase, HowEnded
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.jobs import Job, Task, Unit
+from hornbeamramp.poolowner.journal import Journal
+from hornbeamramp.poolowner.placer import Placer
+from hornbeamramp.workload import JobPhase
+
+if TYPE_CHECKING:
+    from hornbeamramp.poolowner.owner import PoolOwner
+
+__all__ = ["JobLifecycle"]
+
+_log = logbook.Logger("owner")
+
+
+class JobLifecycle:
+    """Moves the jobs of a pool on. Each change is touched in the journal, which records it."""
+
+    def __init__(self, owner: "PoolOwner", placer: Placer, journal: Journal) -> None:
+        self._owner = owner
+        self._placer = placer
+        self._journal = journal
+
+    def open_due(self, job: Job) -> None:
+        """Opens the occurrences that are due, and the steps whose predecessors are done."""
+        if job.is_ended:
+            return
+        spec = job.record.spec
+        now_ms = self._owner.now_ms()
+        for occurrence in range(spec.occurrences):
+            if spec.due_ms(occurrence) > now_ms:
+                break
+            job.open_occurrence(occurrence)
+        self._open_ready(job)
+
+    def _open_ready(self, job: Job) -> None:
+        if self._placer.add(job.ready_steps()):
+            self._owner.wake()
+
+    def note_started(self, job: Job) -> None:
+        """Notes that a task of the job has begun."""
+        if job.phase is JobPhase.QUEUED:
+            job.phase = JobPhase.RUNNING
+            self._journal.touch(job)
+            waited = (self._owner.now_ms() - job.record.accepted_ms) / 1000
+            instruments.first_start_time.record(waited, {"queue": job.record.queue})
+
+    def apply_end(self, attempt: Attempt, how: HowEnded, checkpoint: str) -> None:
+        """Applies the end of a run."""
+        task: Task = attempt.task
+        unit = task.unit
+        job = unit.step.job
+        task.attempt = None
+        self._owner.wake()
+        instruments.run_ends.add(1, {"how": how.value})
+        self._placer.note_end(attempt, how)
+        if job.is_ended:
+            return
+        if checkpoint:
+            unit.checkpoint = checkpoint
+        if how is HowEnded.DONE and not unit.step.spec.long_running:
+            # One member's end stands for the whole gang.
+            for member in unit.tasks:
+                member.is_done = True
+        elif how is HowEnded.FAILED:
+            _note_failure(unit, attempt)
+        elif how in (HowEnded.LAPSED, HowEnded.LOST):
+            unit.avoid.add(UpstreamId(attempt.session.worker))
+        if how is not HowEnded.DONE:
+            _log.info(
+                "{} run {} on {} ended {} at {}%, failures {}",
+                task.name,
+                attempt.run,
+                attempt.session.worker,
+                how.value,
+                attempt.percent,
+                unit.failures,
+            )
+        self._journal.touch(job)
+        if not unit.is_done:
+            self.retry(unit)
+        if job.is_complete():
+            self.finish(job, JobPhase.COMPLETED)
+        elif unit.step.is_done:
+            self._open_ready(job)
+
+    def retry(self, unit: Unit) -> None:
+        """Queues a unit again once none of its runs is left; a broken gang is stopped first."""
+        job = unit.step.job
+        if job.is_ended or unit.is_done:
+            return
+        if unit.is_placed:
+            for attempt in unit.attempts():
+                if attempt.phase is not AttemptPhase.RESERVED:
+                    attempt.session.stop(attempt)
+            return
+        if not unit.step.spec.long_running and unit.failures >= self._max_attempts(job):
+            self.finish(job, JobPhase.FAILED)
+            return
+        self._placer.queue(unit)
+        self._owner.wake()
+
+    def _max_attempts(self, job: Job) -> int:
+        queue = self._owner.queue_of(job)
+        return job.record.max_attempts if queue is None else queue.max_attempts
+
+    def finish(self, job: Job, phase: JobPhase) -> None:
+        """Ends a job. Its runs are stopped and leave the ledger as workers list their ends."""
+        job.close(phase, self._owner.now_ms())
+        self._journal.touch(job)
+        took_ms = job.ended_ms - job.record.accepted_ms
+        _log.info("{} {} after {} ms", job.record.job_id, phase.value, took_ms)
+        for attempt in list(job.attempts()):
+            if attempt.phase is not AttemptPhase.RESERVED:
+                attempt.session.stop(attempt)
+
+
+def _note_failure(unit: Unit, attempt: Attempt) -> None:
+    """Counts a failure, once for all members of a gang."""
+    unit.avoid.add(UpstreamId(attempt.session.worker))
+    if unit.failed_run == attempt.run:
+        return
+    unit.failed_run = attempt.run
+    unit.failures += 1
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -2,7 +2,7 @@
 
 The way of a job: `PoolOwner.accept` records it; `Placer.schedule` chooses workers once a step's
 predecessors are done; `Launcher.launch` records the placement and orders the start;
-`PoolOwner.on_ended` applies what the worker lists; `_finish_job` ends the job.
+`JobLifecycle.apply_end` applies what the worker lists, and `JobLifecycle.finish` ends the job.
 """
 
 import asyncio
@@ -29,9 +29,10 @@
 from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
 from hornbeamramp.poolowner.advice import AdviceSource
 from hornbeamramp.poolowner.checks import RunChecks
-from hornbeamramp.poolowner.jobs import Job, Task, Unit
+from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.lifecycle import JobLifecycle
 from hornbeamramp.poolowner.outlook import return_after
 from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.recovery import ghost_listing, read_jobs
@@ -123,6 +124,7 @@
         self.job_by_id: dict[JobId, Job] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
         self._placer = Placer(self, self._launcher, context.clock)
+        self.lifecycle = JobLifecycle(self, self._placer, self._journal)
         self._checks = RunChecks(self, self._placer, context.clock)
         self._wake = asyncio.Event()
         self._is_releasing = False
@@ -166,7 +168,7 @@
             attempt.checkpoint = row.checkpoint
             session.reserve(attempt)
             task.attempt = attempt
-        self._open_due(job)
+        self.lifecycle.open_due(job)
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         """Runs a coroutine until the pool is given up."""
@@ -228,7 +230,7 @@
         if job.is_ended:
             attempt.session.stop(attempt)
         else:
-            self.note_started(job)
+            self.lifecycle.note_started(job)
 
     def on_room(self, session: WorkerSession) -> None:
         self._wake.set()
@@ -244,66 +246,7 @@
             raise TimeoutError(str(error)) from error
 
     def on_ended(self, attempt: Attempt, how: HowEnded, checkpoint: str) -> None:
-        """Applies the end of a run."""
-        task: Task = attempt.task
-        unit = task.unit
-        job = unit.step.job
-        task.attempt = None
-        self._wake.set()
-        instruments.run_ends.add(1, {"how": how.value})
-        self._placer.note_end(attempt, how)
-        if job.is_ended:
-            return
-        if checkpoint:
-            unit.checkpoint = checkpoint
-        if how is HowEnded.DONE and not unit.step.spec.long_running:
-            # One member's end stands for the whole gang.
-            for member in unit.tasks:
-                member.is_done = True
-        elif how is HowEnded.FAILED:
-            self._note_failure(unit, attempt)
-        elif how in (HowEnded.LAPSED, HowEnded.LOST):
-            unit.avoid.add(UpstreamId(attempt.session.worker))
-        if how is not HowEnded.DONE:
-            _log.info(
-                "{} run {} on {} ended {} at {}%, failures {}",
-                task.name,
-                attempt.run,
-                attempt.session.worker,
-                how.value,
-                attempt.percent,
-                unit.failures,
-            )
-        self._journal.touch(job)
-        if not unit.is_done:
-            self.retry(unit)
-        if job.is_complete():
-            self._finish_job(job, JobPhase.COMPLETED)
-        elif unit.step.is_done:
-            self._open_ready(job)
-
-    def _note_failure(self, unit: Unit, attempt: Attempt) -> None:
-        unit.avoid.add(UpstreamId(attempt.session.worker))
-        if unit.failed_run == attempt.run:
-            return
-        unit.failed_run = attempt.run
-        unit.failures += 1
-
-    def retry(self, unit: Unit) -> None:
-        """Queues a unit again once none of its runs is left; a broken gang is stopped first."""
-        job = unit.step.job
-        if job.is_ended or unit.is_done:
-            return
-        if unit.is_placed:
-            for attempt in unit.attempts():
-                if attempt.phase is not AttemptPhase.RESERVED:
-                    attempt.session.stop(attempt)
-            return
-        if not unit.step.spec.long_running and unit.failures >= self.max_attempts(job):
-            self._finish_job(job, JobPhase.FAILED)
-            return
-        self._placer.queue(unit)
-        self._wake.set()
+        self.lifecycle.apply_end(attempt, how, checkpoint)
 
     # Callers
 
@@ -330,7 +273,7 @@
             job = Job(record)
             self._journal.insert(job)
             # Placed at once; the placement is recorded together with the job or after it.
-            self._open_due(job)
+            self.lifecycle.open_due(job)
         await self._journal.inserted(job_id)
         return None
 
@@ -347,7 +290,7 @@
         if job is None:
             return False
         if not job.is_ended:
-            self._finish_job(job, JobPhase.CANCELLED)
+            self.lifecycle.finish(job, JobPhase.CANCELLED)
         await self._journal.recorded()
         return True
 
@@ -424,54 +367,17 @@
         for job_id, job in list(self.job_by_id.items()):
             if not job.is_ended:
                 if job.record.spec.repetitions:
-                    self._open_due(job)
+                    self.lifecycle.open_due(job)
             elif now_ms - job.ended_ms > to_ms(self._retention):
                 del self.job_by_id[job_id]
                 self._journal.purge(job_id)
         self._checks.run()
 
-    def _open_due(self, job: Job) -> None:
-        if job.is_ended:
-            return
-        spec = job.record.spec
-        now_ms = self.now_ms()
-        for occurrence in range(spec.occurrences):
-            if spec.due_ms(occurrence) > now_ms:
-                break
-            job.open_occurrence(occurrence)
-        self._open_ready(job)
-
-    def _open_ready(self, job: Job) -> None:
-        if self._placer.add(job.ready_steps()):
-            self._wake.set()
-
     def queue_of(self, job: Job) -> Queue | None:
         return None if self.config is None else self.config.queue_by_name.get(job.record.queue)
 
-    def max_attempts(self, job: Job) -> int:
-        queue = self.queue_of(job)
-        return job.record.max_attempts if queue is None else queue.max_attempts
-
-    def note_started(self, job: Job) -> None:
-        """Notes that a task of the job has begun."""
-        if job.phase is JobPhase.QUEUED:
-            job.phase = JobPhase.RUNNING
-            self._journal.touch(job)
-            waited = (self.now_ms() - job.record.accepted_ms) / 1000
-            instruments.first_start_time.record(waited, {"queue": job.record.queue})
-
     def wake(self) -> None:
         self._wake.set()
 
-    def _finish_job(self, job: Job, phase: JobPhase) -> None:
-        """Ends a job. Its runs are stopped and leave the ledger as workers list their ends."""
-        job.close(phase, self.now_ms())
-        self._journal.touch(job)
-        took_ms = job.ended_ms - job.record.accepted_ms
-        _log.info("{} {} after {} ms", job.record.job_id, phase.value, took_ms)
-        for attempt in list(job.attempts()):
-            if attempt.phase is not AttemptPhase.RESERVED:
-                attempt.session.stop(attempt)
-
     def now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
