--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TEST_PROCESSES ?= 3
 STAMP = $(VENV)/.installed
 
-.PHONY: binary demo docs test lint format matrix
+.PHONY: binary demo docs test soak lint format matrix
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -18,6 +18,12 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
 
+# Fresh seeds of the fault soak; the logs of seeds that fail stay in build/soak.
+SOAK_SEEDS ?= 10
+SOAK_FIRST ?= $(shell date +%s)
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST)
+
 lint: $(STAMP)
 	$(BIN)/black --check .
 	$(BIN)/ruff check .
