Log what the soak does; take paused processes as not yet started

A process that is paused as it begins, and gets SIGTERM as it goes on, dies before its first line; shown by a process that was stopped at once and went on two seconds later. The soak took the pause for running time. soak.log now has each fault, signal and end.

--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -52,8 +52,11 @@
         self.lock = asyncio.Lock()
         self.problems: list[str] = []
         self._folder = cell.folder
+        self._note = cell.note
         self._process: asyncio.subprocess.Process | None = None
+        # When the process was started, later by the time for which it was paused.
         self._started_at = 0.0
+        self._paused_at = 0.0
 
     async def start(self) -> None:
         settings = self._folder / f"{self.name}.toml"
@@ -73,6 +76,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self._note(f"{self.name} pid {self._process.pid} started")
 
     def _settings(self) -> str:
         return f"""
@@ -95,7 +99,13 @@
     def send(self, number: Signals) -> None:
         """Sends a signal to this process, if it has not ended."""
         if self._process is not None and self._process.returncode is None:
+            self._note(f"{self.name} pid {self._process.pid} gets {number.name}")
             self._process.send_signal(number)
+            if number is Signals.SIGSTOP:
+                self._paused_at = time.monotonic()
+            elif number is Signals.SIGCONT and self._paused_at:
+                self._started_at += time.monotonic() - self._paused_at
+                self._paused_at = 0.0
 
     async def end(self, number: Signals) -> None:
         """Ends the process by a signal and notes an end that was not asked for."""
@@ -114,6 +124,7 @@
             self.problems.append(f"{self.name} still runs {STOP_LIMIT_S} s after {number.name}")
             self.send(Signals.SIGKILL)
             await process.wait()
+        self._note(f"{self.name} pid {process.pid} ended with {process.returncode}")
         allowed = {0, -Signals.SIGKILL}
         if asked_at - self._started_at < INTERPRETER_START_S:
             allowed.add(-Signals.SIGTERM)
@@ -175,6 +186,11 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def note(self, text: str) -> None:
+        """Writes what was done from outside beside the VMs' logs, with the same time."""
+        with (self.folder / "soak.log").open("a") as log:
+            log.write(f"{self.clock.now().isoformat()} {text}\n")
+
     async def _serve(self, serving) -> str:
         address, runner = await serving
         self._runners.append(runner)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -54,6 +54,7 @@
             while loop.time() < end:
                 kind = self._luck.choice(kinds)
                 self.injected.append(kind.__name__.strip("_"))
+                self._cell.note(f"fault {self.injected[-1]}")
                 group.create_task(kind())
                 await asyncio.sleep(self._luck.uniform(0.3, 2.5))
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,10 @@
 SEEDS = (1, 2)
 SECONDS = 8.0
 # Seeds that failed once, with the seconds they were played for and the cause.
-FAILED_SEEDS: dict[int, tuple[float, str]] = {}
+FAILED_SEEDS: dict[int, tuple[float, str]] = {
+    6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
+    13: (15.0, "the soak's own: a process paused as it began was taken as started"),
+}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
