--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -167,7 +167,7 @@
             if job_key(self._pool, job_id) in conflict.item_by_key:
                 _log.info("{}: a job of this id is recorded already", job_id)
                 del self._insert_by_id[job_id]
-                # What was placed ahead of the record is given back, and nothing of it is written.
+                # Capacity reserved ahead of the record is released, and no progress is written.
                 job.close(JobPhase.CANCELLED, 0)
                 self._touch_by_job.pop(job, None)
                 if not future.done():
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -358,8 +358,8 @@
             self._wake.clear()
             began = self._clock.boot_time()
             self._placer.schedule()
-            # What happens meanwhile is met by one pass, and at most half of the processor's time
-            # goes into passes however long the queue is.
+            # Events that arrive meanwhile are handled by one pass, and passes take at most half of
+            # the processor's time, however long the queue is.
             await self._clock.sleep(max(self._clock.boot_time() - began, SHORTEST_GAP))
 
     def _check_jobs(self) -> None:
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -98,11 +98,11 @@
         ahead = MAX_STEPS_AHEAD
         for step in self._open_steps:
             self._place(step, workers, ahead > 0)
-            # What still waits after its turn is next when room comes free. Steps that no worker may
-            # run stay in the queue for good, and would keep the others from being next.
+            # What still waits after its turn is next when capacity is freed. Steps that no worker
+            # may run stay in the queue indefinitely, and would keep the others from being next.
             ahead -= bool(step.waiting and self._is_possible(step))
 
-    def _survey(self) -> "_Workers":
+    def _survey(self) -> _Workers:
         now = self._clock.boot_time()
         usable_by_id = {
             worker: session
@@ -131,7 +131,7 @@
             terms=None if queue is None else queue.advice,
         )
 
-    def _place(self, step: StepRun, workers: "_Workers", is_next: bool) -> None:
+    def _place(self, step: StepRun, workers: _Workers, is_next: bool) -> None:
         """Starts what fits. The steps that are next keep their tickets fresh without room too, so
         that no room stands empty while advice is asked for."""
         queue = self._owner.queue_of(step.job)
@@ -175,7 +175,7 @@
             self._owner.spawn(self._launcher.launch(step, placed))
 
     @staticmethod
-    def _unasked(step: StepRun, workers: "_Workers", is_next: bool) -> list[WorkerSession]:
+    def _unasked(step: StepRun, workers: _Workers, is_next: bool) -> list[WorkerSession]:
         """Returns workers worth a first question: those with room, or any for a step that is
         next."""
         asked = step.grants.asked
--- a/hornbeamramp/rpc.py
+++ b/hornbeamramp/rpc.py
@@ -24,7 +24,7 @@
 SERVICE = "hornbeamramp.Peer"
 MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
 HELLO_TIMEOUT = timedelta(seconds=2)
-# What is left to a call whose greeting took all of its time: a round trip between VMs and some.
+# Time left to a call whose greeting used up its time-out: several round trips between VMs.
 SHORTEST_TIMEOUT = timedelta(milliseconds=50)
 DROP_GRACE_S = 5.0
 
--- a/hornbeamramp/vm/isolation.py
+++ b/hornbeamramp/vm/isolation.py
@@ -26,7 +26,7 @@
 SUSPICIOUS_AGE = timedelta(milliseconds=450)
 # Other VMs answer within 2 ms; a lost packet is sent again after some 200 ms.
 PING_TIMEOUT = timedelta(milliseconds=250)
-# VMs asked at a time. One answer is enough, so more only cost.
+# VMs asked at a time. One answer is enough; more only cost traffic.
 MAX_PINGED = 6
 
 _log = logbook.Logger("isolation")
