--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -35,8 +35,8 @@
 # Questions from this cost on are not asked again by a successor: their answers are recorded. For
 # cheaper ones a write costs more than a question.
 RECORDED_COST = timedelta(milliseconds=50)
-# By how long questions count as younger if no free capacity waits for their answer, and if the answer
-# comes too late for the job's caller. Costly questions take about half a second.
+# By how long questions count as younger if no free capacity waits for their answer, and if it comes
+# too late for the job's caller. Costly questions take about half a second.
 AHEAD_DEFERRAL = timedelta(milliseconds=500)
 TOO_LATE_DEFERRAL = timedelta(seconds=2)
 # Pause after a question without an answer.
