Don't count questions that were given up as backlog

A VM lost a pool with a question waiting while no VM could take it. Cancelled, it stayed in the queue's count, so the VM's next owner saw a backlog for ever and asked nothing that was not urgent. Change: only questions that still wait count. Test: fails without the change.

--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -112,7 +112,8 @@
 
     @property
     def backlog(self) -> int:
-        return len(self._waiting)
+        # Those given up by a former owner on this VM stay in the heap until a VM is free.
+        return sum(not turn.done() for *_, turn in self._waiting)
 
     async def ask(
         self,
--- a/tests/vm/test_advice_queue.py
+++ b/tests/vm/test_advice_queue.py
@@ -144,3 +144,23 @@
         assert order.index("empty") <= 3
 
     run_in_virtual_time(scenario())
+
+
+def test_question_that_was_given_up_does_not_count_as_backlog():
+    """An owner was lost with a question waiting while no VM could take it. The next owner on that
+    VM took it for a backlog and asked nothing that was not urgent, so its pool stood still (hunt,
+    owner-killed-store-silent, seed 437930158350)."""
+
+    async def scenario():
+        # The own VM is kept for cheap questions, and the others are paused after they failed.
+        advice = spread(Peers({"vm1", "vm2"}), ("vm1", "vm2"))
+        failed = (advice.ask(STEP, [], COSTLY, 1, NO_DEFERRAL) for _ in range(2))
+        await asyncio.gather(*failed, return_exceptions=True)
+        waiting = asyncio.create_task(advice.ask(STEP, [], COSTLY, 1, NO_DEFERRAL))
+        await asyncio.sleep(0.01)
+        assert advice.backlog == 1
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert advice.backlog == 0
+
+    run_in_virtual_time(scenario())
