--- a/tests/vm/test_guarantees_under_faults.py
+++ b/tests/vm/test_guarantees_under_faults.py
@@ -153,7 +153,7 @@
                 await asyncio.sleep(self.luck.uniform(0.1, 0.6))
 
     async def call(self, job_id, spec):
-        queue = self.luck.choice(["gate", "batch"])
+        queue = self.luck.choice(["gate", "batch", "render"])
         replies = []
         for _ in range(self.luck.randint(1, 4)):
             vm = self.luck.choice(list(self.cell.vm_by_name.values()))
