--- a/hornbeamramp/poolowner/outlook.py
+++ b/hornbeamramp/poolowner/outlook.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from enum import IntEnum
 from functools import cached_property
+from typing import NamedTuple
 
 import msgspec
 
@@ -47,27 +48,32 @@
     begin_by_ms: float
 
 
-class Chain(msgspec.Struct, frozen=True, dict=True):
-    """The longest way through a job's steps, in declared ms and in steps.
+class Way(NamedTuple):
+    """Steps that follow one another: their declared durations in ms, and how many they are."""
 
-    ``left_by_step`` holds for each step what is left from its beginning on.
-    """
+    work_ms: float
+    steps: int
+
+
+class Chain(msgspec.Struct, frozen=True, dict=True):
+    """The longest way through a job's steps; ``left_by_step`` begins with each of them."""
 
-    left_by_step: tuple[tuple[float, int], ...]
+    left_by_step: tuple[Way, ...]
 
     @cached_property
-    def longest(self) -> tuple[float, int]:
+    def longest(self) -> Way:
         return max(self.left_by_step)
 
     @classmethod
     def of(cls, steps: tuple[StepSpec, ...]) -> "Chain":
         """Returns the chain of a job's steps; each comes after those it names."""
-        left = [(float(step.estimate_ms), 1) for step in steps]
+        left = [Way(float(step.estimate_ms), 1) for step in steps]
         for number in range(len(steps) - 1, -1, -1):
-            work, depth = left[number]
+            after = left[number]
             for earlier in steps[number].after:
-                own = steps[earlier].estimate_ms
-                left[earlier] = max(left[earlier], (own + work, depth + 1))
+                own_ms = steps[earlier].estimate_ms
+                way = Way(own_ms + after.work_ms, after.steps + 1)
+                left[earlier] = max(left[earlier], way)
         return cls(tuple(left))
 
 
@@ -75,8 +81,8 @@
     """Returns when a caller should return who was refused for want of the store."""
     if any(step.long_running for step in spec.steps):
         return SHORTEST_RETURN
-    work_ms, _ = Chain.of(spec.steps).longest
-    in_time = queue.stretch * timedelta(milliseconds=work_ms) + queue.target
+    work = timedelta(milliseconds=Chain.of(spec.steps).longest.work_ms)
+    in_time = queue.stretch * work + queue.target
     return min(max(RETURN_SHARE * in_time, SHORTEST_RETURN), LONGEST_RETURN)
 
 
@@ -102,11 +108,11 @@
     if terms is not None:
         advice_ms = to_ms(terms.base + WORKERS_ASKED * terms.per_worker)
 
-    def duration(way: tuple[float, int]) -> float:
-        return way[0] * correction + way[1] * advice_ms
+    def duration_ms(way: Way) -> float:
+        return way.work_ms * correction + way.steps * advice_ms
 
-    in_time_ms = record.stretch * duration(chain.longest) + record.target_ms
-    left_ms = duration(chain.left_by_step[step])
+    in_time_ms = record.stretch * duration_ms(chain.longest) + record.target_ms
+    left_ms = duration_ms(chain.left_by_step[step])
     for outlook, limit_ms in (
         (Outlook.IN_TIME, in_time_ms),
         (Outlook.LATE, LATE_FACTOR * in_time_ms),
