--- a/hornbeamramp/poolowner/advice.py
+++ b/hornbeamramp/poolowner/advice.py
@@ -43,6 +43,11 @@
 class AdviceSource(ABC):
     """Client of the advice service, which serves one call at a time for each VM."""
 
+    @property
+    @abstractmethod
+    def parallelism(self) -> int:
+        """Number of VMs that make calls."""
+
     @property
     @abstractmethod
     def backlog(self) -> int:
--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -5,14 +5,18 @@
 
 from hornbeamramp.fleet import WorkerSession
 from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.capacity import Capacity, FreeResources
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.pacing import is_latency_sensitive
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.workload import MAX_TASKS, URGENT
 
-__all__ = ["choose_workers", "could_all_run", "could_ever_run"]
+__all__ = ["choose_workers", "could_all_run", "could_ever_run", "count_tasks", "gang_groups"]
 
-FreeResources = tuple[int, int, int]
+# Relative speed below which a worker is slow for a gang, which is as slow as its slowest member.
+MIN_GANG_SPEED = 0.75
+# No capacity is held.
+EMPTY = Capacity()
 
 
 def could_ever_run(step: StepRun, session: WorkerSession) -> bool:
@@ -30,26 +34,76 @@
 
 def could_all_run(unit: Unit, sessions: Iterable[WorkerSession]) -> bool:
     """Returns whether these workers could run all tasks of the unit at once if they were empty."""
-    step = unit.step
-    usable = [session for session in sessions if could_ever_run(step, session)]
-    if step.spec.same_rack and step.spec.gang:
-        racks = {session.listing.rack for session in usable}
-        groups = [[s for s in usable if s.listing.rack == rack] for rack in racks]
-    else:
-        groups = [usable]
-    return any(sum(_max_tasks(step, s) for s in group) >= len(unit.tasks) for group in groups)
-
-
-def _max_tasks(step: StepRun, session: WorkerSession) -> int:
-    """Returns how many tasks of the step fit on the worker when it is empty."""
-    capacity, size = session.listing.capacity, step.size
-    pairs = (
-        (capacity.processors_milli, size.processors_milli),
-        (capacity.memory_mib, size.memory_mib),
-        (capacity.accelerators, size.accelerators),
+    usable = [session for session in sessions if could_ever_run(unit.step, session)]
+    return any(_holds_all(unit, group) for group in _racks(unit, usable))
+
+
+def _holds_all(unit: Unit, sessions: list[WorkerSession]) -> bool:
+    tasks = sum(count_tasks(unit.step, EMPTY.total(session)) for session in sessions)
+    return tasks >= len(unit.tasks)
+
+
+def count_tasks(step: StepRun, available: FreeResources) -> int:
+    """Returns how many tasks of the step fit into these resources of a worker that runs none."""
+    size = step.size
+    counts = [
+        have // need
+        for have, need in zip(
+            available, (size.processors_milli, size.memory_mib, size.accelerators), strict=True
+        )
+        if need
+    ]
+    limit = step.spec.max_per_worker or MAX_TASKS
+    return max(min(*counts, limit) if counts else limit, 0)
+
+
+def _racks(unit: Unit, sessions: list[WorkerSession]) -> list[list[WorkerSession]]:
+    """Returns the groups of workers of which one has to take all tasks of the unit."""
+    spec = unit.step.spec
+    if not (spec.gang and spec.same_rack and len(unit.tasks) > 1):
+        return [sessions]
+    by_rack: dict[str, list[WorkerSession]] = {}
+    for session in sessions:
+        by_rack.setdefault(session.listing.rack, []).append(session)
+    return [group for _, group in sorted(by_rack.items())]
+
+
+def gang_groups(
+    unit: Unit, sessions: Iterable[WorkerSession], speeds: WorkerSpeeds
+) -> list[list[WorkerSession]]:
+    """Returns the groups of workers of which one may take a gang, in the order to try them in.
+
+    The best workers of a group come first. Slow workers are used only if the others would be too
+    few even when empty: the other members would wait for those on slow workers, with all their
+    capacity.
+    """
+    usable = [session for session in sessions if could_ever_run(unit.step, session)]
+    fast = [s for s in usable if speeds.speed(UpstreamId(s.worker)) >= MIN_GANG_SPEED]
+    groups = [group for group in _racks(unit, fast) if _holds_all(unit, group)]
+    if not groups and len(fast) < len(usable):
+        groups = [group for group in _racks(unit, usable) if _holds_all(unit, group)]
+    scored = [(group, {s.worker: _gang_score(unit, s, speeds) for s in group}) for group in groups]
+    return [sorted(group, key=lambda s: scores[s.worker], reverse=True) for group, scores in scored]
+
+
+def _gang_score(unit: Unit, session: WorkerSession, speeds: WorkerSpeeds) -> tuple[float, ...]:
+    worker = UpstreamId(session.worker)
+    free = session.free()
+    return (
+        _is_trusted(unit, worker, speeds),
+        _is_data_local(unit.step, session),
+        # Packed, so that whole workers stay free for other gangs.
+        -free[2] if unit.step.size.accelerators else -free[0],
+        round(speeds.speed(worker), 1),
     )
-    limit = min((have // need for have, need in pairs if need), default=MAX_TASKS)
-    return min(limit, step.spec.max_per_worker or limit)
+
+
+def _is_trusted(unit: Unit, worker: UpstreamId, speeds: WorkerSpeeds) -> bool:
+    return worker not in unit.avoided_workers and not speeds.is_suspect(worker)
+
+
+def _is_data_local(step: StepRun, session: WorkerSession) -> bool:
+    return not step.spec.data_rack or step.spec.data_rack in session.listing.labels
 
 
 def choose_workers(
@@ -57,22 +111,47 @@
     sessions: Iterable[WorkerSession],
     speeds: WorkerSpeeds,
     assigned_by_worker: Counter[str],
+    capacity: Capacity,
 ) -> list[WorkerSession] | None:
     """Returns a worker for each task of the unit, or ``None`` if they don't all fit.
 
     `assigned_by_worker`
         Number of the step's tasks already assigned to each worker.
+    `capacity`
+        Free capacity of the workers.
     """
     step = unit.step
-    usable = [session for session in sessions if could_ever_run(step, session)]
-    if step.spec.gang and step.spec.same_rack and len(unit.tasks) > 1:
-        for rack in sorted({session.listing.rack for session in usable}):
-            on_rack = [session for session in usable if session.listing.rack == rack]
-            chosen = _assign(unit, on_rack, speeds, assigned_by_worker)
+    if step.spec.gang and not step.spec.long_running and len(unit.tasks) > 1:
+        sessions = list(sessions)
+        # Most gangs that wait don't fit, which this shows with less work than the groups.
+        if sum(count_tasks(step, capacity.free(s)) for s in sessions) < len(unit.tasks):
+            return None
+        for group in gang_groups(unit, sessions, speeds):
+            chosen = _assign_gang(unit, group, capacity)
             if chosen is not None:
                 return chosen
         return None
-    return _assign(unit, usable, speeds, assigned_by_worker)
+    usable = [session for session in sessions if could_ever_run(step, session)]
+    for group in _racks(unit, usable):
+        chosen = _assign(unit, group, speeds, assigned_by_worker, capacity)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _assign_gang(
+    unit: Unit, sessions: list[WorkerSession], capacity: Capacity
+) -> list[WorkerSession] | None:
+    """Returns a worker for each member of a gang, filling the workers in the given order."""
+    missing = len(unit.tasks)
+    chosen: list[WorkerSession] = []
+    for session in sessions:
+        count = min(count_tasks(unit.step, capacity.free(session)), missing)
+        chosen += [session] * count
+        missing -= count
+        if not missing:
+            return chosen
+    return None
 
 
 def _assign(
@@ -80,11 +159,12 @@
     sessions: list[WorkerSession],
     speeds: WorkerSpeeds,
     assigned_by_worker: Counter[str],
+    capacity: Capacity,
 ) -> list[WorkerSession] | None:
     step = unit.step
     size, limit = step.size, step.spec.max_per_worker
     available_by_worker: dict[str, FreeResources] = {
-        session.worker: session.free() for session in sessions
+        session.worker: capacity.free(session) for session in sessions
     }
     count_by_worker = Counter(assigned_by_worker)
     chosen = []
@@ -128,8 +208,8 @@
     step = unit.step
     worker = UpstreamId(session.worker)
     speed = round(speeds.speed(worker), 1)
-    is_trusted = worker not in unit.avoided_workers and not speeds.is_suspect(worker)
-    is_data_local = not step.spec.data_rack or step.spec.data_rack in session.listing.labels
+    is_trusted = _is_trusted(unit, worker, speeds)
+    is_data_local = _is_data_local(step, session)
     if step.spec.fills:
         # Best-effort tasks go where they disturb the fewest latency-sensitive tasks.
         latency_sensitive = sum(
--- /dev/null
+++ b/hornbeamramp/poolowner/expected_ends.py
@@ -0,0 +1,63 @@
+"""Estimates when runs end, from their progress or, before that is known, their usual duration."""
+
+from datetime import timedelta
+
+from hornbeamramp.fleet import Attempt, AttemptPhase
+from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.jobs import Unit
+from hornbeamramp.poolowner.speeds import WorkerSpeeds
+
+__all__ = ["NEVER", "ExpectedEnds"]
+
+NEVER = timedelta.max
+
+# Below this progress, the end of a run can't be estimated from it.
+MIN_PERCENT = 10.0
+
+
+class ExpectedEnds:
+    """Expected ends of runs as of one moment.
+
+    `now`
+        Boot time of that moment.
+    """
+
+    def __init__(self, speeds: WorkerSpeeds, now: timedelta) -> None:
+        self.now = now
+        self._speeds = speeds
+        self._end_by_gang: dict[Unit, timedelta] = {}
+
+    def end(self, attempt: Attempt) -> timedelta:
+        """Returns the boot time at which a run is expected to end, or `NEVER` if it isn't known."""
+        if attempt.stop_wanted:
+            return self.now
+        unit: Unit = attempt.task.unit
+        if unit.step.spec.long_running:
+            return NEVER
+        if not unit.step.is_gang:
+            return self._end_of_work(attempt)
+        # The members of a gang end together, with the slowest of them.
+        end = self._end_by_gang.get(unit)
+        if end is None:
+            end = max(self._end_of_work(member) for member in unit.attempts())
+            self._end_by_gang[unit] = end
+        return end
+
+    def ends_within(self, attempt: Attempt, time: timedelta) -> bool:
+        """Returns whether a run is expected to end within ``time``."""
+        return self.end(attempt) < self.now + time
+
+    def _end_of_work(self, attempt: Attempt) -> timedelta:
+        if attempt.phase is not AttemptPhase.RUNNING or attempt.started_at is None:
+            return NEVER
+        if (
+            attempt.percent >= MIN_PERCENT
+            and attempt.progress_at is not None
+            and not attempt.resumed
+        ):
+            return attempt.started_at + (attempt.progress_at - attempt.started_at) * (
+                100 / attempt.percent
+            )
+        step = attempt.task.unit.step
+        worker = UpstreamId(attempt.session.worker)
+        return attempt.started_at + self._speeds.expected_duration(step, worker)
--- a/hornbeamramp/poolowner/health.py
+++ b/hornbeamramp/poolowner/health.py
@@ -22,6 +22,9 @@
 # A task without progress for this long has stalled. Lists arrive at least every 2 s, and even a
 # task ten times longer than usual (about a minute) gains at least 1% a second.
 STALL_TIMEOUT = timedelta(seconds=3)
+# Progress of a task that has done all its work. The members of a gang end together, so on workers
+# of unlike speed some stay at it for as long as the others need.
+DONE_PERCENT = 100.0
 
 
 class WorkerHealth:
@@ -73,7 +76,8 @@
 def stalled_attempts(sessions: Iterable[WorkerSession], now: timedelta) -> list[Attempt]:
     """Returns the runs on reachable workers that have made no progress for `STALL_TIMEOUT`.
 
-    Long-running and best-effort tasks are left out.
+    Long-running and best-effort tasks are left out, and so are members of a gang that are done with
+    their work and wait for slower members.
     """
     return [
         attempt
@@ -86,4 +90,12 @@
         and not attempt.task.unit.step.spec.fills
         and attempt.progress_at is not None
         and now - attempt.progress_at > STALL_TIMEOUT
+        and not _waits_for_gang(attempt)
     ]
+
+
+def _waits_for_gang(attempt: Attempt) -> bool:
+    """Returns whether a run has done all its work while another member of its gang has not."""
+    if attempt.percent < DONE_PERCENT:
+        return False
+    return any(member.percent < DONE_PERCENT for member in attempt.task.unit.attempts())
--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from hornbeamramp.fleet import Attempt
 from hornbeamramp.ids import UpstreamId
@@ -11,6 +12,9 @@
 from hornbeamramp.statestore import JobProgress, JobRecord, OpenTask, StepGrants
 from hornbeamramp.workload import TERMINAL_PHASES, JobPhase, StepKey, StepSpec, task_name
 
+if TYPE_CHECKING:
+    from hornbeamramp.poolowner.gangs import GangPlan
+
 __all__ = ["Job", "StepRun", "Task", "Unit"]
 
 
@@ -78,6 +82,9 @@
         self.grants = Grants()
         # Boot time of the last search for runs to preempt for this step.
         self.preemption_checked_at: timedelta | None = None
+        # How a waiting gang is going to start, as of the boot time of the plan.
+        self.plan: GangPlan | None = None
+        self.planned_at: timedelta | None = None
         # As of the latest scheduling pass.
         self.lateness = Lateness(LatenessLevel.ON_TIME, 0.0)
 
@@ -85,6 +92,11 @@
     def is_done(self) -> bool:
         return all(unit.is_done for unit in self.units)
 
+    @property
+    def is_gang(self) -> bool:
+        """Whether the step has several tasks, which start together."""
+        return self.spec.gang and self.spec.count > 1
+
     def queue(self, unit: Unit) -> None:
         if unit not in self.waiting:
             self.waiting.append(unit)
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -1,6 +1,7 @@
 """Launches placed units: requests advice, records the placement and sends the start orders."""
 
 import asyncio
+import math
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -10,14 +11,15 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import Attempt, AttemptPhase, StartOrder, StartReply, WorkerSession
 from hornbeamramp.fleet.base import FencedError, InstanceMismatchError
-from hornbeamramp.ids import UpstreamId
+from hornbeamramp.ids import RouteName, UpstreamId
 from hornbeamramp.poolowner.advice import (
     START_MARGIN,
     TICKET_MARGIN,
     AdviceSource,
     AdviceUnavailableError,
 )
-from hornbeamramp.poolowner.choice import could_ever_run
+from hornbeamramp.poolowner.capacity import Capacity
+from hornbeamramp.poolowner.choice import count_tasks
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.lateness import LatenessLevel
@@ -31,6 +33,16 @@
 
 # The platform's time limit for a job allows for one advice request about 30 workers per step.
 MAX_WORKERS_PER_ADVICE_REQUEST = 30
+# Most requests made at the same time for one gang, by as many VMs.
+MAX_ADVICE_REQUESTS_PER_GANG = 6
+# Share of the workers named that is granted, before the first answer for a queue.
+INITIAL_GRANTED_SHARE = 0.5
+# Weight of one answer in the share granted for a queue.
+GRANTED_SHARE_WEIGHT = 0.2
+# Steps of a pool that renew their tickets while they wait for capacity. Each uses up to half of one
+# VM's share of the advice service, so on many VMs their number is a share of these.
+MIN_PREFETCHING_STEPS = 3
+PREFETCHING_STEPS_PER_VM = 0.25
 # Answers to advice requests that take at least this are recorded, so that a successor does not
 # repeat them. For shorter ones, the write costs more than another request.
 MIN_RECORDED_DURATION = timedelta(milliseconds=50)
@@ -57,6 +69,7 @@
         self._advice = advice
         self._clock = clock
         self._journal = journal
+        self._granted_share_by_queue: dict[RouteName, float] = {}
         self._launches_in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -65,6 +78,10 @@
         """Returns once no launch is in flight."""
         await self._idle.wait()
 
+    def max_prefetching_steps(self) -> int:
+        """Returns how many steps may renew tickets while they wait for capacity."""
+        return max(MIN_PREFETCHING_STEPS, int(PREFETCHING_STEPS_PER_VM * self._advice.parallelism))
+
     def may_ask(self, step: StepRun) -> bool:
         """Returns whether an advice request for the step would be sent soon.
 
@@ -74,15 +91,25 @@
         return self._advice.backlog < 1 or step.job.record.priority == URGENT
 
     def request_advice(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
-        """Requests advice on which of these workers may run the step.
+        """Requests advice on which of the first of these workers may run the step.
 
-        Workers on which it fits now come first, then those with the most free processors.
+        For a gang, as many are named as its members need on empty workers, in several requests at
+        the same time.
         """
-        candidates = [session for session in sessions if could_ever_run(step, session)]
-        candidates.sort(key=lambda s: (not s.fits(step.size), -s.free()[0]))
+        candidates = sessions[: self._workers_to_name(step, queue, sessions)]
         step.grants.is_pending = True
         self._owner.spawn(self._ask_and_launch(step, queue, candidates, []))
 
+    def _workers_to_name(self, step: StepRun, queue: Queue, candidates: list[WorkerSession]) -> int:
+        if not step.is_gang or not candidates:
+            return MAX_WORKERS_PER_ADVICE_REQUEST
+        empty = Capacity()
+        tasks_per_worker = max(count_tasks(step, empty.total(s)) for s in candidates)
+        share = self._granted_share_by_queue.get(queue.name, INITIAL_GRANTED_SHARE)
+        needed = 2 * step.spec.count / tasks_per_worker / max(share, 0.01)
+        requests = math.ceil(needed / MAX_WORKERS_PER_ADVICE_REQUEST)
+        return min(requests, MAX_ADVICE_REQUESTS_PER_GANG) * MAX_WORKERS_PER_ADVICE_REQUEST
+
     def renew_and_launch(
         self, step: StepRun, queue: Queue, units: list[Unit], sessions: list[WorkerSession]
     ) -> None:
@@ -92,24 +119,39 @@
         step.grants.is_pending = True
         self._owner.spawn(self._ask_and_launch(step, queue, sessions, units))
 
-    def prefetch_tickets(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
-        """Renews the tickets of a step that waits for capacity, unless one of them would still be
-        usable when the answer arrives."""
+    def prefetch_tickets(
+        self, step: StepRun, queue: Queue, sessions: list[WorkerSession], required: int = 1
+    ) -> None:
+        """Renews the tickets of a step that waits for capacity, unless those it needs would still
+        be usable when the answer arrives.
+
+        `required`
+            Number of the first sessions whose tickets are needed; for a step that is no gang, the
+            number of tickets needed on any of them.
+        """
         assert queue.advice is not None
-        duration = queue.advice.base + len(sessions) * queue.advice.per_worker
-        answer_expected_at = self._clock.boot_time() + duration
-        if any(step.grants.has_ticket(UpstreamId(s.worker), answer_expected_at) for s in sessions):
-            return
-        self.renew_and_launch(step, queue, [], sessions)
+        named = min(len(sessions), MAX_WORKERS_PER_ADVICE_REQUEST)
+        answer_expected_at = (
+            self._clock.boot_time() + queue.advice.base + named * queue.advice.per_worker
+        )
+        needed = sessions[:required] if step.is_gang else sessions
+        usable = sum(
+            step.grants.has_ticket(UpstreamId(session.worker), answer_expected_at)
+            for session in needed
+        )
+        if usable < required:
+            self.renew_and_launch(step, queue, [], sessions)
 
     async def _ask_and_launch(
         self, step: StepRun, queue: Queue, sessions: list[WorkerSession], units: list[Unit]
     ) -> None:
-        sessions = sessions[:MAX_WORKERS_PER_ADVICE_REQUEST]
+        # A gang needs the tickets of all its workers at the same time.
+        limit = MAX_ADVICE_REQUESTS_PER_GANG if step.is_gang else 1
+        sessions = sessions[: limit * MAX_WORKERS_PER_ADVICE_REQUEST]
         worker_ids = [UpstreamId(session.worker) for session in sessions]
         has_capacity = bool(units) or any(session.fits(step.size) for session in sessions)
         try:
-            await self._ask(step, queue, worker_ids, _deferral(step, has_capacity))
+            await self._ask_all(step, queue, worker_ids, _deferral(step, has_capacity))
         finally:
             step.grants.is_pending = False
             ready = [unit for unit in units if self._has_tickets(unit)]
@@ -128,6 +170,18 @@
             for attempt in unit.attempts()
         )
 
+    async def _ask_all(
+        self, step: StepRun, queue: Queue, worker_ids: list[UpstreamId], deferral: timedelta
+    ) -> None:
+        """Requests advice on all the workers, in requests of equal size at the same time."""
+        requests = math.ceil(len(worker_ids) / MAX_WORKERS_PER_ADVICE_REQUEST)
+        await asyncio.gather(
+            *(
+                self._ask(step, queue, worker_ids[number::requests], deferral)
+                for number in range(requests)
+            )
+        )
+
     async def _ask(
         self, step: StepRun, queue: Queue, worker_ids: list[UpstreamId], deferral: timedelta
     ) -> None:
@@ -149,6 +203,8 @@
         elapsed = received_at - asked_at
         instruments.advice_time.record(elapsed.total_seconds())
         granted = len(advice.ticket_by_worker)
+        if len(step.grants.asked) > asked_before:
+            self._record_granted_share(queue, granted / len(worker_ids))
         _log.info(
             "{}: advice service granted {} of {} workers after {}",
             step.key,
@@ -157,6 +213,10 @@
             elapsed,
         )
 
+    def _record_granted_share(self, queue: Queue, share: float) -> None:
+        before = self._granted_share_by_queue.get(queue.name, INITIAL_GRANTED_SHARE)
+        self._granted_share_by_queue[queue.name] = before + GRANTED_SHARE_WEIGHT * (share - before)
+
     async def launch(self, step: StepRun, units: list[Unit]) -> None:
         """Records the placement of units with reserved capacity, then starts them."""
         self._launches_in_flight += 1
@@ -193,7 +253,7 @@
         workers = {attempt.session.worker for unit in units for attempt in unit.attempts()}
         worker_ids = [UpstreamId(worker) for worker in sorted(workers)]
         try:
-            await self._ask(step, queue, worker_ids[:MAX_WORKERS_PER_ADVICE_REQUEST], timedelta(0))
+            await self._ask_all(step, queue, worker_ids, timedelta(0))
         finally:
             ready = [unit for unit in units if self._has_tickets(unit, START_MARGIN)]
             for unit in units:
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -12,7 +12,15 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import Attempt, RunOutcome, WorkerSession
 from hornbeamramp.ids import UpstreamId
-from hornbeamramp.poolowner.choice import choose_workers, could_all_run, could_ever_run
+from hornbeamramp.poolowner.capacity import Capacity
+from hornbeamramp.poolowner.choice import (
+    choose_workers,
+    could_all_run,
+    could_ever_run,
+    count_tasks,
+)
+from hornbeamramp.poolowner.expected_ends import ExpectedEnds
+from hornbeamramp.poolowner.gangs import GangPlan, plan_drain, plan_gang
 from hornbeamramp.poolowner.health import WorkerHealth
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.lateness import Lateness, LatenessLevel, estimate_lateness
@@ -20,21 +28,33 @@
 from hornbeamramp.poolowner.preemption import choose_victims, expected_slots
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.resources import Resources
+from hornbeamramp.workload import Queue
 
 if TYPE_CHECKING:
     from hornbeamramp.poolowner.owner import PoolOwner
 
 __all__ = ["Placer"]
 
-# Steps of a pool that renew their tickets while they wait for capacity. Each uses up to half of one
-# VM's share of the advice service.
-MAX_PREFETCHING_STEPS = 3
+# Share of the pool's processors that gangs may keep from other steps while they wait for runs to
+# end that can't be preempted.
+MAX_DRAINED_SHARE = 0.25
 # Most tasks of one step for which runs are preempted at a time. With more, victims would be chosen
 # before the worker's next list shows what the earlier stops have freed.
 MAX_TASKS_PER_PREEMPTION = 16
 # Minimum time between two searches for victims for one step; stopped runs end within 200 ms.
 PREEMPTION_INTERVAL = timedelta(milliseconds=100)
 
+# Room on granted workers to aim for, as a multiple of what a gang needs: other runs use part of it.
+GANG_ROOM_FACTOR = 2.5
+# Minimum time between two plans for one gang, which look at all runs on its workers.
+PLAN_INTERVAL = timedelta(milliseconds=50)
+
+# Runs may use capacity kept for a gang if they would end before its start even if they took longer
+# than expected by this factor.
+BACKFILL_DURATION_FACTOR = 1.3
+# Nothing is kept for gangs.
+EMPTY = Capacity()
+
 _log = logbook.Logger("owner")
 
 
@@ -45,10 +65,34 @@
         Workers on which runs may be placed.
     `with_capacity`
         Those of them with free capacity for the smallest waiting size in each resource.
+    `capacity`
+        What is free on them for the steps not yet considered.
+    `spare`
+        The same less what gangs kept in the pass before, so that more urgent steps, which come
+        first, use other capacity where there is some.
+    `drainable_processors_milli`
+        Processors that may be kept for gangs that wait for runs to end.
+    `expected_ends`
+        When the runs on them are expected to end.
     """
 
     usable_by_id: dict[UpstreamId, WorkerSession]
     with_capacity: list[WorkerSession]
+    capacity: Capacity
+    spare: Capacity
+    drainable_processors_milli: float
+    expected_ends: ExpectedEnds
+
+    def for_step(self, step: StepRun, speeds: WorkerSpeeds) -> "_Workers":
+        """Returns the workers with the capacity that runs of the step may use, which depends on
+        their duration."""
+        if step.spec.long_running:
+            return self
+        duration = timedelta(milliseconds=step.spec.estimate_ms) * speeds.duration_ratio(step)
+        end = self.expected_ends.now + BACKFILL_DURATION_FACTOR * duration
+        return msgspec.structs.replace(
+            self, capacity=self.capacity.for_runs_until(end), spare=self.spare.for_runs_until(end)
+        )
 
 
 class Placer:
@@ -59,6 +103,8 @@
         self._launcher = launcher
         self._clock = clock
         self._open_steps: list[StepRun] = []
+        # Of the latest scheduling pass.
+        self._capacity = Capacity()
         self.speeds = WorkerSpeeds()
         self.health = WorkerHealth()
 
@@ -82,7 +128,9 @@
         self.health.record_end(attempt, outcome, now)
         if self.health.is_quarantined(worker, now) and not was_quarantined:
             _log.warning("worker {} quarantined: tasks of several jobs failed in a row", worker)
-        if outcome is RunOutcome.DONE and attempt.started_at is not None and not attempt.resumed:
+        # The members of a gang end with the slowest, so their duration is not that of a worker.
+        is_measure = not attempt.resumed and not attempt.task.unit.step.is_gang
+        if outcome is RunOutcome.DONE and attempt.started_at is not None and is_measure:
             self.speeds.record_run(attempt, (now - attempt.started_at).total_seconds(), 1.0)
 
     def forget(self, worker: UpstreamId) -> None:
@@ -105,7 +153,7 @@
             step.lateness = self._estimate_lateness(step)
         self._open_steps.sort(key=_sort_key)
         workers = self._usable_workers()
-        prefetches_left = MAX_PREFETCHING_STEPS
+        prefetches_left = self._launcher.max_prefetching_steps()
         for step in self._open_steps:
             self._place(step, workers, prefetches_left > 0)
             # Steps that still wait are the next to start when capacity is freed, so they prefetch
@@ -127,7 +175,16 @@
             min((size.accelerators for size in sizes), default=0),
         )
         with_capacity = [session for session in usable_by_id.values() if session.fits(smallest)]
-        return _Workers(usable_by_id, with_capacity)
+        processors = sum(s.listing.capacity.processors_milli for s in usable_by_id.values())
+        spare, self._capacity = self._capacity, Capacity()
+        return _Workers(
+            usable_by_id,
+            with_capacity,
+            self._capacity,
+            spare,
+            MAX_DRAINED_SHARE * processors,
+            ExpectedEnds(self.speeds, now),
+        )
 
     def _estimate_lateness(self, step: StepRun) -> Lateness:
         job = step.job
@@ -149,10 +206,12 @@
         capacity does not stay idle during an advice request.
         """
         queue = self._owner.queue_of(step.job)
+        workers = workers.for_step(step, self.speeds)
+        capacity = workers.capacity
         if queue is None or queue.advice is None:
-            self._launch_on(step, workers.with_capacity)
+            self._launch_on(step, workers.with_capacity, workers)
             if step.waiting:
-                self._preempt(step, workers.usable_by_id.values())
+                self._make_room(step, list(workers.usable_by_id.values()), workers)
             return
         now = self._clock.boot_time()
         grants = step.grants
@@ -162,32 +221,100 @@
             for worker in sorted(grants.granted)
             if worker in workers.usable_by_id
         ]
-        with_capacity = [session for session in granted if session.fits(step.size)]
+        with_capacity = [s for s in granted if capacity.fits(s, step.size)]
         self._launch_on(
-            step, [s for s in with_capacity if grants.has_ticket(UpstreamId(s.worker), now)]
+            step,
+            [s for s in with_capacity if grants.has_ticket(UpstreamId(s.worker), now)],
+            workers,
         )
-        if not step.waiting or grants.is_pending or now < grants.not_before:
-            return
-        if not self._launcher.may_ask(step):
+        if not step.waiting:
             return
+        may_ask = (
+            not grants.is_pending and now >= grants.not_before and self._launcher.may_ask(step)
+        )
         # Capacity found on granted workers stays reserved while their tickets are renewed.
-        reserved = self._reserve(step, with_capacity)
+        reserved = self._reserve(step, with_capacity, workers) if may_ask else []
         if reserved:
             self._launcher.renew_and_launch(step, queue, reserved, granted)
             return
+        plan = self._make_room(step, granted, workers) if granted else None
+        if not may_ask:
+            return
+        if step.is_gang:
+            self._ask_for_gang(step, queue, granted, plan, workers)
+            return
         unasked = self._unasked(step, workers, may_prefetch)
         if unasked:
             self._launcher.request_advice(step, queue, unasked)
-        elif granted:
-            self._preempt(step, granted)
-            if may_prefetch:
-                self._launcher.prefetch_tickets(step, queue, granted)
+        elif granted and may_prefetch:
+            self._launcher.prefetch_tickets(step, queue, granted)
+
+    def _ask_for_gang(
+        self,
+        step: StepRun,
+        queue: Queue,
+        granted: list[WorkerSession],
+        plan: GangPlan | None,
+        workers: _Workers,
+    ) -> None:
+        """Asks for more workers until a gang can be planned, then for the tickets of its plan."""
+        if plan is None:
+            room = sum(count_tasks(step, EMPTY.total(session)) for session in granted)
+            if room < GANG_ROOM_FACTOR * step.spec.count:
+                unasked = self._unasked(step, workers, True)
+                if unasked:
+                    self._launcher.request_advice(step, queue, unasked)
+            return
+        # Besides those of the plan, the tickets of others that may have room by then.
+        free = workers.capacity.free
+        sessions = sorted(
+            granted, key=lambda s: (s.worker not in plan.count_by_worker, -free(s)[0])
+        )
+        self._launcher.prefetch_tickets(step, queue, sessions, len(plan.count_by_worker))
 
-    def _launch_on(self, step: StepRun, sessions: list[WorkerSession]) -> None:
-        placed = self._reserve(step, sessions)
+    def _launch_on(self, step: StepRun, sessions: list[WorkerSession], workers: _Workers) -> None:
+        placed = self._reserve(step, sessions, workers)
         if placed:
             self._owner.spawn(self._launcher.launch(step, placed))
 
+    def _make_room(
+        self, step: StepRun, sessions: list[WorkerSession], workers: _Workers
+    ) -> GangPlan | None:
+        """Preempts runs for a step that does not fit, and keeps capacity for a gang.
+
+        Returns the plan of a gang that is going to fit soon.
+        """
+        if not step.is_gang:
+            self._preempt(step, sessions)
+            return None
+        if step.lateness.level is LatenessLevel.TOO_LATE:
+            return None
+        now = self._clock.boot_time()
+        if step.planned_at is None or now - step.planned_at >= PLAN_INTERVAL:
+            step.planned_at = now
+            step.plan = self._plan(step.waiting[0], sessions, workers)
+        if step.plan is None:
+            return None
+        self._hold(step, step.plan, workers.capacity)
+        return None if step.plan.is_drain else step.plan
+
+    def _plan(
+        self, unit: Unit, sessions: list[WorkerSession], workers: _Workers
+    ) -> GangPlan | None:
+        capacity = workers.capacity
+        plan = plan_gang(unit, sessions, capacity, self.speeds, workers.expected_ends)
+        if plan is not None:
+            self._stop_victims(unit.step, plan.victims)
+            return plan
+        if capacity.held_processors_milli < workers.drainable_processors_milli:
+            return plan_drain(unit, sessions, capacity, self.speeds, workers.expected_ends)
+        return None
+
+    @staticmethod
+    def _hold(step: StepRun, plan: GangPlan, capacity: Capacity) -> None:
+        for worker, count in plan.count_by_worker.items():
+            capacity.hold(worker, step.size, count, plan.starts_at)
+
     @staticmethod
     def _unasked(step: StepRun, workers: _Workers, may_prefetch: bool) -> list[WorkerSession]:
         """Returns workers to include in a first advice request: those with capacity, or any that
@@ -196,8 +323,12 @@
         if may_prefetch:
             candidates = list(workers.usable_by_id.values())
         else:
-            candidates = [s for s in workers.with_capacity if s.fits(step.size)]
-        return [s for s in candidates if s.worker not in asked and could_ever_run(step, s)]
+            candidates = [s for s in workers.with_capacity if workers.capacity.fits(s, step.size)]
+        unasked = [s for s in candidates if s.worker not in asked and could_ever_run(step, s)]
+        # Workers on which the step fits now come first, then those with the most free processors.
+        spare = workers.spare
+        unasked.sort(key=lambda s: (not spare.fits(s, step.size), -spare.free(s)[0]))
+        return unasked
 
     def _is_feasible(self, step: StepRun) -> bool:
         """Returns whether the granted workers could run the step's next unit if they were empty."""
@@ -222,7 +353,11 @@
         missing = min(waiting_tasks, MAX_TASKS_PER_PREEMPTION) - expected_slots(step, sessions)
         if missing <= 0:
             return
-        for victim in choose_victims(step, missing, sessions, now):
+        self._stop_victims(step, choose_victims(step, missing, sessions, now))
+
+    @staticmethod
+    def _stop_victims(step: StepRun, victims: Iterable[Attempt]) -> None:
+        for victim in victims:
             _log.info(
                 "{} on {} at {}% is preempted for {}",
                 victim.name,
@@ -233,7 +368,9 @@
             instruments.preemptions.add(1)
             victim.session.stop(victim)
 
-    def _reserve(self, step: StepRun, sessions: list[WorkerSession]) -> list[Unit]:
+    def _reserve(
+        self, step: StepRun, sessions: list[WorkerSession], workers: _Workers
+    ) -> list[Unit]:
         """Takes units off the step's queue and reserves capacity for them, as far as they fit."""
         reserved: list[Unit] = []
         if not sessions:
@@ -243,7 +380,16 @@
         )
         while step.waiting:
             unit = step.waiting[0]
-            chosen = choose_workers(unit, sessions, self.speeds, assigned_by_worker)
+            # What a gang kept in the pass before is its own.
+            chosen = None
+            if step.plan is None:
+                chosen = choose_workers(
+                    unit, sessions, self.speeds, assigned_by_worker, workers.spare
+                )
+            if chosen is None:
+                chosen = choose_workers(
+                    unit, sessions, self.speeds, assigned_by_worker, workers.capacity
+                )
             if chosen is None:
                 break
             step.waiting.pop(0)
--- a/hornbeamramp/poolowner/preemption.py
+++ b/hornbeamramp/poolowner/preemption.py
@@ -4,10 +4,11 @@
 from datetime import timedelta
 
 from hornbeamramp.fleet import Attempt, AttemptPhase, WorkerSession
-from hornbeamramp.poolowner.choice import could_ever_run
+from hornbeamramp.poolowner.capacity import FreeResources
+from hornbeamramp.poolowner.choice import could_ever_run, count_tasks
 from hornbeamramp.poolowner.jobs import StepRun
 
-__all__ = ["choose_victims", "expected_slots"]
+__all__ = ["add_sizes", "choose_victims", "expected_slots", "is_preemptible"]
 
 # Runs younger than this are not preempted, so that each run makes some progress.
 MIN_RUN_TIME = timedelta(seconds=1)
@@ -15,7 +16,8 @@
 MAX_VICTIM_PERCENT = 90.0
 
 
-def _is_preemptible(attempt: Attempt, step: StepRun, now: timedelta) -> bool:
+def is_preemptible(attempt: Attempt, step: StepRun, now: timedelta) -> bool:
+    """Returns whether a run may be preempted for a task of the step."""
     victim_step = attempt.task.unit.step
     return (
         attempt.phase is AttemptPhase.RUNNING
@@ -40,17 +42,18 @@
     return total
 
 
-def _count_fitting(step: StepRun, session: WorkerSession, stopping: Iterable[Attempt]) -> int:
-    available = list(session.free())
-    for attempt in stopping:
-        size = attempt.size
-        available[0] += size.processors_milli
-        available[1] += size.memory_mib
-        available[2] += size.accelerators
-    size = step.size
-    needs = (size.processors_milli, size.memory_mib, size.accelerators)
-    counts = [have // need for have, need in zip(available, needs, strict=True) if need]
-    return max(min(counts, default=0), 0)
+def add_sizes(free: FreeResources, ending: Iterable[Attempt]) -> FreeResources:
+    """Returns what is free once the given runs have ended."""
+    processors, memory, accelerators = free
+    for attempt in ending:
+        processors += attempt.size.processors_milli
+        memory += attempt.size.memory_mib
+        accelerators += attempt.size.accelerators
+    return processors, memory, accelerators
+
+
+def _count_fitting(step: StepRun, session: WorkerSession, ending: Iterable[Attempt]) -> int:
+    return count_tasks(step, add_sizes(session.free(), ending))
 
 
 def choose_victims(
@@ -66,7 +69,7 @@
     for session in sessions:
         if not could_ever_run(step, session):
             continue
-        candidates = [a for a in session.attempt_by_key.values() if _is_preemptible(a, step, now)]
+        candidates = [a for a in session.attempt_by_key.values() if is_preemptible(a, step, now)]
         candidates.sort(key=lambda a: a.percent)
         stopping = [a for a in session.attempt_by_key.values() if a.stop_wanted]
         chosen = _fewest_victims(step, session, candidates, stopping)
--- a/hornbeamramp/poolowner/speeds.py
+++ b/hornbeamramp/poolowner/speeds.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from datetime import timedelta
 
 from hornbeamramp.fleet import Attempt
 from hornbeamramp.ids import UpstreamId
@@ -42,6 +43,11 @@
         estimate; 1.0 before the first run."""
         return math.exp(-self._log_ratio_by_image.get(_image(step), 0.0))
 
+    def expected_duration(self, step: StepRun, worker: UpstreamId) -> timedelta:
+        """Returns the estimated duration of a run of the step from its beginning on a worker."""
+        estimate = timedelta(milliseconds=step.spec.estimate_ms)
+        return estimate * self.duration_ratio(step) / self.speed(worker)
+
     def record_run(self, attempt: Attempt, elapsed_s: float, fraction: float) -> None:
         """Records that a run did ``fraction`` (0 to 1) of its work in ``elapsed_s`` seconds."""
         step = attempt.task.unit.step
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -113,6 +113,10 @@
         self._busy_vms: set[VmId] = set()
         self._backoff_until_by_vm: dict[VmId, timedelta] = {}
 
+    @property
+    def parallelism(self) -> int:
+        return len({*self._peer_addresses(), self._own_vm})
+
     @property
     def backlog(self) -> int:
         # Requests cancelled by a former owner on this VM stay in the heap until a VM is free.
--- a/tests/poolowner/test_choice.py
+++ b/tests/poolowner/test_choice.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hornbeamramp.poolowner.capacity import Capacity
 from hornbeamramp.poolowner.choice import choose_workers
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.preemption import choose_victims
@@ -23,7 +24,11 @@
 
 def choose(step, sessions, priority=0, speeds=None, assigned_by_worker=None):
     chosen = choose_workers(
-        unit(step, priority), sessions, speeds or WorkerSpeeds(), assigned_by_worker or {}
+        unit(step, priority),
+        sessions,
+        speeds or WorkerSpeeds(),
+        assigned_by_worker or {},
+        Capacity(),
     )
     return None if chosen is None else [s.worker for s in chosen]
 
@@ -97,7 +102,9 @@
 def test_worker_where_the_task_failed_is_chosen_last():
     step_unit = unit(SMALL)
     step_unit.avoided_workers.add("w0")
-    [chosen] = choose_workers(step_unit, [session("w0"), session("w1")], WorkerSpeeds(), {})
+    [chosen] = choose_workers(
+        step_unit, [session("w0"), session("w1")], WorkerSpeeds(), {}, Capacity()
+    )
     assert chosen.worker == "w1"
 
 
--- a/tests/poolowner/test_placer.py
+++ b/tests/poolowner/test_placer.py
@@ -26,13 +26,16 @@
     def may_ask(self, step):
         return True
 
+    def max_prefetching_steps(self):
+        return 3
+
     def request_advice(self, step, queue, sessions):
         self.asked.append(step)
 
     def renew_and_launch(self, step, queue, units, sessions):
         self.reserved += units
 
-    def prefetch_tickets(self, step, queue, sessions):
+    def prefetch_tickets(self, step, queue, sessions, required=1):
         self.renewed.append(step)
 
     def launch(self, step, units):
