Go on after malformed messages and unexpected errors

It could happen here: an error that a background loop did not expect ended it for the rest of the process's life, while the VM renewed its lease (claims, watches of configuration and workers, lease renewal, scheduler, a worker's session); an error of a commit left a pool without commits; one progress record that can't be decoded kept a pool without an owner; documents nested too deeply raise RecursionError, a Deadline-Ms of inf and durations beyond a timedelta OverflowError, rows of a worker's run list of the wrong types a TypeError. Change: `run_until_done` runs such loops again; a failed commit gives the claim up; watches report changes again whose application failed; jobs with an undecodable record are left out and logged; decoders at the border check types and ranges of all fields that are used, and catch RecursionError; pages of the store that do not advance are an error instead of an endless loop.

--- a/hornbeamramp/background.py
+++ b/hornbeamramp/background.py
@@ -2,12 +2,35 @@
 
 import asyncio
 import contextvars
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
 from typing import Any
 
 import logbook
 
-__all__ = ["BackgroundTasks"]
+from hornbeamramp.clock import Clock
+
+__all__ = ["BackgroundTasks", "run_until_done"]
+
+# Delay before a loop that failed unexpectedly runs again.
+RESTART_DELAY = timedelta(milliseconds=250)
+
+
+async def run_until_done(
+    name: str, run: Callable[[], Coroutine[Any, Any, None]], clock: Clock, log: logbook.Logger
+) -> None:
+    """Runs a loop, and runs it again after each unexpected error, until it returns.
+
+    Without this, one error would end the loop for the rest of the process's life, while the process
+    went on without what the loop keeps up to date.
+    """
+    while True:
+        try:
+            await run()
+            return
+        except Exception:
+            log.exception("{} failed unexpectedly, running it again", name)
+            await clock.sleep(RESTART_DELAY)
 
 
 class BackgroundTasks:
--- a/hornbeamramp/platform/advice.py
+++ b/hornbeamramp/platform/advice.py
@@ -1,6 +1,7 @@
 """Client of the platform's advice service."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,8 @@
 
 __all__ = ["PlatformAdvice"]
 
+# A longer validity is taken for an error.
+MAX_VALIDITY_MS = 86_400_000
 # Added to the timeout that the caller of `ask` allows: time to connect and the round trip.
 CALL_TIMEOUT = timedelta(milliseconds=300)
 
@@ -21,7 +24,7 @@
     """Each row of ``granted`` is a worker and its ticket."""
 
     granted: list[tuple[str, str]]
-    valid_ms: int
+    valid_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_VALIDITY_MS)]
 
 
 class PlatformAdvice(AdviceClient):
@@ -42,7 +45,7 @@
             raise AdviceUnavailableError(f"status {reply.status}: {reply.body[:100]!r}")
         try:
             advice = msgspec.json.decode(reply.body, type=WireAdvice)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise AdviceUnavailableError(str(error)) from error
         tickets = {UpstreamId(worker): ticket for worker, ticket in advice.granted}
         return Advice(tickets, timedelta(milliseconds=advice.valid_ms))
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -21,6 +21,8 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
 # Time for which a caller waits if its request has no Deadline-Ms header.
 DEFAULT_CALLER_TIMEOUT = timedelta(seconds=3)
+# Longest wait of a request, whatever its Deadline-Ms header says.
+MAX_CALLER_TIMEOUT = timedelta(minutes=1)
 # Subtracted from the caller's deadline for the transmission of the response.
 RESPONSE_MARGIN = timedelta(milliseconds=200)
 # Idle connections stay open this long; closing one earlier may lose a request already in flight.
@@ -171,9 +173,9 @@
     """Returns how long the caller waits, less the margin for the response."""
     try:
         deadline = timedelta(milliseconds=float(request.headers.get("Deadline-Ms", "")))
-    except ValueError:
+    except (ValueError, OverflowError):
         deadline = DEFAULT_CALLER_TIMEOUT
-    return max(deadline - RESPONSE_MARGIN, RESPONSE_MARGIN)
+    return min(max(deadline - RESPONSE_MARGIN, RESPONSE_MARGIN), MAX_CALLER_TIMEOUT)
 
 
 def _json(status: int, body: dict[str, object]) -> web.Response:
--- a/hornbeamramp/platform/decoding.py
+++ b/hornbeamramp/platform/decoding.py
@@ -1,6 +1,7 @@
 """Decodes the operators' configuration, worker entries and jobs from the platform's format."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -33,13 +34,26 @@
 WORKER_PREFIX = "servers/"
 
 
+# Largest integer that every JSON library reads exactly. Larger ones can't be recorded in the store.
+MAX_INTEGER = 2**53 - 1
+# About 30 years, within the range of ``timedelta``.
+MAX_MILLISECONDS = 1e12
+
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
+
+# Errors of the decoder. A document that is nested too deeply raises ``RecursionError``.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
 class WireAdviceTiming(msgspec.Struct, frozen=True, rename="kebab"):
     """Duration of an advice request: ``decide_ms`` plus ``each_ms`` for each worker named. Tickets
     are valid for ``valid_ms``."""
 
-    decide_ms: float
-    each_ms: float
-    valid_ms: float
+    decide_ms: Milliseconds
+    each_ms: Milliseconds
+    valid_ms: Milliseconds
 
 
 class WireRoute(msgspec.Struct, frozen=True, rename="kebab"):
@@ -49,11 +63,11 @@
     host: str
     prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Integer = 0
+    max_attempts: Count = 1
     stretch: float = 1.0
-    target_completion_ms: float = 0.0
-    timeout_ms: float = 3000.0
+    target_completion_ms: Milliseconds = 0.0
+    timeout_ms: Milliseconds = 3000.0
     advice: WireAdviceTiming | None = None
 
 
@@ -83,9 +97,9 @@
 class WireCapacity(msgspec.Struct, frozen=True, rename="kebab"):
     """``cpu`` is in thousandths of a core."""
 
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Count
+    mem_mb: Count
+    gpu: Count = 0
 
 
 class WireWorker(msgspec.Struct, frozen=True, rename="kebab"):
@@ -99,31 +113,31 @@
     capacity: WireCapacity
     labels: list[str] = []
     born: int = 0
-    drain_remaining_ms: float | None = None
+    drain_remaining_ms: Milliseconds | None = None
 
 
 class WireStep(msgspec.Struct, frozen=True, rename="kebab"):
     """``cpu`` is in thousandths of a core; ``max_per_server`` limits the tasks of one occurrence of
     the step on each worker."""
 
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
+    count: Count = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimated_ms: Milliseconds = 0
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     data_rack: str = ""
     required_label: str = ""
-    max_per_server: int = 0
+    max_per_server: Count = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: Milliseconds = 0
     fills: bool = False
-    may_miss: int | None = None
+    may_miss: Count | None = None
 
 
 class WireJob(msgspec.Struct, frozen=True, rename="kebab"):
@@ -131,9 +145,9 @@
 
     steps: list[WireStep]
     spec: str = ""
-    repetitions: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repetitions: Count = 0
+    start_at_ms: Integer = 0
+    interval_ms: Integer = 0
 
 
 def _milliseconds(value: float) -> timedelta:
@@ -144,7 +158,7 @@
     """Decodes the operators' configuration."""
     try:
         wire = msgspec.json.decode(item.value, type=WireConfig)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
     queues = {RouteName(route.name): _queue(route) for route in wire.routes}
     pools = {
@@ -191,7 +205,7 @@
     """Decodes a worker's entry."""
     try:
         wire = msgspec.json.decode(item.value, type=WireWorker)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
     if wire.state not in ("ready", "draining"):
         return Err(f"state {wire.state!r} is not known")
@@ -215,7 +229,7 @@
     """Decodes a submitted job. The error names the field."""
     try:
         wire = msgspec.json.decode(body, type=WireJob)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
     steps = tuple(_step(step) for step in wire.steps)
     return check_job(
--- a/hornbeamramp/platform/store.py
+++ b/hornbeamramp/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's metadata store."""
 
 import base64
-import binascii
 from datetime import timedelta
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -35,13 +34,13 @@
 
 class WireItem(msgspec.Struct, frozen=True):
     key: str
-    value: str
+    value: bytes
     revision: int
     created: int = 0
     lease: int = 0
 
     def decode(self) -> Item:
-        return Item(self.key, base64.b64decode(self.value), self.revision, self.created, self.lease)
+        return Item(self.key, self.value, self.revision, self.created, self.lease)
 
 
 class WireEvent(msgspec.Struct, frozen=True):
@@ -49,7 +48,7 @@
 
     key: str
     revision: int
-    value: str | None = None
+    value: bytes | None = None
     created: int = 0
     lease: int = 0
     removed: bool = False
@@ -57,8 +56,7 @@
     def decode(self) -> Change:
         if self.removed or self.value is None:
             return Change(self.key, self.revision, None)
-        value = base64.b64decode(self.value)
-        item = Item(self.key, value, self.revision, self.created, self.lease)
+        item = Item(self.key, self.value, self.revision, self.created, self.lease)
         return Change(self.key, self.revision, item)
 
 
@@ -113,6 +111,9 @@
             as_of = page.as_of if as_of is None else as_of
             if not page.more_pages or not page.items:
                 return items, as_of
+            if page.items[-1].key <= query.get("after", ""):
+                message = f"pages of {prefix} do not advance beyond {query['after']}"
+                raise StoreUnavailableError(Step.JOURNAL, self._address, message)
             query["after"] = page.items[-1].key
 
     async def watch(self, prefix: str, after: int, wait: timedelta) -> WatchReply:
@@ -184,5 +185,5 @@
             self._expect_success(reply)
         try:
             return msgspec.json.decode(reply.body, type=kind)
-        except (msgspec.MsgspecError, binascii.Error) as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise StoreUnavailableError(Step.JOURNAL, self._address, str(error)) from error
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
+import logbook
 import msgspec
 
 from hornbeamramp.clock import Clock
@@ -39,6 +40,8 @@
     "alone": RunOutcome.GANG_INCOMPLETE,
 }
 
+_log = logbook.Logger("worker")
+
 REFUSAL_BY_REASON = {
     "fence": StartReply.FENCED,
     "old": StartReply.SUPERSEDED,
@@ -52,34 +55,37 @@
     reason: str = ""
 
 
-class WireHold(msgspec.Struct, frozen=True, rename="kebab"):
-    """Answer to a hold call.
+class WireRunning(msgspec.Struct, frozen=True, array_like=True):
+    task: str
+    run: int
+    saved: str | None
+    percent: float
+    load: float | None = 0.0
 
-    `running`
-        Rows of task, run, checkpoint, percent, load.
-    `ended`
-        Rows of number, task, run, outcome, checkpoint.
-    `born`
-        Unix time in ms at which the worker started.
-    """
+    def decode(self) -> RunningRun:
+        return RunningRun(self.task, self.run, self.saved or "", self.percent, self.load or 0.0)
 
-    clock_ms: int
-    running: list[list[Any]]
-    ended: list[list[Any]]
-    born: int = 0
 
+class WireEnded(msgspec.Struct, frozen=True, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str | None
 
-def _running(row: list[Any]) -> RunningRun:
-    task, run, checkpoint, percent, *rest = row
-    return RunningRun(task, run, checkpoint or "", percent, rest[0] if rest else 0.0)
+    def decode(self) -> EndedRun:
+        # An unknown outcome still means that the run has ended; without a known result it is lost.
+        outcome = OUTCOME_BY_WIRE_NAME.get(self.how, RunOutcome.LOST)
+        return EndedRun(self.number, self.task, self.run, outcome, self.saved or "")
 
 
-def _ended(row: list[Any]) -> EndedRun:
-    number, task, run, outcome, checkpoint = row
-    # An unknown outcome still means that the run has ended; without a known result it is lost.
-    return EndedRun(
-        number, task, run, OUTCOME_BY_WIRE_NAME.get(outcome, RunOutcome.LOST), checkpoint or ""
-    )
+class WireHold(msgspec.Struct, frozen=True, rename="kebab"):
+    """Answer to a hold call. ``born`` is the Unix time in ms at which the worker started."""
+
+    clock_ms: int
+    running: list[WireRunning]
+    ended: list[WireEnded]
+    born: int = 0
 
 
 class PlatformWorkers(WorkerClient):
@@ -141,10 +147,10 @@
             return HoldReply(
                 wire.clock_ms,
                 wire.born,
-                tuple(_running(row) for row in wire.running),
-                tuple(_ended(row) for row in wire.ended),
+                tuple(row.decode() for row in wire.running),
+                tuple(row.decode() for row in wire.ended),
             )
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise WorkerUnreachableError(Step.RENEW, worker.worker, str(error)) from error
 
     async def pace(
@@ -194,5 +200,6 @@
 def _reason(reply: HttpReply) -> str:
     try:
         return msgspec.json.decode(reply.body, type=WireRefusal).reason
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError) as error:
+        _log.info("refusal of a worker can't be decoded: {}", error)
         return ""
--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -100,7 +100,11 @@
             await future
 
     async def run(self) -> None:
-        """Commits until the claim is lost; raises `ClaimLostError` then."""
+        """Commits until the claim is lost; raises `ClaimLostError` then.
+
+        After an unexpected error, whether the last commit took effect is unknown. The claim counts
+        as lost then, so that the next owner goes by what is in the store.
+        """
         try:
             while True:
                 await self._wake.wait()
@@ -111,6 +115,11 @@
         except ClaimLostError as error:
             self._fail(error)
             raise
+        except Exception as error:
+            _log.exception("{}: commits failed unexpectedly", self._pool)
+            lost = ClaimLostError(f"unexpected error: {error!r}")
+            self._fail(lost)
+            raise lost from error
 
     async def _commit_batch(self) -> None:
         free = self._max_entries
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from hornbeamramp import instruments
-from hornbeamramp.background import BackgroundTasks
+from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
 from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet import (
@@ -153,7 +153,8 @@
             self._restore(job, progress, listings)
         self.set_workers(listings)
         self.spawn(self._run_journal())
-        self.spawn(self._run_scheduler())
+        scheduler = f"scheduler of pool {self.pool}"
+        self.spawn(run_until_done(scheduler, self._run_scheduler, self._clock, _log))
         self.is_ready = True
         instruments.takeovers.add(1, {"pool": self.pool})
         _log.info(
@@ -359,7 +360,7 @@
         return session
 
     async def _run_session(self, session: WorkerSession) -> None:
-        await session.run()
+        await run_until_done(f"session of worker {session.worker}", session.run, self._clock, _log)
         if self.session_by_worker.get(UpstreamId(session.worker)) is session:
             del self.session_by_worker[UpstreamId(session.worker)]
             self._placer.forget(UpstreamId(session.worker))
@@ -391,7 +392,11 @@
             elif now_ms - job.ended_ms > to_ms(self._retention):
                 del self.job_by_id[job_id]
                 self._journal.purge(job_id)
-        self._checks.run()
+        try:
+            self._checks.run()
+        except Exception:
+            # They run again at the next interval; placement must go on without them.
+            _log.exception("{}: checks of runs failed unexpectedly", self.pool)
 
     def queue_of(self, job: Job) -> Queue | None:
         return None if self.config is None else self.config.queue_by_name.get(job.record.queue)
--- a/hornbeamramp/poolowner/recovery.py
+++ b/hornbeamramp/poolowner/recovery.py
@@ -29,23 +29,26 @@
 async def read_jobs(store: StateStore, pool: PoolName) -> list[tuple[JobRecord, JobProgress]]:
     """Returns the pool's jobs. Only its owner writes them, so reads after the claim are consistent.
 
-    Jobs whose record can't be decoded are logged and left out.
+    Jobs of which one of the two records can't be decoded are logged and left out: without its
+    progress, a job would run again.
     """
     # Concurrently, as each call to a slow store prolongs the takeover.
     (progress_items, _), (job_items, _) = await asyncio.gather(
         store.range(progress_prefix(pool)), store.range(job_prefix(pool))
     )
-    progress_by_id = {}
-    for item in progress_items:
-        progress_by_id[item.key.rpartition("/")[2]] = decode_progress(item.value)
+    progress_item_by_id = {item.key.rpartition("/")[2]: item for item in progress_items}
     jobs = []
     for item in job_items:
+        progress_item = progress_item_by_id.get(item.key.rpartition("/")[2])
         try:
             record = decode_record(item.value)
+            progress = (
+                JobProgress() if progress_item is None else decode_progress(progress_item.value)
+            )
         except msgspec.MsgspecError as error:
-            _log.error("{}: job record can't be decoded, job left out: {}", item.key, error)
+            _log.error("{}: record of the job can't be decoded, job left out: {}", item.key, error)
             continue
-        jobs.append((record, progress_by_id.get(record.job_id, JobProgress())))
+        jobs.append((record, progress))
     return jobs
 
 
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -149,6 +149,8 @@
             record = await self._node.store.get(job_key(pool, job_id))
         except StoreUnavailableError as error:
             raise UnavailableError(str(error), False) from error
+        except msgspec.MsgspecError as error:
+            raise UnavailableError(f"the job's record can't be decoded: {error}", False) from error
         return None if record is None else JobPhase.QUEUED
 
     async def cancel(self, queue: Queue, job_id: JobId, max_wait: timedelta) -> CancelResult:
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -4,13 +4,15 @@
 """
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
+from typing import Any
 
 import logbook
 import msgspec
 from result import Err
 
-from hornbeamramp.background import BackgroundTasks
+from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.fleet import WorkerListing
@@ -126,10 +128,16 @@
     async def start(self) -> None:
         """Starts watching the store and claiming pools."""
         self._started_at = self.clock.boot_time()
-        self._lease_task = asyncio.create_task(self.lease.run())
-        for coroutine in (self._config_cache.run(), self._cell_cache.run(), self.isolation.run()):
-            self._background.spawn(coroutine)
-        self._background.spawn(self._claim_loop())
+        self._lease_task = asyncio.create_task(
+            run_until_done("lease renewal", self.lease.run, self.clock, _log)
+        )
+        self._spawn_loop("configuration watch", self._config_cache.run)
+        self._spawn_loop("cell watch", self._cell_cache.run)
+        self._spawn_loop("isolation check", self.isolation.run)
+        self._spawn_loop("claim loop", self._claim_loop)
+
+    def _spawn_loop(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._background.spawn(run_until_done(name, run, self.clock, _log))
 
     async def release(self) -> None:
         """Releases all pools and the lease. Callers can still be served: the configuration and the
@@ -396,7 +404,7 @@
                 self._on_listing_change,
                 WORKER_WATCH_PAUSE,
             )
-            self._background.spawn(self._listing_cache.run())
+            self._spawn_loop("worker watch", self._listing_cache.run)
         await self._listing_cache.refresh()
         return self._decode_listings()
 
--- a/hornbeamramp/vm/watching.py
+++ b/hornbeamramp/vm/watching.py
@@ -23,7 +23,8 @@
     """Keeps a copy of the items under a prefix.
 
     `on_change`
-        Called after each change with the keys that changed.
+        Called after each change with the keys that changed. If it fails, the next call has the same
+        keys again.
     `batch_delay`
         Time between two watch calls, so that one call returns several changes of a busy prefix.
     """
@@ -44,6 +45,7 @@
         self.item_by_key: dict[str, Item] = {}
         self.is_loaded = False
         self._as_of = 0
+        self._unreported: set[str] = set()
         self._is_watch_failing = False
 
     async def run(self) -> None:
@@ -81,7 +83,7 @@
         self._as_of, self.is_loaded = as_of, True
         self._end_outage()
         keys = before.keys() | self.item_by_key.keys()
-        self._on_change(
+        self._report(
             {
                 key
                 for key in keys
@@ -94,11 +96,16 @@
         self._end_outage()
         changed = {change.key for change in reply.changes if self._apply(change)}
         self._as_of = max(self._as_of, reply.as_of)
-        if changed:
-            self._on_change(changed)
+        if changed or self._unreported:
+            self._report(changed)
         if self._batch_delay:
             await self._clock.sleep(self._batch_delay)
 
+    def _report(self, changed: set[str]) -> None:
+        self._unreported |= changed
+        self._on_change(self._unreported)
+        self._unreported = set()
+
     def _apply(self, change: Change) -> bool:
         current = self.item_by_key.get(change.key)
         if change.revision <= _revision(current):
--- /dev/null
+++ b/tests/platform/test_malformed_messages.py
@@ -0,0 +1,194 @@
+"""Malformed messages at the border to the platform: each is refused alone, with a typed error.
+
+An error of any other kind ended the loop that read the message: one entry of another writer kept a
+VM from learning of new workers, and one submitted job with a huge estimate stopped the scheduler of
+its pool.
+"""
+
+import copy
+import json
+from datetime import timedelta
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hornbeamramp.errors import StoreUnavailableError
+from hornbeamramp.fleet import WorkerListing, WorkerUnreachableError
+from hornbeamramp.http_client import HttpReply
+from hornbeamramp.ids import DataCentreId, JobId, PoolName, RouteName, UpstreamId
+from hornbeamramp.platform.advice import PlatformAdvice
+from hornbeamramp.platform.callers import MAX_CALLER_TIMEOUT, _caller_timeout
+from hornbeamramp.platform.decoding import decode_config, decode_job, decode_worker
+from hornbeamramp.platform.store import PlatformStore
+from hornbeamramp.platform.workers import PlatformWorkers
+from hornbeamramp.poolowner import AdviceUnavailableError
+from hornbeamramp.poolowner.jobs import Job
+from hornbeamramp.poolowner.lateness import estimate_lateness
+from hornbeamramp.resources import Resources
+from hornbeamramp.statestore import JobRecord, Txn
+from hornbeamramp.statestore.records import encode
+from hornbeamramp.workload import StepKey
+from tests.model.virtual_time import LoopClock, run_in_virtual_time
+from tests.platform.test_decoding import CONFIG, WORKER, item
+
+STEP = {"count": 2, "cpu": 500, "mem-mb": 256, "estimated-ms": 900, "after": [], "may-miss": 1}
+JOB = {"spec": "x", "steps": [STEP, {**STEP, "after": [0]}], "repetitions": 1, "start-at-ms": 5}
+HOLD = {"clock-ms": 5, "running": [["a.0.0.0", 2, "", 41, 3]], "ended": [[1, "b", 1, "done", ""]]}
+ITEM = {"key": "k", "value": "YQ==", "revision": 3, "created": 2, "lease": 0}
+LISTING = WorkerListing(
+    UpstreamId("w1"), PoolName("pool"), "w1", DataCentreId("gebze"), False, Resources(1, 1, 0, 0, 0)
+)
+DECODERS = {"worker": decode_worker, "config": decode_config}
+DOCUMENTS = {
+    "range": {"items": [ITEM], "as-of": 7, "more-pages": False},
+    "watch": {"events": [ITEM, {"key": "k", "revision": 4, "removed": True}], "as-of": 7},
+    "commit": {"revision": 9},
+    "hold": HOLD,
+    "advise": {"granted": [["w1", "ticket"]], "valid-ms": 2000},
+    "job": JOB,
+    "worker": WORKER,
+    "config": CONFIG,
+}
+VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.sampled_from([0, -1, 2**53, 2**63, 2**70, -(2**70), 1e300, -1e300, 0.5, "", "=", "x" * 99]),
+    st.integers(),
+    st.floats(allow_nan=False, allow_infinity=False),
+    st.text(max_size=3),
+    st.just([]),
+    st.just({}),
+)
+
+
+def _paths(document, path=()):
+    children = []
+    if isinstance(document, dict):
+        children = list(document.items())
+    elif isinstance(document, list):
+        children = list(enumerate(document))
+    yield path
+    for key, child in children:
+        yield from _paths(child, (*path, key))
+
+
+def mutate(document, path, value):
+    """Returns the document with another value, or none, at a path."""
+    if not path:
+        return value
+    changed = copy.deepcopy(document)
+    *way, last = path
+    parent = changed
+    for key in way:
+        parent = parent[key]
+    if value is Ellipsis:
+        del parent[last]
+    else:
+        parent[last] = value
+    return changed
+
+
+@st.composite
+def mutated(draw, kind):
+    document = DOCUMENTS[kind]
+    path = draw(st.sampled_from(list(_paths(document))))
+    value = draw(st.one_of(VALUES, st.just(...)) if path else VALUES)
+    body = json.dumps(mutate(document, path, value)).encode()
+    if draw(st.integers(0, 9)) == 0:
+        cut = draw(st.integers(0, len(body)))
+        body = body[:cut] + draw(st.binary(max_size=3)) + body[cut + 1 :]
+    return body
+
+
+class Replies:
+    """HTTP client that gets the same reply to each request."""
+
+    def __init__(self, body, status=200):
+        self._reply = HttpReply(status, {}, body)
+
+    async def request(self, *arguments, **keywords):
+        return self._reply
+
+
+def parse_reply(kind, body):
+    """Reads a reply through the client of its sender."""
+
+    async def call(clock):
+        replies = Replies(body)
+        store, workers = PlatformStore("127.0.0.1:1", clock), PlatformWorkers(clock)
+        advice = PlatformAdvice("127.0.0.1:1", clock)
+        store._client = store._watch_client = advice._client = replies
+        workers._client_by_address["w1"] = replies
+        calls = {
+            "range": lambda: store.range("k"),
+            "watch": lambda: store.watch("k", 0, timedelta(0)),
+            "commit": lambda: store.commit(Txn({}, ())),
+            "hold": lambda: workers.hold(LISTING, 1, 0, None, timedelta(0)),
+            "advise": lambda: advice.ask(StepKey(JobId("a" * 16), 0, 0), [], timedelta(0)),
+        }
+        return await calls[kind]()
+
+    try:
+        return run_in_virtual_time(_with_clock(call))
+    except (StoreUnavailableError, WorkerUnreachableError, AdviceUnavailableError):
+        return None
+
+
+async def _with_clock(call):
+    return await call(LoopClock())
+
+
+@pytest.mark.parametrize("kind", ["range", "watch", "commit", "hold", "advise"])
+@given(data=st.data())
+@settings(max_examples=150, deadline=None)
+def test_malformed_reply_is_a_failed_call(kind, data):
+    reply = parse_reply(kind, data.draw(mutated(kind)))
+    if kind == "hold" and reply is not None:
+        assert all(isinstance(row.percent, int | float) for row in reply.running)
+        assert all(isinstance(row.number, int) for row in reply.ended)
+
+
+@given(mutated("worker"))
+@settings(max_examples=300, deadline=None)
+def test_malformed_worker_entry_is_left_aside(body):
+    decode_worker(item("servers/w1", body))
+
+
+@given(mutated("config"))
+@settings(max_examples=300, deadline=None)
+def test_malformed_configuration_is_rejected(body):
+    decoded = decode_config(item("op/config", body))
+    if decoded.is_ok():
+        decoded.unwrap().match("kaya.example", "/gate/a")
+
+
+@given(mutated("job"))
+@settings(max_examples=400, deadline=None)
+def test_job_that_is_accepted_can_be_recorded_and_scheduled(body):
+    """Guards against accepted jobs whose numbers the records or the scheduler can't hold."""
+    spec = decode_job(body)
+    if spec.is_err():
+        return
+    record = JobRecord(JobId("a" * 16), RouteName("gate"), 0, 0, 2, 2.0, 1000, spec.unwrap())
+    encode(record)
+    job = Job(record)
+    for number in range(len(record.spec.steps)):
+        estimate_lateness(record, job.critical_path, number, 0.0, 5.0, 1.0, None)
+
+
+@pytest.mark.parametrize("kind", sorted(DOCUMENTS))
+def test_deeply_nested_document_is_malformed(kind):
+    body = b'{"extra":' + b"[" * 100_000
+    if kind in ("range", "watch", "commit", "hold", "advise"):
+        assert parse_reply(kind, body) is None
+    else:
+        decode = {"job": decode_job}.get(kind, lambda body: DECODERS[kind](item("k", body)))
+        assert decode(body).is_err()
+
+
+@pytest.mark.parametrize("value", ["inf", "nan", "1e400", "-5", "1e300", "", "soon"])
+def test_any_deadline_of_a_caller_gives_a_bounded_wait(value):
+    timeout = _caller_timeout(SimpleNamespace(headers={"Deadline-Ms": value}))
+    assert timedelta(0) < timeout <= MAX_CALLER_TIMEOUT
