--- a/hornbeamramp/cli.py
+++ b/hornbeamramp/cli.py
@@ -125,6 +125,28 @@
         print(f"{elapsed_s:9.3f} s  {line.vm}  {line.part}  {line.message}")
 
 
+@app.command
+def report(*files: Path, plot: Path | None = None) -> None:
+    """Print why jobs were late, failed or refused, from the log files of all VMs.
+
+    Parameters
+    ----------
+    plot
+        PNG file for a picture of the day; needs the optional dependency ``plot``.
+    """
+    from hornbeamramp.report import print_report, read_day, write_plot
+
+    try:
+        day = read_day(files)
+        print_report(day, Console())
+        if plot is not None:
+            write_plot(day, plot)
+    except ImportError as error:
+        _exit_with_error(f"--plot needs {error.name}: install hornbeamramp[plot]", EXIT_USAGE)
+    except OSError as error:
+        _exit_with_error(f"{error.filename}: {error.strerror}", EXIT_USAGE)
+
+
 @app.command(show=False)
 def docs(page: Literal["configuration"], *, check: bool = False) -> None:
     """Write docs/configuration.md from the settings model, or check that it is up to date."""
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -172,7 +172,10 @@
         attempt.phase = AttemptPhase.ORDERED
         self._latest_deadline_ms = max(self._latest_deadline_ms, order.deadline_ms)
         try:
-            reply = await self._client.start(self.listing, order, self._owner.may_order)
+            # The job may be cancelled while the call waits for a connection.
+            reply = await self._client.start(
+                self.listing, order, lambda: self._owner.may_order() and not attempt.stop_wanted
+            )
         except WorkerUnreachableError as error:
             if not error.sent:
                 return StartReply.UNHEALTHY
--- a/hornbeamramp/ids.py
+++ b/hornbeamramp/ids.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 __all__ = [
+    "UNKNOWN_DATA_CENTRE",
     "AttemptId",
     "ChangeId",
     "DataCentreId",
@@ -36,6 +37,8 @@
 UpstreamId = NewType("UpstreamId", str)
 VmId = NewType("VmId", str)
 
+UNKNOWN_DATA_CENTRE = DataCentreId("")
+
 
 def shard_id(pool: PoolName, data_centre: DataCentreId) -> ShardId:
     """Returns the id of the shard that serves ``pool`` in ``data_centre``."""
--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -6,6 +6,7 @@
     "advice_time",
     "commit_time",
     "first_start_time",
+    "loop_lag",
     "preemptions",
     "request_time",
     "requests",
@@ -39,3 +40,6 @@
 first_start_time = _meter.create_histogram(
     "hornbeamramp.job.first_start", "s", "Time from acceptance to the first start, by queue"
 )
+loop_lag = _meter.create_histogram(
+    "hornbeamramp.loop.lag", "s", "Delay of the event loop of a pool's owner, each 250 ms"
+)
--- a/hornbeamramp/logs.py
+++ b/hornbeamramp/logs.py
@@ -18,6 +18,9 @@
     "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel}: {record.message}"
 )
 
+# Types of extra fields that are written as JSON of their own kind.
+PLAIN_TYPES = (bool, int, float, dict)
+
 
 def json_line(record: logbook.LogRecord, handler: logbook.Handler, vm: str = "") -> str:
     """Formats a record as one JSON object: time, VM, level, logger, message, trace id, extras."""
@@ -31,7 +34,12 @@
     span = trace.get_current_span().get_span_context()
     if span.is_valid:
         line["trace_id"] = trace.format_trace_id(span.trace_id)
-    line.update({key: str(value) for key, value in record.extra.items()})
+    line.update(
+        {
+            key: value if isinstance(value, PLAIN_TYPES) else str(value)
+            for key, value in record.extra.items()
+        }
+    )
     if record.exc_info:
         line["exception"] = record.formatted_exception
     return json.dumps(line)
--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -4,10 +4,11 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from hornbeamramp.fleet import Attempt
-from hornbeamramp.ids import UpstreamId
+from hornbeamramp.fleet import Attempt, RunOutcome
+from hornbeamramp.ids import UNKNOWN_DATA_CENTRE, DataCentreId, UpstreamId
 from hornbeamramp.poolowner.advice import Grants
 from hornbeamramp.poolowner.lateness import CriticalPath, Lateness, LatenessLevel
+from hornbeamramp.poolowner.waiting import StepWait, WaitTimes
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import JobProgress, JobRecord, OpenTask, StepGrants
 from hornbeamramp.workload import TERMINAL_PHASES, JobPhase, StepKey, StepSpec, task_name
@@ -85,6 +86,7 @@
         # How a waiting gang is going to start, as of the boot time of the plan.
         self.plan: GangPlan | None = None
         self.planned_at: timedelta | None = None
+        self.wait = StepWait(job.wait_times)
         # As of the latest scheduling pass.
         self.lateness = Lateness(LatenessLevel.ON_TIME, 0.0)
 
@@ -108,16 +110,24 @@
 
 
 class Job:
-    """A job. The steps of an occurrence are created when it becomes due."""
+    """A job. The steps of an occurrence are created when it becomes due.
 
-    def __init__(self, record: JobRecord) -> None:
+    `data_centre`
+        Where its caller sent it, for log lines; empty after a change of the owner.
+    """
+
+    def __init__(self, record: JobRecord, data_centre: DataCentreId = UNKNOWN_DATA_CENTRE) -> None:
         self.record = record
+        self.data_centre = data_centre
         self.critical_path = CriticalPath.of(record.spec.steps)
         self.phase = JobPhase.QUEUED
         # The phase that is in the store. Callers see only this one, as it survives a failover.
         self.recorded_phase = JobPhase.QUEUED
         self.ended_ms = 0
         self.steps_by_occurrence: dict[int, list[StepRun]] = {}
+        self.wait_times = WaitTimes()
+        # Work of ended runs that was not saved, in core-seconds, by the outcome of the runs.
+        self.lost_work_by_outcome: dict[RunOutcome, float] = {}
         # Set for a job that ended under a former owner: it has no steps, and its record is kept
         # unchanged.
         self.ended_progress: JobProgress | None = None
--- a/hornbeamramp/poolowner/lateness.py
+++ b/hornbeamramp/poolowner/lateness.py
@@ -16,7 +16,15 @@
 from hornbeamramp.statestore import JobRecord
 from hornbeamramp.workload import AdviceTiming, JobSpec, Queue, StepSpec
 
-__all__ = ["CriticalPath", "Lateness", "LatenessLevel", "estimate_lateness", "retry_delay"]
+__all__ = [
+    "TOO_LATE_FACTOR",
+    "CriticalPath",
+    "Lateness",
+    "LatenessLevel",
+    "estimate_lateness",
+    "on_time_limit_ms",
+    "retry_delay",
+]
 
 # Multiple of the on-time limit beyond which a job's result is worth nothing to its caller, by the
 # users' rule on what a job earns.
@@ -84,6 +92,24 @@
     return min(max(RETRY_SHARE * on_time_limit, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
 
 
+def on_time_limit_ms(
+    record: JobRecord,
+    critical_path: CriticalPath,
+    timing: AdviceTiming | None,
+    duration_ratio: float = 1.0,
+) -> float:
+    """Returns the time in ms after its acceptance within which a job is on time."""
+    duration_ms = _duration_ms(critical_path.longest, timing, duration_ratio)
+    return record.stretch * duration_ms + record.target_ms
+
+
+def _duration_ms(length: PathLength, timing: AdviceTiming | None, duration_ratio: float) -> float:
+    advice_ms = 0.0
+    if timing is not None:
+        advice_ms = to_ms(timing.base + WORKERS_PER_ADVICE_REQUEST * timing.per_worker)
+    return length.work_ms * duration_ratio + length.steps * advice_ms
+
+
 def estimate_lateness(
     record: JobRecord,
     critical_path: CriticalPath,
@@ -102,18 +128,11 @@
     """
     if record.spec.steps[step].long_running:
         return Lateness(LatenessLevel.ON_TIME, since_ms)
-    advice_ms = 0.0
-    if timing is not None:
-        advice_ms = to_ms(timing.base + WORKERS_PER_ADVICE_REQUEST * timing.per_worker)
-
-    def duration_ms(length: PathLength) -> float:
-        return length.work_ms * duration_ratio + length.steps * advice_ms
-
-    on_time_limit_ms = record.stretch * duration_ms(critical_path.longest) + record.target_ms
-    remaining_ms = duration_ms(critical_path.remaining_by_step[step])
+    on_time_ms = on_time_limit_ms(record, critical_path, timing, duration_ratio)
+    remaining_ms = _duration_ms(critical_path.remaining_by_step[step], timing, duration_ratio)
     for level, limit_ms in (
-        (LatenessLevel.ON_TIME, on_time_limit_ms),
-        (LatenessLevel.LATE, TOO_LATE_FACTOR * on_time_limit_ms),
+        (LatenessLevel.ON_TIME, on_time_ms),
+        (LatenessLevel.LATE, TOO_LATE_FACTOR * on_time_ms),
     ):
         latest_start_ms = since_ms + limit_ms - remaining_ms
         if now_ms <= latest_start_ms:
--- a/hornbeamramp/poolowner/lifecycle.py
+++ b/hornbeamramp/poolowner/lifecycle.py
@@ -10,6 +10,8 @@
 from hornbeamramp.poolowner.jobs import Job, Task, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.placer import Placer
+from hornbeamramp.poolowner.summaries import end_fields, lost_work
+from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.workload import JobPhase
 
 if TYPE_CHECKING:
@@ -75,6 +77,11 @@
         elif outcome in (RunOutcome.LAPSED, RunOutcome.LOST):
             unit.avoided_workers.add(UpstreamId(attempt.session.worker))
         if outcome is not RunOutcome.DONE:
+            if not checkpoint:
+                lost = lost_work(attempt, self._owner.boot_time())
+                job.lost_work_by_outcome[outcome] = (
+                    job.lost_work_by_outcome.get(outcome, 0.0) + lost
+                )
             _log.info(
                 "{} run {} on {} ended {} at {}%, failures {}",
                 task.name,
@@ -99,6 +106,7 @@
         if job.is_ended or unit.is_done:
             return
         if unit.is_placed:
+            unit.step.wait.set(WaitReason.END, self._owner.boot_time())
             for attempt in unit.attempts():
                 if attempt.phase is not AttemptPhase.RESERVED:
                     attempt.session.stop(attempt)
@@ -118,7 +126,16 @@
         job.close(phase, self._owner.now_ms())
         self._journal.mark_dirty(job)
         elapsed_ms = job.ended_ms - job.record.accepted_ms
-        _log.info("job {} {} after {} ms", job.record.job_id, phase.value, elapsed_ms)
+        now = self._owner.boot_time()
+        for step in job.steps():
+            step.wait.set(None, now)
+        _log.info(
+            "job {} {} after {} ms",
+            job.record.job_id,
+            phase.value,
+            elapsed_ms,
+            extra=end_fields(job, self._owner.queue_of(job)),
+        )
         for attempt in list(job.attempts()):
             if attempt.phase is not AttemptPhase.RESERVED:
                 attempt.session.stop(attempt)
--- /dev/null
+++ b/hornbeamramp/poolowner/monitor.py
@@ -0,0 +1,85 @@
+"""Logs the state of an owned pool, and the steps that wait long with the reason why."""
+
+import time
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import logbook
+
+from hornbeamramp import instruments
+from hornbeamramp.clock import Clock
+from hornbeamramp.poolowner.placer import Placer
+from hornbeamramp.poolowner.summaries import pool_fields
+
+if TYPE_CHECKING:
+    from hornbeamramp.poolowner.owner import PoolOwner
+
+__all__ = ["PoolMonitor"]
+
+# Period of the line with the state of the pool.
+STATE_PERIOD = timedelta(seconds=1)
+# Period in which the delay of the event loop is measured.
+LAG_PERIOD = timedelta(milliseconds=250)
+# Waits shorter than this are not logged by themselves: every job has some.
+MIN_LOGGED_WAIT = timedelta(seconds=1)
+# Most waits logged in one period, the first in the order of placement.
+MAX_LOGGED_WAITS = 20
+
+_log = logbook.Logger("owner")
+
+
+class PoolMonitor:
+    """Observes one pool; changes nothing."""
+
+    def __init__(self, owner: "PoolOwner", placer: Placer, clock: Clock) -> None:
+        self._owner = owner
+        self._placer = placer
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Logs until cancelled."""
+        while True:
+            started_at, started_cpu = self._clock.boot_time(), time.process_time()
+            longest = timedelta(0)
+            while self._clock.boot_time() - started_at < STATE_PERIOD:
+                slept_at = self._clock.boot_time()
+                await self._clock.sleep(LAG_PERIOD)
+                lag = max(self._clock.boot_time() - slept_at - LAG_PERIOD, timedelta(0))
+                instruments.loop_lag.record(lag.total_seconds())
+                longest = max(longest, lag)
+            self._log_state(longest, time.process_time() - started_cpu)
+            self._log_waits()
+
+    def _log_state(self, lag: timedelta, cpu_s: float) -> None:
+        waiting = self._placer.waiting_steps()
+        fields = pool_fields(self._owner.session_by_worker.values(), waiting, lag, cpu_s)
+        _log.info(
+            "pool {}: {} of {} cores free on {} workers, {} steps wait",
+            self._owner.pool,
+            fields["free"],
+            fields["cores"],
+            fields["workers"],
+            len(waiting),
+            extra={"pool": self._owner.pool, **fields},
+        )
+
+    def _log_waits(self) -> None:
+        now = self._clock.boot_time()
+        logged = 0
+        for step in self._placer.waiting_steps():
+            wait = step.wait
+            if wait.reason is None or wait.is_logged or now - wait.since < MIN_LOGGED_WAIT:
+                continue
+            wait.is_logged = True
+            _log.info(
+                "{} waits for {} since {}: {} tasks, {} of {} workers granted",
+                step.key,
+                wait.reason.value,
+                now - wait.since,
+                sum(len(unit.tasks) for unit in step.waiting),
+                len(step.grants.granted),
+                len(step.grants.asked),
+            )
+            logged += 1
+            if logged == MAX_LOGGED_WAITS:
+                return
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -27,7 +27,14 @@
     WorkerListing,
     WorkerSession,
 )
-from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
+from hornbeamramp.ids import (
+    UNKNOWN_DATA_CENTRE,
+    DataCentreId,
+    JobId,
+    PoolName,
+    RouteName,
+    UpstreamId,
+)
 from hornbeamramp.poolowner.advice import AdviceSource
 from hornbeamramp.poolowner.checks import RunChecks
 from hornbeamramp.poolowner.jobs import Job
@@ -35,8 +42,10 @@
 from hornbeamramp.poolowner.lateness import retry_delay
 from hornbeamramp.poolowner.launch import Launcher
 from hornbeamramp.poolowner.lifecycle import JobLifecycle
+from hornbeamramp.poolowner.monitor import PoolMonitor
 from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.recovery import placeholder_listing, read_jobs
+from hornbeamramp.poolowner.summaries import accepted_fields
 from hornbeamramp.statestore import (
     ClaimLostError,
     JobProgress,
@@ -155,6 +164,8 @@
         self.spawn(self._run_journal())
         scheduler = f"scheduler of pool {self.pool}"
         self.spawn(run_until_done(scheduler, self._run_scheduler, self._clock, _log))
+        monitor = PoolMonitor(self, self._placer, self._clock)
+        self.spawn(run_until_done(f"monitor of pool {self.pool}", monitor.run, self._clock, _log))
         self.is_ready = True
         instruments.takeovers.add(1, {"pool": self.pool})
         _log.info(
@@ -263,9 +274,18 @@
 
     # Requests of callers
 
-    async def accept(self, job_id: JobId, queue: Queue, spec: JobSpec) -> Refusal | None:
+    async def accept(
+        self,
+        job_id: JobId,
+        queue: Queue,
+        spec: JobSpec,
+        data_centre: DataCentreId = UNKNOWN_DATA_CENTRE,
+    ) -> Refusal | None:
         """Records a job; repeated calls with the same id record it once.
 
+        `data_centre`
+            Where its caller sent it.
+
         Raises `ClaimLostError` if it is unknown whether the job was recorded.
         """
         if job_id in self.job_by_id:
@@ -289,7 +309,7 @@
             spec=spec,
         )
         if not self._journal.is_inserting(job_id):
-            job = Job(record)
+            job = Job(record, data_centre)
             self._journal.insert(job)
             # Scheduled at once: the placement is committed together with the job or after it.
             self.lifecycle.open_due(job)
@@ -301,7 +321,8 @@
         record = job.record
         if record.job_id not in self.job_by_id:
             self.job_by_id[record.job_id] = job
-            _log.info("{} accepted into {}", record.job_id, record.queue)
+            fields = accepted_fields(job)
+            _log.info("{} accepted into {}", record.job_id, record.queue, extra=fields)
 
     async def cancel(self, job_id: JobId) -> bool:
         """Cancels a job and returns whether it exists. Raises `ClaimLostError`."""
@@ -404,5 +425,8 @@
     def wake(self) -> None:
         self._wake.set()
 
+    def boot_time(self) -> timedelta:
+        return self._clock.boot_time()
+
     def now_ms(self) -> int:
         return int(self._clock.now().timestamp() * 1000)
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -27,6 +27,7 @@
 from hornbeamramp.poolowner.launch import Launcher
 from hornbeamramp.poolowner.preemption import choose_victims, expected_slots
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
+from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.resources import Resources
 from hornbeamramp.workload import Queue
 
@@ -144,8 +145,15 @@
         Within a priority, steps that can still finish on time come first. Steps that are too late
         for their caller come after all others, whatever their priority.
         """
+        now = self._clock.boot_time()
         if not self._owner.may_place():
+            for step in self._open_steps:
+                if step.waiting:
+                    step.wait.set(WaitReason.OWNER, now)
             return
+        for step in self._open_steps:
+            if not step.waiting and step.wait.reason is not WaitReason.END:
+                step.wait.set(None, now)
         self._open_steps = [
             step for step in self._open_steps if step.waiting and not step.job.is_ended
         ]
@@ -160,15 +168,20 @@
         prefetches_left = self._launcher.max_prefetching_steps()
         for step in self._open_steps:
             try:
-                self._place(step, workers, prefetches_left > 0)
+                reason = self._place(step, workers, prefetches_left > 0)
             except Exception:
                 # One step must not keep all others from being placed.
                 _log.exception("{}: placement failed unexpectedly, trying again", step.key)
                 continue
+            if not step.waiting:
+                step.wait.set(None, now)
+                continue
             # Steps that still wait are the next to start when capacity is freed, so they prefetch
             # tickets. Steps that no worker may run don't count: they stay in the queue indefinitely
             # and would use up the limit.
-            prefetches_left -= bool(step.waiting and self._is_feasible(step))
+            is_feasible = self._is_feasible(step)
+            prefetches_left -= is_feasible
+            step.wait.set(reason if is_feasible else WaitReason.WORKER, now)
 
     def _usable_workers(self) -> _Workers:
         now = self._clock.boot_time()
@@ -208,8 +221,8 @@
             timing=None if queue is None else queue.advice,
         )
 
-    def _place(self, step: StepRun, workers: _Workers, may_prefetch: bool) -> None:
-        """Launches the units of a step that fit.
+    def _place(self, step: StepRun, workers: _Workers, may_prefetch: bool) -> WaitReason:
+        """Launches the units of a step that fit; returns what any others wait for.
 
         With ``may_prefetch``, tickets are also renewed while there is no capacity, so that freed
         capacity does not stay idle during an advice request.
@@ -217,11 +230,12 @@
         queue = self._owner.queue_of(step.job)
         workers = workers.for_step(step, self.speeds)
         capacity = workers.capacity
+        shortage = WaitReason.GANG if step.is_gang else WaitReason.CAPACITY
         if queue is None or queue.advice is None:
             self._launch_on(step, workers.with_capacity, workers)
             if step.waiting:
                 self._make_room(step, list(workers.usable_by_id.values()), workers)
-            return
+            return shortage
         now = self._clock.boot_time()
         grants = step.grants
         # Sorted, so that ties don't depend on the iteration order of a set.
@@ -231,13 +245,10 @@
             if worker in workers.usable_by_id
         ]
         with_capacity = [s for s in granted if capacity.fits(s, step.size)]
-        self._launch_on(
-            step,
-            [s for s in with_capacity if grants.has_ticket(UpstreamId(s.worker), now)],
-            workers,
-        )
+        ticketed = [s for s in with_capacity if grants.has_ticket(UpstreamId(s.worker), now)]
+        self._launch_on(step, ticketed, workers)
         if not step.waiting:
-            return
+            return shortage
         may_ask = (
             not grants.is_pending and now >= grants.not_before and self._launcher.may_ask(step)
         )
@@ -245,18 +256,25 @@
         reserved = self._reserve(step, with_capacity, workers) if may_ask else []
         if reserved:
             self._launcher.renew_and_launch(step, queue, reserved, granted)
-            return
+            return shortage
         plan = self._make_room(step, granted, workers) if granted else None
+        if not granted:
+            shortage = WaitReason.ADVICE
+        elif (step.is_gang and plan is not None) or (
+            not step.is_gang and len(with_capacity) > len(ticketed)
+        ):
+            shortage = WaitReason.TICKET
         if not may_ask:
-            return
+            return shortage
         if step.is_gang:
             self._ask_for_gang(step, queue, granted, plan, workers)
-            return
+            return shortage
         unasked = self._unasked(step, workers, may_prefetch)
         if unasked:
             self._launcher.request_advice(step, queue, unasked)
         elif granted and may_prefetch:
             self._launcher.prefetch_tickets(step, queue, granted)
+        return shortage
 
     def _ask_for_gang(
         self,
@@ -339,6 +357,10 @@
         unasked.sort(key=lambda s: (not spare.fits(s, step.size), -spare.free(s)[0]))
         return unasked
 
+    def waiting_steps(self) -> list[StepRun]:
+        """Returns the steps that wait, in the order of the latest pass."""
+        return [step for step in self._open_steps if step.waiting]
+
     def _is_feasible(self, step: StepRun) -> bool:
         """Returns whether the granted workers could run the step's next unit if they were empty."""
         grants = step.grants
--- /dev/null
+++ b/hornbeamramp/poolowner/summaries.py
@@ -0,0 +1,123 @@
+"""Fields of the log lines from which `hornbeamramp report` explains a day.
+
+One line for each accepted and each ended job, and one each second for the state of a pool.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Any
+
+from hornbeamramp.durations import to_ms
+from hornbeamramp.fleet import Attempt, WorkerSession
+from hornbeamramp.poolowner.jobs import Job, StepRun
+from hornbeamramp.poolowner.lateness import TOO_LATE_FACTOR, on_time_limit_ms
+from hornbeamramp.workload import JobPhase, Queue
+
+__all__ = ["accepted_fields", "end_fields", "lost_work", "pool_fields"]
+
+# Work on an accelerator in core-seconds, as the platform prices it.
+CORES_PER_ACCELERATOR = 8
+
+
+def _cores(processors_milli: float, accelerators: float) -> float:
+    return processors_milli / 1000 + CORES_PER_ACCELERATOR * accelerators
+
+
+def accepted_fields(job: Job) -> dict[str, Any]:
+    """Returns what is known of a job when it is accepted.
+
+    ``work`` is in core-seconds by the submitter's estimates, ``width`` the tasks of its widest
+    step.
+    """
+    spec = job.record.spec
+    work = sum(
+        step.count * _cores(step.processors_milli, step.accelerators) * step.estimate_ms / 1000
+        for step in spec.steps
+    )
+    return {
+        "event": "job_accepted",
+        "job": job.record.job_id,
+        "queue": job.record.queue,
+        "data_centre": job.data_centre,
+        "work": round(work, 1),
+        "width": max(step.count for step in spec.steps),
+        "is_gang": any(step.gang for step in spec.steps),
+    }
+
+
+def end_fields(job: Job, queue: Queue | None) -> dict[str, Any]:
+    """Returns how a job ended, what it waited for (ms), and the work it lost (core-seconds).
+
+    ``result`` is on_time, late or too_late for a job that completed, otherwise its phase. Jobs with
+    times and those that last have no limit.
+    """
+    record = job.record
+    elapsed_ms = job.ended_ms - record.accepted_ms
+    is_limited = not record.spec.repetitions and not any(
+        step.long_running for step in record.spec.steps
+    )
+    result = job.phase.value
+    if job.phase is JobPhase.COMPLETED and is_limited:
+        limit_ms = on_time_limit_ms(record, job.critical_path, queue and queue.advice)
+        if elapsed_ms <= limit_ms:
+            result = "on_time"
+        else:
+            result = "late" if elapsed_ms <= TOO_LATE_FACTOR * limit_ms else "too_late"
+    return {
+        **accepted_fields(job),
+        "event": "job_ended",
+        "result": result,
+        "elapsed_ms": elapsed_ms,
+        "waits": job.wait_times.as_milliseconds(),
+        "lost_work": {
+            outcome.value: round(work, 1) for outcome, work in job.lost_work_by_outcome.items()
+        },
+    }
+
+
+def lost_work(attempt: Attempt, now: timedelta) -> float:
+    """Returns the work in core-seconds that an ended run has done since it started."""
+    if attempt.started_at is None:
+        return 0.0
+    elapsed_s = (now - attempt.started_at).total_seconds()
+    return elapsed_s * _cores(attempt.size.processors_milli, attempt.size.accelerators)
+
+
+def pool_fields(
+    sessions: Iterable[WorkerSession], waiting: Iterable[StepRun], lag: timedelta, cpu_s: float
+) -> dict[str, Any]:
+    """Returns the state of a pool: cores by queue and free, waiting tasks by reason.
+
+    `lag`
+        Longest delay of the event loop since the line before.
+    `cpu_s`
+        Processor time of the process since the line before, in seconds.
+    """
+    cores_by_queue: Counter[str] = Counter()
+    total = used = 0.0
+    workers = 0
+    for session in sessions:
+        if not session.usable:
+            continue
+        workers += 1
+        capacity = session.listing.capacity
+        total += _cores(capacity.processors_milli, capacity.accelerators)
+        for attempt in session.attempt_by_key.values():
+            cores = _cores(attempt.size.processors_milli, attempt.size.accelerators)
+            used += cores
+            cores_by_queue[attempt.task.unit.step.job.record.queue] += cores
+    tasks_by_reason: Counter[str] = Counter()
+    for step in waiting:
+        if step.wait.reason is not None:
+            tasks_by_reason[step.wait.reason.value] += sum(len(u.tasks) for u in step.waiting)
+    return {
+        "event": "pool",
+        "workers": workers,
+        "cores": round(total),
+        "free": round(total - used),
+        "used": {queue: round(cores) for queue, cores in cores_by_queue.items()},
+        "waiting": dict(tasks_by_reason),
+        "lag_ms": to_ms(lag),
+        "cpu_s": round(cpu_s, 3),
+    }
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -108,7 +108,9 @@
         if self._node.config is None:
             return SubmitResult("there is no configuration yet", CONFIG_RETRY_AFTER)
         version = self._node.config.version
-        request = SubmitJobRequest(queue.pool, queue.name, version, job_id, spec)
+        request = SubmitJobRequest(
+            queue.pool, queue.name, version, job_id, spec, self._node.identity.data_centre
+        )
         try:
             reply, may_have_run = await self._ask_owner(request, self._on_submit, max_wait)
         except UnavailableError as error:
@@ -238,7 +240,7 @@
         queue = self._node.config.queue_by_name.get(request.queue)
         if queue is None:
             return SubmitJobReply(True, "the queue is no longer configured", 1000)
-        refusal = await owner.accept(request.job_id, queue, request.spec)
+        refusal = await owner.accept(request.job_id, queue, request.spec, request.data_centre)
         if refusal is None:
             return SubmitJobReply(True)
         retry_after_ms = to_ms(refusal.retry_after)
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId
+from hornbeamramp.ids import (
+    UNKNOWN_DATA_CENTRE,
+    DataCentreId,
+    JobId,
+    PoolName,
+    RouteName,
+    UpstreamId,
+)
 from hornbeamramp.messages import HelloReply, HelloRequest
 from hornbeamramp.vm.relay import RelayReply, RelayRequest
 from hornbeamramp.workload import JobPhase, JobSpec, StepKey
@@ -29,6 +36,8 @@
 
     `config_version`
         Version of the configuration by which the sender chose the queue and its pool.
+    `data_centre`
+        That of the sender, where the caller's request arrived.
     """
 
     pool: PoolName
@@ -36,6 +45,7 @@
     config_version: int
     job_id: JobId
     spec: JobSpec
+    data_centre: DataCentreId = UNKNOWN_DATA_CENTRE
 
 
 class SubmitJobReply(msgspec.Struct, frozen=True):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+import logbook
 import pytest
 
 from hornbeamramp.clock import ManualClock
@@ -45,6 +46,13 @@
     return start
 
 
+@pytest.fixture
+def log_records():
+    """Log records written during the test."""
+    with logbook.TestHandler() as handler:
+        yield handler.records
+
+
 ROOT = Path(__file__).resolve().parent.parent
 
 
