Judge stalled runs by the worker's clock, and only under a valid claim

Cause: operators of similar systems saw the running work of a machine that was only silent, or slow to report, started again elsewhere. It could happen here: a run counted as stalled when the owner had seen no progress for 3 s of its own time. An owner that was paused that long, or had not read the lists that waited in its sockets, found all runs of the pool stalled, set their workers aside and stopped the runs, also after its claim had run out. Change: the time without progress is the difference of the worker's clock between two lists. The periodic checks do nothing unless the claim is valid. Result: test_run_is_not_stalled_while_its_lists_are_late_or_not_read and test_checks_stop_nothing_once_the_claim_may_have_run_out fail on the commit before and pass now; tests/fleet and tests/poolowner pass.

--- a/hornbeamramp/fleet/attempt.py
+++ b/hornbeamramp/fleet/attempt.py
@@ -37,6 +37,8 @@
     `confirmed_at`
         Boot time of the latest proof that the run exists or can no longer be started. If a run list
         requested later lacks the run, it is gone.
+    `progress_clock_ms`
+        Time on the worker's clock at which the run was last known to make progress.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         "percent",
         "phase",
         "progress_at",
+        "progress_clock_ms",
         "resumed",
         "run",
         "session",
@@ -72,6 +75,7 @@
         self.confirmed_at: timedelta | None = None
         self.started_at: timedelta | None = None
         self.progress_at: timedelta | None = None
+        self.progress_clock_ms: int | None = None
         self.stop_wanted = False
         self.resumed = False
         self.pace_percent = 100
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -188,14 +188,29 @@
         if reply is StartReply.STARTED and attempt.phase is AttemptPhase.ORDERED:
             attempt.phase = AttemptPhase.RUNNING
             attempt.started_at = attempt.progress_at = now
+            attempt.progress_clock_ms = self._estimated_clock_ms()
         if reply is StartReply.STARTED:
             attempt.confirmed_at = now
         return reply
 
     def deadline_ms(self) -> int:
         """Returns the end of a lease that begins now, in ms on the worker's clock."""
+        return self._estimated_clock_ms() + int(RUN_LEASE / MILLISECOND)
+
+    def _estimated_clock_ms(self) -> int:
+        """Returns the time on the worker's clock, which may run slower than the owner's."""
         elapsed = self._clock.boot_time() - (self._worker_clock_read_at or timedelta(0))
-        return int(self._worker_clock_ms + (elapsed + RUN_LEASE) / MILLISECOND)
+        return int(self._worker_clock_ms + elapsed / MILLISECOND)
+
+    def time_without_progress(self, attempt: Attempt) -> timedelta:
+        """Returns for how long a run has made no progress, by the newest run list.
+
+        Counted on the worker's clock: lists that are late, or that a paused owner has yet to read,
+        prove nothing about the time since they were made.
+        """
+        if attempt.progress_clock_ms is None:
+            return timedelta(0)
+        return (self._worker_clock_ms - attempt.progress_clock_ms) * MILLISECOND
 
     def stop(self, attempt: Attempt) -> None:
         """Stops a run, or prevents its start.
@@ -386,8 +401,8 @@
         attempt.confirmed_at = now
         if row.checkpoint:
             attempt.checkpoint = row.checkpoint
-        if row.percent > attempt.percent or attempt.progress_at is None:
-            attempt.progress_at = now
+        if row.percent > attempt.percent or attempt.progress_clock_ms is None:
+            attempt.progress_at, attempt.progress_clock_ms = now, self._worker_clock_ms
         attempt.percent, attempt.load = row.percent, row.load
         if attempt.phase in (AttemptPhase.ORDERED, AttemptPhase.UNCERTAIN):
             was_uncertain = attempt.phase is AttemptPhase.UNCERTAIN
@@ -430,6 +445,8 @@
         # Runs may already have started, and even ended, on the new boot.
         listed = {(row.task, row.run) for row in (*reply.running, *reply.ended)}
         for key, attempt in list(self.attempt_by_key.items()):
+            # The clock of the new boot begins anew.
+            attempt.progress_clock_ms = None
             if key in listed or attempt.phase is AttemptPhase.RESERVED:
                 continue
             if attempt.phase in (AttemptPhase.ORDERED, AttemptPhase.UNCERTAIN):
--- a/hornbeamramp/poolowner/checks.py
+++ b/hornbeamramp/poolowner/checks.py
@@ -29,7 +29,12 @@
         self._pacer = Pacer()
 
     def run(self) -> None:
-        """Runs all checks once."""
+        """Runs all checks once, unless the owner's claim may have run out.
+
+        A successor may have taken over the runs, and their state here may be old.
+        """
+        if not self._owner.may_order():
+            return
         self._evacuate_draining_workers()
         self._pace_best_effort_tasks()
         self._restart_stalled()
@@ -37,7 +42,7 @@
     def _restart_stalled(self) -> None:
         """Stops stalled runs; their tasks start again, preferably on another worker."""
         now = self._clock.boot_time()
-        for attempt in stalled_attempts(self._owner.session_by_worker.values(), now):
+        for attempt in stalled_attempts(self._owner.session_by_worker.values()):
             _log.warning(
                 "{} run {} on {} stalled at {}%, stopping it",
                 attempt.name,
--- a/hornbeamramp/poolowner/health.py
+++ b/hornbeamramp/poolowner/health.py
@@ -19,8 +19,8 @@
 # First and longest duration of a quarantine, which doubles while the worker goes on failing.
 MIN_QUARANTINE = timedelta(seconds=2)
 MAX_QUARANTINE = timedelta(seconds=8)
-# A task without progress for this long has stalled. Lists arrive at least every 2 s, and even a
-# task ten times longer than usual (about a minute) gains at least 1% a second.
+# A task without progress for this long has stalled: even one ten times longer than usual (about a
+# minute) gains at least 1% a second.
 STALL_TIMEOUT = timedelta(seconds=3)
 # Progress of a task that has done all its work. The members of a gang end together, so on workers
 # of unlike speed some stay at it for as long as the others need.
@@ -73,8 +73,9 @@
             by_worker.pop(worker, None)
 
 
-def stalled_attempts(sessions: Iterable[WorkerSession], now: timedelta) -> list[Attempt]:
-    """Returns the runs on reachable workers that have made no progress for `STALL_TIMEOUT`.
+def stalled_attempts(sessions: Iterable[WorkerSession]) -> list[Attempt]:
+    """Returns the runs on reachable workers that have made no progress for `STALL_TIMEOUT`, by the
+    newest run lists.
 
     Long-running and best-effort tasks are left out, and so are members of a gang that are done with
     their work and wait for slower members.
@@ -88,8 +89,7 @@
         and not attempt.stop_wanted
         and not attempt.task.unit.step.spec.long_running
         and not attempt.task.unit.step.spec.fills
-        and attempt.progress_at is not None
-        and now - attempt.progress_at > STALL_TIMEOUT
+        and session.time_without_progress(attempt) > STALL_TIMEOUT
         and not _waits_for_gang(attempt)
     ]
 
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -8,14 +8,18 @@
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.fleet import Attempt, RunOutcome, StartOrder, WorkerListing, WorkerSession
 from hornbeamramp.ids import JobId
+from hornbeamramp.poolowner.health import stalled_attempts
+from hornbeamramp.poolowner.jobs import Job, StepRun
 from hornbeamramp.resources import Resources
-from hornbeamramp.workload import StepSpec
+from hornbeamramp.workload import StepKey, StepSpec
 from tests.model.cell import job
 from tests.model.fleet import FleetView, ModelFleet
 from tests.model.virtual_time import LoopClock, run_in_virtual_time
+from tests.poolowner.builders import record
 
 CAPACITY = Resources(8000, 8000, 4, 0, 0)
 SIZE = Resources(1000, 100, 0, 0, 0)
+SHORT = StepSpec(9, 1000, 100, estimate_ms=60_000)
 
 
 class RecordingOwner:
@@ -70,7 +74,7 @@
             timedelta(seconds=10),
         )
         self.background.spawn(self.session.run())
-        spec = job(StepSpec(9, 1000, 100, estimate_ms=60_000))
+        spec = job(SHORT)
         self.fleet.spec_by_job[JobId("a" * 16)] = spec
 
     def attempt(self, index=0, run=1):
@@ -319,3 +323,34 @@
         assert all(outcome is RunOutcome.DONE for _, outcome in harness.owner.ended)
 
     run_with_harness(scenario)
+
+
+def test_run_is_not_stalled_while_its_lists_are_late_or_not_read():
+    """Guards against a worker that was silent for some seconds, or an owner that was paused, after
+    which all runs looked as if they had made no progress, were stopped and started elsewhere."""
+
+    async def scenario(harness):
+        attempt = harness.attempt()
+        step = StepRun(Job(record(SHORT)), StepKey(JobId("a" * 16), 0, 0), SHORT)
+        attempt.task = step.units[0].tasks[0]
+        await harness.start(attempt)
+        await asyncio.sleep(2.5)
+        await harness.background.cancel()
+        await asyncio.sleep(4)
+        assert harness.session.reachable
+        assert stalled_attempts([harness.session]) == []
+
+    run_with_harness(scenario)
+
+
+def test_run_without_progress_in_later_lists_is_stalled():
+    async def scenario(harness):
+        attempt = harness.attempt()
+        await harness.start(attempt)
+        await asyncio.sleep(2.5)
+        assert harness.session.time_without_progress(attempt) < timedelta(seconds=1)
+        harness.worker.run_by_task[attempt.name].is_working = False
+        await asyncio.sleep(7)
+        assert harness.session.time_without_progress(attempt) > timedelta(seconds=3)
+
+    run_with_harness(scenario)
--- a/tests/poolowner/builders.py
+++ b/tests/poolowner/builders.py
@@ -13,7 +13,7 @@
 from hornbeamramp.statestore import JobRecord
 from tests.model.cell import job
 
-__all__ = ["record", "running", "session"]
+__all__ = ["record", "running", "session", "set_progress_age"]
 
 _job_numbers = itertools.count(1)
 
@@ -68,3 +68,8 @@
     worker.reserve(attempt)
     task.attempt = attempt
     return attempt
+
+
+def set_progress_age(attempt, age_s):
+    """Sets how long before the newest run list of its worker a run last made progress."""
+    attempt.progress_clock_ms = attempt.session._worker_clock_ms - 1000 * age_s
--- a/tests/poolowner/test_health.py
+++ b/tests/poolowner/test_health.py
@@ -1,11 +1,14 @@
 """Quarantine of workers on which tasks fail, and detection of stalled tasks."""
 
 from datetime import timedelta
+from types import SimpleNamespace
 
+from hornbeamramp.clock import ManualClock
 from hornbeamramp.fleet import RunOutcome
+from hornbeamramp.poolowner.checks import RunChecks
 from hornbeamramp.poolowner.health import WorkerHealth, stalled_attempts
 from hornbeamramp.workload import StepSpec
-from tests.poolowner.builders import running, session
+from tests.poolowner.builders import running, session, set_progress_age
 
 SECOND = timedelta(seconds=1)
 SMALL = StepSpec(1, 1000, 100)
@@ -49,20 +52,38 @@
 def test_task_without_progress_is_stalled_and_one_with_progress_is_not():
     worker = session("w0")
     hung, busy = running(worker, SMALL), running(worker, SMALL)
-    hung.progress_at = worker.now - 4 * SECOND
-    busy.progress_at = worker.now - 1 * SECOND
-    assert stalled_attempts([worker], worker.now) == [hung]
+    set_progress_age(hung, 4)
+    set_progress_age(busy, 1)
+    assert stalled_attempts([worker]) == [hung]
 
 
 def test_task_on_an_unreachable_worker_is_left_to_its_lease():
     worker = session("w0")
-    running(worker, SMALL).progress_at = worker.now - 9 * SECOND
+    set_progress_age(running(worker, SMALL), 9)
     worker.reachable = False
-    assert stalled_attempts([worker], worker.now) == []
+    assert stalled_attempts([worker]) == []
 
 
 def test_long_running_task_without_progress_is_not_stalled():
     worker = session("w0")
     attempt = running(worker, StepSpec(1, 1000, 100, long_running=True))
-    attempt.progress_at = worker.now - 9 * SECOND
-    assert stalled_attempts([worker], worker.now) == []
+    set_progress_age(attempt, 9)
+    assert stalled_attempts([worker]) == []
+
+
+def test_checks_stop_nothing_once_the_claim_may_have_run_out():
+    """Guards against an owner that was paused for longer than its lease and stops, on its old view
+    of the workers, runs that its successor has adopted."""
+    worker = session("w0")
+    stopped = []
+    worker.stop = stopped.append
+    worker.pace = lambda attempt, percent: None
+    set_progress_age(running(worker, SMALL), 4)
+    owner = SimpleNamespace(session_by_worker={"w0": worker}, may_order=lambda: False)
+    placer = SimpleNamespace(health=WorkerHealth())
+    checks = RunChecks(owner, placer, ManualClock())
+    checks.run()
+    assert stopped == []
+    owner.may_order = lambda: True
+    checks.run()
+    assert len(stopped) == 1
--- a/tests/poolowner/test_wide_gangs.py
+++ b/tests/poolowner/test_wide_gangs.py
@@ -17,7 +17,7 @@
 from hornbeamramp.workload import StepSpec
 from tests.model.cell import queue
 from tests.model.virtual_time import LoopClock, run_in_virtual_time
-from tests.poolowner.builders import record, running, session
+from tests.poolowner.builders import record, running, session, set_progress_age
 from tests.poolowner.test_placer import Owner, placed_on
 
 SECOND = timedelta(seconds=1)
@@ -167,20 +167,20 @@
     for task, worker, percent in zip(unit.tasks, workers, percents, strict=True):
         attempt = running(worker, SHORT, percent=percent)
         attempt.task = task
-        attempt.progress_at = worker.now - progress_age_s * SECOND
+        set_progress_age(attempt, progress_age_s)
         task.attempt = attempt
     return workers
 
 
 def stalled_on(workers):
-    return [a.session.worker for a in stalled_attempts(workers, workers[0].now)]
+    return [a.session.worker for a in stalled_attempts(workers)]
 
 
 def test_gang_member_that_waits_for_slower_members_is_not_stalled():
     """Guards against gangs that are broken as their fast members stay at 100%: all 42 runs stopped
     as stalled on a calm day were such members."""
     workers = gang_run([100.0, 100.0, 60.0], progress_age_s=4)
-    next(iter(workers[2].attempt_by_key.values())).progress_at = workers[2].now
+    set_progress_age(next(iter(workers[2].attempt_by_key.values())), 0)
     assert stalled_on(workers) == []
 
 
