Make a scheduling pass look at few workers, and advice requests wait without work

Each of some hundred waiting advice requests looked at the whole queue and decoded the records of all VMs every 200 ms. Callers got 504, came back, and the pool did not recover in the 20 s without trouble. Change: a pass keeps a list of workers with room that shrinks, computes once what the runs of a worker free, plans and searches for runs to preempt for at most 16 steps each 50 ms, places equal tasks with a heap, and keeps lateness and feasibility for 250 ms. Advice requests wait in two heaps with one timer; the records of VMs are decoded when they change. test_request_for_an_idle_worker_precedes... judged the order in which calls of equal length ended, which depends on the order of equal timers; it now judges the exact order in which they are sent.

--- a/hornbeamramp/poolowner/advice.py
+++ b/hornbeamramp/poolowner/advice.py
@@ -72,11 +72,14 @@
 class Grants:
     """Answers of the advice service for one step.
 
+    `version`
+        Number of answers added.
     `is_recorded`
         Whether the grants are written to the store, so that a successor need not ask again.
     """
 
     __slots__ = (
+        "_granted_in_order",
         "asked",
         "granted",
         "is_pending",
@@ -84,6 +87,7 @@
         "not_before",
         "ticket_by_worker",
         "valid_until",
+        "version",
     )
 
     def __init__(self) -> None:
@@ -91,12 +95,15 @@
         self.granted: set[UpstreamId] = set()
         self.ticket_by_worker: dict[UpstreamId, str] = {}
         self.valid_until: dict[UpstreamId, timedelta] = {}
+        self.version = 0
+        self._granted_in_order: tuple[int, list[UpstreamId]] = (-1, [])
         self.is_pending = False
         self.is_recorded = False
         self.not_before = timedelta(0)
 
     def add(self, workers: Iterable[UpstreamId], advice: Advice, received_at: timedelta) -> None:
         """Adds an answer. Tickets are valid from its arrival, however long the request took."""
+        self.version += 1
         self.asked.update(workers)
         self.granted.difference_update(workers)
         for worker, ticket in advice.ticket_by_worker.items():
@@ -104,6 +111,14 @@
             self.ticket_by_worker[worker] = ticket
             self.valid_until[worker] = received_at + advice.validity
 
+    def granted_in_order(self) -> list[UpstreamId]:
+        """Returns the granted workers in order of their ids."""
+        version, workers = self._granted_in_order
+        if version != self.version or len(workers) != len(self.granted):
+            workers = sorted(self.granted)
+            self._granted_in_order = (self.version, workers)
+        return workers
+
     def has_ticket(
         self, worker: UpstreamId, now: timedelta, margin: timedelta = TICKET_MARGIN
     ) -> bool:
--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -1,7 +1,8 @@
 """Chooses workers for a unit. Reads the free resources of the sessions and changes nothing."""
 
+import heapq
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from hornbeamramp.fleet import WorkerSession
 from hornbeamramp.ids import UpstreamId
@@ -11,7 +12,14 @@
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.workload import MAX_TASKS, URGENT
 
-__all__ = ["choose_workers", "could_all_run", "could_ever_run", "count_tasks", "gang_groups"]
+__all__ = [
+    "choose_each",
+    "choose_workers",
+    "could_all_run",
+    "could_ever_run",
+    "count_tasks",
+    "gang_groups",
+]
 
 # Relative speed below which a worker is slow for a gang, which is as slow as its slowest member.
 MIN_GANG_SPEED = 0.75
@@ -139,6 +147,55 @@
     return None
 
 
+def choose_each(
+    units: Sequence[Unit],
+    sessions: Iterable[WorkerSession],
+    speeds: WorkerSpeeds,
+    assigned_by_worker: Counter[str],
+    capacity: Capacity,
+) -> list[WorkerSession]:
+    """Returns a worker for each of the first units that fit, as `choose_workers` would one after
+    the other.
+
+    All units are single tasks of one step that have avoided no worker yet, so they score each
+    worker alike.
+    """
+    unit, step = units[0], units[0].step
+    size, limit = step.size, step.spec.max_per_worker
+    count_by_worker = Counter(assigned_by_worker)
+    available_by_worker: dict[str, FreeResources] = {}
+    by_score: list[tuple[tuple[float, ...], int, WorkerSession]] = []
+
+    def push(session: WorkerSession, order: int) -> None:
+        available = available_by_worker[session.worker]
+        if (
+            size.processors_milli <= available[0]
+            and size.memory_mib <= available[1]
+            and size.accelerators <= available[2]
+            and not (limit and count_by_worker[session.worker] >= limit)
+        ):
+            score = _score(unit, session, available, speeds, count_by_worker[session.worker])
+            heapq.heappush(by_score, (tuple(-part for part in score), order, session))
+
+    for order, session in enumerate(sessions):
+        if could_ever_run(step, session):
+            available_by_worker[session.worker] = capacity.free(session)
+            push(session, order)
+    chosen: list[WorkerSession] = []
+    while by_score and len(chosen) < len(units):
+        _, order, session = heapq.heappop(by_score)
+        chosen.append(session)
+        count_by_worker[session.worker] += 1
+        available = available_by_worker[session.worker]
+        available_by_worker[session.worker] = (
+            available[0] - size.processors_milli,
+            available[1] - size.memory_mib,
+            available[2] - size.accelerators,
+        )
+        push(session, order)
+    return chosen
+
+
 def _assign_gang(
     unit: Unit, sessions: list[WorkerSession], capacity: Capacity
 ) -> list[WorkerSession] | None:
--- a/hornbeamramp/poolowner/expected_ends.py
+++ b/hornbeamramp/poolowner/expected_ends.py
@@ -26,11 +26,18 @@
         self.now = now
         self._speeds = speeds
         self._end_by_gang: dict[Unit, timedelta] = {}
+        self._end_by_attempt: dict[Attempt, timedelta] = {}
 
     def end(self, attempt: Attempt) -> timedelta:
         """Returns the boot time at which a run is expected to end, or `NEVER` if it isn't known."""
         if attempt.stop_wanted:
             return self.now
+        end = self._end_by_attempt.get(attempt)
+        if end is None:
+            end = self._end_by_attempt[attempt] = self._estimate(attempt)
+        return end
+
+    def _estimate(self, attempt: Attempt) -> timedelta:
         unit: Unit = attempt.task.unit
         if unit.step.spec.long_running:
             return NEVER
--- a/hornbeamramp/poolowner/gangs.py
+++ b/hornbeamramp/poolowner/gangs.py
@@ -17,17 +17,14 @@
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.capacity import Capacity, FreeResources
 from hornbeamramp.poolowner.choice import count_tasks, gang_groups
-from hornbeamramp.poolowner.expected_ends import NEVER, ExpectedEnds
+from hornbeamramp.poolowner.expected_ends import NEVER
 from hornbeamramp.poolowner.jobs import Unit
+from hornbeamramp.poolowner.passes import PoolRuns
 from hornbeamramp.poolowner.preemption import add_sizes, is_preemptible
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 
 __all__ = ["GangPlan", "plan_gang", "plan_drain"]
 
-# Runs that are expected to end within this time count as free in a plan. Stopped runs end, and new
-# tickets arrive, in a similar time.
-SOON = timedelta(milliseconds=600)
-
 
 class GangPlan(msgspec.Struct, frozen=True):
     """Workers on which a gang is going to start.
@@ -60,7 +57,7 @@
     sessions: Iterable[WorkerSession],
     capacity: Capacity,
     speeds: WorkerSpeeds,
-    expected_ends: ExpectedEnds,
+    runs: PoolRuns,
 ) -> GangPlan | None:
     """Returns a plan by which the whole gang fits within about `SOON`, or ``None``.
 
@@ -70,7 +67,7 @@
     planned = unit.step.plan.count_by_worker if unit.step.plan is not None else {}
     for group in gang_groups(unit, sessions, speeds):
         group.sort(key=lambda session: session.worker not in planned)
-        plan = _plan_on(unit, group, capacity, expected_ends)
+        plan = _plan_on(unit, group, capacity, runs)
         if plan is not None:
             return plan
     return None
@@ -80,28 +77,26 @@
     unit: Unit,
     sessions: list[WorkerSession],
     capacity: Capacity,
-    expected_ends: ExpectedEnds,
+    runs: PoolRuns,
 ) -> GangPlan | None:
     step, missing = unit.step, len(unit.tasks)
     count_by_worker: dict[UpstreamId, int] = {}
     available_by_worker: dict[str, FreeResources] = {}
     for session in sessions:
-        ending = [a for a in session.attempt_by_key.values() if expected_ends.ends_within(a, SOON)]
-        available = add_sizes(capacity.free(session), ending)
+        free, freed = capacity.free(session), runs.freed_soon(session)
+        available = (free[0] + freed[0], free[1] + freed[1], free[2] + freed[2])
         available_by_worker[session.worker] = available
         count = min(count_tasks(step, available), missing)
         if count:
             count_by_worker[UpstreamId(session.worker)] = count
             missing -= count
         if not missing:
-            return GangPlan(count_by_worker, expected_ends.now + SOON)
+            return GangPlan(count_by_worker, runs.soon)
     victims: list[Attempt] = []
     # Workers by the number of runs to be preempted for the next member.
     options = []
     for session in sessions:
-        preemptions = _preemptions(
-            unit, session, available_by_worker[session.worker], expected_ends
-        )
+        preemptions = _preemptions(unit, session, available_by_worker[session.worker], runs)
         if preemptions:
             first = preemptions[0]
             options.append((len(first.victims) / first.gained, session.worker, preemptions))
@@ -115,31 +110,24 @@
         if others:
             cost = len(others[0].victims) / others[0].gained
             heapq.heappush(options, (cost, worker, others))
-    return None if missing else GangPlan(count_by_worker, expected_ends.now + SOON, tuple(victims))
+    return None if missing else GangPlan(count_by_worker, runs.soon, tuple(victims))
 
 
 def _preemptions(
     unit: Unit,
     session: WorkerSession,
     available: FreeResources,
-    expected_ends: ExpectedEnds,
+    runs: PoolRuns,
 ) -> list[_Preemption]:
     """Returns the preemptions on a worker in the order in which they add up.
 
     Runs with the least progress come first.
     """
     step = unit.step
-    candidates = [
-        attempt
-        for attempt in session.attempt_by_key.values()
-        if is_preemptible(attempt, step, expected_ends.now)
-        and not expected_ends.ends_within(attempt, SOON)
-    ]
-    candidates.sort(key=lambda attempt: attempt.percent)
     preemptions = []
     victims: list[Attempt] = []
     before = max(count_tasks(step, available), 0)
-    for candidate in candidates:
+    for candidate in runs.preemptible(session, step.job.record.priority):
         victims.append(candidate)
         available = add_sizes(available, [candidate])
         count = count_tasks(step, available)
@@ -154,30 +142,28 @@
     sessions: Iterable[WorkerSession],
     capacity: Capacity,
     speeds: WorkerSpeeds,
-    expected_ends: ExpectedEnds,
+    runs: PoolRuns,
 ) -> GangPlan | None:
     """Returns the plan by which the whole gang fits first once runs have ended that can't be
     preempted, or ``None`` if it never does by what is known of them."""
-    plans = [
-        _drain(unit, group, capacity, expected_ends)
-        for group in gang_groups(unit, sessions, speeds)
-    ]
+    plans = [_drain(unit, group, capacity, runs) for group in gang_groups(unit, sessions, speeds)]
     return min(
         (plan for plan in plans if plan is not None), key=lambda plan: plan.starts_at, default=None
     )
 
 
 def _drain(
-    unit: Unit, sessions: list[WorkerSession], capacity: Capacity, expected_ends: ExpectedEnds
+    unit: Unit, sessions: list[WorkerSession], capacity: Capacity, runs: PoolRuns
 ) -> GangPlan | None:
-    step = unit.step
+    step, expected_ends = unit.step, runs.expected_ends
+    priority = step.job.record.priority
     # Boot time, worker, and number of further members that fit from then on.
     releases: list[tuple[timedelta, str, int]] = []
     for session in sessions:
         ends: list[tuple[timedelta, Attempt]] = []
         available = capacity.free(session)
         for attempt in session.attempt_by_key.values():
-            if is_preemptible(attempt, step, expected_ends.now):
+            if is_preemptible(attempt, priority, expected_ends.now):
                 available = add_sizes(available, [attempt])
             else:
                 ends.append((max(expected_ends.end(attempt), expected_ends.now), attempt))
--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -87,8 +87,13 @@
         self.plan: GangPlan | None = None
         self.planned_at: timedelta | None = None
         self.wait = StepWait(job.wait_times)
-        # As of the latest scheduling pass.
+        # As of the boot time of the estimate.
         self.lateness = Lateness(LatenessLevel.ON_TIME, 0.0)
+        self.lateness_at: timedelta | None = None
+        # Whether the granted workers could run the step, as of a boot time and a version of its
+        # grants.
+        self.is_feasible = True
+        self.feasibility_at: tuple[timedelta, int] | None = None
 
     @property
     def is_done(self) -> bool:
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -1,12 +1,12 @@
 """Places the waiting units of an owned pool: orders them, chooses workers and preempts runs."""
 
+import itertools
 from collections import Counter
 from collections.abc import Collection, Iterable
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import logbook
-import msgspec
 
 from hornbeamramp import instruments
 from hornbeamramp.clock import Clock
@@ -14,21 +14,21 @@
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.capacity import Capacity
 from hornbeamramp.poolowner.choice import (
+    choose_each,
     choose_workers,
     could_all_run,
     could_ever_run,
     count_tasks,
 )
-from hornbeamramp.poolowner.expected_ends import ExpectedEnds
 from hornbeamramp.poolowner.gangs import GangPlan, plan_drain, plan_gang
 from hornbeamramp.poolowner.health import WorkerHealth
 from hornbeamramp.poolowner.jobs import StepRun, Unit
-from hornbeamramp.poolowner.lateness import Lateness, LatenessLevel, estimate_lateness
+from hornbeamramp.poolowner.lateness import LatenessLevel, estimate_lateness
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.passes import SchedulingPass
 from hornbeamramp.poolowner.preemption import choose_victims, expected_slots
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
-from hornbeamramp.resources import Resources
 from hornbeamramp.workload import Queue
 
 if TYPE_CHECKING:
@@ -47,55 +47,26 @@
 
 # Room on granted workers to aim for, as a multiple of what a gang needs: other runs use part of it.
 GANG_ROOM_FACTOR = 2.5
-# Minimum time between two plans for one gang, which look at all runs on its workers.
-PLAN_INTERVAL = timedelta(milliseconds=50)
-
-# Runs may use capacity kept for a gang if they would end before its start even if they took longer
-# than expected by this factor.
-BACKFILL_DURATION_FACTOR = 1.3
+# Period of the passes that plan gangs and search for runs to preempt, and most of each in one of
+# them, in the order of the steps. Both look at all runs of the step's workers, and only the steps
+# that come first can get what is freed.
+SEARCH_INTERVAL = timedelta(milliseconds=50)
+MAX_SEARCHES = 16
+# Minimum time between two plans for a gang that had no possible plan, so that those behind it get
+# their turn.
+FAILED_PLAN_INTERVAL = timedelta(milliseconds=200)
+# A plan that has not been renewed for this long is dropped, with the capacity kept for it.
+MAX_PLAN_AGE = timedelta(milliseconds=300)
+# Lateness and feasibility of steps change slowly, so they are estimated again after this.
+ESTIMATE_INTERVAL = timedelta(milliseconds=250)
+# Candidates beyond this number are of no use: no advice request names more workers.
+MAX_UNASKED = 180
 # Nothing is kept for gangs.
 EMPTY = Capacity()
 
 _log = logbook.Logger("owner")
 
 
-class _Workers(msgspec.Struct, frozen=True):
-    """Workers of one scheduling pass.
-
-    `usable_by_id`
-        Workers on which runs may be placed.
-    `with_capacity`
-        Those of them with free capacity for the smallest waiting size in each resource.
-    `capacity`
-        What is free on them for the steps not yet considered.
-    `spare`
-        The same less what gangs kept in the pass before, so that more urgent steps, which come
-        first, use other capacity where there is some.
-    `drainable_processors_milli`
-        Processors that may be kept for gangs that wait for runs to end.
-    `expected_ends`
-        When the runs on them are expected to end.
-    """
-
-    usable_by_id: dict[UpstreamId, WorkerSession]
-    with_capacity: list[WorkerSession]
-    capacity: Capacity
-    spare: Capacity
-    drainable_processors_milli: float
-    expected_ends: ExpectedEnds
-
-    def for_step(self, step: StepRun, speeds: WorkerSpeeds) -> "_Workers":
-        """Returns the workers with the capacity that runs of the step may use, which depends on
-        their duration."""
-        if step.spec.long_running:
-            return self
-        duration = timedelta(milliseconds=step.spec.estimate_ms) * speeds.duration_ratio(step)
-        end = self.expected_ends.now + BACKFILL_DURATION_FACTOR * duration
-        return msgspec.structs.replace(
-            self, capacity=self.capacity.for_runs_until(end), spare=self.spare.for_runs_until(end)
-        )
-
-
 class Placer:
     """Keeps the steps with waiting units, and speed and health of workers from ended runs."""
 
@@ -106,6 +77,8 @@
         self._open_steps: list[StepRun] = []
         # Of the latest scheduling pass.
         self._capacity = Capacity()
+        self._searched_at: timedelta | None = None
+        self._searches_left = 0
         self.speeds = WorkerSpeeds()
         self.health = WorkerHealth()
 
@@ -159,16 +132,18 @@
         ]
         for step in self._open_steps:
             try:
-                step.lateness = self._estimate_lateness(step)
+                self._estimate_lateness(step, now)
             except Exception:
                 # It keeps its last estimate; the order of the others must not depend on it.
                 _log.exception("{}: lateness can't be estimated", step.key)
         self._open_steps.sort(key=_sort_key)
-        workers = self._usable_workers()
+        if self._searched_at is None or now - self._searched_at >= SEARCH_INTERVAL:
+            self._searched_at, self._searches_left = now, MAX_SEARCHES
+        current = self._begin_pass(now)
         prefetches_left = self._launcher.max_prefetching_steps()
         for step in self._open_steps:
             try:
-                reason = self._place(step, workers, prefetches_left > 0)
+                reason = self._place(step, current, prefetches_left > 0)
             except Exception:
                 # One step must not keep all others from being placed.
                 _log.exception("{}: placement failed unexpectedly, trying again", step.key)
@@ -179,86 +154,75 @@
             # Steps that still wait are the next to start when capacity is freed, so they prefetch
             # tickets. Steps that no worker may run don't count: they stay in the queue indefinitely
             # and would use up the limit.
-            is_feasible = self._is_feasible(step)
+            is_feasible = self._is_feasible(step, now)
             prefetches_left -= is_feasible
             step.wait.set(reason if is_feasible else WaitReason.WORKER, now)
+        self._searches_left = 0
 
-    def _usable_workers(self) -> _Workers:
-        now = self._clock.boot_time()
+    def _begin_pass(self, now: timedelta) -> SchedulingPass:
         usable_by_id = {
             worker: session
-            for worker, session in self._owner.session_by_worker.items()
+            for worker, session in sorted(self._owner.session_by_worker.items())
             if session.usable and not self.health.is_quarantined(worker, now)
         }
         sizes = [step.size for step in self._open_steps]
-        smallest = Resources(
-            min((size.processors_milli for size in sizes), default=0),
-            min((size.memory_mib for size in sizes), default=0),
-            min((size.accelerators for size in sizes), default=0),
+        current = SchedulingPass(
+            usable_by_id, sizes, self.speeds, now, self._capacity, MAX_DRAINED_SHARE
         )
-        with_capacity = [session for session in usable_by_id.values() if session.fits(smallest)]
-        processors = sum(s.listing.capacity.processors_milli for s in usable_by_id.values())
-        capacity_before, self._capacity = self._capacity, Capacity()
-        return _Workers(
-            usable_by_id,
-            with_capacity,
-            self._capacity,
-            capacity_before.limited_by(self._capacity),
-            MAX_DRAINED_SHARE * processors,
-            ExpectedEnds(self.speeds, now),
-        )
-
-    def _estimate_lateness(self, step: StepRun) -> Lateness:
+        self._capacity = current.capacity
+        return current
+
+    def _estimate_lateness(self, step: StepRun, now: timedelta) -> None:
+        now_ms = self._owner.now_ms()
+        if (
+            step.lateness_at is not None
+            and now - step.lateness_at < ESTIMATE_INTERVAL
+            and now_ms <= step.lateness.latest_start_ms
+        ):
+            return
         job = step.job
         queue = self._owner.queue_of(job)
-        return estimate_lateness(
+        step.lateness = estimate_lateness(
             record=job.record,
             critical_path=job.critical_path,
             step=step.key.step,
             since_ms=max(job.record.accepted_ms, job.record.spec.due_ms(step.key.occurrence)),
-            now_ms=self._owner.now_ms(),
+            now_ms=now_ms,
             duration_ratio=self.speeds.duration_ratio(step),
             timing=None if queue is None else queue.advice,
         )
+        step.lateness_at = now
 
-    def _place(self, step: StepRun, workers: _Workers, may_prefetch: bool) -> WaitReason:
+    def _place(self, step: StepRun, current: SchedulingPass, may_prefetch: bool) -> WaitReason:
         """Launches the units of a step that fit; returns what any others wait for.
 
         With ``may_prefetch``, tickets are also renewed while there is no capacity, so that freed
         capacity does not stay idle during an advice request.
         """
         queue = self._owner.queue_of(step.job)
-        workers = workers.for_step(step, self.speeds)
-        capacity = workers.capacity
         shortage = WaitReason.GANG if step.is_gang else WaitReason.CAPACITY
         if queue is None or queue.advice is None:
-            self._launch_on(step, workers.with_capacity, workers)
+            self._launch_on(step, current.with_capacity(), current)
             if step.waiting:
-                self._make_room(step, list(workers.usable_by_id.values()), workers)
+                self._make_room(step, current, needs_grant=False)
             return shortage
-        now = self._clock.boot_time()
         grants = step.grants
-        # Sorted, so that ties don't depend on the iteration order of a set.
-        granted = [
-            workers.usable_by_id[worker]
-            for worker in sorted(grants.granted)
-            if worker in workers.usable_by_id
-        ]
-        with_capacity = [s for s in granted if capacity.fits(s, step.size)]
+        now = current.now
+        with_capacity = self._granted_with_capacity(step, current)
         ticketed = [s for s in with_capacity if grants.has_ticket(UpstreamId(s.worker), now)]
-        self._launch_on(step, ticketed, workers)
+        self._launch_on(step, ticketed, current)
         if not step.waiting:
             return shortage
         may_ask = (
             not grants.is_pending and now >= grants.not_before and self._launcher.may_ask(step)
         )
         # Capacity found on granted workers stays reserved while their tickets are renewed.
-        reserved = self._reserve(step, with_capacity, workers) if may_ask else []
+        reserved = self._reserve(step, with_capacity, current) if may_ask else []
         if reserved:
-            self._launcher.renew_and_launch(step, queue, reserved, granted)
+            self._launcher.renew_and_launch(step, queue, reserved, current.granted(step))
             return shortage
-        plan = self._make_room(step, granted, workers) if granted else None
-        if not granted:
+        plan = self._make_room(step, current, needs_grant=True) if grants.granted else None
+        if not grants.granted:
             shortage = WaitReason.ADVICE
         elif (step.is_gang and plan is not None) or (
             not step.is_gang and len(with_capacity) > len(ticketed)
@@ -267,74 +231,106 @@
         if not may_ask:
             return shortage
         if step.is_gang:
-            self._ask_for_gang(step, queue, granted, plan, workers)
+            self._ask_for_gang(step, queue, plan, current)
             return shortage
-        unasked = self._unasked(step, workers, may_prefetch)
+        unasked = self._unasked(step, current, may_prefetch)
         if unasked:
             self._launcher.request_advice(step, queue, unasked)
-        elif granted and may_prefetch:
-            self._launcher.prefetch_tickets(step, queue, granted)
+        elif grants.granted and may_prefetch:
+            granted = current.granted(step)
+            if granted:
+                self._launcher.prefetch_tickets(step, queue, granted)
         return shortage
 
+    @staticmethod
+    def _granted_with_capacity(step: StepRun, current: SchedulingPass) -> list[WorkerSession]:
+        granted = step.grants.granted
+        sessions = [s for s in current.with_capacity() if s.worker in granted]
+        if not sessions:
+            return []
+        capacity, _ = current.capacities_for(step)
+        return [session for session in sessions if capacity.fits(session, step.size)]
+
     def _ask_for_gang(
         self,
         step: StepRun,
         queue: Queue,
-        granted: list[WorkerSession],
         plan: GangPlan | None,
-        workers: _Workers,
+        current: SchedulingPass,
     ) -> None:
         """Asks for more workers until a gang can be planned, then for the tickets of its plan."""
+        granted = current.granted(step)
         if plan is None:
+            unasked = self._unasked(step, current, True)
+            if not unasked:
+                return
             room = sum(count_tasks(step, EMPTY.total(session)) for session in granted)
             if room < GANG_ROOM_FACTOR * step.spec.count:
-                unasked = self._unasked(step, workers, True)
-                if unasked:
-                    self._launcher.request_advice(step, queue, unasked)
+                self._launcher.request_advice(step, queue, unasked)
             return
         # Besides those of the plan, the tickets of others that may have room by then.
-        free = workers.capacity.free
+        free = current.capacity.free
         sessions = sorted(
             granted, key=lambda s: (s.worker not in plan.count_by_worker, -free(s)[0])
         )
         self._launcher.prefetch_tickets(step, queue, sessions, len(plan.count_by_worker))
 
-    def _launch_on(self, step: StepRun, sessions: list[WorkerSession], workers: _Workers) -> None:
-        placed = self._reserve(step, sessions, workers)
+    def _launch_on(
+        self, step: StepRun, sessions: list[WorkerSession], current: SchedulingPass
+    ) -> None:
+        placed = self._reserve(step, sessions, current)
         if placed:
             self._owner.spawn(self._launcher.launch(step, placed))
 
     def _make_room(
-        self, step: StepRun, sessions: list[WorkerSession], workers: _Workers
+        self, step: StepRun, current: SchedulingPass, needs_grant: bool
     ) -> GangPlan | None:
         """Preempts runs for a step that does not fit, and keeps capacity for a gang.
 
         Returns the plan of a gang that is going to fit soon.
+
+        `needs_grant`
+            Whether the step may only run on the workers that are granted to it.
         """
-        if not step.is_gang:
-            self._preempt(step, sessions)
-            return None
         if step.lateness.level is LatenessLevel.TOO_LATE:
+            step.plan = None
             return None
-        now = self._clock.boot_time()
-        if step.planned_at is None or now - step.planned_at >= PLAN_INTERVAL:
-            step.planned_at = now
-            step.plan = self._plan(step.waiting[0], sessions, workers)
+        if self._searches_left > 0 and self._is_search_due(step, current.now):
+            self._searches_left -= 1
+            sessions = current.granted(step) if needs_grant else list(current.usable_by_id.values())
+            if step.is_gang:
+                step.planned_at = current.now
+                step.plan = self._plan(step.waiting[0], sessions, current)
+            else:
+                step.preemption_checked_at = current.now
+                self._preempt(step, sessions, current.now)
+        elif step.planned_at is not None and current.now - step.planned_at > MAX_PLAN_AGE:
+            step.plan = None
         if step.plan is None:
             return None
-        self._hold(step, step.plan, workers.capacity)
+        self._hold(step, step.plan, current.capacity)
         return None if step.plan.is_drain else step.plan
 
+    @staticmethod
+    def _is_search_due(step: StepRun, now: timedelta) -> bool:
+        if not step.is_gang:
+            checked_at, interval = step.preemption_checked_at, PREEMPTION_INTERVAL
+        elif step.plan is None:
+            checked_at, interval = step.planned_at, FAILED_PLAN_INTERVAL
+        else:
+            checked_at, interval = step.planned_at, SEARCH_INTERVAL
+        return checked_at is None or now - checked_at >= interval
+
     def _plan(
-        self, unit: Unit, sessions: list[WorkerSession], workers: _Workers
+        self, unit: Unit, sessions: list[WorkerSession], current: SchedulingPass
     ) -> GangPlan | None:
-        capacity = workers.capacity
-        plan = plan_gang(unit, sessions, capacity, self.speeds, workers.expected_ends)
+        capacity, _ = current.capacities_for(unit.step)
+        plan = plan_gang(unit, sessions, capacity, self.speeds, current.runs)
         if plan is not None:
             self._stop_victims(unit.step, plan.victims)
             return plan
-        if capacity.held_processors_milli < workers.drainable_processors_milli:
-            return plan_drain(unit, sessions, capacity, self.speeds, workers.expected_ends)
+        if capacity.held_processors_milli < current.drainable_processors_milli:
+            return plan_drain(unit, sessions, capacity, self.speeds, current.runs)
         return None
 
     @staticmethod
@@ -343,48 +339,58 @@
             capacity.hold(worker, step.size, count, plan.starts_at)
 
     @staticmethod
-    def _unasked(step: StepRun, workers: _Workers, may_prefetch: bool) -> list[WorkerSession]:
+    def _unasked(step: StepRun, current: SchedulingPass, may_prefetch: bool) -> list[WorkerSession]:
         """Returns workers to include in a first advice request: those with capacity, or any that
-        could run the step if it may prefetch."""
+        could run the step if it may prefetch.
+
+        Workers on which the step fits now come first, then those with the most free processors.
+        """
         asked = step.grants.asked
+        capacity, spare = current.capacities_for(step)
         if may_prefetch:
-            candidates = list(workers.usable_by_id.values())
+            candidates = current.most_free(asked)
         else:
-            candidates = [s for s in workers.with_capacity if workers.capacity.fits(s, step.size)]
-        unasked = [s for s in candidates if s.worker not in asked and could_ever_run(step, s)]
-        # Workers on which the step fits now come first, then those with the most free processors.
-        spare = workers.spare
-        unasked.sort(key=lambda s: (not spare.fits(s, step.size), -spare.free(s)[0]))
-        return unasked
+            candidates = [
+                session
+                for session in current.with_capacity()
+                if session.worker not in asked and capacity.fits(session, step.size)
+            ]
+            candidates.sort(key=lambda session: -spare.free(session)[0])
+        fitting: list[WorkerSession] = []
+        others: list[WorkerSession] = []
+        for session in candidates:
+            if not could_ever_run(step, session):
+                continue
+            (fitting if spare.fits(session, step.size) else others).append(session)
+            if len(fitting) >= MAX_UNASKED:
+                break
+        return fitting + others
 
     def waiting_steps(self) -> list[StepRun]:
         """Returns the steps that wait, in the order of the latest pass."""
         return [step for step in self._open_steps if step.waiting]
 
-    def _is_feasible(self, step: StepRun) -> bool:
+    def _is_feasible(self, step: StepRun, now: timedelta) -> bool:
         """Returns whether the granted workers could run the step's next unit if they were empty."""
         grants = step.grants
         if not grants.asked:
             return True
+        if step.feasibility_at is not None:
+            checked_at, version = step.feasibility_at
+            if version == grants.version and now - checked_at < ESTIMATE_INTERVAL:
+                return step.is_feasible
         by_worker = self._owner.session_by_worker
         granted = [by_worker[worker] for worker in grants.granted if worker in by_worker]
-        return could_all_run(step.waiting[0], granted)
+        step.is_feasible = could_all_run(step.waiting[0], granted)
+        step.feasibility_at = (now, grants.version)
+        return step.is_feasible
 
-    def _preempt(self, step: StepRun, sessions: Collection[WorkerSession]) -> None:
+    def _preempt(self, step: StepRun, sessions: Collection[WorkerSession], now: timedelta) -> None:
         """Preempts less urgent runs for the tasks of a step that don't fit."""
-        now = self._clock.boot_time()
-        is_recent = (
-            step.preemption_checked_at is not None
-            and now - step.preemption_checked_at < PREEMPTION_INTERVAL
-        )
-        if is_recent or step.lateness.level is LatenessLevel.TOO_LATE:
-            return
-        step.preemption_checked_at = now
         waiting_tasks = sum(len(unit.tasks) for unit in step.waiting)
         missing = min(waiting_tasks, MAX_TASKS_PER_PREEMPTION) - expected_slots(step, sessions)
-        if missing <= 0:
-            return
-        self._stop_victims(step, choose_victims(step, missing, sessions, now))
+        if missing > 0:
+            self._stop_victims(step, choose_victims(step, missing, sessions, now))
 
     @staticmethod
     def _stop_victims(step: StepRun, victims: Iterable[Attempt]) -> None:
@@ -400,40 +406,56 @@
             victim.session.stop(victim)
 
     def _reserve(
-        self, step: StepRun, sessions: list[WorkerSession], workers: _Workers
+        self, step: StepRun, sessions: list[WorkerSession], current: SchedulingPass
     ) -> list[Unit]:
         """Takes units off the step's queue and reserves capacity for them, as far as they fit."""
         reserved: list[Unit] = []
         if not sessions:
             return reserved
-        assigned_by_worker = Counter(
-            attempt.session.worker for unit in step.units for attempt in unit.attempts()
-        )
-        while step.waiting:
-            unit = step.waiting[0]
-            # What a gang kept in the pass before is its own.
-            chosen = None
-            if step.plan is None:
-                chosen = choose_workers(
-                    unit, sessions, self.speeds, assigned_by_worker, workers.spare
-                )
-            if chosen is None:
-                chosen = choose_workers(
-                    unit, sessions, self.speeds, assigned_by_worker, workers.capacity
-                )
-            if chosen is None:
-                break
-            step.waiting.pop(0)
-            unit.run += 1
-            for task, session in zip(unit.tasks, chosen, strict=True):
-                task.attempt = Attempt(task, task.name, unit.run, step.size, session)
-                task.attempt.checkpoint = unit.checkpoint
-                task.attempt.resumed = bool(unit.checkpoint)
-                session.reserve(task.attempt)
-                assigned_by_worker[session.worker] += 1
-            reserved.append(unit)
+        assigned_by_worker: Counter[str] = Counter()
+        if step.spec.max_per_worker or step.spec.long_running:
+            assigned_by_worker.update(
+                attempt.session.worker for unit in step.units for attempt in unit.attempts()
+            )
+        capacity, spare = current.capacities_for(step)
+        # What a gang kept in the pass before is its own.
+        for available in (spare, capacity) if step.plan is None else (capacity,):
+            while step.waiting:
+                chosen = self._choose(step, sessions, assigned_by_worker, available)
+                if not chosen:
+                    break
+                for unit, workers in chosen:
+                    self._reserve_unit(unit, workers)
+                    assigned_by_worker.update(session.worker for session in workers)
+                reserved += [unit for unit, _ in chosen]
         return reserved
 
+    def _choose(
+        self,
+        step: StepRun,
+        sessions: list[WorkerSession],
+        assigned_by_worker: Counter[str],
+        available: Capacity,
+    ) -> list[tuple[Unit, list[WorkerSession]]]:
+        """Returns the next units with the workers chosen for their tasks."""
+        units = step.waiting
+        if len(units[0].tasks) == 1 and not units[0].avoided_workers:
+            alike = list(itertools.takewhile(lambda unit: not unit.avoided_workers, units))
+            workers = choose_each(alike, sessions, self.speeds, assigned_by_worker, available)
+            return [(unit, [worker]) for unit, worker in zip(alike, workers, strict=False)]
+        chosen = choose_workers(units[0], sessions, self.speeds, assigned_by_worker, available)
+        return [] if chosen is None else [(units[0], chosen)]
+
+    @staticmethod
+    def _reserve_unit(unit: Unit, workers: list[WorkerSession]) -> None:
+        unit.step.waiting.remove(unit)
+        unit.run += 1
+        for task, session in zip(unit.tasks, workers, strict=True):
+            task.attempt = Attempt(task, task.name, unit.run, unit.step.size, session)
+            task.attempt.checkpoint = unit.checkpoint
+            task.attempt.resumed = bool(unit.checkpoint)
+            session.reserve(task.attempt)
+
 
 def _sort_key(step: StepRun) -> tuple[float, ...]:
     level, priority = step.lateness.level, step.job.record.priority
--- a/hornbeamramp/poolowner/preemption.py
+++ b/hornbeamramp/poolowner/preemption.py
@@ -16,8 +16,8 @@
 MAX_VICTIM_PERCENT = 90.0
 
 
-def is_preemptible(attempt: Attempt, step: StepRun, now: timedelta) -> bool:
-    """Returns whether a run may be preempted for a task of the step."""
+def is_preemptible(attempt: Attempt, priority: int, now: timedelta) -> bool:
+    """Returns whether a run may be preempted for a task of this priority."""
     victim_step = attempt.task.unit.step
     return (
         attempt.phase is AttemptPhase.RUNNING
@@ -25,7 +25,7 @@
         and victim_step.spec.checkpointing
         and not victim_step.spec.long_running
         and not victim_step.spec.gang
-        and victim_step.job.record.priority > step.job.record.priority
+        and victim_step.job.record.priority > priority
         and attempt.started_at is not None
         and now - attempt.started_at > MIN_RUN_TIME
         and attempt.percent < MAX_VICTIM_PERCENT
@@ -66,10 +66,13 @@
     """
     victims: list[Attempt] = []
     options = []
+    priority = step.job.record.priority
     for session in sessions:
         if not could_ever_run(step, session):
             continue
-        candidates = [a for a in session.attempt_by_key.values() if is_preemptible(a, step, now)]
+        candidates = [
+            a for a in session.attempt_by_key.values() if is_preemptible(a, priority, now)
+        ]
         candidates.sort(key=lambda a: a.percent)
         stopping = [a for a in session.attempt_by_key.values() if a.stop_wanted]
         chosen = _fewest_victims(step, session, candidates, stopping)
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -38,6 +38,10 @@
 
 _log = logbook.Logger("advice")
 
+# A waiting request: the time by which it is ranked, a number that makes it unique, and the VM that
+# is assigned to it.
+_Waiter = tuple[timedelta, int, "asyncio.Future[VmId]"]
+
 
 class AdviceQueue:
     """Makes this VM's calls one at a time, in order of priority."""
@@ -109,7 +113,10 @@
         self._peer_addresses = peer_addresses
         self._clock = clock
         self._sequence = itertools.count()
-        self._waiting: list[tuple[timedelta, int, bool, asyncio.Future[VmId]]] = []
+        # Heaps of waiting requests, by whether they are costly.
+        self._waiting: dict[bool, list[_Waiter]] = {False: [], True: []}
+        self._backlog = 0
+        self._poll_timer: asyncio.TimerHandle | None = None
         self._busy_vms: set[VmId] = set()
         self._backoff_until_by_vm: dict[VmId, timedelta] = {}
 
@@ -119,8 +126,7 @@
 
     @property
     def backlog(self) -> int:
-        # Requests cancelled by a former owner on this VM stay in the heap until a VM is free.
-        return sum(not assignment.done() for *_, assignment in self._waiting)
+        return self._backlog
 
     async def ask(
         self,
@@ -147,20 +153,39 @@
         # Ageing: a waiting request eventually precedes newer ones of higher priority, so that none
         # starves.
         sort_time = self._clock.boot_time() + deferral
-        heapq.heappush(self._waiting, (sort_time, next(self._sequence), is_costly, assignment))
+        waiter = (sort_time, next(self._sequence), assignment)
+        heapq.heappush(self._waiting[is_costly], waiter)
+        self._backlog += 1
+        self._assign_vms()
         try:
-            while not assignment.done():
-                self._assign_vms()
-                # No event signals that a VM joins, leaves or ends its back-off, so this polls.
-                await asyncio.wait({assignment}, timeout=ASSIGNMENT_RETRY_PERIOD.total_seconds())
+            return await assignment
         except asyncio.CancelledError:
-            if assignment.done():
+            if assignment.cancelled():
+                # It stays in its heap until it would be its turn.
+                self._backlog -= 1
+            else:
                 self._busy_vms.discard(assignment.result())
-            assignment.cancel()
+                self._assign_vms()
             raise
-        return assignment.result()
+
+    def _poll(self) -> None:
+        """Assigns VMs that have joined or have ended their back-off, which no event signals."""
+        self._poll_timer = None
+        self._assign_vms()
+
+    def _next_waiter(self, is_costly: bool) -> _Waiter | None:
+        """Returns the first request of a heap that still waits."""
+        heap = self._waiting[is_costly]
+        while heap and heap[0][2].done():
+            heapq.heappop(heap)
+        return heap[0] if heap else None
 
     def _assign_vms(self) -> None:
+        if self._backlog and self._poll_timer is None:
+            period = ASSIGNMENT_RETRY_PERIOD.total_seconds()
+            self._poll_timer = asyncio.get_running_loop().call_later(period, self._poll)
+        if not self._backlog:
+            return
         now = self._clock.boot_time()
         vms = sorted({*self._peer_addresses(), self._own_vm})
         free = [
@@ -170,24 +195,19 @@
         ]
         # A third of the VMs is reserved for cheap requests, which are the urgent ones.
         reserved_vms = set(vms[: len(vms) // 3])
-        unassigned = []
-        while self._waiting:
-            waiter = heapq.heappop(self._waiting)
-            _, _, is_costly, assignment = waiter
-            if assignment.done():
-                continue
-            usable = [vm for vm in free if not (is_costly and vm in reserved_vms)]
-            if not usable:
-                unassigned.append(waiter)
-                if not free:
-                    break
-                continue
-            vm = usable[0]
+        while free:
+            vm_for_costly = next((vm for vm in free if vm not in reserved_vms), None)
+            cheap = self._next_waiter(False)
+            costly = self._next_waiter(True) if vm_for_costly is not None else None
+            if cheap is None and costly is None:
+                return
+            is_costly = cheap is None or (costly is not None and costly < cheap)
+            vm = vm_for_costly if is_costly and vm_for_costly is not None else free[0]
+            _, _, assignment = heapq.heappop(self._waiting[is_costly])
             free.remove(vm)
             self._busy_vms.add(vm)
+            self._backlog -= 1
             assignment.set_result(vm)
-        for waiter in unassigned:
-            heapq.heappush(self._waiting, waiter)
 
     async def _ask_peer(
         self, vm: VmId, step: StepKey, workers: list[UpstreamId], priority: int, timeout: timedelta
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -114,6 +114,9 @@
             self.store, clock, adapter.config_prefix, self._on_config_change
         )
         self._cell_cache = PrefixCache(self.store, clock, CELL_PREFIX, self._on_cell_change)
+        # The decoded records of the cell, and from them the addresses of the other VMs.
+        self._record_by_key: dict[str, OwnerRecord] = {}
+        self._peer_address_by_vm: dict[VmId, str] = {}
         self._listing_cache: PrefixCache | None = None
         self._claims_in_progress: set[PoolName] = set()
         self._unowned_since: dict[PoolName, timedelta] = {}
@@ -207,8 +210,7 @@
     def owner_record(self, pool: PoolName) -> OwnerRecord | None:
         """Returns the pool's owner as last read from the store, ``None`` if there is no owner
         record or it can't be decoded."""
-        item = self._cell_cache.item_by_key.get(owner_key(pool))
-        return None if item is None else decode_owner(item.value)
+        return self._record_by_key.get(owner_key(pool))
 
     async def wait_for_cell_change(self, timeout: timedelta) -> None:
         """Returns after the next change of the cell's records, or after ``timeout``."""
@@ -220,12 +222,11 @@
 
     def _records_under(self, prefix: str) -> dict[str, OwnerRecord]:
         """Returns the records under a prefix of the cell, by the rest of their keys."""
-        records = {}
-        for key, item in self._cell_cache.item_by_key.items():
-            record = decode_owner(item.value) if key.startswith(prefix) else None
-            if record is not None:
-                records[key.removeprefix(prefix)] = record
-        return records
+        return {
+            key.removeprefix(prefix): record
+            for key, record in self._record_by_key.items()
+            if key.startswith(prefix)
+        }
 
     def _vm_records(self) -> dict[VmId, OwnerRecord]:
         return {record.vm: record for record in self._records_under(vm_prefix()).values()}
@@ -234,11 +235,8 @@
         return {PoolName(name): r for name, r in self._records_under(owner_prefix()).items()}
 
     def _peer_addresses(self) -> dict[VmId, str]:
-        return {
-            vm: record.address
-            for vm, record in self._vm_records().items()
-            if vm != self.identity.vm
-        }
+        """Returns the addresses of the other VMs; a new dictionary after each change of them."""
+        return self._peer_address_by_vm
 
     def _ping_targets(self) -> list[str]:
         """Returns the addresses of the VMs in other data centres, or of all other VMs if there is
@@ -247,7 +245,23 @@
         remote = [r for r in others if r.data_centre != self.identity.data_centre]
         return [record.address for record in remote or others]
 
+    def _decode_records(self, changed: set[str]) -> None:
+        for key in changed:
+            item = self._cell_cache.item_by_key.get(key)
+            record = None if item is None else decode_owner(item.value)
+            if record is None:
+                self._record_by_key.pop(key, None)
+            else:
+                self._record_by_key[key] = record
+        if any(key.startswith(vm_prefix()) for key in changed):
+            self._peer_address_by_vm = {
+                vm: record.address
+                for vm, record in self._vm_records().items()
+                if vm != self.identity.vm
+            }
+
     def _on_cell_change(self, changed: set[str]) -> None:
+        self._decode_records(changed)
         for pool, record in self._owner_records().items():
             self._last_owner_by_pool[pool] = record.vm
         for pool, owner in list(self.owner_by_pool.items()):
--- a/tests/vm/test_advice_queue.py
+++ b/tests/vm/test_advice_queue.py
@@ -43,9 +43,11 @@
     def __init__(self, failing=()):
         self.failing = set(failing)
         self.called = []
+        self.steps = []
 
     async def call(self, address, request, timeout, step):
         self.called.append(address)
+        self.steps.append(request.step)
         if address in self.failing:
             await asyncio.sleep(timeout.total_seconds())
             raise UnreachableError(Step.ADMIT, address, "no answer")
@@ -134,17 +136,45 @@
     async def scenario():
         peers = Peers()
         advice = make_source(peers)
-        order = []
+        idle_worker_step = StepKey("b" * 16, 0, 0)
+        deferral = timedelta(seconds=0.5)
+        ahead = [asyncio.create_task(advice.ask(STEP, [], COSTLY, 1, deferral)) for _ in range(8)]
+        await asyncio.sleep(0)
+        await asyncio.gather(advice.ask(idle_worker_step, [], COSTLY, 1, NO_DEFERRAL), *ahead)
+        # Three of the four VMs accept costly requests; calls in progress are not cancelled.
+        assert peers.steps.index(idle_worker_step) == 3
+
+
+def test_waiting_requests_cost_no_work_for_each_other():
+    """Guards against an owner that has no time for anything else after a takeover: each of some
+    hundred waiting requests looked at all others and all VMs every 200 ms."""
+
+    async def scenario():
+        peers = Peers()
+        lookups = 0
 
-        async def ask(name, deferral):
-            await advice.ask(STEP, [], COSTLY, 1, deferral)
-            order.append(name)
+        def addresses():
+            nonlocal lookups
+            lookups += 1
+            return {"vm1": "vm1"}
 
-        ahead = [asyncio.create_task(ask("ahead", timedelta(seconds=0.5))) for _ in range(8)]
+        queue = AdviceQueue(SlowClient())
+        advice = DistributedAdviceSource("vm0", queue, peers, addresses, LoopClock())
+        asks = [
+            asyncio.create_task(advice.ask(STEP, [], COSTLY, 1, NO_DEFERRAL)) for _ in range(200)
+        ]
         await asyncio.sleep(0)
-        await asyncio.gather(ask("empty", NO_DEFERRAL), *ahead)
-        # Three of the four VMs accept costly requests; calls in progress are not cancelled.
-        assert order.index("empty") <= 3
+        assert advice.backlog == 198
+        lookups = 0
+        await asyncio.sleep(1.05)
+        # Two calls end each 100 ms, and one poll every 200 ms.
+        assert lookups <= 50
+        for ask in asks:
+            ask.cancel()
+        await asyncio.gather(*asks, return_exceptions=True)
+        assert advice.backlog == 0
+
+    run_in_virtual_time(scenario())
 
     run_in_virtual_time(scenario())
 
