Reserve a sixth of the VMs for cheap advice requests, and renew only tickets that a gang needs

Requests that take 0.25 and 0.9 s had two thirds of the VMs, and needed 21 of those 25 on a usual second; gangs renewed the tickets of all their granted workers. Change: the reserve is a sixth (two of few); a gang renews the tickets of its plan's workers and half as many more, or just those on which capacity is reserved. The owner's line on its pool tells commits, records and the longest commit of each second. Result: tests/poolowner and tests/vm pass.

--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 import logbook
 
@@ -22,7 +23,7 @@
 from hornbeamramp.statestore.records import encode
 from hornbeamramp.workload import JobPhase
 
-__all__ = ["Journal"]
+__all__ = ["CommitCounts", "Journal"]
 
 # Delay before each commit, in which changes are collected. The advice for an urgent job arrives
 # within it (15 ms), so that one commit both accepts and places the job. Each store call has a cost,
@@ -32,6 +33,16 @@
 _log = logbook.Logger("journal")
 
 
+class CommitCounts(NamedTuple):
+    """Commits of a period, the records they wrote, the longest of them, and the jobs and changes
+    that wait for the next one."""
+
+    commits: int
+    records: int
+    longest: timedelta
+    waiting: int
+
+
 class Journal:
     """Writes the records of jobs in the order in which they were marked dirty."""
 
@@ -56,6 +67,12 @@
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
         self._wake = asyncio.Event()
         self._claim_error: ClaimLostError | None = None
+        self._counts = CommitCounts(0, 0, timedelta(0), 0)
+
+    def take_counts(self) -> CommitCounts:
+        """Returns the counts since the last call."""
+        counts, self._counts = self._counts, CommitCounts(0, 0, timedelta(0), 0)
+        return counts._replace(waiting=len(self._sequence_by_job) + len(self._insert_by_id))
 
     def mark_dirty(self, job: Job) -> None:
         """Schedules a job's progress for the next commit with free entries."""
@@ -159,6 +176,10 @@
             self._in_flight = {}
         elapsed = self._clock.boot_time() - started
         instruments.commit_time.record(elapsed.total_seconds())
+        counts = self._counts
+        self._counts = CommitCounts(
+            counts.commits + 1, counts.records + len(puts), max(counts.longest, elapsed), 0
+        )
         for job, phase in phase_by_job.items():
             job.recorded_phase = phase
         for job_id, (job, future) in inserts.items():
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -116,6 +116,9 @@
         """Renews the tickets of workers, then launches the units with capacity reserved on them."""
         needed = {attempt.session.worker for unit in units for attempt in unit.attempts()}
         sessions = sorted(sessions, key=lambda s: s.worker not in needed)
+        if units and step.is_gang:
+            # Its only unit has its workers; tickets of others would be of no use.
+            sessions = sessions[: len(needed)]
         step.grants.is_pending = True
         self._owner.spawn(self._ask_and_launch(step, queue, sessions, units))
 
--- a/hornbeamramp/poolowner/monitor.py
+++ b/hornbeamramp/poolowner/monitor.py
@@ -8,6 +8,8 @@
 
 from hornbeamramp import instruments
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
+from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.summaries import pool_fields
 
@@ -31,9 +33,10 @@
 class PoolMonitor:
     """Observes one pool; changes nothing."""
 
-    def __init__(self, owner: "PoolOwner", placer: Placer, clock: Clock) -> None:
+    def __init__(self, owner: "PoolOwner", placer: Placer, journal: Journal, clock: Clock) -> None:
         self._owner = owner
         self._placer = placer
+        self._journal = journal
         self._clock = clock
 
     async def run(self) -> None:
@@ -53,6 +56,13 @@
     def _log_state(self, lag: timedelta, cpu_s: float) -> None:
         waiting = self._placer.waiting_steps()
         fields = pool_fields(self._owner.session_by_worker.values(), waiting, lag, cpu_s)
+        counts = self._journal.take_counts()
+        fields["journal"] = {
+            "commits": counts.commits,
+            "records": counts.records,
+            "longest_ms": to_ms(counts.longest),
+            "waiting": counts.waiting,
+        }
         _log.info(
             "pool {}: {} of {} cores free on {} workers, {} steps wait",
             self._owner.pool,
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -164,7 +164,7 @@
         self.spawn(self._run_journal())
         scheduler = f"scheduler of pool {self.pool}"
         self.spawn(run_until_done(scheduler, self._run_scheduler, self._clock, _log))
-        monitor = PoolMonitor(self, self._placer, self._clock)
+        monitor = PoolMonitor(self, self._placer, self._journal, self._clock)
         self.spawn(run_until_done(f"monitor of pool {self.pool}", monitor.run, self._clock, _log))
         self.is_ready = True
         instruments.takeovers.add(1, {"pool": self.pool})
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -1,6 +1,7 @@
 """Places the waiting units of an owned pool: orders them, chooses workers and preempts runs."""
 
 import itertools
+import math
 from collections import Counter
 from collections.abc import Collection, Iterable
 from datetime import timedelta
@@ -47,6 +48,9 @@
 
 # Room on granted workers to aim for, as a multiple of what a gang needs: other runs use part of it.
 GANG_ROOM_FACTOR = 2.5
+# Tickets to renew for a plan, as a multiple of its workers. A request for twice as many workers
+# needs twice the VMs, or for narrow gangs up to a third more time.
+TICKETS_PER_PLANNED_WORKER = 1.5
 # Period of the passes that plan gangs and search for runs to preempt, and most of each in one of
 # them, in the order of the steps. Both look at all runs of the step's workers, and only the steps
 # that come first can get what is freed.
@@ -272,7 +276,7 @@
         free = current.capacity.free
         sessions = sorted(
             granted, key=lambda s: (s.worker not in plan.count_by_worker, -free(s)[0])
-        )
+        )[: math.ceil(TICKETS_PER_PLANNED_WORKER * len(plan.count_by_worker))]
         self._launcher.prefetch_tickets(step, queue, sessions, len(plan.count_by_worker))
 
     def _launch_on(
--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -26,9 +26,13 @@
 CALL_TIMEOUT_SLACK = timedelta(milliseconds=1000)
 # Time for which a VM gets no calls after one to it failed.
 FAILED_VM_BACKOFF = timedelta(seconds=2)
-# Calls above this cost use only two thirds of the VMs. The others are reserved for cheap calls,
-# which are the urgent ones.
+# Calls above this cost don't use a sixth of the VMs, or two of a few. Those are reserved for cheap
+# calls, which are the urgent ones. All owners reserve the same VMs, without further agreement.
 COSTLY_CALL_THRESHOLD = timedelta(milliseconds=100)
+RESERVED_SHARE = 1 / 6
+MIN_RESERVED_VMS = 2
+# With fewer VMs than twice those, a third is reserved.
+MAX_RESERVED_SHARE = 1 / 3
 # Requests are ordered by age. A request counts as younger by this for each level of its priority,
 # of which 0 is the most urgent.
 DELAY_PER_PRIORITY_LEVEL = timedelta(seconds=1)
@@ -193,8 +197,7 @@
             for vm in vms
             if vm not in self._busy_vms and self._backoff_until_by_vm.get(vm, timedelta(0)) <= now
         ]
-        # A third of the VMs is reserved for cheap requests, which are the urgent ones.
-        reserved_vms = set(vms[: len(vms) // 3])
+        reserved_vms = set(vms[: _reserved_count(len(vms))])
         while free:
             vm_for_costly = next((vm for vm in free if vm not in reserved_vms), None)
             cheap = self._next_waiter(False)
@@ -223,3 +226,7 @@
         if reply.problem:
             raise AdviceUnavailableError(f"{vm}: {reply.problem}")
         return Advice(reply.ticket_by_worker, timedelta(milliseconds=reply.validity_ms))
+
+
+def _reserved_count(vms: int) -> int:
+    return min(max(int(vms * RESERVED_SHARE), MIN_RESERVED_VMS), int(vms * MAX_RESERVED_SHARE))
--- a/tests/poolowner/test_waiting.py
+++ b/tests/poolowner/test_waiting.py
@@ -80,7 +80,7 @@
     owner = Owner([session("w0")])
     step = owner.submit(HALF, name="gate")
     owner.pool = "tickets"
-    monitor = PoolMonitor(owner, owner.placer, owner.clock)
+    monitor = PoolMonitor(owner, owner.placer, None, owner.clock)
     owner.placer.schedule()
     for _ in range(3):
         owner.clock.set(owner.clock.boot_time() + SECOND)
@@ -94,7 +94,7 @@
     owner = Owner([session("w0")])
     for _ in range(100):
         owner.submit(HALF, name="gate")
-    monitor = PoolMonitor(owner, owner.placer, owner.clock)
+    monitor = PoolMonitor(owner, owner.placer, None, owner.clock)
     owner.placer.schedule()
     owner.clock.set(owner.clock.boot_time() + SECOND)
     monitor._log_waits()
