--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -72,7 +72,7 @@
     def take_counts(self) -> CommitCounts:
         """Returns the counts since the last call."""
         counts, self._counts = self._counts, CommitCounts(0, 0, timedelta(0), 0)
-        return counts._replace(waiting=len(self._sequence_by_job) + len(self._insert_by_id))
+        return counts._replace(waiting=self._waiting_entries())
 
     def mark_dirty(self, job: Job) -> None:
         """Schedules a job's progress for the next commit with free entries."""
@@ -127,7 +127,9 @@
                 await self._wake.wait()
                 self._wake.clear()
                 while self._sequence_by_job or self._insert_by_id or self._purged:
-                    await self._clock.sleep(GROUP_COMMIT_DELAY)
+                    # A commit that is full gains nothing by waiting.
+                    if self._waiting_entries() < self._max_entries:
+                        await self._clock.sleep(GROUP_COMMIT_DELAY)
                     await self._commit_batch()
         except ClaimLostError as error:
             self._fail(error)
@@ -138,6 +140,9 @@
             self._fail(lost)
             raise lost from error
 
+    def _waiting_entries(self) -> int:
+        return len(self._sequence_by_job) + len(self._insert_by_id)
+
     async def _commit_batch(self) -> None:
         free = self._max_entries
         inserts = dict(list(self._insert_by_id.items())[: free // 2])
