Write the progress of all jobs of a commit into one record

Cause: a transaction of the store has 32 entries, so a commit held the progress of at most 30 jobs. Change: progress of jobs that have not ended goes into one record of the commit, a progress group. The newest store revision of a job's progress counts; groups without a job are deleted, old ones emptied. Groups are written only while the record of each VM says that it can read them, as an owner of an earlier build would start their tasks again.

--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -1,7 +1,12 @@
-"""Group commit of job records: one transaction at a time, with all changes since the last one."""
+"""Group commit of job records: one transaction at a time, with all changes since the last one.
+
+The progress of jobs that have not ended goes into one record of the commit, a progress group. A job
+that changes moves to the newest group, and a group that no job is left in is deleted. The final
+progress of a job has a key of its own, by which any VM finds it.
+"""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -15,8 +20,10 @@
     ClaimLostError,
     KeysExistError,
     PoolClaim,
+    ProgressGroup,
     Put,
     StateStore,
+    group_key,
     job_key,
     progress_key,
 )
@@ -30,6 +37,13 @@
 # and all VMs share the store's write rate; 20 ms are a fiftieth of the shortest job's duration.
 GROUP_COMMIT_DELAY = timedelta(milliseconds=20)
 
+# Size from which on a progress group takes no more jobs. The store takes values of up to 1 MiB, and
+# a value is to be sent within a commit's usual time on a link of 100 Mbit/s.
+MAX_GROUP_BYTES = 256 * 1024
+# Most progress groups in the store. Beyond it, the jobs left in the oldest one are written again.
+# A new owner reads all of them.
+MAX_GROUPS = 64
+
 _log = logbook.Logger("journal")
 
 
@@ -43,6 +57,23 @@
     waiting: int
 
 
+class _Batch:
+    """Changes of one commit.
+
+    `puts`
+        Records of their progress.
+    `group`
+        Key of the record with the progress of the jobs in ``grouped``; empty without any.
+    """
+
+    def __init__(self) -> None:
+        self.sequence_by_job: dict[Job, int] = {}
+        self.phase_by_job: dict[Job, JobPhase] = {}
+        self.grouped: set[Job] = set()
+        self.group = ""
+        self.puts: list[Put] = []
+
+
 class Journal:
     """Writes the records of jobs in the order in which they were marked dirty."""
 
@@ -53,11 +84,17 @@
         store: StateStore,
         clock: Clock,
         on_insert: Callable[[Job], None],
+        may_group: Callable[[], bool],
     ) -> None:
         self._pool = pool
         self._clock = clock
         self._on_insert = on_insert
         self._claim = claim
+        self._may_group = may_group
+        self._commit_number = 0
+        # Keys of the groups in the store, in order of age, with the jobs whose progress they hold.
+        self._jobs_by_group: dict[str, set[Job]] = {}
+        self._group_by_job: dict[Job, str] = {}
         self._max_entries = store.max_entries - claim.own_entries
         self._last_sequence = 0
         self._sequence_by_job: dict[Job, int] = {}
@@ -69,10 +106,16 @@
         self._claim_error: ClaimLostError | None = None
         self._counts = CommitCounts(0, 0, timedelta(0), 0)
 
+    def adopt_groups(self, groups: Iterable[str], group_by_job: dict[Job, str]) -> None:
+        """Takes over the groups of former owners, and the jobs whose newest progress is in one."""
+        self._jobs_by_group = {group: set() for group in groups}
+        for job, group in group_by_job.items():
+            self._move(job, group)
+
     def take_counts(self) -> CommitCounts:
         """Returns the counts since the last call."""
         counts, self._counts = self._counts, CommitCounts(0, 0, timedelta(0), 0)
-        return counts._replace(waiting=self._waiting_entries())
+        return counts._replace(waiting=len(self._sequence_by_job) + len(self._insert_by_id))
 
     def mark_dirty(self, job: Job) -> None:
         """Schedules a job's progress for the next commit with free entries."""
@@ -128,7 +171,7 @@
                 self._wake.clear()
                 while self._sequence_by_job or self._insert_by_id or self._purged:
                     # A commit that is full gains nothing by waiting.
-                    if self._waiting_entries() < self._max_entries:
+                    if not self._is_full():
                         await self._clock.sleep(GROUP_COMMIT_DELAY)
                     await self._commit_batch()
         except ClaimLostError as error:
@@ -140,38 +183,64 @@
             self._fail(lost)
             raise lost from error
 
-    def _waiting_entries(self) -> int:
-        return len(self._sequence_by_job) + len(self._insert_by_id)
+    def _is_full(self) -> bool:
+        entries = 2 * len(self._insert_by_id)
+        if self._may_group():
+            entries += sum(job.is_ended for job in self._sequence_by_job)
+        else:
+            entries += len(self._sequence_by_job)
+        return entries >= self._max_entries
+
+    def _move(self, job: Job, group: str) -> None:
+        """Notes that the newest progress of a job is in a group; in none if it is empty."""
+        before = self._group_by_job.pop(job, "")
+        if before:
+            self._jobs_by_group[before].discard(job)
+        if group:
+            self._group_by_job[job] = group
+            self._jobs_by_group.setdefault(group, set()).add(job)
+
+    def _compact_groups(self) -> None:
+        """Schedules the jobs that are left in old groups, so that their number stays bounded, or in
+        any group, once a process may take over that can't read them."""
+        if self._may_group():
+            groups = [jobs for jobs in self._jobs_by_group.values() if jobs]
+            left = [job for jobs in groups[: max(len(groups) - MAX_GROUPS, 0)] for job in jobs]
+        else:
+            left = list(self._group_by_job)
+        for job in left:
+            if job not in self._sequence_by_job:
+                self.mark_dirty(job)
 
     async def _commit_batch(self) -> None:
+        self._compact_groups()
         free = self._max_entries
         inserts = dict(list(self._insert_by_id.items())[: free // 2])
         free -= 2 * len(inserts)
-        unrecorded = {job for i, (job, _) in self._insert_by_id.items() if i not in inserts}
-        dirty = dict(
-            [item for item in self._sequence_by_job.items() if item[0] not in unrecorded][:free]
-        )
-        free -= len(dirty)
-        purged = self._purged[: free // 2]
         puts = [
             Put(job_key(self._pool, job_id), encode(job.record))
             for job_id, (job, _) in inserts.items()
         ]
-        phase_by_job = {job: job.phase for job in dirty}
-        for job in dirty:
-            del self._sequence_by_job[job]
-            puts.append(Put(progress_key(self._pool, job.record.job_id), encode(job.progress())))
+        unrecorded = {job for i, (job, _) in self._insert_by_id.items() if i not in inserts}
+        batch = self._take_changes(unrecorded, free)
+        puts += batch.puts
+        free -= len(batch.puts)
+        empty_groups = [group for group, jobs in self._jobs_by_group.items() if not jobs][:free]
+        free -= len(empty_groups)
+        purged = self._purged[: free // 2]
         deletes = [key(self._pool, job_id) for job_id in purged for key in (job_key, progress_key)]
-        self._in_flight = dirty
+        self._in_flight = batch.sequence_by_job
         started = self._clock.boot_time()
         try:
             await self._claim.commit(
-                puts, deletes, [job_key(self._pool, job_id) for job_id in inserts]
+                puts,
+                deletes + empty_groups,
+                [job_key(self._pool, job_id) for job_id in inserts],
             )
         except KeysExistError as conflict:
             # Sorted by sequence number, so that earlier changes are committed first and no waiter
             # starves.
-            self._sequence_by_job = {**self._sequence_by_job, **dirty}
+            self._sequence_by_job = {**self._sequence_by_job, **batch.sequence_by_job}
             self._sequence_by_job = dict(
                 sorted(self._sequence_by_job.items(), key=lambda item: item[1])
             )
@@ -183,10 +252,16 @@
         instruments.commit_time.record(elapsed.total_seconds())
         counts = self._counts
         self._counts = CommitCounts(
-            counts.commits + 1, counts.records + len(puts), max(counts.longest, elapsed), 0
+            counts.commits + 1,
+            counts.records + len(inserts) + len(batch.phase_by_job),
+            max(counts.longest, elapsed),
+            0,
         )
-        for job, phase in phase_by_job.items():
+        for job, phase in batch.phase_by_job.items():
             job.recorded_phase = phase
+            self._move(job, batch.group if job in batch.grouped else "")
+        for group in empty_groups:
+            del self._jobs_by_group[group]
         for job_id, (job, future) in inserts.items():
             del self._insert_by_id[job_id]
             self._on_insert(job)
@@ -195,6 +270,39 @@
         self._purged = self._purged[len(purged) :]
         self._resolve_waiters()
 
+    def _take_changes(self, unrecorded: set[Job], free: int) -> "_Batch":
+        """Takes changed jobs, the oldest changes first, whose progress fits into ``free`` records.
+
+        `unrecorded`
+            Jobs that are not recorded by then, whose progress has to wait.
+        """
+        batch = _Batch()
+        may_group = self._may_group()
+        encoded_by_id: dict[JobId, bytes] = {}
+        size = 0
+        for job, sequence in list(self._sequence_by_job.items()):
+            is_grouped = may_group and not job.is_ended
+            has_place = size < MAX_GROUP_BYTES and (encoded_by_id or free > len(batch.puts))
+            if job in unrecorded or not (
+                has_place if is_grouped else free - bool(encoded_by_id) > len(batch.puts)
+            ):
+                continue
+            value = encode(job.progress())
+            if is_grouped:
+                encoded_by_id[job.record.job_id] = value
+                batch.grouped.add(job)
+                size += len(value)
+            else:
+                batch.puts.append(Put(progress_key(self._pool, job.record.job_id), value))
+            del self._sequence_by_job[job]
+            batch.sequence_by_job[job] = sequence
+            batch.phase_by_job[job] = job.phase
+        if encoded_by_id:
+            self._commit_number += 1
+            batch.group = group_key(self._pool, self._claim.token, self._commit_number)
+            batch.puts.append(Put(batch.group, encode(ProgressGroup(encoded_by_id))))
+        return batch
+
     def _drop_existing(
         self,
         conflict: KeysExistError,
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -95,6 +95,8 @@
         Time for which callers may query the state of an ended job.
     `longest_lease`
         Longest lease that a worker grants to its runs.
+    `may_group_records`
+        Returns whether all VMs can read progress groups.
     """
 
     store: StateStore
@@ -103,6 +105,7 @@
     advice: AdviceSource
     job_retention: timedelta
     longest_lease: timedelta
+    may_group_records: Callable[[], bool]
 
 
 class PoolOwner:
@@ -134,7 +137,14 @@
         self._longest_lease = context.longest_lease
         self._claim_valid_until = claim_valid_until
         self._background = BackgroundTasks(f"pool {pool}", _log)
-        self._journal = Journal(pool, claim, context.store, context.clock, self._on_recorded)
+        self._journal = Journal(
+            pool,
+            claim,
+            context.store,
+            context.clock,
+            self._on_recorded,
+            context.may_group_records,
+        )
         self._launcher = Launcher(self, context.advice, context.clock, self._journal)
         self.job_by_id: dict[JobId, Job] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
@@ -156,10 +166,14 @@
         Raises `StoreUnavailableError` if the store can't be read.
         """
         records, listings = await asyncio.gather(read_jobs(self._store, self.pool), load_listings())
-        for record, progress in records:
-            job = Job(record)
-            self.job_by_id[record.job_id] = job
-            self._restore(job, progress, listings)
+        group_by_job: dict[Job, str] = {}
+        for stored in records.jobs:
+            job = Job(stored.record)
+            self.job_by_id[stored.record.job_id] = job
+            self._restore(job, stored.progress, listings)
+            if stored.group:
+                group_by_job[job] = stored.group
+        self._journal.adopt_groups(records.groups, group_by_job)
         self.set_workers(listings)
         self.spawn(self._run_journal())
         scheduler = f"scheduler of pool {self.pool}"
--- a/hornbeamramp/statestore/claim.py
+++ b/hornbeamramp/statestore/claim.py
@@ -34,7 +34,8 @@
 
 class OwnerRecord(msgspec.Struct, frozen=True):
     """Value of an owner key, of a chain key and of a VM's key. ``boot`` distinguishes successive
-    processes of one VM; ``size`` is the speed of the VM's processor, in standard cores."""
+    processes of one VM; ``size`` is the speed of the VM's processor, in standard cores;
+    ``record_format`` is the newest version of the records that the process can read."""
 
     vm: VmId
     boot: str
@@ -42,6 +43,7 @@
     sequence: int
     size: float = 1.0
     data_centre: DataCentreId = DataCentreId("")
+    record_format: int = 1
 
 
 class ClaimLostError(Exception):
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -1,8 +1,10 @@
-"""Records of jobs in the store: for each job, one as submitted and one of its progress.
+"""Records of jobs in the store: for each job, one as submitted and its progress.
 
-Both are encoded as msgpack. Each commit that concerns a job rewrites its progress record: before a
+Both are encoded as msgpack. Each commit that concerns a job writes its progress again: before a
 task is started, before a worker may forget the end of a task, and before a cancellation is
-acknowledged.
+acknowledged. The store limits the keys of a commit, so the progress of all jobs that have not ended
+goes into one record, a progress group. Of all that is stored for a job, the progress with the
+highest store revision counts.
 """
 
 import msgspec
@@ -14,12 +16,17 @@
     "CELL_PREFIX",
     "chain_key",
     "JobProgress",
+    "GROUPED_FORMAT",
     "JobRecord",
     "OpenTask",
+    "ProgressGroup",
     "StepGrants",
+    "decode_group",
     "decode_progress",
     "decode_record",
     "encode",
+    "group_key",
+    "group_prefix",
     "job_key",
     "job_prefix",
     "owner_key",
@@ -31,6 +38,9 @@
 ]
 
 ROOT = "hbr/"
+# Version of the records from which on processes read progress groups. Earlier ones would start the
+# tasks of these jobs again, so groups are written only while no such process is alive.
+GROUPED_FORMAT = 2
 # Prefix of the owner and VM records, which every process watches. Keys that change with each commit
 # have other prefixes, so that the watch does not report them.
 CELL_PREFIX = f"{ROOT}cell/"
@@ -82,7 +92,14 @@
     ended_ms: int = 0
 
 
+class ProgressGroup(msgspec.Struct, frozen=True, array_like=True):
+    """Encoded progress of the jobs of one commit, so that each can be decoded by itself."""
+
+    progress_by_job: dict[JobId, bytes]
+
+
 encode = msgspec.msgpack.encode
+decode_group = msgspec.msgpack.Decoder(ProgressGroup).decode
 decode_record = msgspec.msgpack.Decoder(JobRecord).decode
 decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
 
@@ -116,6 +133,15 @@
     return f"{job_prefix(pool)}{job_id}"
 
 
+def group_prefix(pool: PoolName) -> str:
+    return f"{ROOT}group/{pool}/"
+
+
+def group_key(pool: PoolName, token: int, number: int) -> str:
+    """Returns the key of the group of an owner's commit. Each key is written once."""
+    return f"{group_prefix(pool)}{token}-{number}"
+
+
 def progress_prefix(pool: PoolName) -> str:
     return f"{ROOT}progress/{pool}/"
 
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -20,7 +20,14 @@
 from hornbeamramp.poolowner import OwnerContext, PoolOwner
 from hornbeamramp.rendezvous import rank
 from hornbeamramp.rpc import PeerClient, PeerServer
-from hornbeamramp.statestore import LeaseLostError, OwnerRecord, PoolClaim, Put, Txn
+from hornbeamramp.statestore import (
+    GROUPED_FORMAT,
+    LeaseLostError,
+    OwnerRecord,
+    PoolClaim,
+    Put,
+    Txn,
+)
 from hornbeamramp.statestore.base import TxnConflictError
 from hornbeamramp.statestore.claim import decode_owner
 from hornbeamramp.statestore.records import (
@@ -104,6 +111,7 @@
             advice_source,
             adapter.job_retention,
             adapter.longest_lease,
+            self._may_group_records,
         )
         self.isolation = IsolationDetector(
             peers, clock, lambda: self.store.last_answer_at, self._ping_targets
@@ -117,6 +125,7 @@
         # The decoded records of the cell, and from them the addresses of the other VMs.
         self._record_by_key: dict[str, OwnerRecord] = {}
         self._peer_address_by_vm: dict[VmId, str] = {}
+        self._oldest_record_format = GROUPED_FORMAT
         self._listing_cache: PrefixCache | None = None
         self._claims_in_progress: set[PoolName] = set()
         self._unowned_since: dict[PoolName, timedelta] = {}
@@ -254,6 +263,10 @@
             else:
                 self._record_by_key[key] = record
         if any(key.startswith(vm_prefix()) for key in changed):
+            self._oldest_record_format = min(
+                (record.record_format for record in self._vm_records().values()),
+                default=GROUPED_FORMAT,
+            )
             self._peer_address_by_vm = {
                 vm: record.address
                 for vm, record in self._vm_records().items()
@@ -271,6 +284,10 @@
                     owner.mark_lost(f"the owner record in the store is {record}")
         self._notify_cell()
 
+    def _may_group_records(self) -> bool:
+        """Returns whether all VMs can read progress groups."""
+        return self._oldest_record_format >= GROUPED_FORMAT
+
     def _notify_cell(self) -> None:
         self._cell_changed.set()
         self._cell_changed = asyncio.Event()
@@ -340,6 +357,7 @@
             sequence=0,
             size=identity.size,
             data_centre=identity.data_centre,
+            record_format=GROUPED_FORMAT,
         )
 
     def _claim_if_unowned(self, pool: PoolName) -> None:
