--- a/tests/upstreams/test_http.py
+++ b/tests/upstreams/test_http.py
@@ -333,15 +333,17 @@
     run(scenario())
 
 
-def test_late_answer_does_not_reach_the_next_request(run):
+def test_late_answer_does_not_reach_the_next_request(run, monkeypatch):
     """Guards against an answer that arrives late being taken for that of the next request."""
 
     async def scenario():
-        async with serving(timeout=SECOND) as (server, client):
+        async with serving() as (server, client):
             await client.start(request(A, payload=b"a"))
             await client.start(request(B, payload=b"b"))
             await set_faults(server, late_ms=3000)
-            with pytest.raises(UnreachableError):
+            # Only this call gives up early: on a busy machine, the others may take a second.
+            with monkeypatch.context() as patch, pytest.raises(UnreachableError):
+                patch.setattr(client._client, "_timeout", SECOND)
                 await client.result(A, timedelta(0))
             await set_faults(server)
             assert (await client.result(B, LONG)).payload == expected_answer(b"b")
