Keep a connection on which other calls are answered

Change: after a time-out the connection is replaced only if nothing was answered on it since the call was sent. Result: tests/test_rpc.py passes; not measured yet.

--- a/hornbeamramp/rpc.py
+++ b/hornbeamramp/rpc.py
@@ -179,6 +179,8 @@
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
         self._handshake_by_address: dict[str, asyncio.Task[None]] = {}
         self._compatible_addresses: set[str] = set()
+        # Loop time of the latest answer on each channel.
+        self._answered_at: dict[grpc.aio.Channel, float] = {}
         self._decoder_by_type = {
             request_type: msgspec.msgpack.Decoder(reply_type)
             for request_type, reply_type in reply_type_by_request_type.items()
@@ -232,6 +234,7 @@
     ) -> Any:
         method = _method_name(type(request))
         channel = self._channel(address)
+        began = asyncio.get_running_loop().time()
         stub = channel.unary_unary(f"/{SERVICE}/{method}")
         with _tracer.start_as_current_span(f"rpc.client {method}") as span:
             span.set_attribute("peer", address)
@@ -244,7 +247,7 @@
                     metadata=tuple(carrier.items()),
                 )
             except grpc.aio.AioRpcError as error:
-                await self._discard_failed_channel(address, channel, error.code())
+                await self._discard_failed_channel(address, channel, error.code(), began)
                 message = f"{method}: {error.code().name}: {error.details()}"
                 raise UnreachableError(step, address, message, sent) from error
             except asyncio.CancelledError as error:
@@ -254,6 +257,8 @@
                 # Another call closed the channel; the calling task itself was not cancelled.
                 message = f"{method}: the connection was given up"
                 raise UnreachableError(step, address, message, sent) from error
+        if self._channel_by_address.get(address) is channel:
+            self._answered_at[channel] = asyncio.get_running_loop().time()
         try:
             return self._decoder_by_type[type(request)].decode(data)
         except msgspec.MsgspecError as error:
@@ -272,10 +277,17 @@
         return channel
 
     async def _discard_failed_channel(
-        self, address: str, channel: grpc.aio.Channel, code: grpc.StatusCode
+        self, address: str, channel: grpc.aio.Channel, code: grpc.StatusCode, began: float
     ) -> None:
-        # A timeout may mean that the connection is dead, so the next call opens a new one.
-        is_disconnected = code in (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
+        """Discards a channel that may be dead, so that the next call opens a new connection.
+
+        After a timeout, it is alive if another call got an answer meanwhile: the peer is only slow,
+        and more connections would make it slower.
+        """
+        is_disconnected = code is grpc.StatusCode.UNAVAILABLE or (
+            code is grpc.StatusCode.DEADLINE_EXCEEDED
+            and self._answered_at.get(channel, began) <= began
+        )
         if is_disconnected and self._channel_by_address.get(address) is channel:
             await self._discard_channel(address)
 
@@ -283,6 +295,7 @@
         self._compatible_addresses.discard(address)
         channel = self._channel_by_address.pop(address, None)
         if channel is not None:
+            self._answered_at.pop(channel, None)
             with contextlib.suppress(grpc.RpcError):
                 # Other calls on this channel get time to finish. Without a limit, calls to a
                 # stopped peer would wait forever, as a closing channel sends no keepalives.
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -1,6 +1,7 @@
 """Tests of the gRPC layer over real sockets."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
 import pytest
@@ -158,3 +159,33 @@
         await server.stop(timedelta(0))
 
     run(scenario())
+
+
+@pytest.mark.parametrize("answers_others", [True, False])
+def test_connection_is_replaced_after_a_timeout_only_if_nothing_was_answered(run, answers_others):
+    """Guards against a busy owner that all VMs connect to again after each slow answer, which made
+    it slower still; and against a connection without answers that is used on."""
+
+    async def scenario():
+        async def handler(request):
+            if request.job_id == "slow" or not answers_others:
+                await asyncio.Event().wait()
+            return messages.GetJobReply(JobState.RUNNING)
+
+        server = await start_server(handler)
+        client = PeerClient("vm-2", "tuzla")
+        address = f"127.0.0.1:{server.port}"
+        slow = messages.GetJobRequest("tickets@gebze", "slow")
+        await client._ensure_handshake(address, 5 * SECOND, Step.ANSWER)
+        channel = client._channel_by_address[address]
+        pending = asyncio.create_task(client.call(address, slow, 2 * SECOND, Step.ANSWER))
+        await asyncio.sleep(0)
+        with contextlib.suppress(UnreachableError):
+            await call(client, server.port, SECOND)
+        with pytest.raises(UnreachableError):
+            await pending
+        assert (client._channel_by_address.get(address) is channel) is answers_others
+        await client.close()
+        await server.stop(timedelta(0))
+
+    run(scenario())
