Do less for each waiting step in a scheduling pass

Change: the room of the granted workers is compared first and kept for each answer; feasibility is kept for a second; free workers are filtered after a reservation only; capacity without holds is read directly.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -93,6 +93,7 @@
         longest_lease: timedelta,
     ) -> None:
         self.listing = listing
+        self.worker = listing.worker
         self._client = client
         self._clock = clock
         self._owner = owner
@@ -119,10 +120,6 @@
         # longest possible duration is known.
         self._inherited_lease_until = clock.boot_time() + inherited_lease
 
-    @property
-    def worker(self) -> str:
-        return self.listing.worker
-
     @property
     def usable(self) -> bool:
         """Returns whether new runs may be placed here."""
--- a/hornbeamramp/poolowner/capacity.py
+++ b/hornbeamramp/poolowner/capacity.py
@@ -63,8 +63,15 @@
 
     def free(self, session: WorkerSession) -> FreeResources:
         """Returns a worker's free capacity; negative if runs must end before a gang can start."""
+        if self._holds_nothing(session.worker):
+            return session.free()
         return self._without_holds(session, session.free())
 
+    def _holds_nothing(self, worker: str) -> bool:
+        return worker not in self._holds_by_worker and (
+            self._other is None or worker not in self._other._holds_by_worker
+        )
+
     def total(self, session: WorkerSession) -> FreeResources:
         """Returns what would be free if no run were left on the worker."""
         capacity = session.listing.capacity
--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -90,6 +90,9 @@
         # As of the boot time of the estimate.
         self.lateness = Lateness(LatenessLevel.ON_TIME, 0.0)
         self.lateness_at: timedelta | None = None
+        # How many tasks of the step the granted workers could run if they were empty, as of a
+        # version of its grants.
+        self.granted_room: tuple[int, int] | None = None
         # Whether the granted workers could run the step, as of a boot time and a version of its
         # grants.
         self.is_feasible = True
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -108,6 +108,7 @@
         self.spare = capacity_before.limited_by(self.capacity)
         self._speeds = speeds
         self._smallest = _smallest(sizes)
+        self._is_changed = False
         self._open = [s for s in usable_by_id.values() if s.fits(self._smallest)]
         self._by_free_processors: list[WorkerSession] | None = None
         processors = sum(s.listing.capacity.processors_milli for s in usable_by_id.values())
@@ -129,10 +130,15 @@
     def with_capacity(self) -> list[WorkerSession]:
         """Returns the usable workers with free capacity for the smallest waiting size in each
         resource."""
-        if not all(session.fits(self._smallest) for session in self._open):
+        if self._is_changed:
+            self._is_changed = False
             self._open = [session for session in self._open if session.fits(self._smallest)]
         return self._open
 
+    def note_reserved(self) -> None:
+        """Notes that capacity has been reserved in this pass."""
+        self._is_changed = True
+
     def granted(self, step: StepRun) -> list[WorkerSession]:
         """Returns the usable workers that are granted to a step, in order of their ids."""
         usable = self.usable_by_id
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -61,8 +61,10 @@
 FAILED_PLAN_INTERVAL = timedelta(milliseconds=200)
 # A plan that has not been renewed for this long is dropped, with the capacity kept for it.
 MAX_PLAN_AGE = timedelta(milliseconds=300)
-# Lateness and feasibility of steps change slowly, so they are estimated again after this.
-ESTIMATE_INTERVAL = timedelta(milliseconds=250)
+# Lateness and feasibility of steps change slowly, so they are estimated again after this. Between
+# two answers of the advice service, a step's feasibility changes only as workers come and go.
+LATENESS_INTERVAL = timedelta(milliseconds=250)
+FEASIBILITY_INTERVAL = timedelta(seconds=1)
 # Candidates beyond this number are of no use: no advice request names more workers.
 MAX_UNASKED = 180
 # Nothing is kept for gangs.
@@ -180,7 +182,7 @@
         now_ms = self._owner.now_ms()
         if (
             step.lateness_at is not None
-            and now - step.lateness_at < ESTIMATE_INTERVAL
+            and now - step.lateness_at < LATENESS_INTERVAL
             and now_ms <= step.lateness.latest_start_ms
         ):
             return
@@ -263,15 +265,13 @@
         current: SchedulingPass,
     ) -> None:
         """Asks for more workers until a gang can be planned, then for the tickets of its plan."""
-        granted = current.granted(step)
         if plan is None:
-            unasked = self._unasked(step, current, True)
-            if not unasked:
-                return
-            room = sum(count_tasks(step, EMPTY.total(session)) for session in granted)
-            if room < GANG_ROOM_FACTOR * step.spec.count:
-                self._launcher.request_advice(step, queue, unasked)
+            if self._granted_room(step, current) < GANG_ROOM_FACTOR * step.spec.count:
+                unasked = self._unasked(step, current, True)
+                if unasked:
+                    self._launcher.request_advice(step, queue, unasked)
             return
+        granted = current.granted(step)
         # Besides those of the plan, the tickets of others that may have room by then.
         free = current.capacity.free
         sessions = sorted(
@@ -279,6 +279,14 @@
         )[: math.ceil(TICKETS_PER_PLANNED_WORKER * len(plan.count_by_worker))]
         self._launcher.prefetch_tickets(step, queue, sessions, len(plan.count_by_worker))
 
+    @staticmethod
+    def _granted_room(step: StepRun, current: SchedulingPass) -> int:
+        """Returns how many of a step's tasks its granted workers could run if they were empty."""
+        if step.granted_room is None or step.granted_room[0] != step.grants.version:
+            room = sum(count_tasks(step, EMPTY.total(s)) for s in current.granted(step))
+            step.granted_room = (step.grants.version, room)
+        return step.granted_room[1]
+
     def _launch_on(
         self, step: StepRun, sessions: list[WorkerSession], current: SchedulingPass
     ) -> None:
@@ -381,7 +389,7 @@
             return True
         if step.feasibility_at is not None:
             checked_at, version = step.feasibility_at
-            if version == grants.version and now - checked_at < ESTIMATE_INTERVAL:
+            if version == grants.version and now - checked_at < FEASIBILITY_INTERVAL:
                 return step.is_feasible
         by_worker = self._owner.session_by_worker
         granted = [by_worker[worker] for worker in grants.granted if worker in by_worker]
@@ -432,6 +440,7 @@
                     self._reserve_unit(unit, workers)
                     assigned_by_worker.update(session.worker for session in workers)
                 reserved += [unit for unit, _ in chosen]
+                current.note_reserved()
         return reserved
 
     def _choose(
