Give scheduling passes a quarter of the owner's time

Change: the pause after a pass is three times as long, up to 50 ms, and at least as long as the pass.

--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -69,6 +69,8 @@
 # Minimum time between two scheduling passes. Ends and new jobs arrive in groups, with the replies
 # of hold calls and commits, and one pass handles the whole group.
 MIN_SCHEDULING_INTERVAL = timedelta(milliseconds=2)
+# Longest pause after a pass that took less time than the pause.
+MAX_EXTRA_PAUSE = timedelta(milliseconds=50)
 # New jobs are refused at once when commits have been failing for longer than this.
 MAX_STORE_OUTAGE = timedelta(milliseconds=600)
 # Added to the time for which callers may query the state of an ended job.
@@ -108,6 +110,15 @@
     may_group_records: Callable[[], bool]
 
 
+def _pause_after_pass(elapsed: timedelta) -> timedelta:
+    """Returns how long to wait before the next scheduling pass.
+
+    Passes get a quarter of the processor's time, as calls of other VMs and workers are more urgent.
+    If they take long, they get up to half of it, so that freed capacity is not idle for long.
+    """
+    return max(elapsed, min(3 * elapsed, MAX_EXTRA_PAUSE), MIN_SCHEDULING_INTERVAL)
+
+
 class PoolOwner:
     """Schedules the jobs of one pool while it holds the pool's claim.
 
@@ -412,11 +423,8 @@
             self._wake.clear()
             started_at = self._clock.boot_time()
             self._placer.schedule()
-            # Events that arrive meanwhile are handled by one pass. Sleeping for as long as the pass
-            # took limits passes to half of the processor's time, however long the queue is.
-            await self._clock.sleep(
-                max(self._clock.boot_time() - started_at, MIN_SCHEDULING_INTERVAL)
-            )
+            # Events that arrive meanwhile are handled by one pass.
+            await self._clock.sleep(_pause_after_pass(self._clock.boot_time() - started_at))
 
     def _check_jobs(self) -> None:
         now_ms = self.now_ms()
--- a/tests/poolowner/test_pass_cost.py
+++ b/tests/poolowner/test_pass_cost.py
@@ -14,6 +14,7 @@
 from hornbeamramp.fleet import WorkerSession
 from hornbeamramp.poolowner.capacity import Capacity
 from hornbeamramp.poolowner.choice import choose_each, choose_workers
+from hornbeamramp.poolowner.owner import _pause_after_pass
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.workload import StepSpec
 from tests.model.cell import queue
@@ -118,3 +119,11 @@
         running(worker, spec)
     rest = units[len(chosen)]
     assert choose_workers(rest, sessions, WorkerSpeeds(), assigned, Capacity()) is None
+
+
+@pytest.mark.parametrize(("pass_ms", "pause_ms"), [(0, 2), (4, 12), (30, 50), (120, 120)])
+def test_pause_after_a_pass_leaves_time_for_calls(pass_ms, pause_ms):
+    """Guards against calls of other VMs that time out, as passes take half of the processor's time
+    whenever something changes."""
+    pause = _pause_after_pass(timedelta(milliseconds=pass_ms))
+    assert pause == timedelta(milliseconds=pause_ms)
