Count searches for room by kind of step and priority

The 16 searches of a pass went to urgent steps, which come first. Change: eight searches each 50 ms for gangs and for other steps of each priority. Result: test_gangs_get_their_turn_while_many_urgent_steps_wait fails before; tests/poolowner passes.

--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -51,11 +51,12 @@
 # Tickets to renew for a plan, as a multiple of its workers. A request for twice as many workers
 # needs twice the VMs, or for narrow gangs up to a third more time.
 TICKETS_PER_PLANNED_WORKER = 1.5
-# Period of the passes that plan gangs and search for runs to preempt, and most of each in one of
-# them, in the order of the steps. Both look at all runs of the step's workers, and only the steps
-# that come first can get what is freed.
+# Period of the passes that plan gangs and search for runs to preempt, and most of these for gangs
+# and for other steps of each priority, in the order of the steps. They look at all runs of the
+# step's workers, and only the steps that come first can get what is freed. Without a number of
+# their own, the gangs of a lower priority would get none while many urgent steps wait.
 SEARCH_INTERVAL = timedelta(milliseconds=50)
-MAX_SEARCHES = 16
+MAX_SEARCHES = 8
 # Minimum time between two plans for a gang that had no possible plan, so that those behind it get
 # their turn.
 FAILED_PLAN_INTERVAL = timedelta(milliseconds=200)
@@ -84,7 +85,9 @@
         # Of the latest scheduling pass.
         self._capacity = Capacity()
         self._searched_at: timedelta | None = None
-        self._searches_left = 0
+        # By whether steps are gangs, and by their priority.
+        self._searches: Counter[tuple[bool, int]] = Counter()
+        self._is_searching = False
         self.speeds = WorkerSpeeds()
         self.health = WorkerHealth()
 
@@ -143,8 +146,10 @@
                 # It keeps its last estimate; the order of the others must not depend on it.
                 _log.exception("{}: lateness can't be estimated", step.key)
         self._open_steps.sort(key=_sort_key)
-        if self._searched_at is None or now - self._searched_at >= SEARCH_INTERVAL:
-            self._searched_at, self._searches_left = now, MAX_SEARCHES
+        self._is_searching = self._searched_at is None or now - self._searched_at >= SEARCH_INTERVAL
+        if self._is_searching:
+            self._searched_at = now
+            self._searches.clear()
         current = self._begin_pass(now)
         prefetches_left = self._launcher.max_prefetching_steps()
         for step in self._open_steps:
@@ -163,7 +168,6 @@
             is_feasible = self._is_feasible(step, now)
             prefetches_left -= is_feasible
             step.wait.set(reason if is_feasible else WaitReason.WORKER, now)
-        self._searches_left = 0
 
     def _begin_pass(self, now: timedelta) -> SchedulingPass:
         usable_by_id = {
@@ -307,8 +311,7 @@
         if step.lateness.level is LatenessLevel.TOO_LATE:
             step.plan = None
             return None
-        if self._searches_left > 0 and self._is_search_due(step, current.now):
-            self._searches_left -= 1
+        if self._may_search(step, current.now):
             sessions = current.granted(step) if needs_grant else list(current.usable_by_id.values())
             if step.is_gang:
                 step.planned_at = current.now
@@ -323,6 +326,18 @@
         self._hold(step, step.plan, current.capacity)
         return None if step.plan.is_drain else step.plan
 
+    def _may_search(self, step: StepRun, now: timedelta) -> bool:
+        """Returns whether to search for room for a step in this pass, and counts the search."""
+        kind = (step.is_gang, step.job.record.priority)
+        if (
+            not self._is_searching
+            or self._searches[kind] >= MAX_SEARCHES
+            or not self._is_search_due(step, now)
+        ):
+            return False
+        self._searches[kind] += 1
+        return True
+
     @staticmethod
     def _is_search_due(step: StepRun, now: timedelta) -> bool:
         if not step.is_gang:
--- a/tests/poolowner/test_pass_cost.py
+++ b/tests/poolowner/test_pass_cost.py
@@ -98,6 +98,25 @@
     assert narrow.plan is not None
 
 
+def test_gangs_get_their_turn_while_many_urgent_steps_wait():
+    """Guards against a burst of lookups that uses up all searches: renders of the next priority
+    were never planned, while work of the lowest one filled the pool (further-grown trouble-1)."""
+    owner = Owner([session(f"w{number}") for number in range(10)])
+    owner.queues["gang"] = queue("gang", 1)
+    batch = StepSpec(1, 8000, 100, estimate_ms=60_000, checkpointing=True)
+    for worker in owner.session_by_worker.values():
+        running(worker, batch, priority=2)
+    for _ in range(40):
+        lookup = owner.submit(
+            StepSpec(1, 8000, 100, 9, estimate_ms=500), name="gate", priority=0, age_s=0.1
+        )
+        owner.grant(lookup, *owner.session_by_worker)
+    render = owner.submit(GANG, name="gang", priority=1)
+    owner.grant(render, *owner.session_by_worker)
+    owner.placer.schedule()
+    assert render.plan is not None
+
+
 @pytest.mark.parametrize("seed", range(20))
 @pytest.mark.parametrize(
     "fields", [{}, {"long_running": True}, {"max_per_worker": 2}, {"accelerators": 1}]
