--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -1,11 +1,13 @@
 """Whole cells in virtual time: jobs of every kind, and failures of each component."""
 
 import asyncio
+import json
 from datetime import timedelta
 
 import pytest
 
 from hornbeamramp.statestore import job_key, progress_key
+from hornbeamramp.statestore.records import vm_key
 from hornbeamramp.vm import CancelResult, UnavailableError
 from hornbeamramp.vm.node import CLAIM_CHECK_PERIOD
 from hornbeamramp.workload import JobPhase, StepSpec
@@ -560,3 +562,20 @@
         assert await cell.phase("b" * 16, vm) is JobPhase.QUEUED
 
     in_cell(scenario, vms=vms)
+
+
+def test_progress_is_not_grouped_beside_a_process_of_an_earlier_version():
+    """Guards against a rolling upgrade in which an earlier version takes over a pool, does not read
+    the groups, and starts the tasks in them again."""
+
+    async def scenario(cell):
+        owner = await cell.wait_for_owner()
+        earlier = {"vm": "old", "boot": "old#1", "address": "old", "sequence": 0}
+        cell.store.put(vm_key("old"), json.dumps(earlier).encode())
+        await asyncio.sleep(0.5)
+        await cell.submit("a" * 16, job(), "batch", owner)
+        await asyncio.sleep(0.5)
+        assert progress_key(POOL, "a" * 16) in cell.store.item_by_key
+        assert not any("/group/" in key for key in cell.store.item_by_key)
+
+    in_cell(scenario)
