Refuse jobs at once that would wait too long to be recorded

Change: while those that wait take longer than 1.5 s to record, a new job is refused with the Retry-After of a store outage. It is not inserted, so it surely does not run. A slow commit alone refuses nothing. Result: test_jobs_that_would_be_recorded_too_late_are_refused_at_once (30 to 100 of 120 at once) and test_time_to_record_a_job_grows_with_those_that_wait pass; tests/vm and tests/poolowner pass.

--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -145,6 +145,14 @@
         _, future = self._insert_by_id[job_id]
         await asyncio.shield(future)
 
+    def insert_queue_time(self) -> timedelta:
+        """Returns how long the jobs that wait delay the record of a new one.
+
+        By the time of the last commit; zero while the next commit has room for it, however slow the
+        last one was.
+        """
+        return len(self._insert_by_id) // (self._max_entries // 2) * self._last_commit
+
     def is_inserting(self, job_id: JobId) -> bool:
         """Returns whether a job's record waits for its commit or may be committed already."""
         return job_id in self._insert_by_id
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -73,6 +73,9 @@
 MAX_EXTRA_PAUSE = timedelta(milliseconds=50)
 # New jobs are refused at once when commits have been failing for longer than this.
 MAX_STORE_OUTAGE = timedelta(milliseconds=600)
+# New jobs are refused at once when those that wait to be recorded take longer than this. Callers
+# would have given up on most of them by then, and those that come later would wait behind them.
+MAX_INSERT_QUEUE_TIME = timedelta(milliseconds=1500)
 # Added to the time for which callers may query the state of an ended job.
 RETENTION_MARGIN = timedelta(seconds=30)
 
@@ -321,8 +324,11 @@
         )
         # While an earlier call for this id is pending, its record may still be written, and a
         # refusal could turn out wrong.
-        if is_store_down and not self._journal.is_inserting(job_id):
-            return Refusal("the store does not answer", retry_delay(queue, spec))
+        if not self._journal.is_inserting(job_id):
+            if is_store_down:
+                return Refusal("the store does not answer", retry_delay(queue, spec))
+            if self._journal.insert_queue_time() > MAX_INSERT_QUEUE_TIME:
+                return Refusal("too many jobs wait to be recorded", retry_delay(queue, spec))
         record = JobRecord(
             job_id=job_id,
             queue=queue.name,
--- a/tests/poolowner/test_journal.py
+++ b/tests/poolowner/test_journal.py
@@ -178,3 +178,20 @@
         assert "hbr/group/pool/3-2" not in claim.value_by_key
 
     run_with_journal(scenario, may_group=True)
+
+
+def test_time_to_record_a_job_grows_with_those_that_wait():
+    """Guards against jobs that are taken on although recording them takes longer than callers wait:
+    in a burst with a slow store, all callers waited for 5 s (large trouble-2)."""
+
+    async def scenario(journal, claim):
+        mark(journal, 1)
+        await journal.wait_recorded()
+        assert journal.insert_queue_time() == timedelta(0)
+        for _ in range(45):
+            journal.insert(Job(record(StepSpec(1, 1000, 100))))
+        assert journal.insert_queue_time() == timedelta(seconds=3 * COMMIT_S)
+        await asyncio.sleep(1)
+        assert journal.insert_queue_time() == timedelta(0)
+
+    run_with_journal(scenario, may_group=True)
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -579,3 +579,27 @@
         assert not any("/group/" in key for key in cell.store.item_by_key)
 
     in_cell(scenario)
+
+
+def test_jobs_that_would_be_recorded_too_late_are_refused_at_once():
+    """Guards against a burst of jobs with a slow store in which every caller waits in vain."""
+
+    async def scenario(cell):
+        owner = await cell.wait_for_owner()
+        owner.store.commit_delay = timedelta(milliseconds=400)
+        await cell.submit("f" * 16, job(), "batch", owner)
+        names = [f"{number:016x}" for number in range(120)]
+        began = cell.clock.boot_time()
+        tasks = [asyncio.create_task(cell.submit(name, job(), "batch", owner)) for name in names]
+        done, _ = await asyncio.wait(tasks, timeout=0.1)
+        refusals = [task.result() for task in done]
+        assert 30 <= len(refusals) <= 100
+        assert all(reply is not None and reply.refusal for reply in refusals)
+        assert all(reply.retry_after >= timedelta(seconds=2) for reply in refusals)
+        await asyncio.wait(tasks)
+        assert cell.clock.boot_time() - began < timedelta(seconds=3)
+        refused = {name for name, task in zip(names, tasks, strict=True) if task in done}
+        await asyncio.sleep(3)
+        assert refused.isdisjoint(task.split(".")[0] for _, _, task, _ in cell.fleet.starts)
+
+    in_cell(scenario)
