--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -26,7 +26,7 @@
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.lateness import LatenessLevel, estimate_lateness
 from hornbeamramp.poolowner.launch import Launcher
-from hornbeamramp.poolowner.passes import SchedulingPass
+from hornbeamramp.poolowner.passes import SOON, SchedulingPass
 from hornbeamramp.poolowner.preemption import choose_victims, expected_slots
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
@@ -315,7 +315,7 @@
             sessions = current.granted(step) if needs_grant else list(current.usable_by_id.values())
             if step.is_gang:
                 step.planned_at = current.now
-                step.plan = self._plan(step.waiting[0], sessions, current)
+                step.plan = self._plan(step.waiting[0], sessions, current, needs_grant)
             else:
                 step.preemption_checked_at = current.now
                 self._preempt(step, sessions, current.now)
@@ -349,13 +349,30 @@
         return checked_at is None or now - checked_at >= interval
 
     def _plan(
-        self, unit: Unit, sessions: list[WorkerSession], current: SchedulingPass
+        self,
+        unit: Unit,
+        sessions: list[WorkerSession],
+        current: SchedulingPass,
+        needs_tickets: bool,
     ) -> GangPlan | None:
+        """Returns how a gang may start, and preempts runs for it once it has the tickets.
+
+        Tickets take up to a second. Room freed before they arrive is idle, or used by others, so
+        that the gang doesn't fit when they do.
+        """
         capacity, _ = current.capacities_for(unit.step)
-        plan = plan_gang(unit, sessions, capacity, self.speeds, current.runs)
+        ready = sessions
+        if needs_tickets:
+            grants, now = unit.step.grants, current.now
+            ready = [s for s in sessions if grants.has_ticket(UpstreamId(s.worker), now, SOON)]
+        plan = plan_gang(unit, ready, capacity, self.speeds, current.runs)
         if plan is not None:
             self._stop_victims(unit.step, plan.victims)
             return plan
+        if len(ready) < len(sessions):
+            plan = plan_gang(unit, sessions, capacity, self.speeds, current.runs)
+            if plan is not None:
+                return plan
         if capacity.held_processors_milli < current.drainable_processors_milli:
             return plan_drain(unit, sessions, capacity, self.speeds, current.runs)
         return None
--- a/tests/poolowner/test_wide_gangs.py
+++ b/tests/poolowner/test_wide_gangs.py
@@ -83,6 +83,23 @@
     assert not any(attempt.stop_wanted for attempt in stoppable)
 
 
+def test_nothing_is_preempted_for_a_gang_before_it_has_tickets(owner):
+    """Guards against room that is freed for a gang while its tickets take a second more: lookups
+    used it, and the gang had runs stopped for it three times in three seconds without a start
+    (further-grown trouble-1)."""
+    victims = fill(owner, BATCH, owner.session_by_worker)
+    gang = submit_gang(owner, 8)
+    gang.grants.valid_until.clear()
+    owner.placer.schedule()
+    assert not any(attempt.stop_wanted for attempt in victims)
+    assert gang.plan is not None
+    assert gang in owner.launcher.renewed
+    owner.grant(gang, *owner.session_by_worker)
+    owner.clock.set(owner.clock.boot_time() + SECOND / 10)
+    owner.placer.schedule()
+    assert all(attempt.stop_wanted for attempt in victims)
+
+
 def test_no_more_is_preempted_for_a_gang_than_it_needs(owner):
     attempts = fill(owner, BATCH, owner.session_by_worker)
     submit_gang(owner, 3)
