End runs of a former owner although a later run list overtakes the first

A stop of another run on that worker was answered first, and the list requested after it was applied before the answer to the session's first hold call, which was then dropped as older. Only the first list proves that orders of the former owner can't take effect, so the run held its capacity for good and its task never started again: 4 cores in use and no step waiting until the end.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -242,7 +242,7 @@
         except (WorkerUnreachableError, FencedError, InstanceMismatchError) as error:
             _log.info("{}: can't get the run list after a stop: {!r}", self.worker, error)
             return
-        self._apply(reply, requested_at, False)
+        self._apply(reply, requested_at)
 
     async def _stop_orphan(self, key: tuple[str, int]) -> None:
         while key in self.orphan_stopped_at_by_key:
@@ -330,7 +330,7 @@
             self._on_instance_mismatch()
             return False
         self._last_acked = max(self._last_acked, end_to_ack)
-        self._apply(reply, requested_at, is_first)
+        self._apply(reply, requested_at)
         # Recorded ends are acknowledged in the call right after an answer. Recording more of them
         # before that call would make it too late to acknowledge any, see `_end_to_ack`.
         if self._last_applied > self._last_recorded and self._last_recorded <= self._last_acked:
@@ -361,11 +361,13 @@
         if self._boot_ms == boot_ms:
             self._last_recorded = last_applied
 
-    def _apply(self, reply: HoldReply, requested_at: timedelta, is_first: bool) -> None:
+    def _apply(self, reply: HoldReply, requested_at: timedelta) -> None:
         if requested_at < self._applied_request_at:
             # A list requested later has been applied. The next list repeats what this one adds.
             return
         self._applied_request_at = requested_at
+        # The first to be applied, whichever call it answers: lists may overtake one another.
+        is_first = self._worker_clock_read_at is None
         now = self._clock.boot_time()
         if self._boot_ms is not None and reply.boot_ms != self._boot_ms:
             self._on_restart(reply)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -6,7 +6,14 @@
 import logbook
 
 from hornbeamramp.background import BackgroundTasks
-from hornbeamramp.fleet import Attempt, RunOutcome, StartOrder, WorkerListing, WorkerSession
+from hornbeamramp.fleet import (
+    Attempt,
+    AttemptPhase,
+    RunOutcome,
+    StartOrder,
+    WorkerListing,
+    WorkerSession,
+)
 from hornbeamramp.ids import JobId
 from hornbeamramp.poolowner.health import stalled_attempts
 from hornbeamramp.poolowner.jobs import Job, StepRun
@@ -56,11 +63,11 @@
 class SessionHarness:
     """A session with one simulated worker."""
 
-    def __init__(self):
+    def __init__(self, view=FleetView):
         self.clock = LoopClock()
         self.fleet = ModelFleet(self.clock)
         self.worker = self.fleet.add("w0", CAPACITY)
-        self.view = FleetView(self.fleet, "vm0")
+        self.view = view(self.fleet, "vm0")
         self.owner = RecordingOwner()
         listing = WorkerListing("w0", "pool", "w0", "gebze", False, CAPACITY, ("a", "r0"))
         self.background = BackgroundTasks("test", logbook.Logger("test"))
@@ -354,3 +361,37 @@
         assert harness.session.time_without_progress(attempt) > timedelta(seconds=3)
 
     run_with_harness(scenario)
+
+
+def test_runs_of_a_former_owner_end_when_a_later_list_overtakes_the_first():
+    """Guards against a run that a former owner placed and its worker never started, which holds its
+    capacity for good: the list requested after a stop overtook the first one, which was dropped, and
+    with it the proof that no order of the former owner can take effect any more. On the users'
+    deployment the task of that run never started again (LOST, power-lost-twice, seed 209617988084).
+    """
+
+    class SlowFirstList(FleetView):
+        calls = 0
+
+        async def hold(self, *arguments):
+            self.calls += 1
+            is_first = self.calls == 1
+            reply = await super().hold(*arguments)
+            if is_first:
+                await asyncio.sleep(0.2)
+            return reply
+
+    async def scenario():
+        harness = SessionHarness(SlowFirstList)
+        try:
+            stopped, other = harness.attempt(0), harness.attempt(1)
+            stopped.phase = other.phase = AttemptPhase.UNCERTAIN
+            harness.session.stop(stopped)
+            await asyncio.sleep(5.0)
+            ended = {name: outcome for name, outcome in harness.owner.ended}
+            assert ended == {stopped.name: RunOutcome.LOST, other.name: RunOutcome.LOST}
+            assert harness.session.free() == (8000, 8000, 4)
+        finally:
+            await harness.background.cancel()
+
+    run_in_virtual_time(scenario())
