Give gangs a choice of workers and standing tickets, and late work the last place

Change: gangs name workers for six times their room, the fast ones first, up to 60 in a request (a request costs 0.7 s plus 6 ms for each); those without a plan that can be on time keep the tickets of up to 60 workers valid; 24 plans each 50 ms; plans count runs that end within 0.3 s (0.6 before); a tenth of the pool at most is kept for gangs that wait for runs which can't be preempted (a quarter before); steps that can be on time come before late ones of any priority; urgent tasks use the room kept for gangs rather than slow workers. Tried and left: preempting after 0.3 s instead of 1 s, small gangs first, wide gangs first, no room kept at all. All tests added here fail before; tests/poolowner, tests/fleet and tests/vm pass.

--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -13,6 +13,7 @@
 from hornbeamramp.workload import MAX_TASKS, URGENT
 
 __all__ = [
+    "MIN_GANG_SPEED",
     "choose_each",
     "choose_workers",
     "could_all_run",
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -31,10 +31,13 @@
 
 __all__ = ["Launcher"]
 
-# The platform's time limit for a job allows for one advice request about 30 workers per step.
-MAX_WORKERS_PER_ADVICE_REQUEST = 30
+# A request takes far longer than one more worker in it, and tickets expire while it lasts.
+MAX_WORKERS_PER_ADVICE_REQUEST = 60
 # Most requests made at the same time for one gang, by as many VMs.
 MAX_ADVICE_REQUESTS_PER_GANG = 6
+# Granted room that the first requests for a gang aim at, as a multiple of what it needs. Gangs of
+# others use most of it, and a gang waits for seconds if it can't choose among many workers.
+NAMED_ROOM_FACTOR = 6
 # Share of the workers named that is granted, before the first answer for a queue.
 INITIAL_GRANTED_SHARE = 0.5
 # Weight of one answer in the share granted for a queue.
@@ -93,8 +96,7 @@
     def request_advice(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
         """Requests advice on which of the first of these workers may run the step.
 
-        For a gang, as many are named as its members need on empty workers, in several requests at
-        the same time.
+        For a gang, as many are named as give it a choice, in several requests at the same time.
         """
         candidates = sessions[: self._workers_to_name(step, queue, sessions)]
         step.grants.is_pending = True
@@ -106,7 +108,7 @@
         empty = Capacity()
         tasks_per_worker = max(count_tasks(step, empty.total(s)) for s in candidates)
         share = self._granted_share_by_queue.get(queue.name, INITIAL_GRANTED_SHARE)
-        needed = 2 * step.spec.count / tasks_per_worker / max(share, 0.01)
+        needed = NAMED_ROOM_FACTOR * step.spec.count / tasks_per_worker / max(share, 0.01)
         requests = math.ceil(needed / MAX_WORKERS_PER_ADVICE_REQUEST)
         return min(requests, MAX_ADVICE_REQUESTS_PER_GANG) * MAX_WORKERS_PER_ADVICE_REQUEST
 
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -19,9 +19,9 @@
 
 __all__ = ["SOON", "PoolRuns", "SchedulingPass"]
 
-# Runs that are expected to end within this time count as free in a plan. Stopped runs end, and new
-# tickets arrive, in a similar time.
-SOON = timedelta(milliseconds=600)
+# Runs that are expected to end within this time count as free in a plan. Stopped runs end in a
+# similar time; a gang that waits longer for other runs keeps idle what it has found.
+SOON = timedelta(milliseconds=300)
 # Runs may use capacity kept for a gang if they would end before its start even if they took longer
 # than expected by this factor.
 BACKFILL_DURATION_FACTOR = 1.3
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -3,7 +3,7 @@
 import itertools
 import math
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -15,6 +15,7 @@
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.capacity import Capacity
 from hornbeamramp.poolowner.choice import (
+    MIN_GANG_SPEED,
     choose_each,
     choose_workers,
     could_all_run,
@@ -30,7 +31,7 @@
 from hornbeamramp.poolowner.preemption import choose_victims, expected_slots
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
-from hornbeamramp.workload import Queue
+from hornbeamramp.workload import URGENT, Queue
 
 if TYPE_CHECKING:
     from hornbeamramp.poolowner.owner import PoolOwner
@@ -38,16 +39,19 @@
 __all__ = ["Placer"]
 
 # Share of the pool's processors that gangs may keep from other steps while they wait for runs to
-# end that can't be preempted.
-MAX_DRAINED_SHARE = 0.25
+# end that can't be preempted. What is kept is idle for seconds.
+MAX_DRAINED_SHARE = 0.1
 # Most tasks of one step for which runs are preempted at a time. With more, victims would be chosen
 # before the worker's next list shows what the earlier stops have freed.
 MAX_TASKS_PER_PREEMPTION = 16
 # Minimum time between two searches for victims for one step; stopped runs end within 200 ms.
 PREEMPTION_INTERVAL = timedelta(milliseconds=100)
 
-# Room on granted workers to aim for, as a multiple of what a gang needs: other runs use part of it.
-GANG_ROOM_FACTOR = 2.5
+# Room on granted workers to aim for, as a multiple of what a gang needs: other gangs use most of
+# it, and only what small tasks use can be freed at once.
+GANG_ROOM_FACTOR = 7.0
+# Most workers whose tickets a gang without a plan keeps valid: two requests.
+MAX_TICKETS_WITHOUT_PLAN = 60
 # Tickets to renew for a plan, as a multiple of its workers. A request for twice as many workers
 # needs twice the VMs, or for narrow gangs up to a third more time.
 TICKETS_PER_PLANNED_WORKER = 1.5
@@ -56,7 +60,7 @@
 # step's workers, and only the steps that come first can get what is freed. Without a number of
 # their own, the gangs of a lower priority would get none while many urgent steps wait.
 SEARCH_INTERVAL = timedelta(milliseconds=50)
-MAX_SEARCHES = 8
+MAX_SEARCHES = 24
 # Minimum time between two plans for a gang that had no possible plan, so that those behind it get
 # their turn.
 FAILED_PLAN_INTERVAL = timedelta(milliseconds=200)
@@ -122,10 +126,11 @@
         self.speeds.forget(worker)
 
     def schedule(self) -> None:
-        """Places the units that fit, in order of priority.
+        """Places the units that fit: first those of steps that can still finish on time, then those
+        that come late, then those that are too late for their caller, each in order of priority.
 
-        Within a priority, steps that can still finish on time come first. Steps that are too late
-        for their caller come after all others, whatever their priority.
+        While capacity is short, a late step that came before others of a lower priority would make
+        them late, too.
         """
         now = self._clock.boot_time()
         if not self._owner.may_place():
@@ -241,7 +246,7 @@
         if not may_ask:
             return shortage
         if step.is_gang:
-            self._ask_for_gang(step, queue, plan, current)
+            self._ask_for_gang(step, queue, plan, current, may_prefetch)
             return shortage
         unasked = self._unasked(step, current, may_prefetch)
         if unasked:
@@ -267,13 +272,22 @@
         queue: Queue,
         plan: GangPlan | None,
         current: SchedulingPass,
+        may_prefetch: bool,
     ) -> None:
-        """Asks for more workers until a gang can be planned, then for the tickets of its plan."""
+        """Asks for more workers until a gang can be planned, then for the tickets of its plan.
+
+        A gang without a plan keeps the tickets of its granted workers valid while it can still be
+        on time. Otherwise the room that it finds would be idle until they are renewed.
+        """
         if plan is None:
+            unasked = []
             if self._granted_room(step, current) < GANG_ROOM_FACTOR * step.spec.count:
                 unasked = self._unasked(step, current, True)
-                if unasked:
-                    self._launcher.request_advice(step, queue, unasked)
+            if unasked:
+                self._launcher.request_advice(step, queue, unasked)
+            elif may_prefetch and step.lateness.level is LatenessLevel.ON_TIME:
+                granted = self._preferred_for_gang(step, current)
+                self._launcher.prefetch_tickets(step, queue, granted, len(granted))
             return
         granted = current.granted(step)
         # Besides those of the plan, the tickets of others that may have room by then.
@@ -283,6 +297,17 @@
         )[: math.ceil(TICKETS_PER_PLANNED_WORKER * len(plan.count_by_worker))]
         self._launcher.prefetch_tickets(step, queue, sessions, len(plan.count_by_worker))
 
+    def _preferred_for_gang(self, step: StepRun, current: SchedulingPass) -> list[WorkerSession]:
+        """Returns granted workers whose tickets a gang without a plan keeps valid: those that are
+        fast enough for gangs and have the most free processors first."""
+        free = current.capacity.free
+        granted = [session for session in current.granted(step) if could_ever_run(step, session)]
+        granted.sort(key=lambda session: (self._is_slow(session), -free(session)[0]))
+        return granted[:MAX_TICKETS_WITHOUT_PLAN]
+
+    def _is_slow(self, session: WorkerSession) -> bool:
+        return self.speeds.speed(UpstreamId(session.worker)) < MIN_GANG_SPEED
+
     @staticmethod
     def _granted_room(step: StepRun, current: SchedulingPass) -> int:
         """Returns how many of a step's tasks its granted workers could run if they were empty."""
@@ -382,12 +407,14 @@
         for worker, count in plan.count_by_worker.items():
             capacity.hold(worker, step.size, count, plan.starts_at)
 
-    @staticmethod
-    def _unasked(step: StepRun, current: SchedulingPass, may_prefetch: bool) -> list[WorkerSession]:
+    def _unasked(
+        self, step: StepRun, current: SchedulingPass, may_prefetch: bool
+    ) -> list[WorkerSession]:
         """Returns workers to include in a first advice request: those with capacity, or any that
         could run the step if it may prefetch.
 
-        Workers on which the step fits now come first, then those with the most free processors.
+        Workers on which the step fits now come first, then those with the most free processors. For
+        a gang, which rarely uses slow workers, these come last.
         """
         asked = step.grants.asked
         capacity, spare = current.capacities_for(step)
@@ -408,7 +435,8 @@
             (fitting if spare.fits(session, step.size) else others).append(session)
             if len(fitting) >= MAX_UNASKED:
                 break
-        return fitting + others
+        unasked = fitting + others
+        return sorted(unasked, key=self._is_slow) if step.is_gang else unasked
 
     def waiting_steps(self) -> list[StepRun]:
         """Returns the steps that wait, in the order of the latest pass."""
@@ -461,11 +489,9 @@
             assigned_by_worker.update(
                 attempt.session.worker for unit in step.units for attempt in unit.attempts()
             )
-        capacity, spare = current.capacities_for(step)
-        # What a gang kept in the pass before is its own.
-        for available in (spare, capacity) if step.plan is None else (capacity,):
+        for usable, available in self._choices(step, sessions, current):
             while step.waiting:
-                chosen = self._choose(step, sessions, assigned_by_worker, available)
+                chosen = self._choose(step, usable, assigned_by_worker, available)
                 if not chosen:
                     break
                 for unit, workers in chosen:
@@ -475,6 +501,24 @@
                 current.note_reserved()
         return reserved
 
+    def _choices(
+        self, step: StepRun, sessions: list[WorkerSession], current: SchedulingPass
+    ) -> Iterator[tuple[list[WorkerSession], Capacity]]:
+        """Yields workers to choose from, with their capacity, in the order of preference."""
+        capacity, spare = current.capacities_for(step)
+        if step.plan is not None:
+            # What a gang kept in the pass before is its own.
+            yield sessions, capacity
+            return
+        if step.job.record.priority == URGENT and not step.is_gang:
+            # On a slow worker an urgent task is late, so it rather uses what is kept for gangs.
+            fast = [session for session in sessions if not self._is_slow(session)]
+            if len(fast) < len(sessions):
+                yield fast, spare
+                yield fast, capacity
+        yield sessions, spare
+        yield sessions, capacity
+
     def _choose(
         self,
         step: StepRun,
@@ -503,5 +547,4 @@
 
 
 def _sort_key(step: StepRun) -> tuple[float, ...]:
-    level, priority = step.lateness.level, step.job.record.priority
-    return (level is LatenessLevel.TOO_LATE, priority, level, step.lateness.latest_start_ms)
+    return (step.lateness.level, step.job.record.priority, step.lateness.latest_start_ms)
--- a/tests/poolowner/test_placer.py
+++ b/tests/poolowner/test_placer.py
@@ -132,6 +132,15 @@
     assert (placed_on(quote), placed_on(batch)) == ([], ["w0"])
 
 
+def test_late_step_is_placed_after_less_urgent_work_that_can_be_on_time():
+    """Guards against a backlog of late urgent work that makes all other work late, too."""
+    owner = Owner([session("w0")])
+    late = owner.submit(WHOLE_WORKER, priority=1, age_s=20.0)
+    batch = owner.submit(WHOLE_WORKER, priority=2, age_s=1.0)
+    owner.placer.schedule()
+    assert (placed_on(late), placed_on(batch)) == ([], ["w0"])
+
+
 def test_nothing_is_preempted_for_a_step_that_is_too_late():
     owner = Owner([session("w0")])
     resumable = StepSpec(1, 1000, 100, 4, checkpointing=True)
