Name more than 30 workers in requests for gangs only

Change: steps that are no gangs, and narrow gangs, name 30 at first as before; a gang names as many as its room asks for. Result: the tests of narrow and of wide gangs fail on and pass; tests/poolowner passes.

--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -31,8 +31,10 @@
 
 __all__ = ["Launcher"]
 
-# A request takes far longer than one more worker in it, and tickets expire while it lasts.
-MAX_WORKERS_PER_ADVICE_REQUEST = 60
+# The platform's time limit for a job allows for one advice request about 30 workers per step.
+MAX_WORKERS_PER_ADVICE_REQUEST = 30
+# Gangs need more workers, and a second request takes far longer than another 30 workers in one.
+MAX_WORKERS_PER_GANG_REQUEST = 60
 # Most requests made at the same time for one gang, by as many VMs.
 MAX_ADVICE_REQUESTS_PER_GANG = 6
 # Granted room that the first requests for a gang aim at, as a multiple of what it needs. Gangs of
@@ -109,8 +111,8 @@
         tasks_per_worker = max(count_tasks(step, empty.total(s)) for s in candidates)
         share = self._granted_share_by_queue.get(queue.name, INITIAL_GRANTED_SHARE)
         needed = NAMED_ROOM_FACTOR * step.spec.count / tasks_per_worker / max(share, 0.01)
-        requests = math.ceil(needed / MAX_WORKERS_PER_ADVICE_REQUEST)
-        return min(requests, MAX_ADVICE_REQUESTS_PER_GANG) * MAX_WORKERS_PER_ADVICE_REQUEST
+        named = max(math.ceil(needed), MAX_WORKERS_PER_ADVICE_REQUEST)
+        return min(named, MAX_ADVICE_REQUESTS_PER_GANG * MAX_WORKERS_PER_GANG_REQUEST)
 
     def renew_and_launch(
         self, step: StepRun, queue: Queue, units: list[Unit], sessions: list[WorkerSession]
@@ -135,7 +137,7 @@
             number of tickets needed on any of them.
         """
         assert queue.advice is not None
-        named = min(len(sessions), MAX_WORKERS_PER_ADVICE_REQUEST)
+        named = min(len(sessions), _max_request_size(step))
         answer_expected_at = (
             self._clock.boot_time() + queue.advice.base + named * queue.advice.per_worker
         )
@@ -152,7 +154,7 @@
     ) -> None:
         # A gang needs the tickets of all its workers at the same time.
         limit = MAX_ADVICE_REQUESTS_PER_GANG if step.is_gang else 1
-        sessions = sessions[: limit * MAX_WORKERS_PER_ADVICE_REQUEST]
+        sessions = sessions[: limit * _max_request_size(step)]
         worker_ids = [UpstreamId(session.worker) for session in sessions]
         has_capacity = bool(units) or any(session.fits(step.size) for session in sessions)
         try:
@@ -179,7 +181,7 @@
         self, step: StepRun, queue: Queue, worker_ids: list[UpstreamId], deferral: timedelta
     ) -> None:
         """Requests advice on all the workers, in requests of equal size at the same time."""
-        requests = math.ceil(len(worker_ids) / MAX_WORKERS_PER_ADVICE_REQUEST)
+        requests = math.ceil(len(worker_ids) / _max_request_size(step))
         await asyncio.gather(
             *(
                 self._ask(step, queue, worker_ids[number::requests], deferral)
@@ -334,6 +336,11 @@
         return reply
 
 
+def _max_request_size(step: StepRun) -> int:
+    """Returns how many workers one advice request for a step names at most."""
+    return MAX_WORKERS_PER_GANG_REQUEST if step.is_gang else MAX_WORKERS_PER_ADVICE_REQUEST
+
+
 def _deferral(step: StepRun, has_capacity: bool) -> timedelta:
     """Returns how much later than its arrival an advice request is ranked."""
     if step.lateness.level is LatenessLevel.TOO_LATE:
--- a/tests/poolowner/test_wide_gangs.py
+++ b/tests/poolowner/test_wide_gangs.py
@@ -311,25 +311,36 @@
     assert [worker.worker for worker in asked[0][:2]] == ["w2", "w3"]
 
 
-def test_gang_asks_for_a_choice_of_workers():
-    """Guards against gangs that wait for seconds for the few workers granted to them, which other
-    gangs use: with twice the workers they needed, they started after 3 to 8 s."""
+def workers_named(spec):
+    """Returns the numbers of workers that the first advice requests for a step name, of 200."""
 
     async def ask():
         service, launch_owner = AdviceService(), LaunchOwner()
         journal = type("Journal", (), {"mark_dirty": lambda self, job: None})()
         launcher = Launcher(launch_owner, service, LoopClock(), journal)
-        job = Job(record(gang_of(20)))
+        job = Job(record(spec))
         job.open_occurrence(0)
         step = job.steps_by_occurrence[0][0]
         step.waiting = list(step.units)
         workers = [session(f"w{number}") for number in range(200)]
         launcher.request_advice(step, queue("gate"), workers)
         await asyncio.gather(*launch_owner.tasks)
-        return step.grants.asked
+        return [len(workers) for workers in service.requests]
+
+    return run_in_virtual_time(ask())
+
 
+def test_gang_asks_for_a_choice_of_workers():
+    """Guards against gangs that wait for seconds for the few workers granted to them, which other
+    gangs use: with twice the workers they needed, they started after 3 to 8 s."""
     # Half of the workers are expected to be granted, and each takes two members.
-    assert len(run_in_virtual_time(ask())) >= 4 * 20
+    assert sum(workers_named(gang_of(20))) == 6 * 20
+
+
+@pytest.mark.parametrize("spec", [gang_of(2), StepSpec(40, 4000, 100, estimate_ms=500)])
+def test_requests_for_narrow_gangs_and_other_steps_stay_short(spec):
+    """Guards against urgent tasks whose advice takes longer by workers they have no use for."""
+    assert workers_named(spec) == [30]
 
 
 def test_urgent_task_uses_the_room_of_a_gang_rather_than_a_slow_worker():
