Settle runs whose launch or stop failed unexpectedly

Cause: found by test while looking for what one unexpected error can do. An error that the code does not expect in a start order, in the record of a placement or in a stop left the run reserved, ordered or to be stopped for good: its capacity was never free again, its task never started, or a cancelled one ran on. Change: such a start counts as unanswered, such a stop is sent again, units that have not been ordered are placed again; an advice request that fails so is repeated, and units with tickets are launched. Each logs the error. Result: test_tasks_end_after_one_unexpected_error_of_a_launch_or_a_stop: four of its six cases (start, record, stop, run list) fail before, all pass. tests/vm, tests/fleet and tests/poolowner pass.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -177,9 +177,14 @@
             if not error.sent:
                 return StartReply.UNHEALTHY
             _log.info("start of {} run {} unanswered: {}", attempt.name, attempt.run, error)
-            if attempt.phase is AttemptPhase.ORDERED:
-                attempt.phase = AttemptPhase.UNCERTAIN
-                attempt.confirmed_at = None
+            self._mark_uncertain(attempt)
+            return None
+        except (FencedError, InstanceMismatchError):
+            raise
+        except Exception:
+            # The order may have been sent, and without an outcome the run would stay reserved.
+            _log.exception("start of {} run {} failed unexpectedly", attempt.name, attempt.run)
+            self._mark_uncertain(attempt)
             return None
         now = self._clock.boot_time()
         if reply is StartReply.STARTED and attempt.phase is AttemptPhase.ORDERED:
@@ -190,6 +195,13 @@
             attempt.confirmed_at = now
         return reply
 
+    @staticmethod
+    def _mark_uncertain(attempt: Attempt) -> None:
+        """Marks a run whose start order has no answer."""
+        if attempt.phase is AttemptPhase.ORDERED:
+            attempt.phase = AttemptPhase.UNCERTAIN
+            attempt.confirmed_at = None
+
     def deadline_ms(self) -> int:
         """Returns the end of a lease that begins now, in ms on the worker's clock."""
         return self._estimated_clock_ms() + int(RUN_LEASE / MILLISECOND)
@@ -242,6 +254,10 @@
         except (WorkerUnreachableError, FencedError, InstanceMismatchError) as error:
             _log.info("{}: can't get the run list after a stop: {!r}", self.worker, error)
             return
+        except Exception:
+            # The next hold call gets the list, too.
+            _log.exception("{}: run list after a stop failed unexpectedly", self.worker)
+            return
         self._apply(reply, requested_at)
 
     async def _stop_orphan(self, key: tuple[str, int]) -> None:
@@ -261,6 +277,10 @@
             self._owner.on_fenced(self)
         except InstanceMismatchError:
             self._on_instance_mismatch()
+        except Exception:
+            # It is sent again; given up, the run would go on and keep its capacity.
+            _log.exception("stop of {} run {} failed unexpectedly", task, run)
+            return False
         return True
 
     def _add_orphan(self, task: str, run: int) -> None:
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -159,6 +159,10 @@
         has_capacity = bool(units) or any(session.fits(step.size) for session in sessions)
         try:
             await self._ask_all(step, queue, worker_ids, _deferral(step, has_capacity))
+        except Exception:
+            # Units with reserved capacity are launched or queued again below.
+            _log.exception("{}: advice request failed unexpectedly", step.key)
+            step.grants.not_before = self._clock.boot_time() + ADVICE_RETRY_DELAY
         finally:
             step.grants.is_pending = False
             ready = [unit for unit in units if self._has_tickets(unit)]
@@ -246,6 +250,12 @@
             await self._start_units(units)
         except ClaimLostError as error:
             _log.info("{}: placement discarded, ownership claim lost: {}", step.key, error)
+        except Exception:
+            # Without this, units that have not been ordered would keep their capacity for good.
+            _log.exception("{}: launch failed unexpectedly, placing its units again", step.key)
+            for unit in units:
+                if all(a.phase is AttemptPhase.RESERVED for a in unit.attempts()):
+                    self._requeue(unit)
         finally:
             self._launches_in_flight -= 1
             if not self._launches_in_flight:
@@ -261,6 +271,8 @@
         worker_ids = [UpstreamId(worker) for worker in sorted(workers)]
         try:
             await self._ask_all(step, queue, worker_ids, timedelta(0))
+        except Exception:
+            _log.exception("{}: renewal of tickets failed unexpectedly", step.key)
         finally:
             ready = [unit for unit in units if self._has_tickets(unit, START_MARGIN)]
             for unit in units:
--- a/tests/vm/test_unexpected_errors.py
+++ b/tests/vm/test_unexpected_errors.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 
@@ -13,6 +14,7 @@
 from tests.model.cell import POOL, job
 from tests.vm.test_cell import in_cell
 
+SECOND = timedelta(seconds=1)
 LONG = job(StepSpec(1, 1000, 100, estimate_ms=3000))
 
 
@@ -46,6 +48,40 @@
     in_cell(scenario)
 
 
+@pytest.mark.parametrize("part", ["start", "advice", "renewal", "record", "stop", "list"])
+def test_tasks_end_after_one_unexpected_error_of_a_launch_or_a_stop(part):
+    """Guards against one error that leaves a run reserved, ordered or to be stopped for good: its
+    capacity was never free again, and its task never started."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        launcher = vm.owner._launcher
+        if part in ("stop", "list"):
+            await cell.submit("a" * 16, job(StepSpec(1, 1000, 100, estimate_ms=60_000)))
+            await asyncio.sleep(0.5)
+            fail_once(vm.workers, "stop")
+            if part == "list":
+                vm.workers.late_share = 1.0
+            await vm.service.cancel(cell.queues["batch"], "a" * 16, SECOND)
+            await asyncio.sleep(0.5)
+            vm.workers.late_share = 0.0
+        else:
+            target, method = {
+                "start": (vm.workers, "start"),
+                "advice": (launcher._advice, "ask"),
+                "renewal": (launcher, "_ask_all"),
+                "record": (launcher._journal, "wait_recorded"),
+            }[part]
+            fail_once(target, method)
+            await cell.submit("a" * 16, job(), queue_name="gate")
+            await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
+        await asyncio.sleep(3)
+        sessions = vm.owner.session_by_worker.values()
+        assert all(session.used == [0, 0, 0] for session in sessions)
+
+    in_cell(scenario)
+
+
 def test_pool_has_an_owner_again_after_an_unexpected_error_of_a_commit():
     async def scenario(cell):
         vm = await cell.wait_for_owner()
