Bound the leases of a former owner at the first list, whichever call it answers

A stop and the list after it may be answered while the session's first hold call waits on a dead connection. The session then knew the worker's clock but no lease, so when that call timed out, all runs counted as lapsed and their tasks started elsewhere while they went on. Ruled out by reading: the change of (a list under the own token), starts refused for certain, leases by the clock rate. Change: the first list sets the end of the newest lease to the latest that a former owner can have given. Result: test_runs_of_a_former_owner_go_on_when_the_first_hold_call_is_lost_after_another_list fails before (lapsed); tests/fleet, tests/vm and tests/poolowner pass. The full lease of the platform (10 s) instead of 6.1 s made test_long_running_task_is_restarted_after_its_worker_crashed fail, as tasks of lost workers waited longer than need be.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -388,6 +388,11 @@
         self._applied_request_at = requested_at
         # The first to be applied, whichever call it answers: lists may overtake one another.
         is_first = self._worker_clock_read_at is None
+        if is_first:
+            # Runs hold leases that a former owner gave by its estimate of the worker's clock. The
+            # token of this call prevents any further extension.
+            lease = min(RUN_LEASE / MIN_WORKER_CLOCK_RATE, self._longest_lease)
+            self._latest_deadline_ms = int(reply.clock_ms + lease / MILLISECOND)
         now = self._clock.boot_time()
         if self._boot_ms is not None and reply.boot_ms != self._boot_ms:
             self._on_restart(reply)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -13,11 +13,13 @@
     StartOrder,
     WorkerListing,
     WorkerSession,
+    WorkerUnreachableError,
 )
 from hornbeamramp.ids import JobId
 from hornbeamramp.poolowner.health import stalled_attempts
 from hornbeamramp.poolowner.jobs import Job, StepRun
 from hornbeamramp.resources import Resources
+from hornbeamramp.states import Step
 from hornbeamramp.workload import StepKey, StepSpec
 from tests.model.cell import job
 from tests.model.fleet import FleetView, ModelFleet
@@ -395,3 +397,38 @@
             await harness.background.cancel()
 
     run_in_virtual_time(scenario())
+
+
+def test_runs_of_a_former_owner_go_on_when_the_first_hold_call_is_lost_after_another_list():
+    """Guards against runs that count as lapsed although they go on, so that their tasks run twice.
+
+    When a cut ends, a stop and the list after it may be answered before the first hold call times
+    out on its dead connection. The session then knew the worker's clock but no lease, and took all
+    as expired (TWICE on hcjs-ramp-grown trouble-1, half a second after the end of a cut).
+    """
+
+    class LostFirstCall(FleetView):
+        calls = 0
+
+        async def hold(self, worker, *arguments):
+            self.calls += 1
+            if self.calls == 1:
+                await asyncio.sleep(0.3)
+                raise WorkerUnreachableError(Step.RENEW, worker.worker, "no answer")
+            return await super().hold(worker, *arguments)
+
+    async def scenario():
+        harness = SessionHarness(LostFirstCall)
+        try:
+            running, stopped = harness.attempt(0), harness.attempt(1)
+            running.phase = stopped.phase = AttemptPhase.UNCERTAIN
+            order = StartOrder(running.name, running.run, "payload", 6000, 4)
+            harness.worker.start(order)
+            harness.session.stop(stopped)
+            await asyncio.sleep(5.0)
+            assert harness.owner.ended == [(stopped.name, RunOutcome.LOST)]
+            assert running.name in harness.worker.run_by_task
+        finally:
+            await harness.background.cancel()
+
+    run_in_virtual_time(scenario())
