--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -50,7 +50,7 @@
 # Room on granted workers to aim for, as a multiple of what a gang needs: other gangs use most of
 # it, and only what small tasks use can be freed at once.
 GANG_ROOM_FACTOR = 7.0
-# Most workers whose tickets a gang without a plan keeps valid: two requests.
+# Most workers whose tickets a gang without a plan keeps valid, with one request at a time.
 MAX_TICKETS_WITHOUT_PLAN = 60
 # Tickets to renew for a plan, as a multiple of its workers. A request for twice as many workers
 # needs twice the VMs, or for narrow gangs up to a third more time.
