Renew tickets before a lost long-running task may start again

Cause: advice for the restart was requested only once the lease had lapsed. All tickets from before are invalid by then, and a request for this kind of step takes about a second.

Change: tickets on workers with room are renewed shortly before the lease lapses, so that the task starts as soon as it may. `WorkerSession.runs_end_by` tells when that is; it is what ended the runs before, too.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -211,6 +211,14 @@
         elapsed = self._clock.boot_time() - (self._worker_clock_read_at or timedelta(0))
         return int(self._worker_clock_ms + elapsed / MILLISECOND)
 
+    def runs_end_by(self) -> timedelta:
+        """Returns the boot time by which all runs have certainly ended if the worker isn't reached
+        again."""
+        if self._worker_clock_read_at is None:
+            return self._inherited_lease_until
+        lease = (self._latest_deadline_ms - self._worker_clock_ms) * MILLISECOND
+        return self._worker_clock_read_at + lease / MIN_WORKER_CLOCK_RATE
+
     def time_without_progress(self, attempt: Attempt) -> timedelta:
         """Returns for how long a run has made no progress, by the newest run list.
 
@@ -486,15 +494,7 @@
 
     def _end_lapsed_runs(self) -> None:
         """Ends all runs once their lease has certainly expired."""
-        if not self.attempt_by_key:
-            return
-        now = self._clock.boot_time()
-        if self._worker_clock_read_at is None:
-            has_lapsed = now > self._inherited_lease_until
-        else:
-            elapsed_ms = (now - self._worker_clock_read_at) / MILLISECOND * MIN_WORKER_CLOCK_RATE
-            has_lapsed = self._worker_clock_ms + elapsed_ms > self._latest_deadline_ms
-        if has_lapsed:
+        if self.attempt_by_key and self._clock.boot_time() > self.runs_end_by():
             self.reachable = False
             self._end_all(RunOutcome.LAPSED)
 
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -136,11 +136,7 @@
             Number of the first sessions whose tickets are needed; for a step that is no gang, the
             number of tickets needed on any of them.
         """
-        assert queue.advice is not None
-        named = min(len(sessions), _max_request_size(step))
-        answer_expected_at = (
-            self._clock.boot_time() + queue.advice.base + named * queue.advice.per_worker
-        )
+        answer_expected_at = self._clock.boot_time() + self.request_time(step, queue, len(sessions))
         needed = sessions[:required] if step.is_gang else sessions
         usable = sum(
             step.grants.has_ticket(UpstreamId(session.worker), answer_expected_at)
@@ -149,6 +145,16 @@
         if usable < required:
             self.renew_and_launch(step, queue, [], sessions)
 
+    @staticmethod
+    def request_time(
+        step: StepRun, queue: Queue, workers: int = MAX_WORKERS_PER_GANG_REQUEST
+    ) -> timedelta:
+        """Returns how long the advice service takes for a step, for as many of the workers as one
+        request names at most."""
+        assert queue.advice is not None
+        named = min(workers, _max_request_size(step))
+        return queue.advice.base + named * queue.advice.per_worker
+
     async def _ask_and_launch(
         self, step: StepRun, queue: Queue, sessions: list[WorkerSession], units: list[Unit]
     ) -> None:
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -70,6 +70,10 @@
 # two answers of the advice service, a step's feasibility changes only as workers come and go.
 LATENESS_INTERVAL = timedelta(milliseconds=250)
 FEASIBILITY_INTERVAL = timedelta(seconds=1)
+# Tickets for restarts of long-running tasks are requested so early that the answer is expected this
+# long before the lease of their runs on an unreachable worker lapses. It covers the wait for a free
+# VM, or one request without an answer.
+RESTART_LEAD = timedelta(seconds=1.5)
 # Candidates beyond this number are of no use: no advice request names more workers.
 MAX_UNASKED = 180
 # Nothing is kept for gangs.
@@ -156,6 +160,8 @@
             self._searched_at = now
             self._searches.clear()
         current = self._begin_pass(now)
+        if self._is_searching:
+            self._prepare_restarts(current)
         prefetches_left = self._launcher.max_prefetching_steps()
         for step in self._open_steps:
             try:
@@ -174,6 +180,39 @@
             prefetches_left -= is_feasible
             step.wait.set(reason if is_feasible else WaitReason.WORKER, now)
 
+    def _prepare_restarts(self, current: SchedulingPass) -> None:
+        """Renews tickets for long-running tasks on unreachable workers before their leases lapse.
+
+        Until then they can't be started elsewhere. An advice request after that would add a second
+        or more to the time for which their users are without them.
+        """
+        for step, attempts in _unreachable_long_running(self._owner.session_by_worker.values()):
+            queue = self._owner.queue_of(step.job)
+            if queue is None or queue.advice is None or step.grants.is_pending:
+                continue
+            lapses_at = min(attempt.session.runs_end_by() for attempt in attempts)
+            prepared_by = lapses_at - RESTART_LEAD - self._launcher.request_time(step, queue)
+            if current.now < max(prepared_by, step.grants.not_before):
+                continue
+            try:
+                sessions = self._restart_workers(step, len(attempts), current)
+                if sessions:
+                    self._launcher.prefetch_tickets(step, queue, sessions, len(attempts))
+            except Exception:
+                # Its tickets are requested after the lapse then.
+                _log.exception("{}: restart can't be prepared", step.key)
+
+    def _restart_workers(
+        self, step: StepRun, tasks: int, current: SchedulingPass
+    ) -> list[WorkerSession]:
+        """Returns the workers on which tasks of a step may start again, those with room first."""
+        capacity, _ = current.capacities_for(step)
+        granted = [s for s in current.granted(step) if could_ever_run(step, s)]
+        with_room = [session for session in granted if capacity.fits(session, step.size)]
+        if len(with_room) < tasks:
+            with_room += self._unasked(step, current, True)
+        return with_room or granted
+
     def _begin_pass(self, now: timedelta) -> SchedulingPass:
         usable_by_id = {
             worker: session
@@ -546,5 +585,20 @@
             session.reserve(task.attempt)
 
 
+def _unreachable_long_running(
+    sessions: Iterable[WorkerSession],
+) -> list[tuple[StepRun, list[Attempt]]]:
+    """Returns the steps with long-running tasks on unreachable workers, and their runs there."""
+    attempts_by_step: dict[StepRun, list[Attempt]] = {}
+    for session in sessions:
+        if session.reachable:
+            continue
+        for attempt in session.attempt_by_key.values():
+            step: StepRun = attempt.task.unit.step
+            if step.spec.long_running and not step.job.is_ended:
+                attempts_by_step.setdefault(step, []).append(attempt)
+    return list(attempts_by_step.items())
+
+
 def _sort_key(step: StepRun) -> tuple[float, ...]:
     return (step.lateness.level, step.job.record.priority, step.lateness.latest_start_ms)
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -89,11 +89,15 @@
     """Grants each step w0, w1 and a fixed share of the other workers.
 
     Tickets expire after 2 s.
+
+    `decision_time`
+        Time that each call takes.
     """
 
     def __init__(self, clock: Clock, share: float) -> None:
         self._clock = clock
         self._share = share
+        self.decision_time = timedelta(milliseconds=10)
         self.is_down = False
         self.calls = 0
 
@@ -112,7 +116,7 @@
         if self.is_down:
             await self._clock.sleep(timeout)
             raise AdviceUnavailableError("no answer")
-        await self._clock.sleep(timedelta(milliseconds=10))
+        await self._clock.sleep(self.decision_time)
         expiry_s = self._clock.boot_time().total_seconds() + 2.0
         ticket_by_worker = {
             w: f"{step}@{w}|{expiry_s}" for w in workers if self.is_granted(str(step), w)
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -11,7 +11,7 @@
 from hornbeamramp.vm import CancelResult, UnavailableError
 from hornbeamramp.vm.node import CLAIM_CHECK_PERIOD
 from hornbeamramp.workload import JobPhase, StepSpec
-from tests.model.cell import POOL, REQUEST_TIMEOUT, ModelCell, job
+from tests.model.cell import POOL, REQUEST_TIMEOUT, ModelCell, job, queue
 from tests.model.virtual_time import run_in_virtual_time
 
 
@@ -132,6 +132,29 @@
     in_cell(scenario)
 
 
+def test_lost_long_running_task_restarts_without_waiting_for_advice():
+    """Advice for the restart was requested only after the lease of the lost run had lapsed, and one
+    request without an answer made the task miss its bound: three seconds after the six of the lease
+    (kaya-kantar-grown, workers-gone-in-calm)."""
+
+    async def scenario(cell):
+        cell.queues["guard"] = queue("guard", 1, decide_ms=1000)
+        cell.configure()
+        cell.advice.decision_time = timedelta(seconds=1)
+        await asyncio.sleep(1.0)
+        spec = job(StepSpec(3, 4000, 100, long_running=True))
+        await cell.submit("e" * 16, spec, "guard")
+        await asyncio.sleep(5.0)
+        assert len(cell.fleet.starts) == 3
+        worker = cell.fleet.starts[0][1]
+        lost = sum(start[1] == worker for start in cell.fleet.starts)
+        cell.fleet.worker_by_name[worker].crash()
+        await asyncio.sleep(6.5)
+        assert len(cell.fleet.starts) == 3 + lost
+
+    in_cell(scenario, workers=8)
+
+
 def test_draining_worker_gets_no_new_tasks_and_its_long_running_task_moves():
     async def scenario(cell):
         await cell.submit("f" * 16, job(StepSpec(1, 1000, 100, long_running=True)))
