Let long-running tasks that don't run ask for advice at once

Cause: while more steps wait than may fetch tickets ahead, a request names only workers with free capacity, and while requests wait, only urgent steps may ask. Both hold back steps that would use capacity that others need more, but a long-running task is missed from the moment at which it doesn't run, and its requests take a second however few workers they name.

Change: steps with long-running tasks are left out of both limits. There are few of them at a time, each with one request.

Evidence: test_long_running_task_asks_for_advice_behind_the_prefetch_limit and test_long_running_task_asks_for_advice_while_other_requests_wait fail before.

--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -90,10 +90,13 @@
     def may_ask(self, step: StepRun) -> bool:
         """Returns whether an advice request for the step would be sent soon.
 
-        While there is a backlog, only urgent steps may ask. Others wait in the placer, so that
-        their requests are made for the capacity that is free by then.
+        While there is a backlog, only urgent steps and those with long-running tasks may ask.
+        Others wait in the placer, so that their requests are made for the capacity that is free by
+        then.
         """
-        return self._advice.backlog < 1 or step.job.record.priority == URGENT
+        return (
+            self._advice.backlog < 1 or step.job.record.priority == URGENT or step.spec.long_running
+        )
 
     def request_advice(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
         """Requests advice on which of the first of these workers may run the step.
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -31,7 +31,7 @@
 from hornbeamramp.poolowner.preemption import choose_victims, expected_slots
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
-from hornbeamramp.workload import URGENT, Queue
+from hornbeamramp.workload import URGENT, AdviceTiming, Queue
 
 if TYPE_CHECKING:
     from hornbeamramp.poolowner.owner import PoolOwner
@@ -165,7 +165,9 @@
         prefetches_left = self._launcher.max_prefetching_steps()
         for step in self._open_steps:
             try:
-                reason = self._place(step, current, prefetches_left > 0)
+                # A long-running task that doesn't run is missed at once, however many steps wait.
+                may_prefetch = prefetches_left > 0 or step.spec.long_running
+                reason = self._place(step, current, may_prefetch)
             except Exception:
                 # One step must not keep all others from being placed.
                 _log.exception("{}: placement failed unexpectedly, trying again", step.key)
@@ -258,7 +260,7 @@
         if queue is None or queue.advice is None:
             self._launch_on(step, current.with_capacity(), current)
             if step.waiting:
-                self._make_room(step, current, needs_grant=False)
+                self._make_room(step, current, None)
             return shortage
         grants = step.grants
         now = current.now
@@ -275,7 +277,7 @@
         if reserved:
             self._launcher.renew_and_launch(step, queue, reserved, current.granted(step))
             return shortage
-        plan = self._make_room(step, current, needs_grant=True) if grants.granted else None
+        plan = self._make_room(step, current, queue.advice) if grants.granted else None
         if not grants.granted:
             shortage = WaitReason.ADVICE
         elif (step.is_gang and plan is not None) or (
@@ -363,15 +365,16 @@
             self._owner.spawn(self._launcher.launch(step, placed))
 
     def _make_room(
-        self, step: StepRun, current: SchedulingPass, needs_grant: bool
+        self, step: StepRun, current: SchedulingPass, advice: AdviceTiming | None
     ) -> GangPlan | None:
         """Preempts runs for a step that does not fit, and keeps capacity for a gang.
 
         Returns the plan of a gang that is going to fit soon.
 
-        `needs_grant`
-            Whether the step may only run on the workers that are granted to it.
+        `advice`
+            Timing of advice requests; ``None`` if the step may run on all workers.
         """
+        needs_grant = advice is not None
         if step.lateness.level is LatenessLevel.TOO_LATE:
             step.plan = None
             return None
@@ -427,8 +430,7 @@
         capacity, _ = current.capacities_for(unit.step)
         ready = sessions
         if needs_tickets:
-            grants, now = unit.step.grants, current.now
-            ready = [s for s in sessions if grants.has_ticket(UpstreamId(s.worker), now, SOON)]
+            ready = _with_tickets(unit.step, sessions, current.now)
         plan = plan_gang(unit, ready, capacity, self.speeds, current.runs)
         if plan is not None:
             self._stop_victims(unit.step, plan.victims)
@@ -585,6 +587,14 @@
             session.reserve(task.attempt)
 
 
+def _with_tickets(
+    step: StepRun, sessions: Iterable[WorkerSession], now: timedelta
+) -> list[WorkerSession]:
+    """Returns the workers whose tickets are still valid once runs that are stopped now have
+    ended."""
+    return [s for s in sessions if step.grants.has_ticket(UpstreamId(s.worker), now, SOON)]
+
+
 def _unreachable_long_running(
     sessions: Iterable[WorkerSession],
 ) -> list[tuple[StepRun, list[Attempt]]]:
--- a/tests/poolowner/test_placer.py
+++ b/tests/poolowner/test_placer.py
@@ -2,8 +2,10 @@
 
 from collections import Counter
 from datetime import timedelta
+from types import SimpleNamespace
 
 from hornbeamramp.clock import ManualClock
+from hornbeamramp.poolowner import launch
 from hornbeamramp.poolowner.advice import Advice
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.placer import Placer
@@ -109,6 +111,33 @@
     assert feasible in owner.launcher.renewed
 
 
+GUARD = StepSpec(1, 4000, 100, long_running=True)
+
+
+def test_long_running_task_asks_for_advice_behind_the_prefetch_limit():
+    """Guards against a request that names only workers with room, here none, while other steps use
+    up the prefetch limit: a lost task asked for one worker and was away for twelve seconds
+    (kaya-kantar-grown, workers-gone-under-load)."""
+    owner = Owner([session("w0"), session("w1")])
+    for worker in owner.session_by_worker.values():
+        running(worker, WHOLE_WORKER, priority=0)
+        running(worker, StepSpec(1, 7000, 100), priority=0)
+    for _ in range(4):
+        owner.grant(owner.submit(WHOLE_WORKER, name="gate", priority=0, age_s=0.5), "w0")
+    guard = owner.submit(GUARD, name="gate", priority=1)
+    owner.placer.schedule()
+    assert guard in owner.launcher.asked
+
+
+def test_long_running_task_asks_for_advice_while_other_requests_wait():
+    """Guards against a lost task that waits until no other request does."""
+    advice = SimpleNamespace(backlog=5, parallelism=4)
+    launcher = launch.Launcher(None, advice, ManualClock(), None)
+    owner = Owner([session("w0")])
+    assert launcher.may_ask(owner.submit(GUARD, priority=1))
+    assert not launcher.may_ask(owner.submit(WHOLE_WORKER, priority=1))
+
+
 def test_after_an_outage_steps_that_can_be_on_time_are_placed_before_late_ones():
     """Guards against placement in order of acceptance: after an outage of 5 s, every job behind the
     backlog was late for another 20 s."""
