Preempt runs for a step only once its tickets can be used

Cause: victims were chosen on all granted workers, while the tickets of this kind of step take a second. Stopped runs end in 0.2 s, and other steps use the room.

Change: for steps whose advice takes longer than stopped runs need to end, runs are preempted only on workers with a valid ticket.

Evidence: test_nothing_is_preempted_for_a_step_that_waits_a_second_for_its_tickets fails before.

--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -385,6 +385,9 @@
                 step.plan = self._plan(step.waiting[0], sessions, current, needs_grant)
             else:
                 step.preemption_checked_at = current.now
+                if advice is not None and advice.base > SOON:
+                    # Room freed before tickets arrive would be idle, or used by other steps.
+                    sessions = _with_tickets(step, sessions, current.now)
                 self._preempt(step, sessions, current.now)
         elif step.planned_at is not None and current.now - step.planned_at > MAX_PLAN_AGE:
             step.plan = None
--- a/tests/poolowner/test_placer.py
+++ b/tests/poolowner/test_placer.py
@@ -129,6 +129,25 @@
     assert guard in owner.launcher.asked
 
 
+def test_nothing_is_preempted_for_a_step_that_waits_a_second_for_its_tickets():
+    """Guards against room that is freed long before the tickets arrive: eight runs were stopped for
+    one task and it started on none of their workers (kaya-kantar-grown, workers-gone-under-load).
+    """
+    owner = Owner([session("w0")])
+    owner.queues["guard"] = queue("guard", 1, decide_ms=700)
+    resumable = StepSpec(1, 8000, 100, checkpointing=True)
+    victim = running(owner.session_by_worker["w0"], resumable, priority=2)
+    guard = owner.submit(GUARD, name="guard", priority=1)
+    owner.grant(guard, "w0")
+    guard.grants.valid_until.clear()
+    owner.placer.schedule()
+    assert not victim.stop_wanted
+    owner.grant(guard, "w0")
+    owner.clock.set(owner.clock.boot_time() + timedelta(seconds=0.2))
+    owner.placer.schedule()
+    assert victim.stop_wanted
+
+
 def test_long_running_task_asks_for_advice_while_other_requests_wait():
     """Guards against a lost task that waits until no other request does."""
     advice = SimpleNamespace(backlog=5, parallelism=4)
