Turn headers and host names that can't be written into failed requests

One worker entry with a host label of over 63 characters, or with control characters in its id, made each request to it raise UnicodeError or ValueError. The session of that worker ended, and was restarted with a traceback in the log, four times a second.

HttpClient caught the errors of aiohttp and of sockets only. The new tests failed with 'UnicodeError: encoding with 'idna' codec failed' and 'ValueError: Forbidden control character detected in headers'. Both are now a failed request of which nothing was sent, which sessions already handle.

--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -168,7 +168,9 @@
         except TimeoutError as error:
             self._retire(session)
             raise RequestFailedError(f"no answer within {limit:.3f} s", state.sent) from error
-        except (aiohttp.ClientError, OSError, _DisconnectedError) as error:
+        except (aiohttp.ClientError, OSError, ValueError, _DisconnectedError) as error:
+            # aiohttp raises ``ValueError`` for a header that can't be written and ``UnicodeError``
+            # for a host name that can't be encoded.
             if not state.allowed:
                 raise RequestFailedError(
                     "not sent: the check returned false", state.sent
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -248,6 +248,35 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("host", ["a" * 64, "a..b", "."], ids=["label", "empty label", "dot"])
+def test_address_that_no_resolver_takes_is_a_failed_request(run, host):
+    """Guards against a loop of requests that one address in the list of workers ends."""
+
+    async def scenario():
+        async with connected(f"{host}:80") as client:
+            with pytest.raises(RequestFailedError) as failure:
+                await client.request("POST", "/hold", b"{}")
+            assert not failure.value.sent
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("value", ["a\nb", "a\rb", "a\0b", "\x7f"])
+def test_header_that_can_not_be_written_is_a_failed_request(run, value):
+    """Guards against a loop of requests that one worker id with control characters ends."""
+
+    async def scenario():
+        async with serving() as server, connected(server.address) as client:
+            with pytest.raises(RequestFailedError) as failure:
+                await client.request("POST", "/hold", b"{}", {"Expect-Instance": value})
+            assert not failure.value.sent
+            reply = await client.request("POST", "/hold", b"{}", {"Expect-Instance": "w1"})
+            assert reply.body == b"ok"
+            assert len(server.requests) == 1
+
+    run(scenario())
+
+
 def test_sockets_detect_a_peer_that_is_gone():
     """Guards against connections without keepalive or TCP_USER_TIMEOUT."""
     entry = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", ("127.0.0.1", 1))
