Reject worker entries whose id or address can't be used

The id and the address of a worker's entry were used as they came: ids with spaces, control characters or none at all, addresses without a port, with one out of range, with a path or user info, and host names, which the platform can't look up. Each of them was followed like a worker, four failed requests a second; '0.0.0.0', or an address with a path, reached another machine than the entry's.

decode_worker now takes an id of printable ASCII characters and an IPv4 address with a port, as the platform has no name lookups, and its error names the field.

--- a/hornbeamramp/platform/decoding.py
+++ b/hornbeamramp/platform/decoding.py
@@ -1,5 +1,7 @@
 """Decodes the operators' configuration, worker entries and jobs from the platform's format."""
 
+import ipaddress
+import re
 from datetime import timedelta
 from typing import Annotated
 
@@ -43,6 +45,14 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 
+# Worker ids go into an HTTP header and into records. The store's keys have at most 200 bytes.
+WORKER_ID = re.compile(r"[!-~]{1,200}")
+# The platform has no name lookups, so a worker's address is always IPv4.
+ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
+MAX_PORT = 65_535
+# Characters of a wrong value that an error repeats.
+MAX_QUOTED = 60
+
 # Errors of the decoder. A document that is nested too deeply raises ``RecursionError``.
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
@@ -201,18 +211,38 @@
     )
 
 
+def _check_address(address: str) -> str:
+    """Returns what is wrong with a worker's address; empty if it can be called."""
+    match = ADDRESS.fullmatch(address)
+    try:
+        host = ipaddress.IPv4Address(match[1]) if match is not None else None
+    except ipaddress.AddressValueError:
+        host = None
+    if match is None or host is None or int(match[2]) > MAX_PORT:
+        return f"address: {address[:MAX_QUOTED]!r} is not an IPv4 address with a port"
+    if host.is_unspecified or host.is_multicast or host.is_reserved:
+        return f"address: {address!r} is not the address of a machine"
+    return ""
+
+
 def decode_worker(item: Item) -> Result[WorkerListing, str]:
-    """Decodes a worker's entry."""
+    """Decodes a worker's entry. The error names the field."""
+    worker = item.key.removeprefix(WORKER_PREFIX)
+    if not WORKER_ID.fullmatch(worker):
+        return Err("key: the worker id is not 1 to 200 printable ASCII characters without spaces")
     try:
         wire = msgspec.json.decode(item.value, type=WireWorker)
     except DECODE_ERRORS as error:
         return Err(str(error))
     if wire.state not in ("ready", "draining"):
-        return Err(f"state {wire.state!r} is not known")
+        return Err(f"state: {wire.state[:MAX_QUOTED]!r} is not known")
+    problem = _check_address(wire.address)
+    if problem:
+        return Err(problem)
     remaining = wire.drain_remaining_ms
     return Ok(
         WorkerListing(
-            worker=UpstreamId(item.key.removeprefix(WORKER_PREFIX)),
+            worker=UpstreamId(worker),
             pool=PoolName(wire.service),
             address=wire.address,
             data_centre=DataCentreId(wire.zone),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -80,6 +80,69 @@
     assert isinstance(decode_worker(item("servers/i-1", {**WORKER, **change})), Err)
 
 
+ODD_ADDRESSES = [
+    "",
+    ":80",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:0",
+    "127.0.0.1:080",
+    "127.0.0.1:65536",
+    "127.0.0.1:99999999999",
+    "127.0.0.1:-1",
+    "127.0.0.1:+1",
+    "127.0.0.1:1_0",
+    "127.0.0.1:http",
+    "127.0.0.1:\u0663",
+    "127.0.0.1:1/x",
+    "127.0.0.1:1?x",
+    "127.0.0.1:1#x",
+    "127.0.0.1:1\n",
+    " 127.0.0.1:1",
+    "127.0.0.1 :1",
+    "user:word@127.0.0.1:1",
+    "http://127.0.0.1:1",
+    "256.0.0.1:1",
+    "127.1:1",
+    "0.0.0.0:1",
+    "224.0.0.1:1",
+    "255.255.255.255:1",
+    "[::1]:1",
+    "::1:1",
+    "a" * 64 + ":1",
+    "a..b:1",
+    "worker.example:1",
+    "w\u00e9:1",
+    "\x00:1",
+    "1" * 100_000,
+]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda address: ascii(address[:24]))
+def test_worker_entry_with_an_address_that_can_not_be_called_is_rejected(address):
+    """Guards against addresses that end the requests to them, resolve names, or reach another
+    machine than the entry's worker."""
+    decoded = decode_worker(item("servers/i-1", {**WORKER, "address": address}))
+    assert decoded.unwrap_err().startswith("address: ")
+    assert len(decoded.unwrap_err()) < 200
+
+
+@pytest.mark.parametrize(
+    "worker",
+    ["", "a\nb", "a\rb", "a\x00b", "\x7f", "a b", " ", "\u00e9", "\ufffd", "x" * 201],
+    ids=lambda worker: ascii(worker[:8]),
+)
+def test_worker_entry_under_a_key_that_can_not_be_an_id_is_rejected(worker):
+    """Guards against ids that can't be written into a request header or into records."""
+    decoded = decode_worker(item(f"servers/{worker}", WORKER))
+    assert decoded.unwrap_err().startswith("key: ")
+
+
+def test_worker_entry_may_have_fields_that_are_not_known():
+    entry = {**WORKER, "kind": {"a": [1, 10**30]}, "slots": 10**400, "sequence": None}
+    assert decode_worker(item("servers/i-1", entry)).is_ok()
+
+
 def test_worker_entry_that_is_not_json_is_rejected():
     assert isinstance(decode_worker(item("servers/i-1", b"\x80garbage")), Err)
 
