Reject worker entries with an absurd capacity, birth time or labels

The capacity of an entry could be any integer up to 2**53, its time of birth any integer at all, and its labels any number of strings of any length. An entry written over that of a live worker could so give it room for all tasks of its pool, or keep capacity for gangs (a tenth of the pool's) out of all proportion.

decode_worker bounds them far above any machine; a worker without processors runs nothing, so 0 is rejected, too. Of the new cases, 8 failed before (the entry was Ok); the others show what was rejected already. Empty labels stay legitimate.

--- a/hornbeamramp/platform/decoding.py
+++ b/hornbeamramp/platform/decoding.py
@@ -41,18 +41,27 @@
 # About 30 years, within the range of ``timedelta``.
 MAX_MILLISECONDS = 1e12
 
-Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
-
 # Worker ids go into an HTTP header and into records. The store's keys have at most 200 bytes.
 WORKER_ID = re.compile(r"[!-~]{1,200}")
 # The platform has no name lookups, so a worker's address is always IPv4.
 ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
 MAX_PORT = 65_535
+# Far above any machine. A larger capacity is an error, and the tasks placed by it would be too many
+# for the worker.
+MAX_PROCESSORS_MILLI = 10_000_000
+MAX_MEMORY_MIB = 1_000_000_000
+MAX_ACCELERATORS = 10_000
+# Workers have two labels. Those of all workers are searched for each step that is placed.
+MAX_LABELS = 64
+MAX_LABEL_LENGTH = 200
 # Characters of a wrong value that an error repeats.
 MAX_QUOTED = 60
 
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Label = Annotated[str, msgspec.Meta(max_length=MAX_LABEL_LENGTH)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
+
 # Errors of the decoder. A document that is nested too deeply raises ``RecursionError``.
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
@@ -105,11 +114,11 @@
 
 
 class WireCapacity(msgspec.Struct, frozen=True, rename="kebab"):
-    """``cpu`` is in thousandths of a core."""
+    """``cpu`` is in thousandths of a core. A worker without processors can run nothing."""
 
-    cpu: Count
-    mem_mb: Count
-    gpu: Count = 0
+    cpu: Annotated[int, msgspec.Meta(ge=1, le=MAX_PROCESSORS_MILLI)]
+    mem_mb: Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MIB)]
+    gpu: Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)] = 0
 
 
 class WireWorker(msgspec.Struct, frozen=True, rename="kebab"):
@@ -121,8 +130,8 @@
     zone: str
     state: str
     capacity: WireCapacity
-    labels: list[str] = []
-    born: int = 0
+    labels: Annotated[list[Label], msgspec.Meta(max_length=MAX_LABELS)] = []
+    born: Count = 0
     drain_remaining_ms: Milliseconds | None = None
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -138,6 +138,53 @@
     assert decoded.unwrap_err().startswith("key: ")
 
 
+CAPACITY = WORKER["capacity"]
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"capacity": {**CAPACITY, "cpu": 0}}, "capacity.cpu"),
+        ({"capacity": {**CAPACITY, "cpu": -1}}, "capacity.cpu"),
+        ({"capacity": {**CAPACITY, "cpu": 2**53 - 1}}, "capacity.cpu"),
+        ({"capacity": {**CAPACITY, "cpu": 2**53}}, "capacity.cpu"),
+        ({"capacity": {**CAPACITY, "cpu": 0.5}}, "capacity.cpu"),
+        ({"capacity": {**CAPACITY, "mem-mb": 2**53 - 1}}, "capacity.mem-mb"),
+        ({"capacity": {**CAPACITY, "gpu": 2**53 - 1}}, "capacity.gpu"),
+        ({"capacity": {**CAPACITY, "gpu": 10**400}}, "capacity.gpu"),
+        ({"born": 2**70}, "born"),
+        ({"born": -1}, "born"),
+        ({"born": 1.5}, "born"),
+        ({"born": "1776994203015"}, "born"),
+        ({"labels": "a"}, "labels"),
+        ({"labels": ["a", ["r1"]]}, "labels[1]"),
+        ({"labels": ["a", 5]}, "labels[1]"),
+        ({"labels": ["a"] * 5000}, "labels"),
+        ({"labels": ["a", "r" * 5000]}, "labels[1]"),
+        ({"drain-remaining-ms": 1e300}, "drain-remaining-ms"),
+        ({"drain-remaining-ms": -1}, "drain-remaining-ms"),
+        ({"drain-remaining-ms": []}, "drain-remaining-ms"),
+        ({"zone": {}}, "zone"),
+        ({"state": "x" * 5000}, "state"),
+    ],
+    ids=lambda value: ascii(value)[:40],
+)
+def test_worker_entry_with_a_value_out_of_range_is_rejected_with_its_field(change, field):
+    """Guards against capacities, times and labels that are absurd but can be decoded.
+
+    With a capacity of 2**53 - 1, one worker would have room for all tasks of its pool.
+    """
+    reason = decode_worker(item("servers/i-1", {**WORKER, **change})).unwrap_err()
+    assert reason.startswith(f"{field}: ") or f"`$.{field}`" in reason
+    assert len(reason) < 200
+
+
+@pytest.mark.parametrize("labels", [[], [""], ["a", ""], ["\u00fc", "r1"]])
+def test_worker_entry_with_few_or_empty_labels_is_used(labels):
+    listing = decode_worker(item("servers/i-1", {**WORKER, "labels": labels})).unwrap()
+    assert listing.rack == (labels[-1] if labels else "")
+
+
 def test_worker_entry_may_have_fields_that_are_not_known():
     entry = {**WORKER, "kind": {"a": [1, 10**30]}, "slots": 10**400, "sequence": None}
     assert decode_worker(item("servers/i-1", entry)).is_ok()
