Reject run lists of workers with values out of range

Clocks, run numbers and numbers of ends in a worker's answer to a hold call could be integers of any size, and names, checkpoints and lists of any length. A clock of 2**70 ms made time_without_progress raise OverflowError ('Python int too large to convert to C int'), which ended the checks of all runs of the pool, each time; one of 10**400 ms ended the worker's session each time. Run numbers above 64 bits can't be sent back in a stop. A checkpoint is recorded with the progress of other jobs; by the code, a commit that the store refuses as too large is repeated for good, though no such answer has been seen.

The answer is now a failed call, so the worker counts as unreachable and its runs lapse, as after silence.

--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Any
 
 import logbook
 import msgspec
@@ -51,14 +51,26 @@
 }
 
 
+# Run and end numbers, clocks and times are sent back to workers or recorded, and time is computed
+# with them.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+# A task's name is ID.K.STEP.INDEX.
+TaskName = Annotated[str, msgspec.Meta(max_length=100)]
+# Checkpoints are recorded with the progress of other jobs, in values of up to 1 MiB. The workers'
+# have 16 characters.
+Checkpoint = Annotated[str, msgspec.Meta(max_length=1000)]
+# A worker lists up to 500 ends at a time, and runs far fewer tasks than this.
+MAX_ROWS = 20_000
+
+
 class WireRefusal(msgspec.Struct, frozen=True):
     reason: str = ""
 
 
 class WireRunning(msgspec.Struct, frozen=True, array_like=True):
-    task: str
-    run: int
-    saved: str | None
+    task: TaskName
+    run: Count
+    saved: Checkpoint | None
     percent: float
     load: float | None = 0.0
 
@@ -67,11 +79,11 @@
 
 
 class WireEnded(msgspec.Struct, frozen=True, array_like=True):
-    number: int
-    task: str
-    run: int
+    number: Count
+    task: TaskName
+    run: Count
     how: str
-    saved: str | None
+    saved: Checkpoint | None
 
     def decode(self) -> EndedRun:
         # An unknown outcome still means that the run has ended; without a known result it is lost.
@@ -82,10 +94,10 @@
 class WireHold(msgspec.Struct, frozen=True, rename="kebab"):
     """Answer to a hold call. ``born`` is the Unix time in ms at which the worker started."""
 
-    clock_ms: int
-    running: list[WireRunning]
-    ended: list[WireEnded]
-    born: int = 0
+    clock_ms: Count
+    running: Annotated[list[WireRunning], msgspec.Meta(max_length=MAX_ROWS)]
+    ended: Annotated[list[WireEnded], msgspec.Meta(max_length=MAX_ROWS)]
+    born: Count = 0
 
 
 class PlatformWorkers(WorkerClient):
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -150,6 +150,49 @@
         assert all(isinstance(row.number, int) for row in reply.ended)
 
 
+END = [1, "b", 1, "done", ""]
+
+
+def _hold(**changes):
+    return {**HOLD, **{name.replace("_", "-"): value for name, value in changes.items()}}
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        _hold(clock_ms=2**53),
+        _hold(clock_ms=2**63),
+        _hold(clock_ms=2**70),
+        _hold(clock_ms=10**400),
+        _hold(clock_ms=-1),
+        _hold(born=2**70),
+        _hold(born=-1),
+        _hold(running=[["a.0.0.0", 2**64, "", 41]]),
+        _hold(running=[["a.0.0.0", -1, "", 41]]),
+        _hold(running=[["a" * 5000, 2, "", 41]]),
+        _hold(running=[["a.0.0.0", 2, "c" * 5000, 41]]),
+        _hold(running=[[f"a.0.0.{n}", 2, "", 41] for n in range(30_000)]),
+        _hold(ended=[[2**64, "b", 1, "done", ""]]),
+        _hold(ended=[[-1, "b", 1, "done", ""]]),
+        _hold(ended=[[1, "b", 2**64, "done", ""]]),
+        _hold(ended=[[1, "b" * 5000, 1, "done", ""]]),
+        _hold(ended=[[1, "b", 1, "done", "c" * 5000]]),
+        _hold(ended=[[n, "b", 1, "done", ""] for n in range(30_000)]),
+    ],
+    ids=lambda reply: str(reply)[:60],
+)
+def test_run_list_with_a_value_out_of_range_is_a_failed_call(reply):
+    """Guards against one worker that ends its own session, the checks of all runs of its pool
+    (a clock of 2**70 ms), or the pool's commits (a checkpoint larger than the store's values)."""
+    assert parse_reply("hold", json.dumps(reply).encode()) is None
+
+
+def test_run_list_within_the_bounds_is_read():
+    rows = [[f"a.0.0.{n}", 2, "c" * 64, 41] for n in range(500)]
+    reply = parse_reply("hold", json.dumps(_hold(running=rows, ended=[END] * 500)).encode())
+    assert (len(reply.running), len(reply.ended)) == (500, 500)
+
+
 @given(mutated("worker"))
 @settings(max_examples=300, deadline=None)
 def test_malformed_worker_entry_is_left_aside(body):
