Log and count a worker's entry each time that it becomes unusable

A key whose entry had been rejected once was never logged again, even after good entries under it, and such entries were not counted. The line had the key as it is, with line separators and of any length, and a reason of any length.

The set of logged keys only grew. It now holds the keys rejected at the last read, so a key that was good or gone meanwhile is logged and counted (hornbeamramp.worker_entries.rejected) again. Of the new tests, the first two failed before: 1 line instead of 2, and a line with a line separator. The third shows what held already: a worker whose entry turns odd keeps its runs, gets no new ones, and is used again after a good entry.

--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -8,6 +8,7 @@
     "first_start_time",
     "loop_lag",
     "preemptions",
+    "rejected_entries",
     "request_time",
     "requests",
     "run_ends",
@@ -30,6 +31,9 @@
 commit_time = _meter.create_histogram(
     "hornbeamramp.commit.time", "s", "Time of a commit, with its repetitions"
 )
+rejected_entries = _meter.create_counter(
+    "hornbeamramp.worker_entries.rejected", "1", "Workers' entries that became unusable"
+)
 takeovers = _meter.create_counter("hornbeamramp.takeovers", "1", "Pools taken over, by pool")
 advice_time = _meter.create_histogram(
     "hornbeamramp.advice.time", "s", "Time from a question to its answer, waiting included"
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err
 
+from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
@@ -71,6 +72,10 @@
 # for the watch.
 EXPIRED_WORKER_GRACE = timedelta(milliseconds=2500)
 
+# Characters of a rejected worker entry's key and of the reason that are logged.
+MAX_LOGGED_KEY = 100
+MAX_LOGGED_REASON = 200
+
 _log = logbook.Logger("node")
 
 
@@ -130,7 +135,8 @@
         self._claims_in_progress: set[PoolName] = set()
         self._unowned_since: dict[PoolName, timedelta] = {}
         self._last_owner_by_pool: dict[PoolName, VmId] = {}
-        self._undecodable_keys: set[str] = set()
+        # Keys of the workers' entries that could not be used when they were last read.
+        self._rejected_keys: set[str] = set()
         self._listing_by_worker: dict[UpstreamId, WorkerListing] = {}
         self._has_expired_listings = False
         self._cell_changed = asyncio.Event()
@@ -454,14 +460,21 @@
     def _decode_listings(self) -> dict[UpstreamId, WorkerListing]:
         assert self._listing_cache is not None
         listings = {}
+        rejected = set()
         for key, item in self._listing_cache.item_by_key.items():
             decoded = self.adapter.decode_worker(item)
             if isinstance(decoded, Err):
-                if key not in self._undecodable_keys:
-                    _log.warning("worker entry {} ignored: {}", key, decoded.err_value)
-                self._undecodable_keys.add(key)
+                rejected.add(key)
+                if key not in self._rejected_keys:
+                    instruments.rejected_entries.add(1)
+                    _log.warning(
+                        "worker entry {!a} ignored: {}",
+                        key[:MAX_LOGGED_KEY],
+                        decoded.err_value[:MAX_LOGGED_REASON],
+                    )
                 continue
             listings[decoded.ok_value.worker] = decoded.ok_value
+        self._rejected_keys = rejected
         recovered_at = self.store.recovered_at
         expired = self._listing_by_worker.keys() - listings.keys()
         self._has_expired_listings = (
--- /dev/null
+++ b/tests/vm/test_worker_entries.py
@@ -0,0 +1,95 @@
+"""Workers' entries in the store that can't be used: each is left aside alone."""
+
+import asyncio
+
+import pytest
+from result import Err
+
+from hornbeamramp import instruments
+from hornbeamramp.workload import JobPhase
+from tests.model.cell import WORKER_PREFIX, job
+from tests.vm.test_cell import in_cell
+
+ODD_KEY = f"{WORKER_PREFIX}w9"
+
+
+@pytest.fixture
+def rejections(monkeypatch):
+    """Counts of the rejected entries."""
+    counts = []
+
+    class Counter:
+        add = staticmethod(counts.append)
+
+    monkeypatch.setattr(instruments, "rejected_entries", Counter)
+    return counts
+
+
+def reject_odd_entries(vm, reason="address: 'x' is not an IPv4 address with a port"):
+    """Makes a VM reject entries that begin with ``odd``, as the platform's decoder does."""
+    decode = vm.node.adapter.decode_worker
+    vm.node.adapter.decode_worker = lambda item: (
+        Err(reason) if item.value.startswith(b"odd") else decode(item)
+    )
+
+
+def messages(log_records, part):
+    return [record.message for record in log_records if part in record.message]
+
+
+def test_entry_is_logged_and_counted_each_time_that_it_becomes_odd(log_records, rejections):
+    """Guards against an entry that turns odd again without a trace, as its key had been logged
+    once before, and against a line for each new version of an odd entry."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        reject_odd_entries(vm)
+        for times in (1, 2):
+            for number in range(4):
+                cell.store.put(ODD_KEY, b"odd %d" % number)
+                await asyncio.sleep(1)
+            assert "w9" not in vm.owner.session_by_worker
+            assert len(messages(log_records, "ignored: address: ")) == times
+            assert rejections == [1] * times
+            cell.add_worker("w9")
+            await asyncio.sleep(1)
+            assert vm.owner.session_by_worker["w9"].usable
+        cell.store.put(ODD_KEY, b"odd")
+        await asyncio.sleep(1)
+        cell.store.remove(ODD_KEY)
+        await asyncio.sleep(1)
+        assert vm.node._rejected_keys == set()
+
+    in_cell(scenario, vms=1)
+
+
+def test_line_about_an_odd_entry_is_bounded_and_printable(log_records, rejections):
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        reject_odd_entries(vm, reason="x" * 100_000)
+        cell.store.put(f"{WORKER_PREFIX}\n\u2028{'k' * 100_000}", b"odd")
+        await asyncio.sleep(1)
+        [line] = messages(log_records, "worker entry")
+        assert line.isascii() and line.isprintable() and len(line) < 500
+
+    in_cell(scenario, vms=1)
+
+
+def test_worker_whose_entry_turns_odd_gets_no_new_tasks_and_keeps_those_it_runs(rejections):
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        reject_odd_entries(vm)
+        [session] = vm.owner.session_by_worker.values()
+        await cell.submit("a" * 16, job())
+        await asyncio.sleep(0.2)
+        assert len(session.attempt_by_key) == 1
+        cell.store.put(f"{WORKER_PREFIX}w0", b"odd")
+        await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
+        await cell.submit("b" * 16, job())
+        await asyncio.sleep(3)
+        assert await cell.phase("b" * 16) is JobPhase.QUEUED
+        cell.list_worker("w0")
+        await cell.wait_for_phase("b" * 16, JobPhase.COMPLETED, timeout_s=5)
+        assert len(cell.fleet.starts) == 2
+
+    in_cell(scenario, vms=1, workers=1)
