Ignore a worker's entry whose decoding fails unexpectedly

An error that the decoder of entries does not expect ended the watch of all entries, which then failed again four times a second: workers that came later were not used, those that left were not given up, and no VM could take over a pool (KeyError: 'w5' and TimeoutError in the new tests before).

No such entry is known of the platform's decoder, after the bounds on its fields; the test uses one that the model's decoder raises for. The node now ignores the entry alone, with the error as the reason that it logs.

--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -10,7 +10,7 @@
 
 import logbook
 import msgspec
-from result import Err
+from result import Err, Result
 
 from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks, run_until_done
@@ -23,6 +23,7 @@
 from hornbeamramp.rpc import PeerClient, PeerServer
 from hornbeamramp.statestore import (
     GROUPED_FORMAT,
+    Item,
     LeaseLostError,
     OwnerRecord,
     PoolClaim,
@@ -457,12 +458,19 @@
                 if owner.is_ready:
                     owner.set_workers(listings)
 
+    def _decode_listing(self, item: Item) -> Result[WorkerListing, str]:
+        try:
+            return self.adapter.decode_worker(item)
+        except Exception as error:
+            # One entry of another writer must not keep all others from being read.
+            return Err(f"unexpected error: {error!r}")
+
     def _decode_listings(self) -> dict[UpstreamId, WorkerListing]:
         assert self._listing_cache is not None
         listings = {}
         rejected = set()
         for key, item in self._listing_cache.item_by_key.items():
-            decoded = self.adapter.decode_worker(item)
+            decoded = self._decode_listing(item)
             if isinstance(decoded, Err):
                 rejected.add(key)
                 if key not in self._rejected_keys:
--- a/tests/vm/test_worker_entries.py
+++ b/tests/vm/test_worker_entries.py
@@ -75,6 +75,40 @@
     in_cell(scenario, vms=1)
 
 
+def test_entry_whose_decoding_fails_unexpectedly_is_ignored_alone(log_records, rejections):
+    """Guards against one entry that ends the watch of all workers, time and again: no worker that
+    came later was used, and none that left was given up."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        # The decoder of the model's cell raises for it.
+        cell.store.put(ODD_KEY, b"\xc1 no entry")
+        await asyncio.sleep(1)
+        cell.add_worker("w5")
+        cell.store.remove(f"{WORKER_PREFIX}w0")
+        await asyncio.sleep(1)
+        assert vm.owner.session_by_worker["w5"].usable
+        assert "w0" not in vm.owner.session_by_worker
+        await cell.submit("a" * 16, job())
+        await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
+        assert messages(log_records, "failed unexpectedly") == []
+        assert len(messages(log_records, "worker entry")) == 1
+
+    in_cell(scenario, vms=1)
+
+
+def test_pool_is_taken_over_while_an_entry_can_not_be_decoded(rejections):
+    """Guards against one entry that keeps each VM from taking over a pool."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        cell.store.put(ODD_KEY, b"\xc1 no entry")
+        await vm.kill()
+        await cell.wait_for_owner(timeout_s=10)
+
+    in_cell(scenario)
+
+
 def test_worker_whose_entry_turns_odd_gets_no_new_tasks_and_keeps_those_it_runs(rejections):
     async def scenario(cell):
         vm = await cell.wait_for_owner()
