Give up a worker whose entry names another pool

set_workers ignores the entries of other pools, but took a worker for listed as long as it had any entry. So a pool whose worker's entry was overwritten with another service went on placing tasks on it by the entry before (the test's second job was done within 3 s instead of waiting). By the code, where the other pool has an owner, too, both would send their fencing tokens to the worker, and the owner with the lower one would give up its whole pool for that.

The node now passes each owner only the entries of its pool, also when it takes over, so that the worker counts as no longer listed: what it runs goes on, and it gets nothing new.

--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -423,7 +423,9 @@
         finally:
             self._claims_in_progress.discard(pool)
         try:
-            await asyncio.gather(self._cell_cache.refresh(), owner.start(self._load_listings))
+            await asyncio.gather(
+                self._cell_cache.refresh(), owner.start(lambda: self._load_listings(pool))
+            )
             self._notify_cell()
             await owner.is_lost.wait()
         except StoreUnavailableError as error:
@@ -435,7 +437,7 @@
 
     # Workers
 
-    async def _load_listings(self) -> dict[UpstreamId, WorkerListing]:
+    async def _load_listings(self, pool: PoolName) -> dict[UpstreamId, WorkerListing]:
         if self._listing_cache is None:
             self._listing_cache = PrefixCache(
                 self.store,
@@ -446,7 +448,7 @@
             )
             self._spawn_loop("worker watch", self._listing_cache.run)
         await self._listing_cache.refresh()
-        return self._decode_listings()
+        return _listings_of(pool, self._decode_listings())
 
     def _on_listing_change(self, changed: set[str]) -> None:
         self._apply_listings()
@@ -456,7 +458,7 @@
             listings = self._decode_listings()
             for owner in self.owner_by_pool.values():
                 if owner.is_ready:
-                    owner.set_workers(listings)
+                    owner.set_workers(_listings_of(owner.pool, listings))
 
     def _decode_listing(self, item: Item) -> Result[WorkerListing, str]:
         try:
@@ -496,3 +498,10 @@
             listings |= {worker: self._listing_by_worker[worker] for worker in sorted(expired)}
         self._listing_by_worker = listings
         return dict(listings)
+
+
+def _listings_of(
+    pool: PoolName, listings: dict[UpstreamId, WorkerListing]
+) -> dict[UpstreamId, WorkerListing]:
+    """Returns the listings of a pool. A worker that now belongs to another is no longer listed."""
+    return {worker: listing for worker, listing in listings.items() if listing.pool == pool}
--- a/tests/vm/test_worker_entries.py
+++ b/tests/vm/test_worker_entries.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from result import Err
 
 from hornbeamramp import instruments
+from hornbeamramp.fleet import WorkerListing
+from hornbeamramp.ids import PoolName
 from hornbeamramp.workload import JobPhase
 from tests.model.cell import WORKER_PREFIX, job
 from tests.vm.test_cell import in_cell
@@ -127,3 +130,31 @@
         assert len(cell.fleet.starts) == 2
 
     in_cell(scenario, vms=1, workers=1)
+
+
+def test_worker_whose_entry_names_another_pool_gets_no_new_tasks(rejections):
+    """Guards against a pool that goes on using a worker by the entry that it had before."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        await cell.submit("a" * 16, job())
+        await asyncio.sleep(0.2)
+        entry = cell.store.item_by_key[f"{WORKER_PREFIX}w0"].value
+        listing = msgspec.msgpack.decode(entry, type=WorkerListing)
+        moved = msgspec.structs.replace(listing, pool=PoolName("other"))
+        cell.store.put(f"{WORKER_PREFIX}w0", msgspec.msgpack.encode(moved))
+        await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
+        await asyncio.sleep(1)
+        await cell.submit("b" * 16, job())
+        await asyncio.sleep(3)
+        assert await cell.phase("b" * 16) is JobPhase.QUEUED
+        await vm.kill()
+        await cell.start_vm(vm.name)
+        await cell.wait_for_owner()
+        await asyncio.sleep(3)
+        assert await cell.phase("b" * 16) is JobPhase.QUEUED
+        cell.list_worker("w0")
+        await cell.wait_for_phase("b" * 16, JobPhase.COMPLETED, timeout_s=5)
+        assert len(cell.fleet.starts) == 2
+
+    in_cell(scenario, vms=1, workers=1)
