Reject configurations with priorities, stretches or versions out of range

The stretch of a queue could be any float, its priority any integer up to 2**53 and the version of a configuration any integer. A stretch of 1e300 or a priority of 2**53 - 1 decoded, and each refusal of a job or request for advice then ended with 'OverflowError: Python int too large to convert to C int', at each caller and step of the queue. Versions beyond 64 bits can't be sent to other VMs.

decode_config bounds them so that all time computed from them stays within timedelta, which the last test shows at the bounds.

--- a/hornbeamramp/platform/decoding.py
+++ b/hornbeamramp/platform/decoding.py
@@ -54,6 +54,12 @@
 # Workers have two labels. Those of all workers are searched for each step that is placed.
 MAX_LABELS = 64
 MAX_LABEL_LENGTH = 200
+# The wait of an advice request grows by a second for each level of priority, and the time limit of
+# a job is its stretch times the length of its steps; both have to stay within ``timedelta``.
+MAX_PRIORITY = 1_000_000
+MAX_STRETCH = 1000.0
+# Versions are sent between VMs as 64-bit integers.
+MAX_VERSION = 2**63 - 1
 # Characters of a wrong value that an error repeats.
 MAX_QUOTED = 60
 
@@ -82,9 +88,9 @@
     host: str
     prefix: str
     service: str
-    priority: Integer = 0
+    priority: Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)] = 0
     max_attempts: Count = 1
-    stretch: float = 1.0
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)] = 1.0
     target_completion_ms: Milliseconds = 0.0
     timeout_ms: Milliseconds = 3000.0
     advice: WireAdviceTiming | None = None
@@ -107,7 +113,7 @@
 
 
 class WireConfig(msgspec.Struct, frozen=True):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = WireLimits()
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -25,10 +25,11 @@
 from hornbeamramp.platform.workers import PlatformWorkers
 from hornbeamramp.poolowner import AdviceUnavailableError
 from hornbeamramp.poolowner.jobs import Job
-from hornbeamramp.poolowner.lateness import estimate_lateness
+from hornbeamramp.poolowner.lateness import MAX_RETRY_DELAY, estimate_lateness, retry_delay
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import JobRecord, Txn
 from hornbeamramp.statestore.records import encode
+from hornbeamramp.vm.advice_queue import DELAY_PER_PRIORITY_LEVEL
 from hornbeamramp.workload import StepKey
 from tests.model.virtual_time import LoopClock, run_in_virtual_time
 from tests.platform.test_decoding import CONFIG, WORKER, item
@@ -207,6 +208,54 @@
         decoded.unwrap().match("kaya.example", "/gate/a")
 
 
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"stretch": 1e300}, "stretch"),
+        ({"stretch": 1e12}, "stretch"),
+        ({"stretch": -1}, "stretch"),
+        ({"priority": 2**53 - 1}, "priority"),
+        ({"priority": -1}, "priority"),
+        ({"target-completion-ms": 1e300}, "target-completion-ms"),
+        ({"timeout-ms": 10**400}, "timeout-ms"),
+        ({"max-attempts": 2**70}, "max-attempts"),
+        ({"advice": {"decide-ms": 1e300, "each-ms": 0, "valid-ms": 0}}, "advice.decide-ms"),
+    ],
+)
+def test_configuration_with_a_number_out_of_range_is_rejected_with_its_field(change, field):
+    """Guards against a configuration of which each use ends with OverflowError: refusals of jobs,
+    by the stretch, and advice requests, by the priority."""
+    config = {**CONFIG, "routes": [{**CONFIG["routes"][0], **change}]}
+    reason = decode_config(item("op/config", config)).unwrap_err()
+    assert f"`$.routes[...].{field}`" in reason or f"`$.routes[0].{field}`" in reason
+
+
+@pytest.mark.parametrize("version", [2**63, 2**70, -1])
+def test_configuration_with_a_version_out_of_range_is_rejected(version):
+    """Guards against versions that can't be sent to other VMs, and hold up all later ones."""
+    decoded = decode_config(item("op/config", {**CONFIG, "version": version}))
+    assert "`$.version`" in decoded.unwrap_err()
+
+
+def test_largest_accepted_numbers_of_a_queue_stay_within_the_range_of_time():
+    route = {
+        **CONFIG["routes"][0],
+        "stretch": 1000,
+        "target-completion-ms": 1e12,
+        "priority": 1_000_000,
+        "advice": {"decide-ms": 1e12, "each-ms": 1e12, "valid-ms": 1e12},
+    }
+    config = decode_config(item("op/config", {**CONFIG, "routes": [route]})).unwrap()
+    [queue] = config.queue_by_name.values()
+    steps = [{"count": 1, "estimated-ms": 1e12, "after": [n - 1] if n else []} for n in range(64)]
+    spec = decode_job(json.dumps({"spec": "x", "steps": steps}).encode()).unwrap()
+    assert retry_delay(queue, spec) == MAX_RETRY_DELAY
+    record = JobRecord(JobId("a" * 16), queue.name, 0, 0, 2, queue.stretch, 1000, spec)
+    path = Job(record).critical_path
+    estimate_lateness(record, path, 0, 0.0, 5.0, 1.0, queue.advice)
+    assert queue.priority * DELAY_PER_PRIORITY_LEVEL + timedelta(days=365) < timedelta.max
+
+
 @given(mutated("job"))
 @settings(max_examples=400, deadline=None)
 def test_job_that_is_accepted_can_be_recorded_and_scheduled(body):
