--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -6,9 +6,12 @@
 """
 
 import copy
+import ipaddress
 import json
+import random
 from datetime import timedelta
 from types import SimpleNamespace
+from urllib.parse import urlsplit
 
 import pytest
 from hypothesis import given, settings
@@ -32,6 +35,7 @@
 from hornbeamramp.vm.advice_queue import DELAY_PER_PRIORITY_LEVEL
 from hornbeamramp.workload import StepKey
 from tests.model.virtual_time import LoopClock, run_in_virtual_time
+from tests.platform.odd_entries import mutated_entry, odd_entries
 from tests.platform.test_decoding import CONFIG, WORKER, item
 
 STEP = {"count": 2, "cpu": 500, "mem-mb": 256, "estimated-ms": 900, "after": [], "may-miss": 1}
@@ -151,6 +155,36 @@
         assert all(isinstance(row.number, int) for row in reply.ended)
 
 
+@pytest.mark.parametrize("kind", sorted(odd_entries(WORKER)))
+def test_odd_worker_entry_is_rejected_with_a_short_reason(kind):
+    decoded = decode_worker(item("servers/w1", odd_entries(WORKER)[kind]))
+    assert 0 < len(decoded.unwrap_err()) < 200
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_randomly_changed_worker_entry_is_rejected_or_can_be_used(seed):
+    """Guards against entries that are decoded and do harm later: in a request to the worker, in a
+    record, or in the sums and sort keys of a plan."""
+    rng = random.Random(seed)
+    used = 0
+    for _ in range(4000):
+        decoded = decode_worker(item("servers/w1", mutated_entry(rng, WORKER)))
+        if decoded.is_err():
+            assert 0 < len(decoded.unwrap_err()) < 300
+            continue
+        listing = decoded.unwrap()
+        used += 1
+        url = urlsplit(f"http://{listing.address}/hold")
+        assert f"{ipaddress.IPv4Address(url.hostname)}:{url.port}" == listing.address
+        assert 0 < url.port < 65_536 and url.path == "/hold"
+        assert listing.worker.isascii() and listing.worker.isprintable() and listing.worker
+        amounts = listing.capacity.as_tuple()
+        assert 0 < amounts[0] <= 10**7 and all(0 <= amount <= 10**9 for amount in amounts)
+        assert len(listing.labels) <= 64
+        encode(listing)
+    assert 400 < used < 3600
+
+
 END = [1, "b", 1, "done", ""]
 
 
