Use advice only on the workers that were asked about

Each row of an answer of the advice service became a grant of the step, whether the request had named its worker or not, and grants of costly requests are recorded. The new test got 5001 grants for 2 workers before. PlatformAdvice drops the other rows, as the service only answers for the workers named.

--- a/hornbeamramp/platform/advice.py
+++ b/hornbeamramp/platform/advice.py
@@ -47,7 +47,8 @@
             advice = msgspec.json.decode(reply.body, type=WireAdvice)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise AdviceUnavailableError(str(error)) from error
-        tickets = {UpstreamId(worker): ticket for worker, ticket in advice.granted}
+        asked = set(workers)
+        tickets = {UpstreamId(w): ticket for w, ticket in advice.granted if w in asked}
         return Advice(tickets, timedelta(milliseconds=advice.valid_ms))
 
     async def close(self) -> None:
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -290,6 +290,20 @@
     assert queue.priority * DELAY_PER_PRIORITY_LEVEL + timedelta(days=365) < timedelta.max
 
 
+def test_advice_grants_only_workers_that_were_asked_about():
+    """Guards against an answer that fills the records of a step with workers of its own."""
+
+    async def ask(clock):
+        advice = PlatformAdvice("127.0.0.1:1", clock)
+        granted = [["w1", "ticket"], *([f"x{n}", "ticket"] for n in range(5000))]
+        reply = json.dumps({"granted": granted, "valid-ms": 2000}).encode()
+        advice._client = Replies(reply)
+        workers = [UpstreamId("w1"), UpstreamId("w2")]
+        return await advice.ask(StepKey(JobId("a" * 16), 0, 0), workers, timedelta(0))
+
+    assert run_in_virtual_time(_with_clock(ask)).ticket_by_worker == {"w1": "ticket"}
+
+
 @given(mutated("job"))
 @settings(max_examples=400, deadline=None)
 def test_job_that_is_accepted_can_be_recorded_and_scheduled(body):
