Report settings that are too deep, too large or no times as errors

read_settings raised RecursionError for values nested too deeply, ValueError for numbers of over 4300 digits, and took any value for a bound, which then failed when it was used. So the check on SIGHUP ended with an exception, or called a file valid with which the process could not start.

The used bounds are now fields with a range, and the other errors of tomllib are returned like those of its syntax.

--- a/hornbeamramp/platform/settings.py
+++ b/hornbeamramp/platform/settings.py
@@ -1,15 +1,21 @@
 """Reads the platform's settings file into typed fields."""
 
+import math
 import tomllib
 from datetime import timedelta
 from pathlib import Path
-from typing import Any
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
 
 __all__ = ["PlatformSettings", "read_settings"]
 
+# About 30 years, within the range of ``timedelta``.
+MAX_SECONDS = 1e9
+
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
+
 
 class ListenAddresses(msgspec.Struct, frozen=True, rename="kebab"):
     """``frontend`` serves callers, ``ready`` the platform's readiness probe."""
@@ -29,13 +35,26 @@
     cores: float = 1.0
 
 
+class BoundSettings(msgspec.Struct, frozen=True):
+    """Limits of the platform that are used, by their names in the file."""
+
+    status_s: Seconds = 120
+    hold_max_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS * 1000)] = msgspec.field(
+        default=10_000, name="hold-max-ms"
+    )
+    grace_s: Seconds = msgspec.field(default=6, name="grace-s")
+
+    def __post_init__(self) -> None:
+        for field in msgspec.structs.fields(self):
+            if math.isnan(getattr(self, field.name)):
+                raise ValueError(f"{field.encode_name}: not a number")
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, rename="kebab"):
     """Fields of the settings file that are used; others are ignored.
 
     `platform`
         Address of the store.
-    `bounds`
-        Limits of the platform by their name in the file.
     `internal_ports`
         First and last port available for calls between the VMs.
     `advice`
@@ -49,7 +68,7 @@
     platform: StoreSettings
     internal_ports: tuple[int, int]
     limits: LimitSettings = LimitSettings()
-    bounds: dict[str, Any] = {}
+    bounds: BoundSettings = BoundSettings()
     advice: str = ""
 
     @property
@@ -60,17 +79,17 @@
     @property
     def job_retention(self) -> timedelta:
         """Time for which callers may query the state of an ended job."""
-        return timedelta(seconds=float(self.bounds.get("status_s", 120)))
+        return timedelta(seconds=self.bounds.status_s)
 
     @property
     def longest_lease(self) -> timedelta:
         """Longest lease that a worker grants its runs."""
-        return timedelta(milliseconds=float(self.bounds.get("hold-max-ms", 10_000)))
+        return timedelta(milliseconds=self.bounds.hold_max_ms)
 
     @property
     def shutdown_grace(self) -> timedelta:
         """Time between SIGTERM and the kill."""
-        return timedelta(seconds=float(self.bounds.get("grace-s", 6)))
+        return timedelta(seconds=self.bounds.grace_s)
 
 
 def read_settings(file: Path) -> Result[PlatformSettings, str]:
@@ -80,5 +99,7 @@
         return Ok(msgspec.convert(document, PlatformSettings))
     except OSError as error:
         return Err(f"{file}: can't read the file: {error.strerror}")
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError, UnicodeDecodeError) as error:
+    except (ValueError, msgspec.ValidationError, RecursionError) as error:
+        # tomllib raises ``ValueError`` for numbers with too many digits, and ``RecursionError`` for
+        # values that are nested too deeply.
         return Err(f"{file}: {error}")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,5 +48,32 @@
     assert "node.toml" in result.err_value
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        "x = " + "[" * 5000,
+        "x = " + "[" * 5000 + "]" * 5000 + SETTINGS,
+        "x = " + "9" * 5000 + SETTINGS,
+        "x = " + "{a=" * 5000,
+    ],
+    ids=["open lists", "lists", "number", "tables"],
+)
+def test_file_that_is_nested_too_deeply_or_has_too_large_a_number_is_an_error(tmp_path, text):
+    """Guards against a file that ends the process at its start, or the check on SIGHUP."""
+    file = tmp_path / "node.toml"
+    file.write_text(text)
+    assert "node.toml" in read_settings(file).unwrap_err()
+
+
+@pytest.mark.parametrize("name", ["status_s", "hold-max-ms", "grace-s"])
+@pytest.mark.parametrize("value", ['"x"', "1e300", "nan", "inf", "-5", "[]", "9" * 400])
+def test_bound_that_is_no_time_is_an_error_with_its_name(tmp_path, name, value):
+    """Guards against a bound that passes the check on SIGHUP and ends the process when it is used,
+    at its next start."""
+    file = tmp_path / "node.toml"
+    file.write_text(SETTINGS.replace("status_s = 90", f"{name} = {value}"))
+    assert name in read_settings(file).unwrap_err()
+
+
 def test_missing_file_is_an_error(tmp_path):
     assert isinstance(read_settings(tmp_path / "none.toml"), Err)
