List a prefix again if its changes are too large for one answer

A watch asks for all changes since the last answer that was read. If they exceed the 16 MiB that the HTTP client takes, the next answer has the same changes and more, so the prefix was never followed again, and the VM took the store for unreachable. Values have up to 1 MiB, so 12 writes of a large entry between two watches suffice.

The client now raises an error of its own for such an answer, and a watch turns it into a gap in the history, after which the prefix is listed in pages. The new test failed before with 'StoreUnavailableError: answer is larger than 20000 bytes'.

--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -19,7 +19,13 @@
 
 from hornbeamramp.clock import Clock
 
-__all__ = ["HttpClient", "HttpReply", "RequestFailedError", "open_socket"]
+__all__ = [
+    "HttpClient",
+    "HttpReply",
+    "RequestFailedError",
+    "ResponseTooLargeError",
+    "open_socket",
+]
 
 # Shorter than the idle timeouts of the stand-ins and of common servers.
 IDLE_LIMIT = timedelta(seconds=5)
@@ -45,6 +51,14 @@
         self.sent = sent
 
 
+class ResponseTooLargeError(RequestFailedError):
+    """The response is larger than `MAX_RESPONSE_BYTES`, and would be so again."""
+
+
+class _TooLargeError(Exception):
+    """More of the response has arrived than is kept."""
+
+
 class _CheckFailedError(Exception):
     """The check of the caller returned false, so the request was not written."""
 
@@ -168,6 +182,10 @@
         except TimeoutError as error:
             self._retire(session)
             raise RequestFailedError(f"no answer within {limit:.3f} s", state.sent) from error
+        except _TooLargeError as error:
+            self._retire(session)
+            message = f"answer is larger than {MAX_RESPONSE_BYTES} bytes"
+            raise ResponseTooLargeError(message, state.sent) from error
         except (aiohttp.ClientError, OSError, ValueError, _DisconnectedError) as error:
             # aiohttp raises ``ValueError`` for a header that can't be written and ``UnicodeError``
             # for a host name that can't be encoded.
@@ -212,9 +230,7 @@
             async for part in response.content.iter_any():
                 received += part
                 if len(received) > MAX_RESPONSE_BYTES:
-                    raise aiohttp.ClientPayloadError(
-                        f"answer is larger than {MAX_RESPONSE_BYTES} bytes"
-                    )
+                    raise _TooLargeError
             return HttpReply(response.status, response.headers, bytes(received))
 
     def _acquire_session(self) -> aiohttp.ClientSession:
--- a/hornbeamramp/platform/store.py
+++ b/hornbeamramp/platform/store.py
@@ -10,7 +10,12 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import StoreUnavailableError
-from hornbeamramp.http_client import HttpClient, HttpReply, RequestFailedError
+from hornbeamramp.http_client import (
+    HttpClient,
+    HttpReply,
+    RequestFailedError,
+    ResponseTooLargeError,
+)
 from hornbeamramp.states import Step
 from hornbeamramp.statestore import (
     Change,
@@ -119,7 +124,13 @@
     async def watch(self, prefix: str, after: int, wait: timedelta) -> WatchReply:
         wait_ms = to_ms(wait)
         query = urlencode({"prefix": prefix, "after": after, "wait-ms": wait_ms})
-        reply = await self._call("GET", f"/kv-watch?{query}", wait=wait)
+        try:
+            reply = await self._call("GET", f"/kv-watch?{query}", wait=wait)
+        except StoreUnavailableError as error:
+            if isinstance(error.__cause__, ResponseTooLargeError):
+                # The next answer would have the same changes. Lists come in pages.
+                raise WatchGapError(prefix) from error
+            raise
         if reply.status == 410:
             raise WatchGapError(prefix)
         events = self._decode(reply, WireEvents)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hornbeamramp import http_client
 from hornbeamramp.clock import SystemClock
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.fleet import RunOutcome, StartOrder, StartReply, WorkerListing
@@ -14,6 +15,7 @@
 from hornbeamramp.platform.workers import PlatformWorkers
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import LeaseLostError, Put, Txn, TxnConflictError, WatchGapError
+from hornbeamramp.vm.watching import PrefixCache
 from hornbeamramp.workload import StepSpec
 from tests.model.cell import job
 from tests.model.fleet import ModelFleet
@@ -56,6 +58,31 @@
     asyncio.run(main())
 
 
+def test_watch_whose_changes_are_too_many_for_one_answer_is_a_gap(monkeypatch):
+    """Guards against a prefix that is never followed again: the same answer was too large each
+    time, as it has all changes since the last one that was read."""
+    monkeypatch.setattr(http_client, "MAX_RESPONSE_BYTES", 20_000)
+
+    async def scenario(client, model):
+        cache = PrefixCache(client, SystemClock(), "servers/", lambda changed: None)
+        model.put("servers/w0", b"1")
+        await cache.refresh()
+        for number in range(40):
+            model.put("servers/large", b"x" * 1000 + b"%d" % number)
+        with pytest.raises(WatchGapError):
+            await client.watch("servers/", cache._as_of, timedelta(seconds=1))
+        model.put("servers/w1", b"2")
+        following = asyncio.create_task(cache.run())
+        async with asyncio.timeout(5):
+            while True:
+                if "servers/w1" in cache.item_by_key:
+                    break
+                await asyncio.sleep(0.05)
+        following.cancel()
+
+    with_store(scenario)
+
+
 def order(run=1, token=5, deadline_ms=5000):
     return StartOrder(TASK, run, "payload", deadline_ms, token)
 
