Read the store's lists without the keys that are no text

A key with half of a surrogate pair, as a store that doesn't check keys can hold, made msgspec reject each list of its prefix and each list of changes with it ('JSON is malformed: invalid utf-16 surrogate pair'). No list of workers could be read then, no pool taken over, and the VM took the store for unreachable for all its calls. Whether the platform's store holds such keys is not known.

If such an answer can't be decoded, its rows are now decoded one by one, and those that can't be are left out and logged. The VMs' own records stay all or nothing, and so does a page without any usable row. The three cases of the first new test failed before; the others hold before and after.

--- a/hornbeamramp/platform/store.py
+++ b/hornbeamramp/platform/store.py
@@ -1,10 +1,12 @@
 """Client of the platform's metadata store."""
 
 import base64
+import json
 from datetime import timedelta
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
+import logbook
 import msgspec
 
 from hornbeamramp.clock import Clock
@@ -27,6 +29,7 @@
     WatchGapError,
     WatchReply,
 )
+from hornbeamramp.statestore.records import ROOT
 
 __all__ = ["PlatformStore"]
 
@@ -36,6 +39,8 @@
 
 T = TypeVar("T")
 
+_log = logbook.Logger("store")
+
 
 class WireItem(msgspec.Struct, frozen=True):
     key: str
@@ -111,7 +116,7 @@
         query: dict[str, str] = {"prefix": prefix}
         while True:
             reply = await self._call("GET", f"/kv-range?{urlencode(query)}")
-            page = self._decode(reply, WirePage)
+            page = self._decode_rows(reply, WirePage, prefix)
             items += [item.decode() for item in page.items]
             as_of = page.as_of if as_of is None else as_of
             if not page.more_pages or not page.items:
@@ -133,7 +138,7 @@
             raise
         if reply.status == 410:
             raise WatchGapError(prefix)
-        events = self._decode(reply, WireEvents)
+        events = self._decode_rows(reply, WireEvents, prefix)
         return WatchReply(tuple(event.decode() for event in events.events), events.as_of)
 
     async def commit(self, txn: Txn) -> int:
@@ -191,6 +196,20 @@
             message = f"status {reply.status}: {reply.body[:200]!r}"
             raise StoreUnavailableError(Step.JOURNAL, self._address, message)
 
+    def _decode_rows(self, reply: HttpReply, kind: type[T], prefix: str) -> T:
+        """Decodes a page or a list of changes. Of the keys that others write, those that can't be
+        decoded are left out; without one of its own records, a process would go wrong."""
+        try:
+            return self._decode(reply, kind)
+        except StoreUnavailableError as error:
+            known = None
+            if reply.status == 200 and not prefix.startswith(ROOT):
+                known = _decode_known_rows(reply.body, kind)
+            if known is None:
+                raise
+            _log.warning("{}: a key that can't be decoded is ignored: {}", prefix, error)
+            return known
+
     def _decode(self, reply: HttpReply, kind: type[T]) -> T:
         if reply.status != 412:
             self._expect_success(reply)
@@ -198,3 +217,26 @@
             return msgspec.json.decode(reply.body, type=kind)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise StoreUnavailableError(Step.JOURNAL, self._address, str(error)) from error
+
+
+def _decode_known_rows(body: bytes, kind: type[T]) -> T | None:
+    """Decodes what can be decoded of the rows of a page or of changes; ``None`` if that is none."""
+    name, row_kind = ("items", WireItem) if kind is WirePage else ("events", WireEvent)
+    try:
+        # The json module also reads keys that are no text, with half of a surrogate pair.
+        document = json.loads(body.decode(errors="replace"))
+        rows = [row for row in document[name] if _is_decodable(row, row_kind)]
+        if not rows and document.get("more-pages"):
+            return None
+        return msgspec.convert({**document, name: rows}, kind)
+    except (ValueError, TypeError, LookupError, AttributeError, RecursionError):
+        return None
+
+
+def _is_decodable(row: Any, kind: type) -> bool:
+    try:
+        json.dumps(row, ensure_ascii=False).encode()
+        msgspec.convert(row, kind)
+    except (ValueError, msgspec.ValidationError):
+        return False
+    return True
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -83,6 +83,48 @@
     with_store(scenario)
 
 
+@pytest.mark.parametrize("name", ["\ud800", "a\udcff", "z\udc00"])
+def test_key_that_is_no_text_is_left_out_of_lists_and_changes(name):
+    """Guards against one entry of another writer that makes each list of a prefix undecodable. The
+    store then counted as unreachable, for all calls."""
+
+    async def scenario(client, model):
+        for key in ("w0", name, "w1", "w2"):
+            model.put(f"servers/{key}", b"1")
+        items, as_of = await client.range("servers/")
+        assert [item.key for item in items] == ["servers/w0", "servers/w1", "servers/w2"]
+        model.put(f"servers/{name}", b"2")
+        model.put("servers/w1", b"2")
+        reply = await client.watch("servers/", as_of, timedelta(seconds=1))
+        assert [change.key for change in reply.changes] == ["servers/w1"]
+        assert reply.as_of == model.revision
+
+    with_store(scenario)
+
+
+def test_own_record_under_a_key_that_is_no_text_fails_the_list():
+    """Guards against a takeover that goes by a part of the records."""
+
+    async def scenario(client, model):
+        model.put("hbr/job/pool/\ud800", b"1")
+        with pytest.raises(StoreUnavailableError):
+            await client.range("hbr/job/")
+
+    with_store(scenario)
+
+
+def test_list_of_which_no_row_of_a_page_can_be_decoded_fails():
+    """Guards against a list that ends before its last page."""
+
+    async def scenario(client, model):
+        for key in ("\ud800", "\ud801", "\ud802", "\ue000"):
+            model.put(f"servers/{key}", b"1")
+        with pytest.raises(StoreUnavailableError):
+            await client.range("servers/")
+
+    with_store(scenario)
+
+
 def order(run=1, token=5, deadline_ms=5000):
     return StartOrder(TASK, run, "payload", deadline_ms, token)
 
