--- a/hornbeamramp/platform/decoding.py
+++ b/hornbeamramp/platform/decoding.py
@@ -1,5 +1,7 @@
 """Decodes the operators' configuration, worker entries and jobs from the platform's format."""
 
+import ipaddress
+import re
 from datetime import timedelta
 from typing import Annotated
 
@@ -39,8 +41,31 @@
 # About 30 years, within the range of ``timedelta``.
 MAX_MILLISECONDS = 1e12
 
+# Worker ids go into an HTTP header and into records. The store's keys have at most 200 bytes.
+WORKER_ID = re.compile(r"[!-~]{1,200}")
+# The platform has no name lookups, so a worker's address is always IPv4.
+ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
+MAX_PORT = 65_535
+# Far above any machine. A larger capacity is an error, and the tasks placed by it would be too many
+# for the worker.
+MAX_PROCESSORS_MILLI = 10_000_000
+MAX_MEMORY_MIB = 1_000_000_000
+MAX_ACCELERATORS = 10_000
+# Workers have two labels. Those of all workers are searched for each step that is placed.
+MAX_LABELS = 64
+MAX_LABEL_LENGTH = 200
+# The wait of an advice request grows by a second for each level of priority, and the time limit of
+# a job is its stretch times the length of its steps; both have to stay within ``timedelta``.
+MAX_PRIORITY = 1_000_000
+MAX_STRETCH = 1000.0
+# Versions are sent between VMs as 64-bit integers.
+MAX_VERSION = 2**63 - 1
+# Characters of a wrong value that an error repeats.
+MAX_QUOTED = 60
+
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Label = Annotated[str, msgspec.Meta(max_length=MAX_LABEL_LENGTH)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 
 # Errors of the decoder. A document that is nested too deeply raises ``RecursionError``.
@@ -63,9 +88,9 @@
     host: str
     prefix: str
     service: str
-    priority: Integer = 0
+    priority: Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)] = 0
     max_attempts: Count = 1
-    stretch: float = 1.0
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)] = 1.0
     target_completion_ms: Milliseconds = 0.0
     timeout_ms: Milliseconds = 3000.0
     advice: WireAdviceTiming | None = None
@@ -88,18 +113,18 @@
 
 
 class WireConfig(msgspec.Struct, frozen=True):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = WireLimits()
 
 
 class WireCapacity(msgspec.Struct, frozen=True, rename="kebab"):
-    """``cpu`` is in thousandths of a core."""
+    """``cpu`` is in thousandths of a core. A worker without processors can run nothing."""
 
-    cpu: Count
-    mem_mb: Count
-    gpu: Count = 0
+    cpu: Annotated[int, msgspec.Meta(ge=1, le=MAX_PROCESSORS_MILLI)]
+    mem_mb: Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MIB)]
+    gpu: Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)] = 0
 
 
 class WireWorker(msgspec.Struct, frozen=True, rename="kebab"):
@@ -111,8 +136,8 @@
     zone: str
     state: str
     capacity: WireCapacity
-    labels: list[str] = []
-    born: int = 0
+    labels: Annotated[list[Label], msgspec.Meta(max_length=MAX_LABELS)] = []
+    born: Count = 0
     drain_remaining_ms: Milliseconds | None = None
 
 
@@ -201,18 +226,38 @@
     )
 
 
+def _check_address(address: str) -> str:
+    """Returns what is wrong with a worker's address; empty if it can be called."""
+    match = ADDRESS.fullmatch(address)
+    try:
+        host = ipaddress.IPv4Address(match[1]) if match is not None else None
+    except ipaddress.AddressValueError:
+        host = None
+    if match is None or host is None or int(match[2]) > MAX_PORT:
+        return f"address: {address[:MAX_QUOTED]!r} is not an IPv4 address with a port"
+    if host.is_unspecified or host.is_multicast or host.is_reserved:
+        return f"address: {address!r} is not the address of a machine"
+    return ""
+
+
 def decode_worker(item: Item) -> Result[WorkerListing, str]:
-    """Decodes a worker's entry."""
+    """Decodes a worker's entry. The error names the field."""
+    worker = item.key.removeprefix(WORKER_PREFIX)
+    if not WORKER_ID.fullmatch(worker):
+        return Err("key: the worker id is not 1 to 200 printable ASCII characters without spaces")
     try:
         wire = msgspec.json.decode(item.value, type=WireWorker)
     except DECODE_ERRORS as error:
         return Err(str(error))
     if wire.state not in ("ready", "draining"):
-        return Err(f"state {wire.state!r} is not known")
+        return Err(f"state: {wire.state[:MAX_QUOTED]!r} is not known")
+    problem = _check_address(wire.address)
+    if problem:
+        return Err(problem)
     remaining = wire.drain_remaining_ms
     return Ok(
         WorkerListing(
-            worker=UpstreamId(item.key.removeprefix(WORKER_PREFIX)),
+            worker=UpstreamId(worker),
             pool=PoolName(wire.service),
             address=wire.address,
             data_centre=DataCentreId(wire.zone),
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -10,8 +10,9 @@
 
 import logbook
 import msgspec
-from result import Err
+from result import Err, Result
 
+from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
@@ -22,6 +23,7 @@
 from hornbeamramp.rpc import PeerClient, PeerServer
 from hornbeamramp.statestore import (
     GROUPED_FORMAT,
+    Item,
     LeaseLostError,
     OwnerRecord,
     PoolClaim,
@@ -71,6 +73,10 @@
 # for the watch.
 EXPIRED_WORKER_GRACE = timedelta(milliseconds=2500)
 
+# Characters of a rejected worker entry's key and of the reason that are logged.
+MAX_LOGGED_KEY = 100
+MAX_LOGGED_REASON = 200
+
 _log = logbook.Logger("node")
 
 
@@ -136,7 +142,8 @@
         self._claims_in_progress: set[PoolName] = set()
         self._unowned_since: dict[PoolName, timedelta] = {}
         self._last_owner_by_pool: dict[PoolName, VmId] = {}
-        self._undecodable_keys: set[str] = set()
+        # Keys of the workers' entries that could not be used when they were last read.
+        self._rejected_keys: set[str] = set()
         self._listing_by_worker: dict[UpstreamId, WorkerListing] = {}
         self._has_expired_listings = False
         self._cell_changed = asyncio.Event()
@@ -424,7 +431,9 @@
         finally:
             self._claims_in_progress.discard(pool)
         try:
-            await asyncio.gather(self._cell_cache.refresh(), owner.start(self._load_listings))
+            await asyncio.gather(
+                self._cell_cache.refresh(), owner.start(lambda: self._load_listings(pool))
+            )
             self._notify_cell()
             await owner.is_lost.wait()
         except StoreUnavailableError as error:
@@ -436,7 +445,7 @@
 
     # Workers
 
-    async def _load_listings(self) -> dict[UpstreamId, WorkerListing]:
+    async def _load_listings(self, pool: PoolName) -> dict[UpstreamId, WorkerListing]:
         if self._listing_cache is None:
             self._listing_cache = PrefixCache(
                 self.store,
@@ -447,7 +456,7 @@
             )
             self._spawn_loop("worker watch", self._listing_cache.run)
         await self._listing_cache.refresh()
-        return self._decode_listings()
+        return _listings_of(pool, self._decode_listings())
 
     def _on_listing_change(self, changed: set[str]) -> None:
         self._apply_listings()
@@ -457,19 +466,33 @@
             listings = self._decode_listings()
             for owner in self.owner_by_pool.values():
                 if owner.is_ready:
-                    owner.set_workers(listings)
+                    owner.set_workers(_listings_of(owner.pool, listings))
+
+    def _decode_listing(self, item: Item) -> Result[WorkerListing, str]:
+        try:
+            return self.adapter.decode_worker(item)
+        except Exception as error:
+            # One entry of another writer must not keep all others from being read.
+            return Err(f"unexpected error: {error!r}")
 
     def _decode_listings(self) -> dict[UpstreamId, WorkerListing]:
         assert self._listing_cache is not None
         listings = {}
+        rejected = set()
         for key, item in self._listing_cache.item_by_key.items():
-            decoded = self.adapter.decode_worker(item)
+            decoded = self._decode_listing(item)
             if isinstance(decoded, Err):
-                if key not in self._undecodable_keys:
-                    _log.warning("worker entry {} ignored: {}", key, decoded.err_value)
-                self._undecodable_keys.add(key)
+                rejected.add(key)
+                if key not in self._rejected_keys:
+                    instruments.rejected_entries.add(1)
+                    _log.warning(
+                        "worker entry {!a} ignored: {}",
+                        key[:MAX_LOGGED_KEY],
+                        decoded.err_value[:MAX_LOGGED_REASON],
+                    )
                 continue
             listings[decoded.ok_value.worker] = decoded.ok_value
+        self._rejected_keys = rejected
         recovered_at = self.store.recovered_at
         expired = self._listing_by_worker.keys() - listings.keys()
         self._has_expired_listings = (
@@ -483,3 +506,10 @@
             listings |= {worker: self._listing_by_worker[worker] for worker in sorted(expired)}
         self._listing_by_worker = listings
         return dict(listings)
+
+
+def _listings_of(
+    pool: PoolName, listings: dict[UpstreamId, WorkerListing]
+) -> dict[UpstreamId, WorkerListing]:
+    """Returns the listings of a pool. A worker that now belongs to another is no longer listed."""
+    return {worker: listing for worker, listing in listings.items() if listing.pool == pool}
--- a/tests/platform/test_malformed_messages.py
+++ b/tests/platform/test_malformed_messages.py
@@ -6,9 +6,12 @@
 """
 
 import copy
+import ipaddress
 import json
+import random
 from datetime import timedelta
 from types import SimpleNamespace
+from urllib.parse import urlsplit
 
 import pytest
 from hypothesis import given, settings
@@ -25,12 +28,14 @@
 from hornbeamramp.platform.workers import PlatformWorkers
 from hornbeamramp.poolowner import AdviceUnavailableError
 from hornbeamramp.poolowner.jobs import Job
-from hornbeamramp.poolowner.lateness import estimate_lateness
+from hornbeamramp.poolowner.lateness import MAX_RETRY_DELAY, estimate_lateness, retry_delay
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import JobRecord, Txn
 from hornbeamramp.statestore.records import encode
+from hornbeamramp.vm.advice_queue import DELAY_PER_PRIORITY_LEVEL
 from hornbeamramp.workload import StepKey
 from tests.model.virtual_time import LoopClock, run_in_virtual_time
+from tests.platform.odd_entries import mutated_entry, odd_entries
 from tests.platform.test_decoding import CONFIG, WORKER, item
 
 STEP = {"count": 2, "cpu": 500, "mem-mb": 256, "estimated-ms": 900, "after": [], "may-miss": 1}
@@ -150,6 +155,79 @@
         assert all(isinstance(row.number, int) for row in reply.ended)
 
 
+@pytest.mark.parametrize("kind", sorted(odd_entries(WORKER)))
+def test_odd_worker_entry_is_rejected_with_a_short_reason(kind):
+    decoded = decode_worker(item("servers/w1", odd_entries(WORKER)[kind]))
+    assert 0 < len(decoded.unwrap_err()) < 200
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_randomly_changed_worker_entry_is_rejected_or_can_be_used(seed):
+    """Guards against entries that are decoded and do harm later: in a request to the worker, in a
+    record, or in the sums and sort keys of a plan."""
+    rng = random.Random(seed)
+    used = 0
+    for _ in range(4000):
+        decoded = decode_worker(item("servers/w1", mutated_entry(rng, WORKER)))
+        if decoded.is_err():
+            assert 0 < len(decoded.unwrap_err()) < 300
+            continue
+        listing = decoded.unwrap()
+        used += 1
+        url = urlsplit(f"http://{listing.address}/hold")
+        assert f"{ipaddress.IPv4Address(url.hostname)}:{url.port}" == listing.address
+        assert 0 < url.port < 65_536 and url.path == "/hold"
+        assert listing.worker.isascii() and listing.worker.isprintable() and listing.worker
+        amounts = listing.capacity.as_tuple()
+        assert 0 < amounts[0] <= 10**7 and all(0 <= amount <= 10**9 for amount in amounts)
+        assert len(listing.labels) <= 64
+        encode(listing)
+    assert 400 < used < 3600
+
+
+END = [1, "b", 1, "done", ""]
+
+
+def _hold(**changes):
+    return {**HOLD, **{name.replace("_", "-"): value for name, value in changes.items()}}
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        _hold(clock_ms=2**53),
+        _hold(clock_ms=2**63),
+        _hold(clock_ms=2**70),
+        _hold(clock_ms=10**400),
+        _hold(clock_ms=-1),
+        _hold(born=2**70),
+        _hold(born=-1),
+        _hold(running=[["a.0.0.0", 2**64, "", 41]]),
+        _hold(running=[["a.0.0.0", -1, "", 41]]),
+        _hold(running=[["a" * 5000, 2, "", 41]]),
+        _hold(running=[["a.0.0.0", 2, "c" * 5000, 41]]),
+        _hold(running=[[f"a.0.0.{n}", 2, "", 41] for n in range(30_000)]),
+        _hold(ended=[[2**64, "b", 1, "done", ""]]),
+        _hold(ended=[[-1, "b", 1, "done", ""]]),
+        _hold(ended=[[1, "b", 2**64, "done", ""]]),
+        _hold(ended=[[1, "b" * 5000, 1, "done", ""]]),
+        _hold(ended=[[1, "b", 1, "done", "c" * 5000]]),
+        _hold(ended=[[n, "b", 1, "done", ""] for n in range(30_000)]),
+    ],
+    ids=lambda reply: str(reply)[:60],
+)
+def test_run_list_with_a_value_out_of_range_is_a_failed_call(reply):
+    """Guards against one worker that ends its own session, the checks of all runs of its pool
+    (a clock of 2**70 ms), or the pool's commits (a checkpoint larger than the store's values)."""
+    assert parse_reply("hold", json.dumps(reply).encode()) is None
+
+
+def test_run_list_within_the_bounds_is_read():
+    rows = [[f"a.0.0.{n}", 2, "c" * 64, 41] for n in range(500)]
+    reply = parse_reply("hold", json.dumps(_hold(running=rows, ended=[END] * 500)).encode())
+    assert (len(reply.running), len(reply.ended)) == (500, 500)
+
+
 @given(mutated("worker"))
 @settings(max_examples=300, deadline=None)
 def test_malformed_worker_entry_is_left_aside(body):
@@ -164,6 +242,68 @@
         decoded.unwrap().match("kaya.example", "/gate/a")
 
 
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"stretch": 1e300}, "stretch"),
+        ({"stretch": 1e12}, "stretch"),
+        ({"stretch": -1}, "stretch"),
+        ({"priority": 2**53 - 1}, "priority"),
+        ({"priority": -1}, "priority"),
+        ({"target-completion-ms": 1e300}, "target-completion-ms"),
+        ({"timeout-ms": 10**400}, "timeout-ms"),
+        ({"max-attempts": 2**70}, "max-attempts"),
+        ({"advice": {"decide-ms": 1e300, "each-ms": 0, "valid-ms": 0}}, "advice.decide-ms"),
+    ],
+)
+def test_configuration_with_a_number_out_of_range_is_rejected_with_its_field(change, field):
+    """Guards against a configuration of which each use ends with OverflowError: refusals of jobs,
+    by the stretch, and advice requests, by the priority."""
+    config = {**CONFIG, "routes": [{**CONFIG["routes"][0], **change}]}
+    reason = decode_config(item("op/config", config)).unwrap_err()
+    assert f"`$.routes[...].{field}`" in reason or f"`$.routes[0].{field}`" in reason
+
+
+@pytest.mark.parametrize("version", [2**63, 2**70, -1])
+def test_configuration_with_a_version_out_of_range_is_rejected(version):
+    """Guards against versions that can't be sent to other VMs, and hold up all later ones."""
+    decoded = decode_config(item("op/config", {**CONFIG, "version": version}))
+    assert "`$.version`" in decoded.unwrap_err()
+
+
+def test_largest_accepted_numbers_of_a_queue_stay_within_the_range_of_time():
+    route = {
+        **CONFIG["routes"][0],
+        "stretch": 1000,
+        "target-completion-ms": 1e12,
+        "priority": 1_000_000,
+        "advice": {"decide-ms": 1e12, "each-ms": 1e12, "valid-ms": 1e12},
+    }
+    config = decode_config(item("op/config", {**CONFIG, "routes": [route]})).unwrap()
+    [queue] = config.queue_by_name.values()
+    steps = [{"count": 1, "estimated-ms": 1e12, "after": [n - 1] if n else []} for n in range(64)]
+    spec = decode_job(json.dumps({"spec": "x", "steps": steps}).encode()).unwrap()
+    assert retry_delay(queue, spec) == MAX_RETRY_DELAY
+    record = JobRecord(JobId("a" * 16), queue.name, 0, 0, 2, queue.stretch, 1000, spec)
+    path = Job(record).critical_path
+    estimate_lateness(record, path, 0, 0.0, 5.0, 1.0, queue.advice)
+    assert queue.priority * DELAY_PER_PRIORITY_LEVEL + timedelta(days=365) < timedelta.max
+
+
+def test_advice_grants_only_workers_that_were_asked_about():
+    """Guards against an answer that fills the records of a step with workers of its own."""
+
+    async def ask(clock):
+        advice = PlatformAdvice("127.0.0.1:1", clock)
+        granted = [["w1", "ticket"], *([f"x{n}", "ticket"] for n in range(5000))]
+        reply = json.dumps({"granted": granted, "valid-ms": 2000}).encode()
+        advice._client = Replies(reply)
+        workers = [UpstreamId("w1"), UpstreamId("w2")]
+        return await advice.ask(StepKey(JobId("a" * 16), 0, 0), workers, timedelta(0))
+
+    assert run_in_virtual_time(_with_clock(ask)).ticket_by_worker == {"w1": "ticket"}
+
+
 @given(mutated("job"))
 @settings(max_examples=400, deadline=None)
 def test_job_that_is_accepted_can_be_recorded_and_scheduled(body):
