--- a/hornbeamramp/cli.py
+++ b/hornbeamramp/cli.py
@@ -126,17 +126,28 @@
 
 
 @app.command
-def report(*files: Path, plot: Path | None = None) -> None:
+def report(
+    *files: Path,
+    plot: Path | None = None,
+    unfinished: Annotated[bool, Parameter(negative="")] = False,
+) -> None:
     """Print why jobs were late, failed or refused, from the log files of all VMs.
 
     Parameters
     ----------
     plot
         PNG file for a picture of the day; needs the optional dependency ``plot``.
+    unfinished
+        List accepted jobs without an end, tasks that did not start again, and requests without an
+        answer instead.
     """
     from hornbeamramp.report import print_report, read_day, write_plot
+    from hornbeamramp.unfinished import print_unfinished, read_unfinished
 
     try:
+        if unfinished:
+            print_unfinished(read_unfinished(files), Console())
+            return
         day = read_day(files)
         print_report(day, Console())
         if plot is not None:
