Log answers 410, requests to cancel, and requests that end without an answer

An accepted job that was answered 410, a cancelled job, and a request whose connection ended without an answer left no line, so the logs could not tell what became of them. One line for each: 410 with queue and pool, a request to cancel before it is carried out, a handler that is cancelled or fails; the line on a drain that timed out tells the requests in flight.

--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -73,7 +73,11 @@
                 while self._in_flight or self._open_connections():
                     await self._clock.sleep(DRAIN_POLL_INTERVAL)
         except TimeoutError:
-            _log.info("drain timed out with {} connections open", self._open_connections())
+            _log.info(
+                "drain timed out with {} connections open, {} requests in flight",
+                self._open_connections(),
+                self._in_flight,
+            )
 
     async def close(self) -> None:
         """Closes listeners and connections."""
@@ -95,6 +99,17 @@
         started = self._clock.boot_time()
         try:
             response = await self._handle(request)
+        except BaseException as error:
+            # Of a request whose answer is never sent, this is the last line.
+            _log.info(
+                "caller request {} {} ended without an answer after {}: {!r}",
+                request.method,
+                request.path,
+                self._clock.boot_time() - started,
+                error,
+                extra={"event": "request_unanswered"},
+            )
+            raise
         finally:
             self._in_flight -= 1
         elapsed = (self._clock.boot_time() - started).total_seconds()
@@ -140,10 +155,15 @@
         if request.method == "GET":
             phase = await self._service.phase(route_match.queue, job_id, timeout)
             if phase is None:
+                _log_unknown(request, job_id, route_match)
                 return _json(410, {"error": "no such job"})
             return _json(200, {"state": phase.value})
         if request.method == "DELETE":
+            fields = {"event": "job_cancel_requested", "job": job_id}
+            _log.info("{}: cancellation requested by a caller", job_id, extra=fields)
             outcome = await self._service.cancel(route_match.queue, job_id, timeout)
+            if outcome is CancelResult.ABSENT:
+                _log_unknown(request, job_id, route_match)
             return _json(200 if outcome is CancelResult.CANCELLED else 410, {})
         return _json(405, {"error": f"method {request.method} is not known"})
 
@@ -169,6 +189,19 @@
     )
 
 
+def _log_unknown(request: web.BaseRequest, job_id: JobId, route_match: RouteMatch) -> None:
+    """Logs an answer 410: neither the pool's owner nor the store knows the job."""
+    queue = route_match.queue
+    _log.info(
+        "{}: {} answered 410, not known in pool {} of queue {}",
+        job_id,
+        request.method,
+        queue.pool,
+        queue.name,
+        extra={"event": "job_unknown", "job": job_id, "queue": queue.name, "pool": queue.pool},
+    )
+
+
 def _caller_timeout(request: web.BaseRequest) -> timedelta:
     """Returns how long the caller waits, less the margin for the response."""
     try:
--- a/hornbeamramp/unfinished.py
+++ b/hornbeamramp/unfinished.py
@@ -274,7 +274,7 @@
             self._cancel_requests.update(JOB_ID.findall(message))
         elif line.part == "serve":
             self._on_vm_state(line)
-        elif message.startswith("drain timed out"):
+        elif message.startswith("drain timed out") and ", 0 requests in flight" not in message:
             self._unanswered.append(_text(line))
 
     def _on_task_message(self, line: Line) -> None:
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -289,11 +289,16 @@
     day.add(2, "stopping vm3", "vm3", "serve")
     message = "caller request GET /gate/ ended without an answer after 0:00:04: CancelledError()"
     day.add(6, message, "vm3", "callers", event="request_unanswered")
+    for requests in (0, 10):
+        message = f"drain timed out with 12 connections open, {requests} requests in flight"
+        day.add(6 + requests / 10, message, "vm3", "callers")
     day.add(9, "started vm3 boot 2 in gebze", "vm3", "serve")
     day.add(9, "stopping vm4", "vm4", "serve")
     day.add(10, "stopped vm4", "vm4", "serve")
     report = day.check(tmp_path)
-    assert "GET /gate/" in report.unanswered[0]
+    first, second = report.unanswered
+    assert "GET /gate/" in first
+    assert "10 requests in flight" in second
     assert report.killed == ["vm3: stopping at 2.000, started again at 9.000"]
 
 
