Log runs of long-running tasks, restarted tasks and recovered jobs, and count jobs

How long a task was away could not be told from the logs: a placement named the step, not the task, no line told that a long-running task runs, and an end that the owner concludes from a worker's silence is logged six seconds after the run's last sign of life. Now a long-running task has a line for each start and end, an inferred end tells the time since the run was last confirmed, placements after the first name the tasks, and a takeover lists the open jobs that it recovered: an accepted job that is missing there has been lost. No line is written in a scheduling pass.

Counters: jobs accepted, ended by phase, recovered at takeovers; a gauge of the open jobs of a pool.

--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -6,6 +6,10 @@
     "advice_time",
     "commit_time",
     "first_start_time",
+    "jobs_accepted",
+    "jobs_ended",
+    "jobs_open",
+    "jobs_recovered",
     "loop_lag",
     "preemptions",
     "request_time",
@@ -34,6 +38,18 @@
 advice_time = _meter.create_histogram(
     "hornbeamramp.advice.time", "s", "Time from a question to its answer, waiting included"
 )
+jobs_accepted = _meter.create_counter(
+    "hornbeamramp.jobs.accepted", "1", "Jobs recorded by this VM as an owner, by queue"
+)
+jobs_ended = _meter.create_counter(
+    "hornbeamramp.jobs.ended", "1", "Jobs ended by this VM as an owner, by phase"
+)
+jobs_recovered = _meter.create_counter(
+    "hornbeamramp.jobs.recovered", "1", "Open jobs that this VM took over, by pool"
+)
+jobs_open = _meter.create_gauge(
+    "hornbeamramp.jobs.open", "1", "Jobs that have not ended, by pool; 0 after a pool is lost"
+)
 starts = _meter.create_counter("hornbeamramp.run.starts", "1", "Start orders by reply")
 run_ends = _meter.create_counter("hornbeamramp.run.ends", "1", "Ends of runs, by how")
 preemptions = _meter.create_counter("hornbeamramp.preemptions", "1", "Runs stopped for others")
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import logbook
 
@@ -240,6 +240,7 @@
                 step.key,
                 [unit.run for unit in units],
                 [attempt.session.worker for unit in units for attempt in unit.attempts()],
+                extra=_restart_fields(units),
             )
             queue = self._owner.queue_of(step.job)
             if queue is not None and queue.advice is not None:
@@ -333,6 +334,7 @@
         instruments.starts.add(1, {"reply": "no_answer" if reply is None else reply.value})
         if reply is StartReply.STARTED:
             self._owner.lifecycle.mark_started(step.job)
+            self._owner.lifecycle.log_running(attempt)
             if step.job.is_ended and attempt.task.attempt is attempt:
                 session.stop(attempt)
         else:
@@ -348,6 +350,12 @@
         return reply
 
 
+def _restart_fields(units: list[Unit]) -> dict[str, Any]:
+    """Returns the run numbers of the tasks that are placed again, by task."""
+    runs = {task.name: unit.run for unit in units if unit.run > 1 for task in unit.tasks}
+    return {"event": "placed_again", "runs": runs} if runs else {}
+
+
 def _max_request_size(step: StepRun) -> int:
     """Returns how many workers one advice request for a step names at most."""
     return MAX_WORKERS_PER_GANG_REQUEST if step.is_gang else MAX_WORKERS_PER_ADVICE_REQUEST
--- a/hornbeamramp/poolowner/lifecycle.py
+++ b/hornbeamramp/poolowner/lifecycle.py
@@ -10,7 +10,12 @@
 from hornbeamramp.poolowner.jobs import Job, Task, Unit
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.placer import Placer
-from hornbeamramp.poolowner.summaries import end_fields, lost_work
+from hornbeamramp.poolowner.summaries import (
+    end_fields,
+    lost_work,
+    run_end_fields,
+    running_fields,
+)
 from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.workload import JobPhase
 
@@ -54,6 +59,17 @@
             wait_s = (self._owner.now_ms() - job.record.accepted_ms) / 1000
             instruments.first_start_time.record(wait_s, {"queue": job.record.queue})
 
+    def log_running(self, attempt: Attempt) -> None:
+        """Logs that a long-running task runs; the end of the time in which it was away."""
+        if attempt.task.unit.step.spec.long_running:
+            _log.info(
+                "{} run {} on {} is running",
+                attempt.name,
+                attempt.run,
+                attempt.session.worker,
+                extra=running_fields(attempt),
+            )
+
     def apply_end(self, attempt: Attempt, outcome: RunOutcome, checkpoint: str) -> None:
         """Applies the end of a run: completes its unit or queues it again, and ends the job if all
         its tasks are done or the unit has failed too often."""
@@ -76,8 +92,8 @@
             _count_failure(unit, attempt)
         elif outcome in (RunOutcome.LAPSED, RunOutcome.LOST):
             unit.avoided_workers.add(UpstreamId(attempt.session.worker))
-        if outcome is not RunOutcome.DONE:
-            if not checkpoint:
+        if outcome is not RunOutcome.DONE or unit.step.spec.long_running:
+            if not checkpoint and outcome is not RunOutcome.DONE:
                 lost = lost_work(attempt, self._owner.boot_time())
                 job.lost_work_by_outcome[outcome] = (
                     job.lost_work_by_outcome.get(outcome, 0.0) + lost
@@ -90,6 +106,7 @@
                 outcome.value,
                 attempt.percent,
                 unit.failures,
+                extra=run_end_fields(attempt, outcome, self._owner.boot_time()),
             )
         self._journal.mark_dirty(job)
         if not unit.is_done:
@@ -125,6 +142,7 @@
         """Ends a job and stops its runs, which hold capacity until workers report their ends."""
         job.close(phase, self._owner.now_ms())
         self._journal.mark_dirty(job)
+        instruments.jobs_ended.add(1, {"phase": phase.value})
         elapsed_ms = job.ended_ms - job.record.accepted_ms
         now = self._owner.boot_time()
         for step in job.steps():
--- a/hornbeamramp/poolowner/monitor.py
+++ b/hornbeamramp/poolowner/monitor.py
@@ -54,6 +54,7 @@
             self._log_waits()
 
     def _log_state(self, lag: timedelta, cpu_s: float) -> None:
+        instruments.jobs_open.set(self._owner.count_open_jobs(), {"pool": self._owner.pool})
         waiting = self._placer.waiting_steps()
         fields = pool_fields(self._owner.session_by_worker.values(), waiting, lag, cpu_s)
         counts = self._journal.take_counts()
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -45,7 +45,7 @@
 from hornbeamramp.poolowner.monitor import PoolMonitor
 from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.recovery import placeholder_listing, read_jobs
-from hornbeamramp.poolowner.summaries import accepted_fields
+from hornbeamramp.poolowner.summaries import accepted_fields, takeover_fields
 from hornbeamramp.statestore import (
     ClaimLostError,
     JobProgress,
@@ -196,12 +196,14 @@
         self.spawn(run_until_done(f"monitor of pool {self.pool}", monitor.run, self._clock, _log))
         self.is_ready = True
         instruments.takeovers.add(1, {"pool": self.pool})
+        instruments.jobs_recovered.add(self.count_open_jobs(), {"pool": self.pool})
         _log.info(
             "{}: took ownership with fencing token {}: {} jobs recorded, {} workers listed",
             self.pool,
             self.token,
             len(self.job_by_id),
             len(listings),
+            extra=takeover_fields(self.pool, self.job_by_id.values()),
         )
 
     def _restore(
@@ -244,6 +246,7 @@
         self.is_ready = False
         self.is_lost.set()
         await self._background.cancel()
+        instruments.jobs_open.set(0, {"pool": self.pool})
 
     def mark_lost(self, reason: str) -> None:
         """Stops scheduling, as another process may own the pool now."""
@@ -283,6 +286,7 @@
             attempt.session.stop(attempt)
         else:
             self.lifecycle.mark_started(job)
+            self.lifecycle.log_running(attempt)
 
     def on_capacity_change(self, session: WorkerSession) -> None:
         self._wake.set()
@@ -352,7 +356,8 @@
         record = job.record
         if record.job_id not in self.job_by_id:
             self.job_by_id[record.job_id] = job
-            fields = accepted_fields(job)
+            fields = {**accepted_fields(job), "pool": self.pool}
+            instruments.jobs_accepted.add(1, {"queue": record.queue})
             _log.info("{} accepted into {}", record.job_id, record.queue, extra=fields)
 
     async def cancel(self, job_id: JobId) -> bool:
@@ -447,6 +452,9 @@
             # They run again at the next interval; placement must go on without them.
             _log.exception("{}: checks of runs failed unexpectedly", self.pool)
 
+    def count_open_jobs(self) -> int:
+        return sum(not job.is_ended for job in self.job_by_id.values())
+
     def queue_of(self, job: Job) -> Queue | None:
         return None if self.config is None else self.config.queue_by_name.get(job.record.queue)
 
--- a/hornbeamramp/poolowner/summaries.py
+++ b/hornbeamramp/poolowner/summaries.py
@@ -9,12 +9,21 @@
 from typing import Any
 
 from hornbeamramp.durations import to_ms
-from hornbeamramp.fleet import Attempt, WorkerSession
+from hornbeamramp.fleet import Attempt, RunOutcome, WorkerSession
+from hornbeamramp.ids import PoolName
 from hornbeamramp.poolowner.jobs import Job, StepRun
 from hornbeamramp.poolowner.lateness import TOO_LATE_FACTOR, on_time_limit_ms
 from hornbeamramp.workload import JobPhase, Queue
 
-__all__ = ["accepted_fields", "end_fields", "lost_work", "pool_fields"]
+__all__ = [
+    "accepted_fields",
+    "end_fields",
+    "lost_work",
+    "pool_fields",
+    "run_end_fields",
+    "running_fields",
+    "takeover_fields",
+]
 
 # Work on an accelerator in core-seconds, as the platform prices it.
 CORES_PER_ACCELERATOR = 8
@@ -28,7 +37,7 @@
     """Returns what is known of a job when it is accepted.
 
     ``work`` is in core-seconds by the submitter's estimates, ``width`` the tasks of its widest
-    step.
+    step, ``long_running`` the number of tasks that don't end by themselves.
     """
     spec = job.record.spec
     work = sum(
@@ -43,6 +52,7 @@
         "work": round(work, 1),
         "width": max(step.count for step in spec.steps),
         "is_gang": any(step.gang for step in spec.steps),
+        "long_running": sum(step.count for step in spec.steps if step.long_running),
     }
 
 
@@ -76,6 +86,43 @@
     }
 
 
+def takeover_fields(pool: PoolName, jobs: Iterable[Job]) -> dict[str, Any]:
+    """Returns what a new owner recovered: open jobs with their ids, runs that may be going on, and
+    ended jobs. A job that was accepted before and is missing here has been lost."""
+    jobs = list(jobs)
+    open_jobs = [job for job in jobs if not job.is_ended]
+    return {
+        "event": "pool_taken",
+        "pool": pool,
+        "jobs_open": len(open_jobs),
+        "jobs_ended": len(jobs) - len(open_jobs),
+        "runs": sum(len(list(job.attempts())) for job in open_jobs),
+        "open_jobs": " ".join(job.record.job_id for job in open_jobs),
+    }
+
+
+def run_end_fields(attempt: Attempt, outcome: RunOutcome, now: timedelta) -> dict[str, Any]:
+    """Returns how a run ended. ``unconfirmed_ms`` is the time since the worker last confirmed it,
+    before an end that is concluded from the worker's silence or restart."""
+    fields = {"event": "run_ended", "task": attempt.name, "run": attempt.run}
+    step = attempt.task.unit.step
+    if outcome in (RunOutcome.LAPSED, RunOutcome.LOST) and attempt.confirmed_at is not None:
+        fields["unconfirmed_ms"] = to_ms(now - attempt.confirmed_at)
+    if step.spec.long_running:
+        fields |= {"long_running": 1, "waits": step.job.wait_times.as_milliseconds()}
+    return fields
+
+
+def running_fields(attempt: Attempt) -> dict[str, Any]:
+    """Returns the fields of the line that a task runs. ``waits`` are those of its job so far."""
+    return {
+        "event": "run_running",
+        "task": attempt.name,
+        "run": attempt.run,
+        "waits": attempt.task.unit.step.job.wait_times.as_milliseconds(),
+    }
+
+
 def lost_work(attempt: Attempt, now: timedelta) -> float:
     """Returns the work in core-seconds that an ended run has done since it started."""
     if attempt.started_at is None:
