Tell restored runs on workers that are gone, and how to get from a lost job to its cause

A run that a takeover restored on a worker that is not listed is ended as lapsed ten seconds later, and no line told since when its task was away: neither owner had seen the end. The line on the takeover now counts such runs, and the end tells the time since the takeover.

--- a/hornbeamramp/poolowner/lifecycle.py
+++ b/hornbeamramp/poolowner/lifecycle.py
@@ -106,7 +106,9 @@
                 outcome.value,
                 attempt.percent,
                 unit.failures,
-                extra=run_end_fields(attempt, outcome, self._owner.boot_time()),
+                extra=run_end_fields(
+                    attempt, outcome, self._owner.boot_time(), self._owner.taken_at
+                ),
             )
         self._journal.mark_dirty(job)
         if not unit.is_done:
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -169,6 +169,8 @@
         self._is_releasing = False
         self.is_ready = False
         self.is_lost = asyncio.Event()
+        # Boot time at which the records of former owners were restored.
+        self.taken_at = context.clock.boot_time()
 
     # Start and shutdown
 
@@ -180,6 +182,7 @@
         Raises `StoreUnavailableError` if the store can't be read.
         """
         records, listings = await asyncio.gather(read_jobs(self._store, self.pool), load_listings())
+        self.taken_at = self._clock.boot_time()
         group_by_job: dict[Job, str] = {}
         for stored in records.jobs:
             job = Job(stored.record)
--- a/hornbeamramp/poolowner/summaries.py
+++ b/hornbeamramp/poolowner/summaries.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from hornbeamramp.durations import to_ms
-from hornbeamramp.fleet import Attempt, RunOutcome, WorkerSession
+from hornbeamramp.fleet import Attempt, AttemptPhase, RunOutcome, WorkerSession
 from hornbeamramp.ids import PoolName
 from hornbeamramp.poolowner.jobs import Job, StepRun
 from hornbeamramp.poolowner.lateness import TOO_LATE_FACTOR, on_time_limit_ms
@@ -87,27 +87,43 @@
 
 
 def takeover_fields(pool: PoolName, jobs: Iterable[Job]) -> dict[str, Any]:
-    """Returns what a new owner recovered: open jobs with their ids, runs that may be going on, and
-    ended jobs. A job that was accepted before and is missing here has been lost."""
+    """Returns what a new owner recovered: open jobs with their ids, ended jobs, and runs that may
+    be going on, of them those on workers that are not listed.
+
+    A job that was accepted before and is missing here has been lost. Runs on workers that are not
+    listed hold up their tasks for the longest lease that the former owner can have given.
+    """
     jobs = list(jobs)
     open_jobs = [job for job in jobs if not job.is_ended]
+    attempts = [attempt for job in open_jobs for attempt in job.attempts()]
     return {
         "event": "pool_taken",
         "pool": pool,
         "jobs_open": len(open_jobs),
         "jobs_ended": len(jobs) - len(open_jobs),
-        "runs": sum(len(list(job.attempts())) for job in open_jobs),
+        "runs": len(attempts),
+        "runs_unlisted": sum(not attempt.session.is_listed for attempt in attempts),
         "open_jobs": " ".join(job.record.job_id for job in open_jobs),
     }
 
 
-def run_end_fields(attempt: Attempt, outcome: RunOutcome, now: timedelta) -> dict[str, Any]:
-    """Returns how a run ended. ``unconfirmed_ms`` is the time since the worker last confirmed it,
-    before an end that is concluded from the worker's silence or restart."""
+def run_end_fields(
+    attempt: Attempt, outcome: RunOutcome, now: timedelta, taken_at: timedelta
+) -> dict[str, Any]:
+    """Returns how a run ended.
+
+    ``unconfirmed_ms`` is the time since the worker last confirmed it, before an end that is
+    concluded from the worker's silence or restart. For a run that a former owner started and no
+    worker has confirmed since, it is the time since the takeover.
+    """
     fields = {"event": "run_ended", "task": attempt.name, "run": attempt.run}
     step = attempt.task.unit.step
-    if outcome in (RunOutcome.LAPSED, RunOutcome.LOST) and attempt.confirmed_at is not None:
-        fields["unconfirmed_ms"] = to_ms(now - attempt.confirmed_at)
+    confirmed_at = attempt.confirmed_at
+    # An order without an answer is stopped at once, so this one has been restored.
+    if attempt.phase is AttemptPhase.UNCERTAIN and not attempt.stop_wanted:
+        confirmed_at = taken_at
+    if outcome in (RunOutcome.LAPSED, RunOutcome.LOST) and confirmed_at is not None:
+        fields["unconfirmed_ms"] = to_ms(now - confirmed_at)
     if step.spec.long_running:
         fields |= {"long_running": 1, "waits": step.job.wait_times.as_milliseconds()}
     return fields
--- a/hornbeamramp/unfinished.py
+++ b/hornbeamramp/unfinished.py
@@ -348,7 +348,7 @@
         gap = self._gaps_by_step[step].get(task)
         if gap is not None:
             # The run has not been confirmed, so the task has been away since the end before.
-            gap.add(f"run {run} {outcome}")
+            gap.add(f"run {run} {outcome} at {line.at:.1f}")
             return
         known_until = line.at - line.unconfirmed_ms / 1000
         if not line.unconfirmed_ms and outcome in INFERRED_OUTCOMES:
@@ -480,8 +480,8 @@
         else:
             notes.append(
                 "written by an earlier build: requests to cancel, answers 410 and recovered jobs"
-                " are not in these logs, and long-running jobs are those of queues in which none"
-                " completed or failed"
+                " are not in these logs; long-running jobs are those of queues in which none"
+                " completed or failed; a worker's silence begins up to 2.6 s after its last answer"
             )
         if self._dropped_lines:
             notes.append(f"{self._dropped_lines} lines were dropped by the VMs")
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -220,7 +220,7 @@
     assert (gap.task, gap.run, gap.how, gap.worker) == (TASK, 1, "lapsed", "i-1")
     assert gap.known_until == pytest.approx(13.9)
     assert gap.started_at == 24.0
-    assert {"ticket", "run 2 stopped", "advice 1800 ms"} <= set(gap.waited)
+    assert {"ticket", "run 2 stopped at 23.0", "advice 1800 ms"} <= set(gap.waited)
 
 
 def test_task_whose_start_is_not_confirmed_is_still_away(day, tmp_path):
--- a/tests/vm/test_log_evidence.py
+++ b/tests/vm/test_log_evidence.py
@@ -10,7 +10,7 @@
 from hornbeamramp.logs import json_line
 from hornbeamramp.unfinished import read_unfinished
 from hornbeamramp.workload import JobPhase, StepSpec
-from tests.model.cell import REQUEST_TIMEOUT, ModelCell, job
+from tests.model.cell import REQUEST_TIMEOUT, WORKER_PREFIX, ModelCell, job
 from tests.model.virtual_time import run_in_virtual_time
 
 JOB = "e" * 16
@@ -129,6 +129,32 @@
     assert [(line["task"], line["run"]) for line in lines_of("run_running")] == [TASK_RUN] * 2
 
 
+def test_logs_tell_of_restored_runs_on_workers_that_are_gone(report_after, lines_of):
+    """Guards against the time between a takeover and the lapse of a restored run, ten seconds and
+    more, that no line tells: neither owner has seen the run's end."""
+    taken_at = []
+
+    async def scenario(cell):
+        await cell.submit(JOB, LASTING)
+        await cell.wait_for_phase(JOB, JobPhase.RUNNING)
+        [(_, worker, _, _)] = cell.fleet.starts
+        await asyncio.sleep(1.0)
+        cell.fleet.worker_by_name[worker].crash()
+        cell.store.remove(f"{WORKER_PREFIX}{worker}")
+        owner = await cell.wait_for_owner()
+        await owner.kill()
+        del cell.vm_by_name[owner.name]
+        await cell.wait_for_owner()
+        taken_at.append(cell.clock.boot_time().total_seconds())
+        await asyncio.sleep(15.0)
+        assert len(cell.fleet.starts) == 2
+
+    [gap] = report_after(scenario).gaps
+    assert lines_of("pool_taken")[-1]["runs_unlisted"] == 1
+    assert gap.known_until <= taken_at[0] < gap.ended_at
+    assert gap.started_at is not None
+
+
 def test_placement_after_a_failed_run_names_the_task(report_after, lines_of):
     """Guards against a line that names only the step: of several tasks of a step, it would not tell
     which one started again."""
