Keep one odd record under hbr/ from harming other jobs and VMs

Callers saw accepted jobs that never ran: a new owner failed in its recovery at each try, or left out jobs that an odd record had nothing to do with.

Causes: only msgspec.MsgspecError was handled, but a deeply nested record raises RecursionError; progress with a step, an index or an occurrence that the job does not have raised IndexError, or was applied to another task (negative index); a run number of 2**64 - 1 failed all later commits. Any key under hbr/group/POOL/ counted as a group, and was deleted as an empty one, so that the jobs left out for it ran again under the next owner. An owner or chain record without a lease kept a pool without an owner for good. A record under hbr/cell/vm/ could take the name of another VM.

Decoding turns RecursionError into a decode error; recovery checks jobs and progress before any of it is applied; groups count if an owner of the pool can have written their key, and undecodable ones are kept; cell records count if they are under a lease and under the VM's own key; a claim deletes owner and chain records that are under no lease.

--- a/hornbeamramp/poolowner/recovery.py
+++ b/hornbeamramp/poolowner/recovery.py
@@ -7,6 +7,7 @@
 
 import logbook
 import msgspec
+from result import Err
 
 from hornbeamramp.fleet import WorkerListing
 from hornbeamramp.ids import DataCentreId, JobId, PoolName, UpstreamId
@@ -19,13 +20,17 @@
     decode_group,
     decode_progress,
     decode_record,
+    job_key,
     job_prefix,
 )
-from hornbeamramp.statestore.records import group_prefix, progress_prefix
-from hornbeamramp.workload import TERMINAL_PHASES
+from hornbeamramp.statestore.records import group_prefix, group_token, progress_prefix
+from hornbeamramp.workload import TERMINAL_PHASES, check_job
 
 __all__ = ["PoolRecords", "StoredJob", "placeholder_listing", "read_jobs"]
 
+# Highest run number and number of failures in a record: run numbers count the starts of one task.
+MAX_COUNT = 2**31
+
 _log = logbook.Logger("recovery")
 
 
@@ -55,8 +60,8 @@
 async def read_jobs(store: StateStore, pool: PoolName) -> PoolRecords:
     """Returns the pool's jobs. Only its owner writes them, so reads after the claim are consistent.
 
-    Jobs of which a record can't be decoded are logged and left out: without its progress, a job
-    would run again. Raises `StoreUnavailableError`.
+    Jobs of which a record can't be read are logged and left out: without its progress, a job would
+    run again. Records that no owner can have written are ignored. Raises `StoreUnavailableError`.
     """
     # Concurrently, as each call to a slow store prolongs the takeover.
     (progress_items, _), (group_items, _), (job_items, _) = await asyncio.gather(
@@ -67,13 +72,17 @@
     progress_by_id = {
         _job_id(item): _StoredProgress(item.value, item.revision) for item in progress_items
     }
+    groups = [item for item in group_items if _is_group(pool, item)]
     unknown_revision = 0
-    for item in group_items:
+    undecodable = set()
+    for item in groups:
         try:
             group = decode_group(item.value)
         except msgspec.MsgspecError as error:
             _log.error("{}: progress of some jobs can't be decoded: {}", item.key, error)
-            unknown_revision = max(unknown_revision, item.revision)
+            # Each group is written once, so what its owner wrote there is as old as the key.
+            unknown_revision = max(unknown_revision, item.created)
+            undecodable.add(item.key)
             continue
         for job_id, value in group.progress_by_job.items():
             known = progress_by_id.get(job_id)
@@ -83,17 +92,69 @@
     for item in job_items:
         stored = progress_by_id.get(_job_id(item))
         try:
-            record = decode_record(item.value)
+            record = _check_record(pool, item.key, decode_record(item.value))
             progress = JobProgress() if stored is None else decode_progress(stored.value)
-        except msgspec.MsgspecError as error:
-            _log.error("{}: record of the job can't be decoded, job left out: {}", item.key, error)
+            _check_progress(record, progress)
+        except ValueError as error:
+            _log.error("{}: record of the job can't be read, job left out: {}", item.key, error)
             continue
         revision = item.revision if stored is None else stored.revision
         if revision < unknown_revision and progress.phase not in TERMINAL_PHASES:
             _log.error("{}: newer progress may be undecodable, job left out", item.key)
             continue
         jobs.append(StoredJob(record, progress, "" if stored is None else stored.group))
-    return PoolRecords(jobs, [item.key for item in group_items])
+    # Those that can't be decoded are kept: without them, the next owner would run the jobs again
+    # that are left out now.
+    return PoolRecords(jobs, [item.key for item in groups if item.key not in undecodable])
+
+
+def _is_group(pool: PoolName, item: Item) -> bool:
+    """Returns whether an owner of the pool can have written a group. Its token is older."""
+    token = group_token(pool, item.key)
+    if token is None or token >= item.created:
+        _log.error("{}: ignored, no owner of the pool can have written it", item.key)
+        return False
+    return True
+
+
+def _check_record(pool: PoolName, key: str, record: JobRecord) -> JobRecord:
+    """Returns the record of a job. Raises `ValueError` if no owner can have written it."""
+    if key != job_key(pool, record.job_id):
+        raise ValueError(f"it is the record of job {record.job_id}")
+    checked = check_job(record.spec)
+    if isinstance(checked, Err):
+        raise ValueError(checked.err_value)
+    return record
+
+
+def _check_progress(record: JobRecord, progress: JobProgress) -> None:
+    """Raises `ValueError` if progress names tasks that the job does not have, or one twice."""
+    steps = record.spec.steps
+    open_tasks = set()
+
+    def check_step(occurrence: int, step: int) -> None:
+        if not (0 <= occurrence < record.spec.occurrences and 0 <= step < len(steps)):
+            raise ValueError(f"progress of step {step} of occurrence {occurrence}")
+
+    def check_index(step: int, index: int) -> None:
+        if not 0 <= index < steps[step].count:
+            raise ValueError(f"progress of task {index} of step {step}")
+
+    for occurrence, step, indices in progress.done:
+        check_step(occurrence, step)
+        for index in indices:
+            check_index(step, index)
+    for grants in progress.grants:
+        check_step(grants.occurrence, grants.step)
+    for task in progress.open_tasks:
+        check_step(task.occurrence, task.step)
+        check_index(task.step, task.index)
+        if not (0 <= task.run <= MAX_COUNT and 0 <= task.failures <= MAX_COUNT):
+            raise ValueError(f"run {task.run} of a task, {task.failures} failures")
+        key = (task.occurrence, task.step, task.index)
+        if key in open_tasks:
+            raise ValueError(f"task {key} is open twice")
+        open_tasks.add(key)
 
 
 def _job_id(item: Item) -> JobId:
--- a/hornbeamramp/statestore/claim.py
+++ b/hornbeamramp/statestore/claim.py
@@ -29,6 +29,7 @@
 
 # Delay before a failed commit is repeated: a few round trips to the store (4 ms each).
 RETRY_DELAY = timedelta(milliseconds=50)
+MAX_PORT_DIGITS = 5
 
 _log = logbook.Logger("claim")
 
@@ -49,8 +50,10 @@
     ports: int = 1
 
     def __post_init__(self) -> None:
-        if self.ports < 1 or (self.ports > 1 and not self.address.rpartition(":")[2].isdecimal()):
-            raise ValueError(f"no {self.ports} ports from address {self.address!r}")
+        first = self.address.rpartition(":")[2]
+        is_number = first.isdecimal() and len(first) <= MAX_PORT_DIGITS
+        if self.ports < 1 or (self.ports > 1 and not is_number):
+            raise ValueError(f"no {self.ports} ports from address {self.address[:100]!r}")
 
     def address_for(self, caller: VmId) -> str:
         """Returns the address at which a VM calls the process; VMs are spread over its ports."""
@@ -76,7 +79,7 @@
     """Returns the record, or ``None`` if it can't be decoded."""
     try:
         return msgspec.json.decode(value, type=OwnerRecord)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         _log.warning("owner record ignored, it can't be decoded: {}", error)
         return None
 
@@ -122,12 +125,25 @@
         try:
             self._revision = await self._store.commit(Txn({p.key: 0 for p in puts}, puts))
         except TxnConflictError as conflict:
+            await self._delete_without_lease(conflict.item_by_key)
             return self._adopt_existing(conflict.item_by_key.get(self._key))
         except LeaseLostError:
             return False
         self.token = self._revision
         return True
 
+    async def _delete_without_lease(self, item_by_key: dict[str, Item]) -> None:
+        """Deletes existing keys that are under no lease: they are no claim, and nothing would ever
+        end them. The next try to acquire the claim doesn't find them."""
+        foreign = {key: item.revision for key, item in item_by_key.items() if not item.lease}
+        if not foreign:
+            return
+        _log.error("deleting {}: a claim is always under a lease", ", ".join(foreign))
+        try:
+            await self._store.commit(Txn(foreign, deletes=tuple(foreign)))
+        except TxnConflictError:
+            _log.info("not deleted, as they have changed: {}", ", ".join(foreign))
+
     def _adopt_existing(self, item: Item | None) -> bool:
         record = None if item is None else decode_owner(item.value)
         if item is None or record is None or record.boot != self._record.boot:
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -7,6 +7,10 @@
 highest store revision counts.
 """
 
+import re
+from collections.abc import Callable
+from typing import TypeVar
+
 import msgspec
 
 from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId, VmId
@@ -27,6 +31,7 @@
     "encode",
     "group_key",
     "group_prefix",
+    "group_token",
     "job_key",
     "job_prefix",
     "owner_key",
@@ -38,6 +43,7 @@
 ]
 
 ROOT = "hbr/"
+_GROUP_NAME = re.compile(r"([0-9]{1,20})-[0-9]{1,20}")
 # Version of the records from which on processes read progress groups. Earlier ones would start the
 # tasks of these jobs again, so groups are written only while no such process is alive.
 GROUPED_FORMAT = 2
@@ -98,10 +104,26 @@
     progress_by_job: dict[JobId, bytes]
 
 
+T = TypeVar("T")
+
+
+def _decoder(record_type: type[T]) -> Callable[[bytes], T]:
+    """Returns a function that decodes a record, and raises `msgspec.MsgspecError` if it can't."""
+    decoder = msgspec.msgpack.Decoder(record_type)
+
+    def decode(value: bytes) -> T:
+        try:
+            return decoder.decode(value)
+        except RecursionError as error:
+            raise msgspec.DecodeError("nested too deeply") from error
+
+    return decode
+
+
 encode = msgspec.msgpack.encode
-decode_group = msgspec.msgpack.Decoder(ProgressGroup).decode
-decode_record = msgspec.msgpack.Decoder(JobRecord).decode
-decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
+decode_group = _decoder(ProgressGroup)
+decode_record = _decoder(JobRecord)
+decode_progress = _decoder(JobProgress)
 
 
 def owner_prefix() -> str:
@@ -142,6 +164,12 @@
     return f"{group_prefix(pool)}{token}-{number}"
 
 
+def group_token(pool: PoolName, key: str) -> int | None:
+    """Returns the token in the key of a pool's group, ``None`` if it is the key of no group."""
+    match = _GROUP_NAME.fullmatch(key.removeprefix(group_prefix(pool)))
+    return None if match is None else int(match[1])
+
+
 def progress_prefix(pool: PoolName) -> str:
     return f"{ROOT}progress/{pool}/"
 
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -22,6 +22,7 @@
 from hornbeamramp.rpc import PeerClient, PeerServer
 from hornbeamramp.statestore import (
     GROUPED_FORMAT,
+    Item,
     LeaseLostError,
     OwnerRecord,
     PoolClaim,
@@ -256,8 +257,7 @@
 
     def _decode_records(self, changed: set[str]) -> None:
         for key in changed:
-            item = self._cell_cache.item_by_key.get(key)
-            record = None if item is None else decode_owner(item.value)
+            record = _decode_record(self._cell_cache.item_by_key.get(key))
             if record is None:
                 self._record_by_key.pop(key, None)
             else:
@@ -475,3 +475,15 @@
             listings |= {worker: self._listing_by_worker[worker] for worker in sorted(expired)}
         self._listing_by_worker = listings
         return dict(listings)
+
+
+def _decode_record(item: Item | None) -> OwnerRecord | None:
+    """Returns a record of the cell, ``None`` if it can't be decoded or no VM can have written it:
+    each VM writes them under its lease, and its own under its name."""
+    record = None if item is None else decode_owner(item.value)
+    if item is None or record is None:
+        return None
+    if not item.lease or (item.key.startswith(vm_prefix()) and item.key != vm_key(record.vm)):
+        _log.warning("{} ignored, no VM can have written it", item.key)
+        return None
+    return record
--- a/tests/poolowner/test_recovery.py
+++ b/tests/poolowner/test_recovery.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from hornbeamramp.poolowner.recovery import read_jobs
 from hornbeamramp.statestore import (
     Item,
@@ -79,3 +81,39 @@
         later: JobPhase.QUEUED,
     }
     assert unknown not in phases(store)
+
+
+def test_undecodable_group_is_kept_for_the_next_owner():
+    """Guards against an owner that deletes the group as an empty one, after which its successor
+    runs the left out jobs again."""
+    store = Store()
+    unknown = store.put_job()
+    store.put(group_key(POOL, 1, 1), b"\xc1 not msgpack")
+    store.put_group(2, **{store.put_job(): JobPhase.RUNNING})
+    records = asyncio.run(read_jobs(store, POOL))
+    assert records.groups == [group_key(POOL, 1, 2)]
+    assert unknown not in phases(store)
+
+
+def test_overwritten_group_leaves_out_only_jobs_that_it_held():
+    """Guards against a group overwritten by another writer that makes an owner leave out jobs whose
+    progress was recorded after that group."""
+    store = Store()
+    held = store.put_job()
+    store.put(group_key(POOL, 1, 1), b"")
+    created = len(store.items)
+    later = store.put_job()
+    store.items[created - 1] = Item(group_key(POOL, 1, 1), b"\xc1", created + 100, created)
+    assert phases(store) == {later: JobPhase.QUEUED}
+    assert held not in phases(store)
+
+
+@pytest.mark.parametrize("name", ["odd", "1-x", "-1", "1-", "1-2-3", "1/2-3", "\u0661-1", "99-1"])
+def test_group_that_no_owner_can_have_written_is_neither_used_nor_deleted(name):
+    """Guards against a foreign record that makes an owner leave out every job, and against the
+    deletion of records of a pool whose name continues this one's."""
+    store = Store()
+    job_id = store.put_job()
+    store.put(f"hbr/group/{POOL}/{name}", b"\xc1")
+    assert phases(store) == {job_id: JobPhase.QUEUED}
+    assert asyncio.run(read_jobs(store, POOL)).groups == []
