Find jobs in the pool that their queue used before a new configuration

Callers got 410 for an accepted job once its queue's pool had changed, DELETE did not reach it, and a job sent again was accepted a second time in the new pool, so that its tasks ran twice.

Requests went to the pool that the queue names now; neither its owner nor its records know the job.

GET and DELETE of a job that is not in its queue's pool now look in the other pools. A POST first asks the pools that the queue has used in the configurations this VM has seen; their owners answer for jobs they know and accept no others. An owner refuses new jobs of a queue that its configuration sends elsewhere, and the VM sends them on.

Left: a VM that started after the move knows no former pools for a POST.

--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -347,6 +347,10 @@
         await self._journal.wait_inserted(job_id)
         return None
 
+    def is_known(self, job_id: JobId) -> bool:
+        """Returns whether a job is recorded here, or may be soon."""
+        return job_id in self.job_by_id or self._journal.is_inserting(job_id)
+
     def _on_recorded(self, job: Job) -> None:
         """Registers a job once its record is in the store."""
         record = job.record
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -49,6 +49,9 @@
 # those calls has already taken up to 1.5 s.
 STORE_OUTAGE_THRESHOLD = timedelta(milliseconds=300)
 
+# How often a job is sent on to the pool of a newer configuration.
+MAX_MOVES_PER_REQUEST = 3
+
 _log = logbook.Logger("callers")
 
 T = TypeVar("T")
@@ -107,19 +110,70 @@
             return SubmitResult("the store can't be reached", retry_delay(queue, spec))
         if self._node.config is None:
             return SubmitResult("there is no configuration yet", CONFIG_RETRY_AFTER)
-        version = self._node.config.version
-        request = SubmitJobRequest(
-            queue.pool, queue.name, version, job_id, spec, self._node.identity.data_centre
-        )
+        deadline = self._node.clock.boot_time() + max_wait
+        for _ in range(MAX_MOVES_PER_REQUEST):
+            # Read together: owners tell by the version which configuration chose the pool.
+            version = self._node.config.version
+            queue = self._node.config.queue_by_name.get(queue.name, queue)
+            request = SubmitJobRequest(
+                queue.pool, queue.name, version, job_id, spec, self._node.identity.data_centre
+            )
+            for pool in self._former_pools(queue):
+                result = await self._submit_again(request, pool, deadline)
+                if result is not None:
+                    return result
+            max_wait = deadline - self._node.clock.boot_time()
+            try:
+                reply, may_have_run = await self._ask_owner(request, self._on_submit, max_wait)
+            except UnavailableError as error:
+                if error.may_have_run:
+                    raise
+                return SubmitResult(str(error), OWNER_RETRY_AFTER)
+            if not reply.has_moved:
+                if reply.refusal and may_have_run:
+                    raise UnavailableError(reply.refusal, True)
+                return SubmitResult(reply.refusal, timedelta(milliseconds=reply.retry_after_ms))
+            try:
+                await self._node.ensure_config_version(version + 1)
+            except StoreUnavailableError as error:
+                _log.info("job {}: newer configuration not read: {}", job_id, error)
+        return SubmitResult(reply.refusal, OWNER_RETRY_AFTER)
+
+    async def _submit_again(
+        self, request: SubmitJobRequest, pool: PoolName, deadline: timedelta
+    ) -> SubmitResult | None:
+        """Returns the result for a job that may be recorded in a former pool of its queue; ``None``
+        if it is not, and the owner there accepts none of the queue by this configuration.
+
+        Raises `UnavailableError`.
+        """
+        repetition = msgspec.structs.replace(request, pool=pool, is_repetition=True)
         try:
-            reply, may_have_run = await self._ask_owner(request, self._on_submit, max_wait)
+            if self._has_owner(pool):
+                max_wait = deadline - self._node.clock.boot_time()
+                reply, may_have_run = await self._ask_owner(repetition, self._on_submit, max_wait)
+                if reply.refusal and may_have_run and not reply.has_moved:
+                    raise UnavailableError(reply.refusal, True)
+                return None if reply.refusal else SubmitResult()
+            if await self._stored_phase(pool, request.job_id) is not None:
+                return SubmitResult()
         except UnavailableError as error:
             if error.may_have_run:
                 raise
             return SubmitResult(str(error), OWNER_RETRY_AFTER)
-        if reply.refusal and may_have_run:
-            raise UnavailableError(reply.refusal, True)
-        return SubmitResult(reply.refusal, timedelta(milliseconds=reply.retry_after_ms))
+        return None
+
+    def _former_pools(self, queue: Queue) -> list[PoolName]:
+        """Returns the other pools that a queue has used since this process started."""
+        return sorted(self._node.pools_by_queue.get(queue.name, set()) - {queue.pool})
+
+    def _other_pools(self, queue: Queue) -> list[PoolName]:
+        """Returns all pools but the queue's, as this process may have started after a move."""
+        configured = set() if self._node.config is None else {*self._node.config.pool_by_name}
+        return sorted({*configured, *self._former_pools(queue)} - {queue.pool})
+
+    def _has_owner(self, pool: PoolName) -> bool:
+        return pool in self._node.owner_by_pool or self._node.owner_record(pool) is not None
 
     def _is_store_unavailable(self) -> bool:
         first_failure_at = self._node.store.failing_since
@@ -141,7 +195,30 @@
                 job_id,
                 error,
             )
-        return await self._stored_phase(queue.pool, job_id)
+        phase = await self._stored_phase(queue.pool, job_id)
+        if phase is not None:
+            return phase
+        found = await asyncio.gather(
+            *(self._phase_elsewhere(queue, pool, job_id) for pool in self._other_pools(queue))
+        )
+        return next((phase for phase in found if phase is not None), None)
+
+    async def _phase_elsewhere(
+        self, queue: Queue, pool: PoolName, job_id: JobId
+    ) -> JobPhase | None:
+        """Returns the phase of a job that may be in another pool than its queue's.
+
+        Raises `UnavailableError`.
+        """
+        if self._has_owner(pool):
+            request = JobPhaseRequest(pool, job_id)
+            try:
+                reply, _ = await self._ask_owner(request, self._on_phase, OWNER_CALL_TIMEOUT)
+                if reply.phase is not None or pool not in self._former_pools(queue):
+                    return reply.phase
+            except UnavailableError as error:
+                _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
+        return await self._stored_phase(pool, job_id)
 
     async def _stored_phase(self, pool: PoolName, job_id: JobId) -> JobPhase | None:
         try:
@@ -164,13 +241,36 @@
         # A former owner that has not noticed the takeover lacks the newest jobs.
         if await self._stored_phase(queue.pool, job_id) is not None:
             raise UnavailableError("the job is known to another owner", False)
-        return CancelResult.ABSENT
+        is_cancelled = await asyncio.gather(
+            *(self._cancel_elsewhere(queue, pool, job_id) for pool in self._other_pools(queue))
+        )
+        return CancelResult.CANCELLED if any(is_cancelled) else CancelResult.ABSENT
+
+    async def _cancel_elsewhere(self, queue: Queue, pool: PoolName, job_id: JobId) -> bool:
+        """Cancels a job that may be in another pool than its queue's, and returns whether it is
+        there. Raises `UnavailableError`."""
+        if self._has_owner(pool):
+            request = CancelJobRequest(pool, job_id)
+            try:
+                reply, _ = await self._ask_owner(request, self._on_cancel, OWNER_CALL_TIMEOUT)
+                if reply.is_known or pool not in self._former_pools(queue):
+                    return bool(reply.is_known)
+            except UnavailableError as error:
+                _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
+        if await self._stored_phase(pool, job_id) is not None:
+            raise UnavailableError("the job is known to an owner that does not answer", False)
+        return False
 
     async def pending(self, queue: Queue, max_wait: timedelta) -> int:
         """Returns the number of jobs of which no task has started. Raises `UnavailableError`."""
-        request = CountJobsRequest(queue.pool, queue.name)
-        reply, _ = await self._ask_owner(request, self._on_count, max_wait)
-        return reply.pending
+        pools = [queue.pool, *(pool for pool in self._former_pools(queue) if self._has_owner(pool))]
+        replies = await asyncio.gather(
+            *(
+                self._ask_owner(CountJobsRequest(pool, queue.name), self._on_count, max_wait)
+                for pool in pools
+            )
+        )
+        return sum(reply.pending for reply, _ in replies)
 
     async def _ask_owner(
         self,
@@ -239,6 +339,9 @@
         queue = self._node.config.queue_by_name.get(request.queue)
         if queue is None:
             return SubmitJobReply(True, "the queue is no longer configured", 1000)
+        is_elsewhere = request.is_repetition or queue.pool != request.pool
+        if is_elsewhere and not owner.is_known(request.job_id):
+            return SubmitJobReply(True, "the queue has moved to another pool", 1000, has_moved=True)
         refusal = await owner.accept(request.job_id, queue, request.spec, request.data_centre)
         if refusal is None:
             return SubmitJobReply(True)
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -16,7 +16,7 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.fleet import WorkerListing
-from hornbeamramp.ids import PoolName, UpstreamId, VmId
+from hornbeamramp.ids import PoolName, RouteName, UpstreamId, VmId
 from hornbeamramp.poolowner import OwnerContext, PoolOwner
 from hornbeamramp.rendezvous import rank
 from hornbeamramp.rpc import PeerClient, PeerServer
@@ -80,6 +80,8 @@
 
     `config`
         The configuration with the highest version seen; an older version never replaces it.
+    `pools_by_queue`
+        The pools of each queue in all configurations seen.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         self.store = RelayedStore(adapter.store, peers, clock, self._peer_addresses)
         server.handle(RelayRequest, self.store.serve)
         self.config: ClusterConfig | None = None
+        self.pools_by_queue: dict[RouteName, set[PoolName]] = {}
         self.owner_by_pool: dict[PoolName, PoolOwner] = {}
         self.is_stopping = False
         self.lease = VmLease(self.store, clock, self._on_lease_granted)
@@ -202,6 +205,8 @@
             len(config.queue_by_name),
         )
         self.config = config
+        for queue in config.queue_by_name.values():
+            self.pools_by_queue.setdefault(queue.name, set()).add(queue.pool)
         for owner in self.owner_by_pool.values():
             owner.config = config
             owner.wake()
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -206,7 +206,10 @@
 
     @property
     def owner(self) -> PoolOwner | None:
-        owner = self.node.owner_by_pool.get(POOL)
+        return self.owner_of(POOL)
+
+    def owner_of(self, pool: PoolName) -> PoolOwner | None:
+        owner = self.node.owner_by_pool.get(pool)
         return owner if owner is not None and owner.is_ready else None
 
     async def kill(self) -> None:
@@ -251,6 +254,7 @@
         self._boot_count = 0
         queues = (queue("gate"), queue("batch", 2, advice=False), queue("render", 1, decide_ms=500))
         self.queues = {q.name: q for q in queues}
+        self.pools = [POOL]
         self.version = 0
         self.configure()
         for number in range(workers):
@@ -276,7 +280,7 @@
     def configure(self) -> None:
         """Writes the configuration under a new version."""
         self.version += 3
-        pools = {POOL: Pool(POOL)}
+        pools = {name: Pool(name) for name in self.pools}
         config = ClusterConfig(self.version, dict(self.queues), pools)
         self.store.put(CONFIG_KEY, msgspec.msgpack.encode(config))
 
@@ -285,13 +289,13 @@
         self.fleet.add(name, capacity)
         self.list_worker(name)
 
-    def list_worker(self, name: str, draining: bool = False) -> None:
+    def list_worker(self, name: str, draining: bool = False, pool: PoolName = POOL) -> None:
         """Writes a worker's entry to the store."""
         worker = self.fleet.worker_by_name[name]
         rack = f"rack{int(name[1:]) // 2}"
         listing = WorkerListing(
             worker=UpstreamId(name),
-            pool=POOL,
+            pool=pool,
             address=name,
             data_centre=DataCentreId("gebze"),
             draining=draining,
