--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -17,7 +17,7 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.fleet import WorkerListing
-from hornbeamramp.ids import PoolName, UpstreamId, VmId
+from hornbeamramp.ids import PoolName, RouteName, UpstreamId, VmId
 from hornbeamramp.poolowner import OwnerContext, PoolOwner
 from hornbeamramp.rendezvous import rank
 from hornbeamramp.rpc import PeerClient, PeerServer
@@ -85,6 +85,8 @@
 
     `config`
         The configuration with the highest version seen; an older version never replaces it.
+    `pools_by_queue`
+        The pools of each queue in all configurations seen.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self.store = RelayedStore(adapter.store, peers, clock, self._peer_addresses)
         server.handle(RelayRequest, self.store.serve)
         self.config: ClusterConfig | None = None
+        self.pools_by_queue: dict[RouteName, set[PoolName]] = {}
         self.owner_by_pool: dict[PoolName, PoolOwner] = {}
         self.is_stopping = False
         self.lease = VmLease(self.store, clock, self._on_lease_granted)
@@ -214,6 +217,8 @@
             len(config.queue_by_name),
         )
         self.config = config
+        for queue in config.queue_by_name.values():
+            self.pools_by_queue.setdefault(queue.name, set()).add(queue.pool)
         for owner in self.owner_by_pool.values():
             owner.config = config
             owner.wake()
@@ -269,8 +274,7 @@
 
     def _decode_records(self, changed: set[str]) -> None:
         for key in changed:
-            item = self._cell_cache.item_by_key.get(key)
-            record = None if item is None else decode_owner(item.value)
+            record = _decode_record(self._cell_cache.item_by_key.get(key))
             if record is None:
                 self._record_by_key.pop(key, None)
             else:
@@ -513,3 +517,15 @@
 ) -> dict[UpstreamId, WorkerListing]:
     """Returns the listings of a pool. A worker that now belongs to another is no longer listed."""
     return {worker: listing for worker, listing in listings.items() if listing.pool == pool}
+
+
+def _decode_record(item: Item | None) -> OwnerRecord | None:
+    """Returns a record of the cell, ``None`` if it can't be decoded or no VM can have written it:
+    each VM writes them under its lease, and its own under its name."""
+    record = None if item is None else decode_owner(item.value)
+    if item is None or record is None:
+        return None
+    if not item.lease or (item.key.startswith(vm_prefix()) and item.key != vm_key(record.vm)):
+        _log.warning("{} ignored, no VM can have written it", item.key)
+        return None
+    return record
