Take a recovered job that its former owner logs later for the same job

A job recorded just before a takeover may be logged as accepted after it; the check then had a job without queue, and listed a long-running one as without an end.

--- a/hornbeamramp/unfinished.py
+++ b/hornbeamramp/unfinished.py
@@ -301,12 +301,14 @@
             if len(owned) == 1:
                 self._pool_by_queue[line.queue] = owned[0]
             pool = self._pool_by_queue.get(line.queue, "")
-        self._job_by_id.setdefault(
-            line.job,
-            JobFinding(
+        known = self._job_by_id.get(line.job)
+        if known is None:
+            self._job_by_id[line.job] = JobFinding(
                 line.job, line.at, line.vm, line.queue, pool, long_running=line.long_running
-            ),
-        )
+            )
+        elif not known.queue:
+            # A successor had recovered it before the former owner logged it.
+            known.queue, known.long_running = line.queue, line.long_running
 
     def _on_job_ended(self, line: Line) -> None:
         job = self._job_by_id.setdefault(
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -259,6 +259,15 @@
     assert [job.job for job in report.open_jobs] == [LATE, OPEN]
 
 
+def test_job_that_its_former_owner_logged_after_the_takeover_is_one_job(day, tmp_path):
+    """Guards against a recovered job without a queue, taken for one that ends by itself."""
+    day.taken(10, OPEN, vm="vm2", token=8)
+    day.accepted(10.1, OPEN, long_running=4)
+    day.placed(11, TASK, 1, vm="vm2")
+    report = day.check(tmp_path)
+    assert (report.accepted, report.left_out, report.open_jobs) == (1, [], [])
+
+
 def test_cancelled_job_without_a_request_is_listed(day, tmp_path):
     for job in (ON_TIME, LATE, OPEN):
         day.accepted(1, job)
