--- a/hornbeamramp/unfinished.py
+++ b/hornbeamramp/unfinished.py
@@ -409,8 +409,9 @@
         self._close(gap, line.at, f"run {line.run} running, owner {line.vm}")
 
     def _on_not_confirmed(self, task: str) -> None:
+        job = self._job_by_id.get(task.partition(".")[0])
         gap = self._closed_by_task.pop(task, None)
-        if gap is None:
+        if gap is None or (job is not None and job.result):
             return
         if gap in self._long_gaps:
             self._long_gaps.remove(gap)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -233,6 +233,18 @@
     assert (gap.started_at, gap.waited) == (7.0, ["start not confirmed"])
 
 
+def test_task_of_an_ended_job_is_not_away(day, tmp_path):
+    """Guards against a task listed until the end of the logs, as its start was not confirmed: its
+    job had failed in the meantime."""
+    day.accepted(1, OPEN)
+    day.run_ended(2, TASK, 1, "failed")
+    day.placed(2.1, TASK, 2)
+    day.ended(2.2, OPEN, "failed")
+    day.add(2.3, f"start of {TASK} run 2 on i-2 not confirmed, reply: StartReply.UNHEALTHY")
+    day.add(30, "stopping vm9", vm="vm9", part="serve")
+    assert day.check(tmp_path).gaps == []
+
+
 def test_beliefs_of_a_former_owner_do_not_count(day, tmp_path):
     """Guards against lapses listed for runs that a successor had adopted: an owner that was cut off
     logs them before it notices the takeover."""
