--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -233,6 +233,18 @@
     assert (gap.started_at, gap.waited) == (7.0, ["start not confirmed"])
 
 
+def test_task_of_an_ended_job_is_not_away(day, tmp_path):
+    """Guards against a task listed until the end of the logs, as its start was not confirmed: its
+    job had failed in the meantime."""
+    day.accepted(1, OPEN)
+    day.run_ended(2, TASK, 1, "failed")
+    day.placed(2.1, TASK, 2)
+    day.ended(2.2, OPEN, "failed")
+    day.add(2.3, f"start of {TASK} run 2 on i-2 not confirmed, reply: StartReply.UNHEALTHY")
+    day.add(30, "stopping vm9", vm="vm9", part="serve")
+    assert day.check(tmp_path).gaps == []
+
+
 def test_beliefs_of_a_former_owner_do_not_count(day, tmp_path):
     """Guards against lapses listed for runs that a successor had adopted: an owner that was cut off
     logs them before it notices the takeover."""
@@ -259,6 +271,15 @@
     assert [job.job for job in report.open_jobs] == [LATE, OPEN]
 
 
+def test_job_that_its_former_owner_logged_after_the_takeover_is_one_job(day, tmp_path):
+    """Guards against a recovered job without a queue, taken for one that ends by itself."""
+    day.taken(10, OPEN, vm="vm2", token=8)
+    day.accepted(10.1, OPEN, long_running=4)
+    day.placed(11, TASK, 1, vm="vm2")
+    report = day.check(tmp_path)
+    assert (report.accepted, report.left_out, report.open_jobs) == (1, [], [])
+
+
 def test_cancelled_job_without_a_request_is_listed(day, tmp_path):
     for job in (ON_TIME, LATE, OPEN):
         day.accepted(1, job)
