Don't use a worker whose entry turned odd after a store outage

For 2.5 s after an outage, entries that are missing count as expired with the store and are still used. An entry that can't be used counted as missing, so its worker got new tasks by the entry before (the new test failed: w0 still listed). It is in the store, so it has not expired; its worker is now left aside at once.

--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -498,7 +498,11 @@
             listings[decoded.ok_value.worker] = decoded.ok_value
         self._rejected_keys = rejected
         recovered_at = self.store.recovered_at
-        expired = self._listing_by_worker.keys() - listings.keys()
+        expired = (
+            self._listing_by_worker.keys()
+            - listings.keys()
+            - {UpstreamId(key.removeprefix(self.adapter.worker_prefix)) for key in rejected}
+        )
         self._has_expired_listings = (
             bool(expired)
             and recovered_at is not None
--- a/tests/vm/test_worker_entries.py
+++ b/tests/vm/test_worker_entries.py
@@ -132,6 +132,24 @@
     in_cell(scenario, vms=1, workers=1)
 
 
+def test_worker_whose_entry_turns_odd_after_a_store_outage_is_not_used(rejections):
+    """Guards against an odd entry that counts as one that has expired with the store: for 2.5 s,
+    the worker was used by its entry before."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        reject_odd_entries(vm)
+        vm.node.store.recovered_at = cell.clock.boot_time()
+        cell.store.put(f"{WORKER_PREFIX}w0", b"odd")
+        cell.store.remove(f"{WORKER_PREFIX}w1")
+        await asyncio.sleep(1)
+        assert vm.owner.session_by_worker["w1"].usable
+        session = vm.owner.session_by_worker.get("w0")
+        assert session is None or not session.is_listed
+
+    in_cell(scenario, vms=1, workers=2)
+
+
 def test_worker_whose_entry_names_another_pool_gets_no_new_tasks(rejections):
     """Guards against a pool that goes on using a worker by the entry that it had before."""
 
