Send no start orders to workers that became unusable, and none that extend a lost lease

Callers saw long-running tasks without a run for up to 12 s after their worker was lost.

Advice and the record of a placement take up to two seconds. By then the chosen worker may be known as unreachable, unlisted or draining, but the order was sent.

A session refuses such an order without sending it, so the unit is placed elsewhere at once. After one unanswered call, orders get no deadline beyond those already given, as hold calls do.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -165,7 +165,13 @@
     # Orders
 
     async def start(self, attempt: Attempt, order: StartOrder) -> StartReply | None:
-        """Sends a start order. ``None`` means that it may or may not be carried out."""
+        """Sends a start order. ``None`` means that it may or may not be carried out.
+
+        None is sent to a worker that became unusable after it was chosen: it might not be carried
+        out, and the lease in it would delay the restart of all runs there.
+        """
+        if not (self.is_listed and self.reachable) or self.listing.draining:
+            return StartReply.UNHEALTHY
         attempt.phase = AttemptPhase.ORDERED
         self._latest_deadline_ms = max(self._latest_deadline_ms, order.deadline_ms)
         try:
@@ -203,8 +209,14 @@
             attempt.confirmed_at = None
 
     def deadline_ms(self) -> int:
-        """Returns the end of a lease that begins now, in ms on the worker's clock."""
-        return self._estimated_clock_ms() + int(RUN_LEASE / MILLISECOND)
+        """Returns the end of a lease that begins now, in ms on the worker's clock.
+
+        While the worker doesn't answer, no lease ends later than those it may have already.
+        """
+        deadline = self._estimated_clock_ms() + int(RUN_LEASE / MILLISECOND)
+        if self.consecutive_failures:
+            return min(deadline, self._latest_deadline_ms)
+        return deadline
 
     def _estimated_clock_ms(self) -> int:
         """Returns the time on the worker's clock, which may run slower than the owner's."""
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import logbook
+import msgspec
 
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.fleet import (
@@ -11,6 +12,7 @@
     AttemptPhase,
     RunOutcome,
     StartOrder,
+    StartReply,
     WorkerListing,
     WorkerSession,
     WorkerUnreachableError,
@@ -96,6 +98,15 @@
         return await self.session.start(attempt, order)
 
 
+async def until(condition):
+    """Waits until a condition holds."""
+    for _ in range(2000):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise TimeoutError
+
+
 def run_with_harness(scenario):
     async def main():
         harness = SessionHarness()
@@ -432,3 +443,58 @@
             await harness.background.cancel()
 
     run_in_virtual_time(scenario())
+
+
+def test_no_order_is_sent_to_a_worker_that_became_unusable_after_it_was_chosen():
+    """Guards against a start order to a lost worker, whose lease kept the runs there from being
+    started elsewhere for another 6 s."""
+
+    async def scenario(harness):
+        running, chosen = harness.attempt(0), harness.attempt(1)
+        await harness.start(running)
+        await asyncio.sleep(3)
+        harness.worker.crash()
+        crashed_at = harness.clock.boot_time()
+        await until(lambda: not harness.session.reachable)
+        await asyncio.sleep(1)
+        assert await harness.start(chosen) is StartReply.UNHEALTHY
+        assert chosen.phase is AttemptPhase.RESERVED
+        await until(lambda: harness.owner.ended)
+        assert harness.owner.ended == [(running.name, RunOutcome.LAPSED)]
+        assert harness.clock.boot_time() - crashed_at < timedelta(seconds=6.8)
+
+    run_with_harness(scenario)
+
+
+def test_order_after_an_unanswered_call_does_not_extend_the_lease():
+    """Guards against orders that prolong the lease of a worker that may be lost already."""
+
+    async def scenario(harness):
+        running, chosen = harness.attempt(0), harness.attempt(1)
+        await harness.start(running)
+        await asyncio.sleep(3)
+        harness.worker.crash()
+        crashed_at = harness.clock.boot_time()
+        await until(lambda: harness.session.consecutive_failures)
+        assert harness.session.reachable
+        assert await harness.start(chosen) is None
+        await until(lambda: len(harness.owner.ended) == 2)
+        assert harness.clock.boot_time() - crashed_at < timedelta(seconds=6.8)
+
+    run_with_harness(scenario)
+
+
+def test_no_order_is_sent_to_a_worker_that_drains_or_is_unlisted_by_then():
+    """Guards against a start on a draining worker that was chosen before its report arrived."""
+
+    async def scenario(harness):
+        session = harness.session
+        session.listing = msgspec.structs.replace(session.listing, draining=True)
+        assert await harness.start(harness.attempt(0)) is StartReply.UNHEALTHY
+        session.listing = msgspec.structs.replace(session.listing, draining=False)
+        session.is_listed = False
+        assert await harness.start(harness.attempt(1)) is StartReply.UNHEALTHY
+        session.is_listed = True
+        assert await harness.start(harness.attempt(2)) is StartReply.STARTED
+
+    run_with_harness(scenario)
