Let restarts of long-running tasks ask for advice before other steps

Callers saw long-running tasks without a run for 17 s and more after their worker was lost, while the advice service was busy.

A call takes about a second.

--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -56,6 +56,9 @@
 # take about half a second.
 PREFETCH_DEFERRAL = timedelta(milliseconds=500)
 TOO_LATE_DEFERRAL = timedelta(seconds=2)
+# Requests for a long-running task that has to start again rank as if they had arrived earlier: it
+# has to be at work within 3 s, whatever else waits.
+RESTART_PRECEDENCE = timedelta(seconds=5)
 # Delay after an advice request that got no answer.
 ADVICE_RETRY_DELAY = timedelta(milliseconds=200)
 # Delay before a refused start is retried, so that the worker's next list has arrived.
@@ -90,9 +93,8 @@
     def may_ask(self, step: StepRun) -> bool:
         """Returns whether an advice request for the step would be sent soon.
 
-        While there is a backlog, only urgent steps and those with long-running tasks may ask.
-        Others wait in the placer, so that their requests are made for the capacity that is free by
-        then.
+        While there is a backlog, only urgent and long-running steps may ask. Others wait in the
+        placer, so that their requests are made for the capacity that is free by then.
         """
         return (
             self._advice.backlog < 1 or step.job.record.priority == URGENT or step.spec.long_running
@@ -207,7 +209,7 @@
     ) -> None:
         assert queue.advice is not None
         asked_at = self._clock.boot_time()
-        priority = step.job.record.priority
+        priority = URGENT if _is_restart(step) else step.job.record.priority
         try:
             advice = await self._advice.ask(step.key, worker_ids, queue.advice, priority, deferral)
         except AdviceUnavailableError as error:
@@ -372,6 +374,13 @@
 
 def _deferral(step: StepRun, has_capacity: bool) -> timedelta:
     """Returns how much later than its arrival an advice request is ranked."""
+    if has_capacity and _is_restart(step):
+        return -RESTART_PRECEDENCE
     if step.lateness.level is LatenessLevel.TOO_LATE:
         return TOO_LATE_DEFERRAL
     return timedelta(0) if has_capacity else PREFETCH_DEFERRAL
+
+
+def _is_restart(step: StepRun) -> bool:
+    """Returns whether tasks of a step that lasts have to start again."""
+    return step.spec.long_running and any(unit.run > 0 for unit in step.units)
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -90,14 +90,16 @@
 
     Tickets expire after 2 s.
 
-    `decision_time`
-        Time that each call takes.
+    `duration_of`
+        Duration of a call about a step and a number of workers.
     """
 
     def __init__(self, clock: Clock, share: float) -> None:
         self._clock = clock
         self._share = share
-        self.decision_time = timedelta(milliseconds=10)
+        self.duration_of: Callable[[StepKey, int], timedelta] = lambda step, workers: timedelta(
+            milliseconds=10
+        )
         self.is_down = False
         self.calls = 0
 
@@ -116,7 +118,7 @@
         if self.is_down:
             await self._clock.sleep(timeout)
             raise AdviceUnavailableError("no answer")
-        await self._clock.sleep(self.decision_time)
+        await self._clock.sleep(self.duration_of(step, len(workers)))
         expiry_s = self._clock.boot_time().total_seconds() + 2.0
         ticket_by_worker = {
             w: f"{step}@{w}|{expiry_s}" for w in workers if self.is_granted(str(step), w)
@@ -281,6 +283,23 @@
             return True
         return self.advice.is_valid(task, worker, ticket)
 
+    def use_costly_advice(self, *queue_names: str) -> None:
+        """Makes the advice of these queues take about a second, and calls last as configured."""
+        timing = AdviceTiming(
+            timedelta(milliseconds=728), timedelta(milliseconds=10.4), timedelta(seconds=2)
+        )
+        for name in queue_names:
+            changed = msgspec.structs.replace(self.queues[RouteName(name)], advice=timing)
+            self.queues[RouteName(name)] = changed
+        self.configure()
+
+        def duration(step: StepKey, workers: int) -> timedelta:
+            timing = self.queues[RouteName(self.queue_by_job[step.job_id])].advice
+            assert timing is not None
+            return timing.base + workers * timing.per_worker
+
+        self.advice.duration_of = duration
+
     def configure(self) -> None:
         """Writes the configuration under a new version."""
         self.version += 3
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -140,7 +140,7 @@
     async def scenario(cell):
         cell.queues["guard"] = queue("guard", 1, decide_ms=1000)
         cell.configure()
-        cell.advice.decision_time = timedelta(seconds=1)
+        cell.advice.duration_of = lambda step, workers: timedelta(seconds=1)
         await asyncio.sleep(1.0)
         spec = job(StepSpec(3, 4000, 100, long_running=True))
         await cell.submit("e" * 16, spec, "guard")
