Stop placing tasks on a worker that leaves an order unanswered

One task was started five times on silent workers.

Cause: the pending hold call hides the loss of a worker for up to two seconds. An order in that time raised the latest deadline that the worker may have got, also when the connection was refused and nothing was sent, and the worker stayed usable for the next.

Change: the deadline of an order that was not sent doesn't count. After an order without an answer, the worker gets no new runs until it answers a check that is sent at once; if it doesn't, it counts as unreachable.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -109,6 +109,10 @@
         self._worker_clock_ms = 0
         self._worker_clock_read_at: timedelta | None = None
         self._latest_deadline_ms = 0
+        # Deadlines in orders in flight, which the worker may have got.
+        self._deadline_by_order: dict[Attempt, int] = {}
+        # An order got no answer, and the worker has not answered since.
+        self._is_suspect = False
         # Numbers of the last end in the store, of the last one reported to the owner, and of the
         # last one that the worker has been told to forget.
         self._last_recorded = 0
@@ -126,6 +130,7 @@
         return (
             self.is_listed
             and self.reachable
+            and not self._is_suspect
             and not self.listing.draining
             and not self.orphan_stopped_at_by_key
         )
@@ -173,13 +178,19 @@
         if not (self.is_listed and self.reachable) or self.listing.draining:
             return StartReply.UNHEALTHY
         attempt.phase = AttemptPhase.ORDERED
-        self._latest_deadline_ms = max(self._latest_deadline_ms, order.deadline_ms)
-        try:
+
+        def may_send() -> bool:
             # The job may be cancelled while the call waits for a connection.
-            reply = await self._client.start(
-                self.listing, order, lambda: self._owner.may_order() and not attempt.stop_wanted
-            )
+            return self._owner.may_order() and not attempt.stop_wanted
+
+        self._deadline_by_order[attempt] = order.deadline_ms
+        is_sent = True
+        try:
+            reply = await self._client.start(self.listing, order, may_send)
         except WorkerUnreachableError as error:
+            is_sent = error.sent
+            if error.sent or may_send():
+                self._suspect()
             if not error.sent:
                 return StartReply.UNHEALTHY
             _log.info("start of {} run {} unanswered: {}", attempt.name, attempt.run, error)
@@ -192,6 +203,11 @@
             _log.exception("start of {} run {} failed unexpectedly", attempt.name, attempt.run)
             self._mark_uncertain(attempt)
             return None
+        finally:
+            # An order that was not sent extends no lease. After a restart of the worker, its
+            # deadline is on the clock of the old boot.
+            if self._deadline_by_order.pop(attempt, None) is not None and is_sent:
+                self._latest_deadline_ms = max(self._latest_deadline_ms, order.deadline_ms)
         now = self._clock.boot_time()
         if reply is StartReply.STARTED and attempt.phase is AttemptPhase.ORDERED:
             attempt.phase = AttemptPhase.RUNNING
@@ -201,6 +217,22 @@
             attempt.confirmed_at = now
         return reply
 
+    def _suspect(self) -> None:
+        """Checks at once whether the worker still answers, and gives it no new runs until it does.
+
+        The pending hold call may wait for two seconds more, in which other tasks would be placed
+        here.
+        """
+        if not self._is_suspect and self.reachable:
+            self._is_suspect = True
+            self._background.spawn(self._check_contact())
+
+    async def _check_contact(self) -> None:
+        if not await self._fetch_runs() and self._is_suspect:
+            _log.warning("worker {} is unreachable: an order and a check failed", self.worker)
+            self.consecutive_failures += 1
+            self.reachable = False
+
     @staticmethod
     def _mark_uncertain(attempt: Attempt) -> None:
         """Marks a run whose start order has no answer."""
@@ -228,7 +260,8 @@
         again."""
         if self._worker_clock_read_at is None:
             return self._inherited_lease_until
-        lease = (self._latest_deadline_ms - self._worker_clock_ms) * MILLISECOND
+        deadline_ms = max(self._latest_deadline_ms, *self._deadline_by_order.values(), 0)
+        lease = (deadline_ms - self._worker_clock_ms) * MILLISECOND
         return self._worker_clock_read_at + lease / MIN_WORKER_CLOCK_RATE
 
     def time_without_progress(self, attempt: Attempt) -> timedelta:
@@ -263,22 +296,26 @@
                 return
             await self._clock.sleep(RETRY_PAUSE)
 
-    async def _fetch_runs(self) -> None:
+    async def _fetch_runs(self) -> bool:
         """Requests the run list without waiting for the pending hold call, which only the end of a
-        run answers early; a run that never started has no end."""
+        run answers early; a run that never started has no end.
+
+        Returns whether the worker has answered.
+        """
         # One tick later than the stop's answer, which may have the same time stamp; only a list
         # requested after that answer proves that the run is gone.
         requested_at = self._clock.boot_time() + timedelta.resolution
         try:
             reply = await self._client.hold(self.listing, self._owner.token, 0, None, timedelta(0))
         except (WorkerUnreachableError, FencedError, InstanceMismatchError) as error:
-            _log.info("{}: can't get the run list after a stop: {!r}", self.worker, error)
-            return
+            _log.info("{}: can't get the run list: {!r}", self.worker, error)
+            return False
         except Exception:
             # The next hold call gets the list, too.
-            _log.exception("{}: run list after a stop failed unexpectedly", self.worker)
-            return
+            _log.exception("{}: request of the run list failed unexpectedly", self.worker)
+            return False
         self._apply(reply, requested_at)
+        return True
 
     async def _stop_orphan(self, key: tuple[str, int]) -> None:
         while key in self.orphan_stopped_at_by_key:
@@ -332,12 +369,14 @@
         """Extends the worker's lease and applies its run lists, until the worker is no longer
         listed and no attempt is left on it."""
         while self.is_listed or self.attempt_by_key:
-            if not self._owner.may_extend():
-                await self._clock.sleep(RETRY_PAUSE)
-                self._end_lapsed_runs()
-                continue
-            if not await self._hold_once():
-                self._end_lapsed_runs()
+            is_answered = False
+            try:
+                is_answered = self._owner.may_extend() and await self._hold_once()
+            finally:
+                # After an unexpected error, too: without their end, tasks would never run again.
+                if not is_answered:
+                    self.end_lapsed_runs()
+            if not is_answered:
                 await self._clock.sleep(RETRY_PAUSE)
 
     async def _hold_once(self) -> bool:
@@ -421,6 +460,7 @@
         if not self.reachable:
             _log.info("worker {} is reachable, boot {}", self.worker, reply.boot_ms)
         self.reachable, self.consecutive_failures = True, 0
+        self._is_suspect = False
         for row in reply.running:
             self._apply_running(row, now)
         had_ends = False
@@ -486,6 +526,7 @@
         # An order in flight has a deadline on the clock of the old boot. On the new boot's clock it
         # may be late enough to give the longest lease.
         self._latest_deadline_ms = int(reply.clock_ms + self._longest_lease / MILLISECOND)
+        self._deadline_by_order.clear()
         # Runs may already have started, and even ended, on the new boot.
         listed = {(row.task, row.run) for row in (*reply.running, *reply.ended)}
         for key, attempt in list(self.attempt_by_key.items()):
@@ -504,7 +545,7 @@
         self.reachable = self.is_listed = False
         self._end_all(RunOutcome.LOST)
 
-    def _end_lapsed_runs(self) -> None:
+    def end_lapsed_runs(self) -> None:
         """Ends all runs once their lease has certainly expired."""
         if self.attempt_by_key and self._clock.boot_time() > self.runs_end_by():
             self.reachable = False
--- a/hornbeamramp/poolowner/checks.py
+++ b/hornbeamramp/poolowner/checks.py
@@ -35,10 +35,18 @@
         """
         if not self._owner.may_order():
             return
+        self._end_lapsed_runs()
         self._evacuate_draining_workers()
         self._pace_best_effort_tasks()
         self._restart_stalled()
 
+    def _end_lapsed_runs(self) -> None:
+        """Ends runs on unreachable workers once their leases have lapsed; the sessions would notice
+        it only after their next failed call."""
+        for session in list(self._owner.session_by_worker.values()):
+            if not session.reachable:
+                session.end_lapsed_runs()
+
     def _restart_stalled(self) -> None:
         """Stops stalled runs; their tasks start again, preferably on another worker."""
         now = self._clock.boot_time()
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -107,9 +107,9 @@
     raise TimeoutError
 
 
-def run_with_harness(scenario):
+def run_with_harness(scenario, view=FleetView):
     async def main():
-        harness = SessionHarness()
+        harness = SessionHarness(view)
         try:
             await asyncio.sleep(0.1)
             await scenario(harness)
@@ -498,3 +498,58 @@
         assert await harness.start(harness.attempt(2)) is StartReply.STARTED
 
     run_with_harness(scenario)
+
+
+def test_order_that_was_not_sent_does_not_extend_the_lease():
+    """Guards against orders to a worker that is gone, which postponed the end of its runs by up to
+    three seconds (kaya-kantar-grown, workers-gone-in-calm)."""
+
+    class Refusing(FleetView):
+        async def start(self, worker, order, check):
+            await asyncio.sleep(0.01)
+            if self.is_refusing:
+                raise WorkerUnreachableError(Step.RUN, "w0", "connection refused", sent=False)
+            return await super().start(worker, order, check)
+
+        is_refusing = False
+
+    async def scenario(harness):
+        running, chosen = harness.attempt(0), harness.attempt(1)
+        await harness.start(running)
+        await asyncio.sleep(3)
+        lapses_at = harness.session.runs_end_by()
+        harness.view.is_refusing = True
+        assert await harness.start(chosen) is StartReply.UNHEALTHY
+        assert harness.session.runs_end_by() == lapses_at
+
+    run_with_harness(scenario, Refusing)
+
+
+def test_worker_that_leaves_an_order_unanswered_gets_no_other_until_it_answers():
+    """Guards against tasks that are placed on a silent worker three to five times, as its pending
+    hold call hid that for two seconds (kaya-kantar-grown, workers-gone-under-load)."""
+
+    async def scenario(harness):
+        await harness.start(harness.attempt(0))
+        await asyncio.sleep(1)
+        harness.worker.is_up = False
+        assert await harness.start(harness.attempt(1)) is not StartReply.STARTED
+        assert not harness.session.usable
+        await asyncio.sleep(0.4)
+        assert not harness.session.reachable
+        harness.worker.is_up = True
+        await asyncio.sleep(2.5)
+        assert harness.session.usable
+
+    run_with_harness(scenario)
+
+
+def test_worker_that_still_answers_is_used_again_at_once_after_a_lost_order():
+    async def scenario(harness):
+        await harness.start(harness.attempt(0))
+        harness.session._suspect()
+        assert not harness.session.usable
+        await asyncio.sleep(0.05)
+        assert harness.session.usable
+
+    run_with_harness(scenario)
