Queue advice requests that a busy VM has refused once

After a refusal, the next VM queues the request for as long as the first would have been busy, with a time-out to match. So it waits for one call of the other owner.

--- a/hornbeamramp/vm/advice_queue.py
+++ b/hornbeamramp/vm/advice_queue.py
@@ -102,15 +102,20 @@
         )
 
     async def ask(
-        self, step: StepKey, workers: list[UpstreamId], priority: int, timeout: timedelta
+        self,
+        step: StepKey,
+        workers: list[UpstreamId],
+        priority: int,
+        timeout: timedelta,
+        max_wait: timedelta = MAX_QUEUE_WAIT,
     ) -> Advice:
         """Waits for this call's turn and makes it.
 
         Raises `AdviceUnavailableError`, and `AdviceBusyError` at once if the wait is expected to be
-        longer than `MAX_QUEUE_WAIT`.
+        longer than ``max_wait``.
         """
         wait = self.expected_wait(priority)
-        if wait > MAX_QUEUE_WAIT:
+        if wait > max_wait:
             raise AdviceBusyError(wait)
         duration = max(timeout - CALL_TIMEOUT_SLACK, timedelta(0))
         if self._is_busy:
@@ -146,7 +151,13 @@
         """Calls the advice service for another VM."""
         timeout = timedelta(milliseconds=request.timeout_ms)
         try:
-            advice = await self.ask(request.step, list(request.workers), request.priority, timeout)
+            advice = await self.ask(
+                request.step,
+                list(request.workers),
+                request.priority,
+                timeout,
+                MAX_QUEUE_WAIT + timedelta(milliseconds=request.extra_wait_ms),
+            )
         except AdviceUnavailableError as error:
             return AdviseReply(str(error))
         except AdviceBusyError as error:
@@ -209,15 +220,21 @@
         # Ageing: a waiting request eventually precedes newer ones of higher priority, so that none
         # starves.
         sort_time = self._clock.boot_time() + priority * DELAY_PER_PRIORITY_LEVEL + deferral
+        timeout = cost + CALL_TIMEOUT_SLACK
+        extra_wait = timedelta(0)
         while True:
             vm = await self._acquire_vm(cost > COSTLY_CALL_THRESHOLD, sort_time)
             try:
                 if vm == self._own_vm:
-                    return await self._queue.ask(step, workers, priority, cost + CALL_TIMEOUT_SLACK)
-                return await self._ask_peer(vm, step, workers, priority, cost + CALL_TIMEOUT_SLACK)
+                    max_wait = MAX_QUEUE_WAIT + extra_wait
+                    return await self._queue.ask(step, workers, priority, timeout, max_wait)
+                return await self._ask_peer(vm, step, workers, priority, timeout, extra_wait)
             except AdviceBusyError as error:
                 _log.debug("{}: {} is {}, trying another VM", step, vm, error)
                 self._backoff_until_by_vm[vm] = self._clock.boot_time() + error.free_in
+                # The next VM queues the request for longer. Otherwise an owner that always has
+                # requests would keep its VMs from all others.
+                extra_wait = max(extra_wait, error.free_in)
             finally:
                 self._busy_vms.discard(vm)
                 self._assign_vms()
@@ -291,13 +308,18 @@
         return vms[first:] + vms[:first]
 
     async def _ask_peer(
-        self, vm: VmId, step: StepKey, workers: list[UpstreamId], priority: int, timeout: timedelta
+        self,
+        vm: VmId,
+        step: StepKey,
+        workers: list[UpstreamId],
+        priority: int,
+        timeout: timedelta,
+        extra_wait: timedelta,
     ) -> Advice:
-        timeout_ms = to_ms(timeout)
-        request = AdviseRequest(step, tuple(workers), priority, timeout_ms)
+        request = AdviseRequest(step, tuple(workers), priority, to_ms(timeout), to_ms(extra_wait))
         address = self._peer_addresses().get(vm, "")
         try:
-            reply = await self._peers.call(address, request, timeout, Step.ADMIT)
+            reply = await self._peers.call(address, request, timeout + extra_wait, Step.ADMIT)
         except SchedulerError as error:
             self._backoff_until_by_vm[vm] = self._clock.boot_time() + FAILED_VM_BACKOFF
             raise AdviceUnavailableError(str(error)) from error
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -104,12 +104,17 @@
 
 
 class AdviseRequest(msgspec.Struct, frozen=True):
-    """Asks another VM to call the advice service, which serves one call at a time for each VM."""
+    """Asks another VM to call the advice service, which serves one call at a time for each VM.
+
+    `extra_wait_ms`
+        How much longer than usual the request may wait for its turn, beside ``timeout_ms``.
+    """
 
     step: StepKey
     workers: tuple[UpstreamId, ...]
     priority: int
     timeout_ms: int
+    extra_wait_ms: int = 0
 
 
 class AdviseReply(msgspec.Struct, frozen=True):
--- a/tests/vm/test_advice_queue.py
+++ b/tests/vm/test_advice_queue.py
@@ -226,25 +226,31 @@
             raise UnreachableError(step, address, "no answer in time") from error
 
 
+def sources_of_two_owners(vms):
+    """Returns the advice sources of two owners that share some VMs."""
+    clock = LoopClock()
+    names = [f"vm{number:02}" for number in range(vms)]
+    queue_by_vm = {name: AdviceQueue(TimedClient(), clock) for name in names}
+    owners = (names[-1], names[-2])
+    return [
+        DistributedAdviceSource(
+            own,
+            queue_by_vm[own],
+            QueuePeers(queue_by_vm),
+            lambda own=own: {name: name for name in names if name != own},
+            clock,
+            lambda: owners,
+        )
+        for own in owners
+    ]
+
+
 def ask_as_two_owners(requests, timing, vms=12):
     """Sends requests of two owners at once; returns the results and the seconds they took."""
 
     async def scenario():
         clock = LoopClock()
-        names = [f"vm{number:02}" for number in range(vms)]
-        queue_by_vm = {name: AdviceQueue(TimedClient(), clock) for name in names}
-        owners = (names[-1], names[-2])
-        sources = [
-            DistributedAdviceSource(
-                own,
-                queue_by_vm[own],
-                QueuePeers(queue_by_vm),
-                lambda own=own: {name: name for name in names if name != own},
-                clock,
-                lambda: owners,
-            )
-            for own in owners
-        ]
+        sources = sources_of_two_owners(vms)
         started = clock.boot_time()
         results = await asyncio.gather(
             *(s.ask(STEP, [], timing, 1, NO_DEFERRAL) for s in sources for _ in range(requests)),
@@ -275,6 +281,36 @@
     assert all(isinstance(result, Advice) for result in results)
 
 
+def test_owner_with_steady_requests_does_not_keep_the_vms_from_another():
+    """Guards against a request that finds each VM busy again, as the other owner gives it the next
+    call at once: it waited for up to two of these calls."""
+
+    async def scenario():
+        clock = LoopClock()
+        busy, other = sources_of_two_owners(9)
+        longest = timedelta(0)
+
+        async def ask_again_and_again(source, pause):
+            nonlocal longest
+            while True:
+                started = clock.boot_time()
+                await source.ask(STEP, [], LONGEST, 1, NO_DEFERRAL)
+                if source is other:
+                    longest = max(longest, clock.boot_time() - started)
+                await asyncio.sleep(pause)
+
+        tasks = [asyncio.create_task(ask_again_and_again(busy, 0)) for _ in range(6)]
+        tasks += [asyncio.create_task(ask_again_and_again(other, p)) for p in (0.13, 0.29, 0.41)]
+        await asyncio.sleep(60)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        # One call of the other owner, and its own.
+        assert longest <= 2 * LONGEST.base
+
+    run_in_virtual_time(scenario())
+
+
 def test_busy_vm_refuses_a_request_that_would_wait_too_long():
     async def scenario():
         queue = AdviceQueue(TimedClient(), LoopClock())
