--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -28,7 +28,12 @@
 from hornbeamramp.poolowner.lateness import LatenessLevel, estimate_lateness
 from hornbeamramp.poolowner.launch import Launcher
 from hornbeamramp.poolowner.passes import SOON, SchedulingPass
-from hornbeamramp.poolowner.preemption import add_sizes, choose_victims, expected_slots
+from hornbeamramp.poolowner.preemption import (
+    add_sizes,
+    choose_victims,
+    expected_slots,
+    is_preemptible,
+)
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.workload import URGENT, AdviceTiming, Queue
@@ -307,17 +312,17 @@
         """Returns the granted workers whose tickets are worth renewing.
 
         If runs are preempted only with tickets, these are the workers that have room or can get it
-        by that. There may be more granted workers than one request names.
+        by that, if there are any. One request may not name all granted workers.
         """
         granted = current.granted(step)
         if advice.base <= SOON:
             return granted
-        runs, priority = current.runs, step.job.record.priority
+        priority = step.job.record.priority
 
         def can_have_room(session: WorkerSession) -> bool:
-            room = add_sizes(session.free(), runs.preemptible(session, priority))
-            soon = runs.freed_soon(session)
-            return count_tasks(step, (room[0] + soon[0], room[1] + soon[1], room[2] + soon[2])) > 0
+            attempts = session.attempt_by_key.values()
+            ending = [a for a in attempts if is_preemptible(a, priority, current.now)]
+            return count_tasks(step, add_sizes(session.free(), ending)) > 0
 
         with_room = [s for s in granted if could_ever_run(step, s) and can_have_room(s)]
         return with_room or granted
