--- a/tests/vm/test_lasting_tasks.py
+++ b/tests/vm/test_lasting_tasks.py
@@ -77,3 +77,27 @@
 def test_tickets_for_a_restart_are_there_when_the_lease_of_the_lost_run_ends(seed):
     """Guards against a restart that asks for advice only then, which takes a second more."""
     assert time_until_restart("render", ("gate", "render"), False, seed) < 7.2
+
+
+@pytest.mark.known_red
+def test_task_lost_shortly_before_a_takeover_is_started_again_in_time():
+    """Guards against a successor that counts the longest lease from its own takeover, as it doesn't
+    know since when the lease of a lost worker has not been extended."""
+
+    async def scenario():
+        async with ModelCell(vms=3) as cell:
+            spec = job(StepSpec(1, 1000, 100, long_running=True))
+            assert not (await cell.submit(LASTING, spec)).refusal
+            await cell.wait_for_phase(LASTING, JobPhase.RUNNING)
+            lost = next(w for w in cell.fleet.worker_by_name.values() if w.run_by_task)
+            lost.crash()
+            lost_at = cell.clock.boot_time().total_seconds()
+            await asyncio.sleep(2.5)
+            await (await cell.wait_for_owner()).kill()
+            await asyncio.sleep(0.5)
+            cell.store.remove(f"{WORKER_PREFIX}{lost.name}")
+            await asyncio.sleep(20)
+            starts = [at for at, *_ in cell.fleet.starts if at > lost_at]
+            assert min(starts) - lost_at < MAX_ABSENCE_S
+
+    run_in_virtual_time(scenario())
