End callers' requests within their time although the store does not answer

Callers of GET got an answer seconds after they had given up: the reads of the store that follow an unanswered call to the owner had no limit but their own, up to three seconds each with relays. A call to an owner could outlast its time-out by two seconds, as it waits for a handshake begun by another call.

The reads and the calls now end with the request's time, and a state query leaves 300 ms of it for the store. `limit_waits` ends the waits of all requests by a given time, for a process that stops. The outcome stays true: what was certainly not sent is refused, all else is unknown.

Evidence: test_request_ends_within_its_time_although_the_store_does_not_answer failed before for `phase` ("DID NOT RAISE UnavailableError", it answered after its time); the other test needs the new method.

--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -38,6 +38,12 @@
 # time in which another VM claims the pool and reads its records.
 OWNER_WAIT_TIMEOUT = timedelta(milliseconds=2000)
 OWNER_POLL_PERIOD = timedelta(milliseconds=50)
+# Added to the time-out of a call to an owner, whose own time-out tells whether the request was
+# sent. The handshake with a VM that does not answer may take longer than the call's time-out.
+OWNER_CALL_MARGIN = timedelta(milliseconds=100)
+# Part of a state query's time that is left for the store if the owner does not answer: two reads,
+# which take some 4 ms each.
+STORE_READ_TIME = timedelta(milliseconds=300)
 # A takeover that takes longer than ``OWNER_WAIT_TIMEOUT`` usually ends within a second more.
 OWNER_RETRY_AFTER = timedelta(seconds=1)
 # A VM that has just started reads the configuration within a second.
@@ -83,6 +89,8 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        # Boot time by which all requests are to end, as the process stops; ``None`` until then.
+        self._stops_at: timedelta | None = None
         self._register_handlers(node.server)
 
     def _register_handlers(self, server: PeerServer) -> None:
@@ -94,6 +102,14 @@
 
     # Requests of callers
 
+    def limit_waits(self, stops_at: timedelta) -> None:
+        """Ends the waits of all requests by a boot time, also of those in progress."""
+        self._stops_at = stops_at
+
+    def _time_left(self, deadline: timedelta) -> timedelta:
+        end = deadline if self._stops_at is None else min(deadline, self._stops_at)
+        return max(end - self._node.clock.boot_time(), timedelta(0))
+
     async def submit(
         self, queue: Queue, job_id: JobId, spec: JobSpec, max_wait: timedelta
     ) -> SubmitResult:
@@ -131,8 +147,10 @@
     async def phase(self, queue: Queue, job_id: JobId, max_wait: timedelta) -> JobPhase | None:
         """Returns a job's phase, ``None`` if there is no such job. Raises `UnavailableError`."""
         request = JobPhaseRequest(queue.pool, job_id)
+        deadline = self._node.clock.boot_time() + max_wait
+        owner_wait = max_wait - min(STORE_READ_TIME, max_wait / 2)
         try:
-            reply, _ = await self._ask_owner(request, self._on_phase, max_wait)
+            reply, _ = await self._ask_owner(request, self._on_phase, owner_wait)
             if reply.phase is not None:
                 return reply.phase
         except UnavailableError as error:
@@ -141,14 +159,19 @@
                 job_id,
                 error,
             )
-        return await self._stored_phase(queue.pool, job_id)
+        return await self._stored_phase(queue.pool, job_id, deadline)
 
-    async def _stored_phase(self, pool: PoolName, job_id: JobId) -> JobPhase | None:
+    async def _stored_phase(
+        self, pool: PoolName, job_id: JobId, deadline: timedelta
+    ) -> JobPhase | None:
         try:
-            progress = await self._node.store.get(progress_key(pool, job_id))
-            if progress is not None:
-                return decode_progress(progress.value).phase
-            record = await self._node.store.get(job_key(pool, job_id))
+            async with asyncio.timeout(self._time_left(deadline).total_seconds()):
+                progress = await self._node.store.get(progress_key(pool, job_id))
+                if progress is not None:
+                    return decode_progress(progress.value).phase
+                record = await self._node.store.get(job_key(pool, job_id))
+        except TimeoutError as error:
+            raise UnavailableError("the store did not answer in time", False) from error
         except StoreUnavailableError as error:
             raise UnavailableError(str(error), False) from error
         except msgspec.MsgspecError as error:
@@ -158,11 +181,12 @@
     async def cancel(self, queue: Queue, job_id: JobId, max_wait: timedelta) -> CancelResult:
         """Cancels a job. Raises `UnavailableError`."""
         request = CancelJobRequest(queue.pool, job_id)
+        deadline = self._node.clock.boot_time() + max_wait
         reply, _ = await self._ask_owner(request, self._on_cancel, max_wait)
         if reply.is_known:
             return CancelResult.CANCELLED
         # A former owner that has not noticed the takeover lacks the newest jobs.
-        if await self._stored_phase(queue.pool, job_id) is not None:
+        if await self._stored_phase(queue.pool, job_id, deadline) is not None:
             raise UnavailableError("the job is known to another owner", False)
         return CancelResult.ABSENT
 
@@ -180,24 +204,25 @@
     ) -> tuple[Any, bool]:
         """Returns the owner's reply, and whether an earlier try may have taken effect.
 
-        Retries until ``max_wait`` or `OWNER_WAIT_TIMEOUT` has passed or this VM is isolated, and
-        then raises `UnavailableError`.
+        Retries until ``max_wait`` or `OWNER_WAIT_TIMEOUT` has passed, this VM is isolated or its
+        process stops, and then raises `UnavailableError`.
         """
         clock = self._node.clock
         deadline = clock.boot_time() + max_wait
         owner_wait_end = clock.boot_time() + OWNER_WAIT_TIMEOUT
         may_have_run = False
         problem = "the pool has no owner"
-        while clock.boot_time() < deadline:
+        while time_left := self._time_left(deadline):
             record = self._node.owner_record(request.pool)
-            timeout = min(OWNER_CALL_TIMEOUT, deadline - clock.boot_time())
+            timeout = min(OWNER_CALL_TIMEOUT, time_left)
             try:
                 if request.pool in self._node.owner_by_pool:
                     async with asyncio.timeout(timeout.total_seconds()):
                         reply = await local_handler(request)
                 elif record is not None:
                     address = record.address_for(self._node.identity.vm)
-                    reply = await self._node.peers.call(address, request, timeout, Step.FORWARD)
+                    async with asyncio.timeout((timeout + OWNER_CALL_MARGIN).total_seconds()):
+                        reply = await self._node.peers.call(address, request, timeout, Step.FORWARD)
                 else:
                     reply = None
             except TimeoutError:
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -603,3 +603,37 @@
         assert refused.isdisjoint(task.split(".")[0] for _, _, task, _ in cell.fleet.starts)
 
     in_cell(scenario)
+
+
+@pytest.mark.parametrize("method", ["phase", "cancel"])
+def test_request_ends_within_its_time_although_the_store_does_not_answer(method):
+    """Guards against reads of the store that go on after the caller has given up."""
+
+    async def scenario(cell):
+        owner = await cell.wait_for_owner()
+        vm = next(vm for vm in cell.vm_by_name.values() if vm is not owner)
+        await owner.kill()
+        for other in cell.vm_by_name.values():
+            other.store.delay = timedelta(seconds=3)
+        started = cell.clock.boot_time()
+        with pytest.raises(UnavailableError):
+            await getattr(vm.service, method)(cell.queues["batch"], "a" * 16, REQUEST_TIMEOUT)
+        assert cell.clock.boot_time() - started <= REQUEST_TIMEOUT
+
+    in_cell(scenario)
+
+
+def test_request_ends_before_its_process_does():
+    """Guards against a wait for an owner that goes on until the process is killed."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        await vm.node.release()
+        started = cell.clock.boot_time()
+        submitting = asyncio.create_task(cell.submit("a" * 16, job(), vm=vm))
+        await asyncio.sleep(0.1)
+        vm.service.limit_waits(started + timedelta(seconds=1))
+        assert (await submitting).refusal
+        assert cell.clock.boot_time() - started <= timedelta(seconds=1.1)
+
+    in_cell(scenario, vms=1)
