Fail what waits for the record of an owner that has ended

That is time in which the next owner could have answered, and a VM that stops has only a few seconds of it.

Whether the commit took effect is unknown then, which `ClaimLostError` says, so the request is sent to the next owner and never refused as not run.

--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -175,6 +175,8 @@
     async def run(self) -> None:
         """Commits until the claim is lost; raises `ClaimLostError` then.
 
+        What waits for a record fails with the same error then, and when this is cancelled.
+
         After an unexpected error, whether the last commit took effect is unknown. The claim counts
         as lost then, so that the next owner goes by what is in the store.
         """
@@ -192,6 +194,9 @@
         except ClaimLostError as error:
             self._fail(error)
             raise
+        except asyncio.CancelledError:
+            self._fail(ClaimLostError("the owner has ended"))
+            raise
         except Exception as error:
             _log.exception("{}: commits failed unexpectedly", self._pool)
             lost = ClaimLostError(f"unexpected error: {error!r}")
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -637,3 +637,28 @@
         assert cell.clock.boot_time() - started <= timedelta(seconds=1.1)
 
     in_cell(scenario, vms=1)
+
+
+@pytest.mark.parametrize("ending", ["release", "loss"])
+def test_job_that_waits_for_its_record_is_handed_to_the_next_owner_at_once(ending):
+    """Guards against requests that wait in vain for commits of an owner that has ended, which left
+    less time to ask the next one."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        owner = vm.owner
+        # Without progress to record, a release does not wait for it.
+        later = job(SMALL, repetitions=1, start_at_ms=2_000_000_000_000, interval_ms=500)
+        vm.store.commit_delay = timedelta(seconds=5)
+        submitting = asyncio.create_task(cell.submit("a" * 16, later, vm=vm))
+        await asyncio.sleep(0.1)
+        vm.store.commit_delay = timedelta(0)
+        started = cell.clock.boot_time()
+        if ending == "release":
+            await vm.node.release()
+        else:
+            owner.mark_lost("test")
+        assert (await submitting).refusal == ""
+        assert cell.clock.boot_time() - started < timedelta(milliseconds=500)
+
+    in_cell(scenario)
