--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import signal
 
 import msgspec
@@ -9,7 +10,7 @@
 
 from tests.model.cell import job
 from tests.soak.callers import encode_job
-from tests.soak.cell import GRACE_S, SoakCell
+from tests.soak.cell import GRACE_S, START_TIMEOUT_S, SoakCell
 from tests.soak.kept_connections import LOSS_SLACK_S, Connection
 from tests.soak.proxy import LinkState
 
@@ -47,6 +48,18 @@
     return await statuses
 
 
+async def wait_until_ready(vm):
+    """Returns once a VM answers a request with the help of the owner."""
+    async with asyncio.timeout(START_TIMEOUT_S):
+        status = None
+        while status != 410:
+            await asyncio.sleep(0.05)
+            with contextlib.suppress(OSError):
+                connection = await Connection.open(vm.frontend)
+                status = (await connection.request("GET", "/batch/" + "f" * 16, DEADLINE_S)).status
+                connection.close()
+
+
 def in_cell(scenario, folder, vms):
     async def main():
         async with SoakCell(folder, 0, vms=vms, workers=1) as cell:
@@ -96,6 +109,7 @@
         owner = cell.owner()
         [other] = [vm for vm in cell.vm_by_name.values() if vm is not owner]
         body = msgspec.json.encode(encode_job(job()))
+        await wait_until_ready(other)
         owner.send_signal(signal.SIGSTOP)
         loop = asyncio.get_running_loop()
 
