Leave time for the store when a VM that stops waits for an owner

Callers who asked a VM that stops for a job's state got 503 although the store had it: the wait for an owner took all the time until the VM's last responses. The time for the store is now left also when the process ends before the request does.

Evidence: test_state_is_read_from_the_store_before_the_process_ends failed before ("UnavailableError: the store did not answer in time").

--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -148,9 +148,9 @@
         """Returns a job's phase, ``None`` if there is no such job. Raises `UnavailableError`."""
         request = JobPhaseRequest(queue.pool, job_id)
         deadline = self._node.clock.boot_time() + max_wait
-        owner_wait = max_wait - min(STORE_READ_TIME, max_wait / 2)
+        read_time = min(STORE_READ_TIME, max_wait / 2)
         try:
-            reply, _ = await self._ask_owner(request, self._on_phase, owner_wait)
+            reply, _ = await self._ask_owner(request, self._on_phase, max_wait, read_time)
             if reply.phase is not None:
                 return reply.phase
         except UnavailableError as error:
@@ -201,18 +201,19 @@
         request: Any,
         local_handler: Callable[[Any], Awaitable[Any]],
         max_wait: timedelta,
+        reserve: timedelta = timedelta(0),
     ) -> tuple[Any, bool]:
         """Returns the owner's reply, and whether an earlier try may have taken effect.
 
         Retries until ``max_wait`` or `OWNER_WAIT_TIMEOUT` has passed, this VM is isolated or its
-        process stops, and then raises `UnavailableError`.
+        process stops, and then raises `UnavailableError`. Leaves ``reserve`` of the time.
         """
         clock = self._node.clock
         deadline = clock.boot_time() + max_wait
         owner_wait_end = clock.boot_time() + OWNER_WAIT_TIMEOUT
         may_have_run = False
         problem = "the pool has no owner"
-        while time_left := self._time_left(deadline):
+        while (time_left := self._time_left(deadline) - reserve) > timedelta(0):
             record = self._node.owner_record(request.pool)
             timeout = min(OWNER_CALL_TIMEOUT, time_left)
             try:
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -639,6 +639,20 @@
     in_cell(scenario, vms=1)
 
 
+def test_state_is_read_from_the_store_before_the_process_ends():
+    """Guards against queries that wait for an owner until no time is left for the store."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        await cell.submit("a" * 16, job(), vm=vm)
+        await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
+        await vm.node.release()
+        vm.service.limit_waits(cell.clock.boot_time() + timedelta(seconds=1))
+        assert await cell.phase("a" * 16, vm) is JobPhase.COMPLETED
+
+    in_cell(scenario, vms=1)
+
+
 @pytest.mark.parametrize("ending", ["release", "loss"])
 def test_job_that_waits_for_its_record_is_handed_to_the_next_owner_at_once(ending):
     """Guards against requests that wait in vain for commits of an owner that has ended, which left
