Ignore signals while the interpreter ends

A VM that got a further SIGHUP or SIGTERM at the end of its shutdown ended with the status of a killed process, as the default actions apply once the event loop is closed. The signals are ignored from then on.

--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -134,6 +134,10 @@
     except Exception:
         _log.exception("shutdown of {} failed unexpectedly", vm)
     _log.info("stopped {}", vm)
+    # The default actions, which apply once the loop is closed, would kill the process.
+    loop.remove_signal_handler(signal.SIGHUP)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
     return 0
 
 
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -102,6 +102,24 @@
     in_cell(scenario, tmp_path, vms=1)
 
 
+def test_signals_at_the_end_do_not_kill_the_process(tmp_path):
+    """Guards against signals that kill the process while the interpreter ends (seen in soak seed
+    4005 with planned work)."""
+
+    async def scenario(cell):
+        [vm] = cell.vm_by_name.values()
+        await wait_until_ready(vm)
+        stopping = asyncio.create_task(vm.stop_process(signal.SIGTERM))
+        while not stopping.done():
+            vm.send_signal(signal.SIGHUP)
+            vm.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.002)
+        await stopping
+        assert vm.problems == []
+
+    in_cell(scenario, tmp_path, vms=1)
+
+
 def test_requests_for_a_paused_owner_are_answered_within_their_deadlines(tmp_path):
     """Guards against handshakes with a VM that does not answer, which outlast the calls."""
 
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -75,7 +75,6 @@
             await self.store_link.start()
             await self.advice_link.start()
             settings.write_text(self._settings())
-        self._started_at = time.monotonic()
         self.was_killed = False
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -88,6 +87,8 @@
                 stdout=log,
                 stderr=log,
             )
+        # A busy machine may take a second to start a process.
+        self._started_at = time.monotonic()
         self._log_event(f"{self.name} pid {self._process.pid} started")
 
     def _settings(self) -> str:
@@ -112,7 +113,9 @@
         """Sends a signal to the process, unless it has ended."""
         if self._process is not None and self._process.returncode is None:
             self._log_event(f"{self.name} pid {self._process.pid} gets {signal.name}")
-            self._process.send_signal(signal)
+            # The method of the process would reap it if it has just ended, and the status be lost.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, signal)
             if signal is Signals.SIGSTOP:
                 self._paused_at = time.monotonic()
             elif signal is Signals.SIGCONT and self._paused_at:
