Read requests that have arrived before idle connections are closed

A request that was sent 0.28 s before a VM closed its connection had no response: the VM's event loop had been busy, and closed the connections that it took for idle before it read what had arrived on them. The loop now runs for a few iterations first.

--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -131,11 +131,12 @@
                 await runner.cleanup()
 
     async def _close_idle_connections(self) -> None:
+        # Requests that have arrived are read first, as a closed connection drops them.
+        await _let_handlers_start()
         for connection in self._idle_connections():
             connection.close()
         # A request that has been read is still handled on a connection closed in this way.
-        for _ in range(HANDLER_START_ITERATIONS):
-            await asyncio.sleep(0)
+        await _let_handlers_start()
         for connection in self._idle_connections():
             connection.force_close()
 
@@ -260,6 +261,11 @@
         return _json(200, {})
 
 
+async def _let_handlers_start() -> None:
+    for _ in range(HANDLER_START_ITERATIONS):
+        await asyncio.sleep(0)
+
+
 async def _on_metrics(request: web.BaseRequest) -> web.StreamResponse:
     if request.path != METRICS_PATH:
         return web.Response(status=404)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,6 +1,7 @@
 """The server for callers, with a service whose requests fail, hang or are answered."""
 
 import asyncio
+import socket
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -199,6 +200,21 @@
     with_server(succeed, scenario)
 
 
+def test_request_that_has_arrived_before_the_close_is_answered():
+    """Guards against requests dropped by a server that closes right after its event loop was busy
+    (seen in soak seed 4003 with planned work)."""
+
+    async def scenario(server, address):
+        host, port = address.split(":")
+        with socket.create_connection((host, int(port))) as connection:
+            await asyncio.sleep(0.05)
+            connection.sendall(f"GET {PATH} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+            await server.close()
+            assert connection.recv(100).startswith(b"HTTP/1.1 410")
+
+    with_server(succeed, scenario)
+
+
 def test_request_that_is_cut_off_is_logged(log_records, monkeypatch):
     async def scenario(server, address):
         connection = await Connection.open(address)
