--- a/hornbeamramp/unfinished.py
+++ b/hornbeamramp/unfinished.py
@@ -39,7 +39,7 @@
 # Lines without a job id that the check needs.
 OTHER_LINES = re.compile(
     r" is unreachable|took ownership|dropped_lines|request_unanswered"
-    r'|"part": "serve"|"level": "(?:ERROR|CRITICAL)"|drain timed out'
+    r'|"part": "serve"|"level": "(?:ERROR|CRITICAL)"'
 )
 PLACED = re.compile(r"^(\S+) run \[([\d, ]*)\] placed on \[")
 RUN_ENDED = re.compile(r"^(\S+) run (\d+) on (\S+) ended (\w+) at ")
@@ -274,8 +274,6 @@
             self._cancel_requests.update(JOB_ID.findall(message))
         elif line.part == "serve":
             self._on_vm_state(line)
-        elif message.startswith("drain timed out") and ", 0 requests in flight" not in message:
-            self._unanswered.append(_text(line))
 
     def _on_task_message(self, line: Line) -> None:
         message = line.message
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -38,6 +38,12 @@
 # time in which another VM claims the pool and reads its records.
 OWNER_WAIT_TIMEOUT = timedelta(milliseconds=2000)
 OWNER_POLL_PERIOD = timedelta(milliseconds=50)
+# Added to the time-out of a call to an owner, whose own time-out tells whether the request was
+# sent. The handshake with a VM that does not answer may take longer than the call's time-out.
+OWNER_CALL_MARGIN = timedelta(milliseconds=100)
+# Part of a state query's time that is left for the store if the owner does not answer: two reads,
+# which take some 4 ms each.
+STORE_READ_TIME = timedelta(milliseconds=300)
 # A takeover that takes longer than ``OWNER_WAIT_TIMEOUT`` usually ends within a second more.
 OWNER_RETRY_AFTER = timedelta(seconds=1)
 # A VM that has just started reads the configuration within a second.
@@ -86,6 +92,8 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        # Boot time by which all requests are to end, as the process stops; ``None`` until then.
+        self._stops_at: timedelta | None = None
         self._register_handlers(node.server)
 
     def _register_handlers(self, server: PeerServer) -> None:
@@ -97,6 +105,14 @@
 
     # Requests of callers
 
+    def limit_waits(self, stops_at: timedelta) -> None:
+        """Ends the waits of all requests by a boot time, also of those in progress."""
+        self._stops_at = stops_at
+
+    def _time_left(self, deadline: timedelta) -> timedelta:
+        end = deadline if self._stops_at is None else min(deadline, self._stops_at)
+        return max(end - self._node.clock.boot_time(), timedelta(0))
+
     async def submit(
         self, queue: Queue, job_id: JobId, spec: JobSpec, max_wait: timedelta
     ) -> SubmitResult:
@@ -155,7 +171,7 @@
                 if reply.refusal and may_have_run and not reply.has_moved:
                     raise UnavailableError(reply.refusal, True)
                 return None if reply.refusal else SubmitResult()
-            if await self._stored_phase(pool, request.job_id) is not None:
+            if await self._stored_phase(pool, request.job_id, deadline) is not None:
                 return SubmitResult()
         except UnavailableError as error:
             if error.may_have_run:
@@ -185,8 +201,10 @@
     async def phase(self, queue: Queue, job_id: JobId, max_wait: timedelta) -> JobPhase | None:
         """Returns a job's phase, ``None`` if there is no such job. Raises `UnavailableError`."""
         request = JobPhaseRequest(queue.pool, job_id)
+        deadline = self._node.clock.boot_time() + max_wait
+        read_time = min(STORE_READ_TIME, max_wait / 2)
         try:
-            reply, _ = await self._ask_owner(request, self._on_phase, max_wait)
+            reply, _ = await self._ask_owner(request, self._on_phase, max_wait, read_time)
             if reply.phase is not None:
                 return reply.phase
         except UnavailableError as error:
@@ -195,16 +213,19 @@
                 job_id,
                 error,
             )
-        phase = await self._stored_phase(queue.pool, job_id)
+        phase = await self._stored_phase(queue.pool, job_id, deadline)
         if phase is not None:
             return phase
         found = await asyncio.gather(
-            *(self._phase_elsewhere(queue, pool, job_id) for pool in self._other_pools(queue))
+            *(
+                self._phase_elsewhere(queue, pool, job_id, deadline)
+                for pool in self._other_pools(queue)
+            )
         )
         return next((phase for phase in found if phase is not None), None)
 
     async def _phase_elsewhere(
-        self, queue: Queue, pool: PoolName, job_id: JobId
+        self, queue: Queue, pool: PoolName, job_id: JobId, deadline: timedelta
     ) -> JobPhase | None:
         """Returns the phase of a job that may be in another pool than its queue's.
 
@@ -213,19 +234,25 @@
         if self._has_owner(pool):
             request = JobPhaseRequest(pool, job_id)
             try:
-                reply, _ = await self._ask_owner(request, self._on_phase, OWNER_CALL_TIMEOUT)
+                max_wait = min(OWNER_CALL_TIMEOUT, self._time_left(deadline))
+                reply, _ = await self._ask_owner(request, self._on_phase, max_wait)
                 if reply.phase is not None or pool not in self._former_pools(queue):
                     return reply.phase
             except UnavailableError as error:
                 _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
-        return await self._stored_phase(pool, job_id)
+        return await self._stored_phase(pool, job_id, deadline)
 
-    async def _stored_phase(self, pool: PoolName, job_id: JobId) -> JobPhase | None:
+    async def _stored_phase(
+        self, pool: PoolName, job_id: JobId, deadline: timedelta
+    ) -> JobPhase | None:
         try:
-            progress = await self._node.store.get(progress_key(pool, job_id))
-            if progress is not None:
-                return decode_progress(progress.value).phase
-            record = await self._node.store.get(job_key(pool, job_id))
+            async with asyncio.timeout(self._time_left(deadline).total_seconds()):
+                progress = await self._node.store.get(progress_key(pool, job_id))
+                if progress is not None:
+                    return decode_progress(progress.value).phase
+                record = await self._node.store.get(job_key(pool, job_id))
+        except TimeoutError as error:
+            raise UnavailableError("the store did not answer in time", False) from error
         except StoreUnavailableError as error:
             raise UnavailableError(str(error), False) from error
         except msgspec.MsgspecError as error:
@@ -235,29 +262,36 @@
     async def cancel(self, queue: Queue, job_id: JobId, max_wait: timedelta) -> CancelResult:
         """Cancels a job. Raises `UnavailableError`."""
         request = CancelJobRequest(queue.pool, job_id)
+        deadline = self._node.clock.boot_time() + max_wait
         reply, _ = await self._ask_owner(request, self._on_cancel, max_wait)
         if reply.is_known:
             return CancelResult.CANCELLED
         # A former owner that has not noticed the takeover lacks the newest jobs.
-        if await self._stored_phase(queue.pool, job_id) is not None:
+        if await self._stored_phase(queue.pool, job_id, deadline) is not None:
             raise UnavailableError("the job is known to another owner", False)
         is_cancelled = await asyncio.gather(
-            *(self._cancel_elsewhere(queue, pool, job_id) for pool in self._other_pools(queue))
+            *(
+                self._cancel_elsewhere(queue, pool, job_id, deadline)
+                for pool in self._other_pools(queue)
+            )
         )
         return CancelResult.CANCELLED if any(is_cancelled) else CancelResult.ABSENT
 
-    async def _cancel_elsewhere(self, queue: Queue, pool: PoolName, job_id: JobId) -> bool:
+    async def _cancel_elsewhere(
+        self, queue: Queue, pool: PoolName, job_id: JobId, deadline: timedelta
+    ) -> bool:
         """Cancels a job that may be in another pool than its queue's, and returns whether it is
         there. Raises `UnavailableError`."""
         if self._has_owner(pool):
             request = CancelJobRequest(pool, job_id)
             try:
-                reply, _ = await self._ask_owner(request, self._on_cancel, OWNER_CALL_TIMEOUT)
+                max_wait = min(OWNER_CALL_TIMEOUT, self._time_left(deadline))
+                reply, _ = await self._ask_owner(request, self._on_cancel, max_wait)
                 if reply.is_known or pool not in self._former_pools(queue):
                     return bool(reply.is_known)
             except UnavailableError as error:
                 _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
-        if await self._stored_phase(pool, job_id) is not None:
+        if await self._stored_phase(pool, job_id, deadline) is not None:
             raise UnavailableError("the job is known to an owner that does not answer", False)
         return False
 
@@ -277,27 +311,29 @@
         request: Any,
         local_handler: Callable[[Any], Awaitable[Any]],
         max_wait: timedelta,
+        reserve: timedelta = timedelta(0),
     ) -> tuple[Any, bool]:
         """Returns the owner's reply, and whether an earlier try may have taken effect.
 
-        Retries until ``max_wait`` or `OWNER_WAIT_TIMEOUT` has passed or this VM is isolated, and
-        then raises `UnavailableError`.
+        Retries until ``max_wait`` or `OWNER_WAIT_TIMEOUT` has passed, this VM is isolated or its
+        process stops, and then raises `UnavailableError`. Leaves ``reserve`` of the time.
         """
         clock = self._node.clock
         deadline = clock.boot_time() + max_wait
         owner_wait_end = clock.boot_time() + OWNER_WAIT_TIMEOUT
         may_have_run = False
         problem = "the pool has no owner"
-        while clock.boot_time() < deadline:
+        while (time_left := self._time_left(deadline) - reserve) > timedelta(0):
             record = self._node.owner_record(request.pool)
-            timeout = min(OWNER_CALL_TIMEOUT, deadline - clock.boot_time())
+            timeout = min(OWNER_CALL_TIMEOUT, time_left)
             try:
                 if request.pool in self._node.owner_by_pool:
                     async with asyncio.timeout(timeout.total_seconds()):
                         reply = await local_handler(request)
                 elif record is not None:
                     address = record.address_for(self._node.identity.vm)
-                    reply = await self._node.peers.call(address, request, timeout, Step.FORWARD)
+                    async with asyncio.timeout((timeout + OWNER_CALL_MARGIN).total_seconds()):
+                        reply = await self._node.peers.call(address, request, timeout, Step.FORWARD)
                 else:
                     reply = None
             except TimeoutError:
--- a/tests/vm/test_cell.py
+++ b/tests/vm/test_cell.py
@@ -627,3 +627,76 @@
         assert refused.isdisjoint(task.split(".")[0] for _, _, task, _ in cell.fleet.starts)
 
     in_cell(scenario)
+
+
+@pytest.mark.parametrize("method", ["phase", "cancel"])
+def test_request_ends_within_its_time_although_the_store_does_not_answer(method):
+    """Guards against reads of the store that go on after the caller has given up."""
+
+    async def scenario(cell):
+        owner = await cell.wait_for_owner()
+        vm = next(vm for vm in cell.vm_by_name.values() if vm is not owner)
+        await owner.kill()
+        for other in cell.vm_by_name.values():
+            other.store.delay = timedelta(seconds=3)
+        started = cell.clock.boot_time()
+        with pytest.raises(UnavailableError):
+            await getattr(vm.service, method)(cell.queues["batch"], "a" * 16, REQUEST_TIMEOUT)
+        assert cell.clock.boot_time() - started <= REQUEST_TIMEOUT
+
+    in_cell(scenario)
+
+
+def test_request_ends_before_its_process_does():
+    """Guards against a wait for an owner that goes on until the process is killed."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        await vm.node.release()
+        started = cell.clock.boot_time()
+        submitting = asyncio.create_task(cell.submit("a" * 16, job(), vm=vm))
+        await asyncio.sleep(0.1)
+        vm.service.limit_waits(started + timedelta(seconds=1))
+        assert (await submitting).refusal
+        assert cell.clock.boot_time() - started <= timedelta(seconds=1.1)
+
+    in_cell(scenario, vms=1)
+
+
+def test_state_is_read_from_the_store_before_the_process_ends():
+    """Guards against queries that wait for an owner until no time is left for the store."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        await cell.submit("a" * 16, job(), vm=vm)
+        await cell.wait_for_phase("a" * 16, JobPhase.COMPLETED)
+        await vm.node.release()
+        vm.service.limit_waits(cell.clock.boot_time() + timedelta(seconds=1))
+        assert await cell.phase("a" * 16, vm) is JobPhase.COMPLETED
+
+    in_cell(scenario, vms=1)
+
+
+@pytest.mark.parametrize("ending", ["release", "loss"])
+def test_job_that_waits_for_its_record_is_handed_to_the_next_owner_at_once(ending):
+    """Guards against requests that wait in vain for commits of an owner that has ended, which left
+    less time to ask the next one."""
+
+    async def scenario(cell):
+        vm = await cell.wait_for_owner()
+        owner = vm.owner
+        # Without progress to record, a release does not wait for it.
+        later = job(SMALL, repetitions=1, start_at_ms=2_000_000_000_000, interval_ms=500)
+        vm.store.commit_delay = timedelta(seconds=5)
+        submitting = asyncio.create_task(cell.submit("a" * 16, later, vm=vm))
+        await asyncio.sleep(0.1)
+        vm.store.commit_delay = timedelta(0)
+        started = cell.clock.boot_time()
+        if ending == "release":
+            await vm.node.release()
+        else:
+            owner.mark_lost("test")
+        assert (await submitting).refusal == ""
+        assert cell.clock.boot_time() - started < timedelta(milliseconds=500)
+
+    in_cell(scenario)
