--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -172,8 +172,8 @@
     async def start(self, attempt: Attempt, order: StartOrder) -> StartReply | None:
         """Sends a start order. ``None`` means that it may or may not be carried out.
 
-        None is sent to a worker that became unusable after it was chosen: it might not be carried
-        out, and the lease in it would delay the restart of all runs there.
+        No order goes to a worker that became unusable after it was chosen: the order might not be
+        carried out, and its lease would delay the restart of all runs there.
         """
         if not (self.is_listed and self.reachable) or self.listing.draining:
             return StartReply.UNHEALTHY
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -167,12 +167,13 @@
         current = self._begin_pass(now)
         if self._is_searching:
             self._prepare_restarts(current)
-        # By whether steps have long-running tasks. These are missed as soon as they do not run, so
-        # their steps have a limit of their own.
-        prefetches_left = dict.fromkeys((False, True), self._launcher.max_prefetching_steps())
+        # Long-running tasks are missed as soon as they don't run, so their steps have a limit of
+        # their own.
+        limit = self._launcher.max_prefetching_steps()
+        prefetches_left_by_long_running = {False: limit, True: limit}
         for step in self._open_steps:
             try:
-                may_prefetch = prefetches_left[step.spec.long_running] > 0
+                may_prefetch = prefetches_left_by_long_running[step.spec.long_running] > 0
                 reason = self._place(step, current, may_prefetch)
             except Exception:
                 # One step must not keep all others from being placed.
@@ -185,7 +186,7 @@
             # tickets. Steps that no worker may run don't count: they stay in the queue indefinitely
             # and would use up the limit.
             is_feasible = self._is_feasible(step, now)
-            prefetches_left[step.spec.long_running] -= is_feasible
+            prefetches_left_by_long_running[step.spec.long_running] -= is_feasible
             step.wait.set(reason if is_feasible else WaitReason.WORKER, now)
 
     def _prepare_restarts(self, current: SchedulingPass) -> None:
@@ -199,8 +200,8 @@
             if queue is None or queue.advice is None or step.grants.is_pending:
                 continue
             lapses_at = min(attempt.session.runs_end_by() for attempt in attempts)
-            prepared_by = lapses_at - RESTART_LEAD - self._launcher.request_time(step, queue)
-            if current.now < max(prepared_by, step.grants.not_before):
+            ask_from = lapses_at - RESTART_LEAD - self._launcher.request_time(step, queue)
+            if current.now < max(ask_from, step.grants.not_before):
                 continue
             try:
                 sessions = self._restart_workers(step, len(attempts), current)
@@ -300,19 +301,19 @@
         if unasked:
             self._launcher.request_advice(step, queue, unasked)
         elif grants.granted and may_prefetch:
-            granted = self._granted_with_room_first(step, queue.advice, current)
+            granted = self._granted_to_renew(step, queue.advice, current)
             if granted:
                 self._launcher.prefetch_tickets(step, queue, granted)
         return shortage
 
     @staticmethod
-    def _granted_with_room_first(
+    def _granted_to_renew(
         step: StepRun, advice: AdviceTiming, current: SchedulingPass
     ) -> list[WorkerSession]:
-        """Returns the granted workers whose tickets are worth renewing.
+        """Returns the granted workers whose tickets are renewed while the step waits for room.
 
-        If runs are preempted only with tickets, these are the workers that have room or can get it
-        by that, if there are any. One request may not name all granted workers.
+        One request may not name all of them. For steps that preempt runs only where they have a
+        ticket, these are the workers that have room or get it by preemption, if there are any.
         """
         granted = current.granted(step)
         if advice.base <= SOON:
