--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -96,6 +96,21 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def restart(self, down_s: float, labels: tuple[str, ...] | None = None) -> None:
+        """Crashes, and starts again under the same id and at the same address.
+
+        The new boot writes its entry before it answers any call.
+        """
+        self._record("crash", worker=self.id)
+        await self.stop()
+        self._boot()
+        await asyncio.sleep(down_s)
+        self._boot()
+        self.labels = labels or self.labels
+        self.write_entry()
+        self._record("boot", worker=self.id, labels=self.labels)
+        await self.start()
+
     async def _beat(self) -> None:
         while True:
             self.write_entry()
@@ -191,7 +206,14 @@
             return self._reply({"reason": "ticket"}, 409)
         self._extend(body["deadline-ms"])
         self.running[task] = Run(task, number, body["spec"], time.monotonic())
-        self._record("start", worker=self.id, service=self.service, task=task, run=number)
+        self._record(
+            "start",
+            worker=self.id,
+            service=self.service,
+            labels=self.labels,
+            task=task,
+            run=number,
+        )
         return self._reply({})
 
     async def _hold(self, body: dict[str, Any]) -> web.Response:
