--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -16,12 +16,20 @@
 
 
 class Store:
-    """Keys with revisions, leases, and a history for watches. Serves HTTP on one address."""
+    """Keys with revisions, leases, and a history for watches. Serves HTTP on one address.
+
+    `lose_answer_of`
+        Of the next writes, the answer of one in so many is lost, that of the first one first. They
+        are done. 0: none is lost.
+    """
 
     def __init__(self, host: str) -> None:
         self.address = ""
         self._host = host
         self.revision = 100
+        self.lose_answer_of = 0
+        self.lost_answers = 0
+        self._writes = 0
         self.item_by_key: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._lease_end: dict[int, float] = {}
@@ -106,7 +114,13 @@
         if path == "/kv-watch":
             return await self._watch(query)
         if path == "/kv-txn":
-            return self._commit(body)
+            response = self._commit(body)
+            if self.lose_answer_of:
+                self._writes += 1
+                if self._writes % self.lose_answer_of == 1:
+                    self.lost_answers += 1
+                    await asyncio.Event().wait()
+            return response
         if path == "/kv-lease":
             self._next_lease += 1
             self._lease_ttl[self._next_lease] = body["ttl-ms"] / 1000
