--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -325,11 +325,17 @@
                     cell.record("breach", what=breach)
                 cell.record("result", broken=bool(breaches), trouble=has_trouble)
                 return EXIT_BROKEN if breaches else EXIT_HELD
-            except (TimeoutError, AssertionError, OSError) as error:
+            except Exception as error:
+                # Of whatever kind: exit status 1 would claim a breach.
                 cell.record("could not run", error=repr(error))
                 return EXIT_NOT_RUN
             finally:
                 await cell.stop()
                 _keep_logs(Path(scratch))
 
-    sys.exit(asyncio.run(play()))
+    try:
+        status = asyncio.run(play())
+    except Exception as error:
+        print(f"the case couldn't run: {error!r}", file=sys.stderr)
+        status = EXIT_NOT_RUN
+    sys.exit(status)
