--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -311,8 +311,12 @@
 
 
 def run_case(folder: Path, scenario: Any, limit_s: float = 110.0) -> None:
-    """Runs ``scenario(cell, has_trouble)``, which returns the breaches of the rule, and exits."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    """Runs ``scenario(cell, has_trouble)``, which returns the breaches of the rule, and exits.
+
+    The disruption is left out if the first argument of the program, which ``run.sh`` sets to
+    ``TROUBLE``, is 0.
+    """
+    has_trouble = sys.argv[1:2] != ["0"]
 
     async def play() -> int:
         with tempfile.TemporaryDirectory() as scratch:
