Let the store keep an id one job when its queue moves to another pool

Cause: CallerService knew the former pools of a queue from the configurations that its own process had seen, by the queue's name. A VM that started later, and a route of another name at the same address, had no such history, so only the new pool's owner was asked, and it accepted the id as a new job.

Eleven tests of tests/vm/test_queue_moves.py fail before the change (stored in both pools, ten cases; a count of 0 instead of 2, one case).

Change: a record in the store lists the pools that record the jobs of an address, host and prefix. A commit with new jobs depends on the revision of that record, lists its own pool there, and depends on the absence of the jobs in the other pools. VMs watch the records and look there for counts, states and cancellations. They ask a former pool about a new job only before they refuse it; SubmitJobRequest.is_repetition is gone.

Why it works: the commits of two owners that accept the same id depend on each other's effects, whatever their processes have seen; the second one conflicts, and its caller is told that the job is recorded. It also ends two open points: a former pool without an owner no longer delays new jobs (a test fails before), and a route of another name at the address is covered.

Tests whose signature changed: PoolClaim.commit takes revisions by key instead of absent keys; test_claim and test_journal pass {key: 0}, as strict as before. The model store now also checks the limit of 32 entries.

A commit with new jobs of one address holds 14 of them, not 15.

--- a/hornbeamramp/ids.py
+++ b/hornbeamramp/ids.py
@@ -11,6 +11,7 @@
     "JobId",
     "LeaseId",
     "PoolName",
+    "QueueAddress",
     "RackId",
     "Revision",
     "RouteName",
@@ -29,6 +30,7 @@
 JobId = NewType("JobId", str)
 LeaseId = NewType("LeaseId", str)
 PoolName = NewType("PoolName", str)
+QueueAddress = NewType("QueueAddress", str)
 RackId = NewType("RackId", str)
 Revision = NewType("Revision", int)
 RouteName = NewType("RouteName", str)
--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -14,11 +14,12 @@
 
 from hornbeamramp import instruments
 from hornbeamramp.clock import Clock
-from hornbeamramp.ids import JobId, PoolName
+from hornbeamramp.ids import JobId, PoolName, QueueAddress
+from hornbeamramp.poolowner.address_pools import AddressRecords, InsertConditions
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.statestore import (
     ClaimLostError,
-    KeysExistError,
+    KeysChangedError,
     PoolClaim,
     ProgressGroup,
     Put,
@@ -48,6 +49,10 @@
 # A new owner reads all of them.
 MAX_GROUPS = 64
 
+# Transaction entries of a new job, and of the address of the jobs in a commit.
+ENTRIES_PER_INSERT = 2
+ENTRIES_PER_ADDRESS = 1
+
 _log = logbook.Logger("journal")
 
 
@@ -61,6 +66,14 @@
     waiting: int
 
 
+class _Insert(NamedTuple):
+    """A job whose record waits for its commit, and what its acceptance waits for."""
+
+    job: Job
+    address: QueueAddress
+    recorded: asyncio.Future[None]
+
+
 class _Batch:
     """Changes of one commit.
 
@@ -89,12 +102,14 @@
         clock: Clock,
         on_insert: Callable[[Job], None],
         may_group: Callable[[], bool],
+        addresses: AddressRecords,
     ) -> None:
         self._pool = pool
         self._clock = clock
         self._on_insert = on_insert
         self._claim = claim
         self._may_group = may_group
+        self._addresses = addresses
         self._commit_number = 0
         # Keys of the groups in the store, in order of age, with the jobs whose progress they hold.
         self._jobs_by_group: dict[str, set[Job]] = {}
@@ -103,7 +118,7 @@
         self._last_sequence = 0
         self._sequence_by_job: dict[Job, int] = {}
         self._in_flight: dict[Job, int] = {}
-        self._insert_by_id: dict[JobId, tuple[Job, asyncio.Future[None]]] = {}
+        self._insert_by_id: dict[JobId, _Insert] = {}
         self._purged: list[JobId] = []
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
         self._wake = asyncio.Event()
@@ -128,22 +143,22 @@
         self._sequence_by_job.setdefault(job, self._last_sequence)
         self._wake.set()
 
-    def insert(self, job: Job) -> None:
+    def insert(self, job: Job, address: QueueAddress) -> None:
         """Schedules a job's record for a commit, no later than its progress.
 
         ``on_insert`` is called with the job when its record is in the store. If the store already
-        has a record of this id, the job is closed. Raises `ClaimLostError`.
+        has a record of this id, in this pool or another one of the address to which the job was
+        sent, the job is closed. Raises `ClaimLostError`.
         """
         if self._claim_error is not None:
             raise self._claim_error
         future = asyncio.get_running_loop().create_future()
-        self._insert_by_id[job.record.job_id] = (job, future)
+        self._insert_by_id[job.record.job_id] = _Insert(job, address, future)
         self._wake.set()
 
     async def wait_inserted(self, job_id: JobId) -> None:
         """Returns once the record of an inserted job is in the store. Raises `ClaimLostError`."""
-        _, future = self._insert_by_id[job_id]
-        await asyncio.shield(future)
+        await asyncio.shield(self._insert_by_id[job_id].recorded)
 
     def insert_queue_time(self) -> timedelta:
         """Returns how long the jobs that wait delay the record of a new one.
@@ -151,7 +166,8 @@
         By the time of the last commit; zero while the next commit has room for it, however slow the
         last one was.
         """
-        return len(self._insert_by_id) // (self._max_entries // 2) * self._last_commit
+        inserts_per_commit = (self._max_entries - ENTRIES_PER_ADDRESS) // ENTRIES_PER_INSERT
+        return len(self._insert_by_id) // inserts_per_commit * self._last_commit
 
     def is_inserting(self, job_id: JobId) -> bool:
         """Returns whether a job's record waits for its commit or may be committed already."""
@@ -210,7 +226,7 @@
         return min(delay, MAX_GROUP_COMMIT_DELAY)
 
     def _is_full(self) -> bool:
-        entries = 2 * len(self._insert_by_id)
+        entries = ENTRIES_PER_INSERT * len(self._insert_by_id)
         if self._may_group():
             entries += sum(job.is_ended for job in self._sequence_by_job)
         else:
@@ -241,13 +257,13 @@
     async def _commit_batch(self) -> None:
         self._compact_groups()
         free = self._max_entries
-        inserts = dict(list(self._insert_by_id.items())[: free // 2])
-        free -= 2 * len(inserts)
-        puts = [
-            Put(job_key(self._pool, job_id), encode(job.record))
-            for job_id, (job, _) in inserts.items()
+        inserts, conditions = self._take_inserts()
+        puts = conditions.puts + [
+            Put(job_key(self._pool, job_id), encode(insert.job.record))
+            for job_id, insert in inserts.items()
         ]
-        unrecorded = {job for i, (job, _) in self._insert_by_id.items() if i not in inserts}
+        free -= len(puts) + len(conditions.revision_by_key)
+        unrecorded = {insert.job for i, insert in self._insert_by_id.items() if i not in inserts}
         batch = self._take_changes(unrecorded, free)
         puts += batch.puts
         free -= len(batch.puts)
@@ -258,22 +274,22 @@
         self._in_flight = batch.sequence_by_job
         started = self._clock.boot_time()
         try:
-            await self._claim.commit(
-                puts,
-                deletes + empty_groups,
-                [job_key(self._pool, job_id) for job_id in inserts],
+            revision = await self._claim.commit(
+                puts, deletes + empty_groups, conditions.revision_by_key
             )
-        except KeysExistError as conflict:
+        except KeysChangedError as conflict:
             # Sorted by sequence number, so that earlier changes are committed first and no waiter
             # starves.
             self._sequence_by_job = {**self._sequence_by_job, **batch.sequence_by_job}
             self._sequence_by_job = dict(
                 sorted(self._sequence_by_job.items(), key=lambda item: item[1])
             )
-            self._drop_existing(conflict, inserts)
+            conditions.on_changed(conflict.item_by_key)
+            self._drop_existing(conflict, inserts, conditions)
             return
         finally:
             self._in_flight = {}
+        conditions.on_committed(revision)
         elapsed = self._clock.boot_time() - started
         self._last_commit = elapsed
         instruments.commit_time.record(elapsed.total_seconds())
@@ -289,14 +305,27 @@
             self._move(job, batch.group if job in batch.grouped else "")
         for group in empty_groups:
             del self._jobs_by_group[group]
-        for job_id, (job, future) in inserts.items():
+        for job_id, insert in inserts.items():
             del self._insert_by_id[job_id]
-            self._on_insert(job)
-            if not future.done():
-                future.set_result(None)
+            self._on_insert(insert.job)
+            if not insert.recorded.done():
+                insert.recorded.set_result(None)
         self._purged = self._purged[len(purged) :]
         self._resolve_waiters()
 
+    def _take_inserts(self) -> tuple[dict[JobId, _Insert], InsertConditions]:
+        """Returns the first new jobs whose records fit into a commit, and what it depends on."""
+        conditions = InsertConditions(self._pool, self._addresses)
+        inserts: dict[JobId, _Insert] = {}
+        free = self._max_entries
+        for job_id, insert in self._insert_by_id.items():
+            free -= conditions.entries_for(insert.address)
+            if free < 0:
+                break
+            conditions.add(job_id, insert.address)
+            inserts[job_id] = insert
+        return inserts, conditions
+
     def _take_changes(self, unrecorded: set[Job], free: int) -> "_Batch":
         """Takes changed jobs, the oldest changes first, whose progress fits into ``free`` records.
 
@@ -332,18 +361,24 @@
 
     def _drop_existing(
         self,
-        conflict: KeysExistError,
-        inserts: dict[JobId, tuple[Job, asyncio.Future[None]]],
+        conflict: KeysChangedError,
+        inserts: dict[JobId, _Insert],
+        conditions: InsertConditions,
     ) -> None:
-        for job_id, (job, future) in inserts.items():
-            if job_key(self._pool, job_id) in conflict.item_by_key:
-                _log.info("{}: duplicate insert dropped, the job is already recorded", job_id)
+        for job_id, insert in inserts.items():
+            keys = [
+                key
+                for key in conditions.keys_of(job_id, insert.address)
+                if key in conflict.item_by_key
+            ]
+            if keys:
+                _log.info("{}: duplicate insert dropped, the job is recorded at {}", job_id, keys)
                 del self._insert_by_id[job_id]
                 # Releases capacity reserved before the record was written, and writes no progress.
-                job.close(JobPhase.CANCELLED, 0)
-                self._sequence_by_job.pop(job, None)
-                if not future.done():
-                    future.set_result(None)
+                insert.job.close(JobPhase.CANCELLED, 0)
+                self._sequence_by_job.pop(insert.job, None)
+                if not insert.recorded.done():
+                    insert.recorded.set_result(None)
         self._resolve_waiters()
 
     def _resolve_waiters(self) -> None:
@@ -358,7 +393,7 @@
 
     def _fail(self, error: ClaimLostError) -> None:
         self._claim_error = error
-        futures = [future for _, future in self._insert_by_id.values()]
+        futures = [insert.recorded for insert in self._insert_by_id.values()]
         futures += [future for _, future in self._waiters]
         for future in futures:
             if not future.done():
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -35,6 +35,7 @@
     RouteName,
     UpstreamId,
 )
+from hornbeamramp.poolowner.address_pools import AddressRecords
 from hornbeamramp.poolowner.advice import AdviceSource
 from hornbeamramp.poolowner.checks import RunChecks
 from hornbeamramp.poolowner.jobs import Job
@@ -102,6 +103,8 @@
         Longest lease that a worker grants to its runs.
     `may_group_records`
         Returns whether all VMs can read progress groups.
+    `addresses`
+        The pools that record the jobs of each address.
     """
 
     store: StateStore
@@ -111,6 +114,7 @@
     job_retention: timedelta
     longest_lease: timedelta
     may_group_records: Callable[[], bool]
+    addresses: AddressRecords
 
 
 def _pause_after_pass(elapsed: timedelta) -> timedelta:
@@ -158,6 +162,7 @@
             context.clock,
             self._on_recorded,
             context.may_group_records,
+            context.addresses,
         )
         self._launcher = Launcher(self, context.advice, context.clock, self._journal)
         self.job_by_id: dict[JobId, Job] = {}
@@ -348,7 +353,7 @@
         )
         if not self._journal.is_inserting(job_id):
             job = Job(record, data_centre)
-            self._journal.insert(job)
+            self._journal.insert(job, queue.address)
             # Scheduled at once: the placement is committed together with the job or after it.
             self.lifecycle.open_due(job)
         await self._journal.wait_inserted(job_id)
--- a/hornbeamramp/statestore/__init__.py
+++ b/hornbeamramp/statestore/__init__.py
@@ -11,14 +11,22 @@
     WatchGapError,
     WatchReply,
 )
-from hornbeamramp.statestore.claim import ClaimLostError, KeysExistError, OwnerRecord, PoolClaim
+from hornbeamramp.statestore.claim import (
+    ClaimLostError,
+    KeysChangedError,
+    OwnerRecord,
+    PoolClaim,
+)
 from hornbeamramp.statestore.records import (
     GROUPED_FORMAT,
+    AddressPools,
     JobProgress,
     JobRecord,
     OpenTask,
     ProgressGroup,
     StepGrants,
+    address_key,
+    decode_address_pools,
     decode_group,
     decode_progress,
     decode_record,
@@ -30,13 +38,14 @@
 )
 
 __all__ = [
+    "AddressPools",
     "Change",
     "ClaimLostError",
     "GROUPED_FORMAT",
     "Item",
     "JobProgress",
     "JobRecord",
-    "KeysExistError",
+    "KeysChangedError",
     "LeaseLostError",
     "OpenTask",
     "OwnerRecord",
@@ -49,6 +58,8 @@
     "TxnConflictError",
     "WatchGapError",
     "WatchReply",
+    "address_key",
+    "decode_address_pools",
     "decode_group",
     "decode_progress",
     "decode_record",
--- a/hornbeamramp/statestore/claim.py
+++ b/hornbeamramp/statestore/claim.py
@@ -25,7 +25,7 @@
 )
 from hornbeamramp.statestore.records import chain_key, owner_key
 
-__all__ = ["ClaimLostError", "KeysExistError", "OwnerRecord", "PoolClaim"]
+__all__ = ["ClaimLostError", "KeysChangedError", "OwnerRecord", "PoolClaim"]
 
 # Delay before a failed commit is repeated: a few round trips to the store (4 ms each).
 RETRY_DELAY = timedelta(milliseconds=50)
@@ -67,10 +67,14 @@
     """Another process owns the pool, the chain key no longer exists, or the lease has ended."""
 
 
-class KeysExistError(Exception):
-    """Keys that a commit would create already exist. Nothing was written."""
+class KeysChangedError(Exception):
+    """Keys that a commit depends on have other revisions. Nothing was written.
 
-    def __init__(self, item_by_key: dict[str, Item]) -> None:
+    `item_by_key`
+        Their current items; ``None`` for a key that does not exist.
+    """
+
+    def __init__(self, item_by_key: dict[str, Item | None]) -> None:
         super().__init__(", ".join(item_by_key))
         self.item_by_key = item_by_key
 
@@ -84,6 +88,10 @@
         return None
 
 
+def _revision_of(item: Item | None) -> int:
+    return 0 if item is None else item.revision
+
+
 class PoolClaim:
     """This process's claim on one pool.
 
@@ -153,16 +161,24 @@
         return True
 
     async def commit(
-        self, puts: list[Put], deletes: list[str] | None = None, absent: list[str] | None = None
-    ) -> None:
-        """Writes as the owner of the pool; retries until the outcome is known.
+        self,
+        puts: list[Put],
+        deletes: list[str] | None = None,
+        revision_by_key: dict[str, int] | None = None,
+    ) -> int:
+        """Writes as the owner of the pool; retries until the outcome is known. Returns the revision
+        of what was written.
+
+        `revision_by_key`
+            Other keys that the commit depends on, with their last revisions (0: absent).
 
         Raises `ClaimLostError`, after which the outcome of this commit is unknown, and
-        `KeysExistError` if a key of ``absent`` exists.
+        `KeysChangedError` if a key of ``revision_by_key`` has another revision.
         """
+        others = revision_by_key or {}
         record = msgspec.structs.replace(self._record, sequence=self._record.sequence + 1)
         own = Put(self._key, msgspec.json.encode(record), self._lease)
-        required = {self._key: self._revision, **dict.fromkeys(absent or (), 0)}
+        required = {self._key: self._revision, **others}
         txn = Txn(required, (own, *puts), tuple(deletes or ()))
         while True:
             try:
@@ -178,13 +194,15 @@
             except TxnConflictError as conflict:
                 if self._resolve_conflict(conflict, record):
                     break
-                existing = {k: i for k, i in conflict.item_by_key.items() if k != self._key}
-                if not existing:
+                items = {key: conflict.item_by_key.get(key) for key in others}
+                changed = {k: i for k, i in items.items() if _revision_of(i) != others[k]}
+                if not changed:
                     raise ClaimLostError(f"{self._key}: conflict without cause") from conflict
                 self._end_outage()
-                raise KeysExistError(existing) from conflict
+                raise KeysChangedError(changed) from conflict
         self._end_outage()
         self._record = record
+        return self._revision
 
     def _end_outage(self) -> None:
         if self.failing_since is not None:
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -7,17 +7,21 @@
 highest store revision counts.
 """
 
+import hashlib
 import re
 from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 
-from hornbeamramp.ids import JobId, PoolName, RouteName, UpstreamId, VmId
+from hornbeamramp.ids import JobId, PoolName, QueueAddress, RouteName, UpstreamId, VmId
 from hornbeamramp.workload import JobPhase, JobSpec
 
 __all__ = [
+    "AddressPools",
     "CELL_PREFIX",
+    "address_key",
+    "address_prefix",
     "chain_key",
     "JobProgress",
     "GROUPED_FORMAT",
@@ -25,6 +29,7 @@
     "OpenTask",
     "ProgressGroup",
     "StepGrants",
+    "decode_address_pools",
     "decode_group",
     "decode_progress",
     "decode_record",
@@ -47,8 +52,8 @@
 # Version of the records from which on processes read progress groups. Earlier ones would start the
 # tasks of these jobs again, so groups are written only while no such process is alive.
 GROUPED_FORMAT = 2
-# Prefix of the owner and VM records, which every process watches. Keys that change with each commit
-# have other prefixes, so that the watch does not report them.
+# Prefix of the owner, VM and address records, which every process watches. Keys that change with
+# each commit have other prefixes, so that the watch does not report them.
 CELL_PREFIX = f"{ROOT}cell/"
 
 
@@ -104,6 +109,13 @@
     progress_by_job: dict[JobId, bytes]
 
 
+class AddressPools(msgspec.Struct, frozen=True):
+    """The pools whose owners have recorded jobs that callers sent to an address."""
+
+    address: QueueAddress
+    pools: tuple[PoolName, ...]
+
+
 T = TypeVar("T")
 
 
@@ -121,6 +133,7 @@
 
 
 encode = msgspec.msgpack.encode
+decode_address_pools = _decoder(AddressPools)
 decode_group = _decoder(ProgressGroup)
 decode_record = _decoder(JobRecord)
 decode_progress = _decoder(JobProgress)
@@ -147,6 +160,15 @@
     return f"{vm_prefix()}{vm}"
 
 
+def address_prefix() -> str:
+    return f"{CELL_PREFIX}address/"
+
+
+def address_key(address: QueueAddress) -> str:
+    """Returns the key of an address's record. Addresses may be longer than the store's keys."""
+    return f"{address_prefix()}{hashlib.sha256(address.encode()).hexdigest()}"
+
+
 def job_prefix(pool: PoolName) -> str:
     return f"{ROOT}job/{pool}/"
 
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -127,17 +127,26 @@
         if self._node.config is None:
             return SubmitResult("there is no configuration yet", CONFIG_RETRY_AFTER)
         deadline = self._node.clock.boot_time() + max_wait
+        result = await self._submit_to_owner(queue, job_id, spec, deadline)
+        if result.refusal and await self._is_in_former_pool(queue, job_id, deadline):
+            return SubmitResult()
+        return result
+
+    async def _submit_to_owner(
+        self, queue: Queue, job_id: JobId, spec: JobSpec, deadline: timedelta
+    ) -> SubmitResult:
+        """Sends a job to its pool's owner, and on to those of newer configurations.
+
+        Raises `UnavailableError`.
+        """
         for _ in range(MAX_MOVES_PER_REQUEST):
             # Read together: owners tell by the version which configuration chose the pool.
+            assert self._node.config is not None
             version = self._node.config.version
             queue = self._node.config.queue_by_name.get(queue.name, queue)
             request = SubmitJobRequest(
                 queue.pool, queue.name, version, job_id, spec, self._node.identity.data_centre
             )
-            for pool in self._former_pools(queue):
-                result = await self._submit_again(request, pool, deadline)
-                if result is not None:
-                    return result
             max_wait = deadline - self._node.clock.boot_time()
             try:
                 reply, may_have_run = await self._ask_owner(request, self._on_submit, max_wait)
@@ -155,36 +164,21 @@
                 _log.info("job {}: newer configuration not read: {}", job_id, error)
         return SubmitResult(reply.refusal, OWNER_RETRY_AFTER)
 
-    async def _submit_again(
-        self, request: SubmitJobRequest, pool: PoolName, deadline: timedelta
-    ) -> SubmitResult | None:
-        """Returns the result for a job that may be recorded in a former pool of its queue; ``None``
-        if it is not, and the owner there accepts none of the queue by this configuration.
-
-        Raises `UnavailableError`.
-        """
-        repetition = msgspec.structs.replace(request, pool=pool, is_repetition=True)
+    async def _is_in_former_pool(self, queue: Queue, job_id: JobId, deadline: timedelta) -> bool:
+        """Returns whether a job is known in a former pool of its queue, as far as can be told."""
         try:
-            if self._has_owner(pool):
-                max_wait = deadline - self._node.clock.boot_time()
-                reply, may_have_run = await self._ask_owner(repetition, self._on_submit, max_wait)
-                if reply.refusal and may_have_run and not reply.has_moved:
-                    raise UnavailableError(reply.refusal, True)
-                return None if reply.refusal else SubmitResult()
-            if await self._stored_phase(pool, request.job_id, deadline) is not None:
-                return SubmitResult()
+            phase = await self._find_phase(queue, self._former_pools(queue), job_id, deadline)
         except UnavailableError as error:
-            if error.may_have_run:
-                raise
-            return SubmitResult(str(error), OWNER_RETRY_AFTER)
-        return None
+            _log.info("job {}: former pools of its queue not asked: {}", job_id, error)
+            return False
+        return phase is not None
 
     def _former_pools(self, queue: Queue) -> list[PoolName]:
-        """Returns the other pools that a queue has used since this process started."""
-        return sorted(self._node.pools_by_queue.get(queue.name, set()) - {queue.pool})
+        """Returns the other pools that record jobs sent to a queue's address."""
+        return sorted({*self._node.addresses.get(queue.address).pools} - {queue.pool})
 
     def _other_pools(self, queue: Queue) -> list[PoolName]:
-        """Returns all pools but the queue's, as this process may have started after a move."""
+        """Returns all pools but the queue's. The record of its address may not have arrived yet."""
         configured = set() if self._node.config is None else {*self._node.config.pool_by_name}
         return sorted({*configured, *self._former_pools(queue)} - {queue.pool})
 
@@ -216,11 +210,14 @@
         phase = await self._stored_phase(queue.pool, job_id, deadline)
         if phase is not None:
             return phase
+        return await self._find_phase(queue, self._other_pools(queue), job_id, deadline)
+
+    async def _find_phase(
+        self, queue: Queue, pools: list[PoolName], job_id: JobId, deadline: timedelta
+    ) -> JobPhase | None:
+        """Returns the phase of a job that may be in some pools. Raises `UnavailableError`."""
         found = await asyncio.gather(
-            *(
-                self._phase_elsewhere(queue, pool, job_id, deadline)
-                for pool in self._other_pools(queue)
-            )
+            *(self._phase_elsewhere(queue, pool, job_id, deadline) for pool in pools)
         )
         return next((phase for phase in found if phase is not None), None)
 
@@ -375,8 +372,7 @@
         queue = self._node.config.queue_by_name.get(request.queue)
         if queue is None:
             return SubmitJobReply(True, "the queue is no longer configured", 1000)
-        is_elsewhere = request.is_repetition or queue.pool != request.pool
-        if is_elsewhere and not owner.is_known(request.job_id):
+        if queue.pool != request.pool and not owner.is_known(request.job_id):
             return SubmitJobReply(True, "the queue has moved to another pool", 1000, has_moved=True)
         refusal = await owner.accept(request.job_id, queue, request.spec, request.data_centre)
         if refusal is None:
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -38,9 +38,6 @@
         Version of the configuration by which the sender chose the queue and its pool.
     `data_centre`
         That of the sender, where the caller's request arrived.
-    `is_repetition`
-        Whether it is only to be answered if the job is recorded in this pool, as the queue has
-        moved to another. The owner doesn't accept a job that it doesn't know then.
     """
 
     pool: PoolName
@@ -49,7 +46,6 @@
     job_id: JobId
     spec: JobSpec
     data_centre: DataCentreId = UNKNOWN_DATA_CENTRE
-    is_repetition: bool = False
 
 
 class SubmitJobReply(msgspec.Struct, frozen=True):
@@ -60,7 +56,7 @@
         configuration as new as the sender's.
     `has_moved`
         Whether the owner refused a job that it doesn't know, as the queue has moved to another pool
-        by its configuration or the sender's.
+        by its configuration.
     """
 
     is_owner: bool
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -17,8 +17,8 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.fleet import WorkerListing
-from hornbeamramp.ids import PoolName, RouteName, UpstreamId, VmId
-from hornbeamramp.poolowner import OwnerContext, PoolOwner
+from hornbeamramp.ids import PoolName, UpstreamId, VmId
+from hornbeamramp.poolowner import AddressRecords, OwnerContext, PoolOwner
 from hornbeamramp.rendezvous import rank
 from hornbeamramp.rpc import PeerClient, PeerServer
 from hornbeamramp.statestore import (
@@ -34,6 +34,7 @@
 from hornbeamramp.statestore.claim import decode_owner
 from hornbeamramp.statestore.records import (
     CELL_PREFIX,
+    address_prefix,
     chain_key,
     owner_key,
     owner_prefix,
@@ -85,8 +86,8 @@
 
     `config`
         The configuration with the highest version seen; an older version never replaces it.
-    `pools_by_queue`
-        The pools of each queue in all configurations seen.
+    `addresses`
+        The pools that record the jobs of each address.
     """
 
     def __init__(
@@ -105,7 +106,6 @@
         self.store = RelayedStore(adapter.store, peers, clock, self._peer_addresses)
         server.handle(RelayRequest, self.store.serve)
         self.config: ClusterConfig | None = None
-        self.pools_by_queue: dict[RouteName, set[PoolName]] = {}
         self.owner_by_pool: dict[PoolName, PoolOwner] = {}
         self.is_stopping = False
         self.lease = VmLease(self.store, clock, self._on_lease_granted)
@@ -118,6 +118,7 @@
             clock,
             lambda: self._owner_vms,
         )
+        self.addresses = AddressRecords(lambda key: self._cell_cache.item_by_key.get(key))
         self._context = OwnerContext(
             self.store,
             clock,
@@ -126,6 +127,7 @@
             adapter.job_retention,
             adapter.longest_lease,
             self._may_group_records,
+            self.addresses,
         )
         self.isolation = IsolationDetector(
             peers, clock, lambda: self.store.last_answer_at, self._ping_targets
@@ -217,8 +219,6 @@
             len(config.queue_by_name),
         )
         self.config = config
-        for queue in config.queue_by_name.values():
-            self.pools_by_queue.setdefault(queue.name, set()).add(queue.pool)
         for owner in self.owner_by_pool.values():
             owner.config = config
             owner.wake()
@@ -274,6 +274,8 @@
 
     def _decode_records(self, changed: set[str]) -> None:
         for key in changed:
+            if key.startswith(address_prefix()):
+                continue
             record = _decode_record(self._cell_cache.item_by_key.get(key))
             if record is None:
                 self._record_by_key.pop(key, None)
--- a/hornbeamramp/workload/config.py
+++ b/hornbeamramp/workload/config.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hornbeamramp.ids import PoolName, RouteName
+from hornbeamramp.ids import PoolName, QueueAddress, RouteName
 
 __all__ = ["URGENT", "AdviceTiming", "ClusterConfig", "Pool", "Queue", "RouteMatch"]
 
@@ -42,6 +42,11 @@
     timeout: timedelta
     advice: AdviceTiming | None = None
 
+    @property
+    def address(self) -> QueueAddress:
+        """Where callers send the queue's jobs. Its name and pool may change, and it stays."""
+        return QueueAddress(self.host + self.prefix)
+
 
 class Pool(msgspec.Struct, frozen=True):
     """A pool of workers. The machines of a ``standby`` pool are switched off."""
--- a/tests/model/load.py
+++ b/tests/model/load.py
@@ -14,7 +14,7 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import RunOutcome, StartOrder, WorkerListing
 from hornbeamramp.ids import DataCentreId, JobId, PoolName, RouteName, UpstreamId, VmId
-from hornbeamramp.poolowner import Advice, AdviceSource, OwnerContext, PoolOwner
+from hornbeamramp.poolowner import AddressRecords, Advice, AdviceSource, OwnerContext, PoolOwner
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import OwnerRecord, PoolClaim
 from hornbeamramp.workload import (
@@ -331,6 +331,7 @@
         timedelta(seconds=120),
         timedelta(seconds=10),
         lambda: True,
+        AddressRecords(lambda key: None),
     )
     owner = PoolOwner(POOL, claim, context, lambda: timedelta(days=1))
     queues = {kind.queue().name: kind.queue() for kind in kinds}
--- a/tests/model/store.py
+++ b/tests/model/store.py
@@ -170,6 +170,8 @@
                 continue
 
     async def commit(self, txn: Txn) -> int:
+        entries = len(txn.revision_by_key) + len(txn.puts) + len(txn.deletes)
+        assert entries <= self.max_entries, f"{entries} entries in a transaction"
         await self._reach()
         await self._store.clock.sleep(self.commit_delay)
         draw = self._random.random()
--- a/tests/poolowner/test_journal.py
+++ b/tests/poolowner/test_journal.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+from hornbeamramp.ids import QueueAddress
+from hornbeamramp.poolowner import AddressRecords
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.journal import MAX_GROUPS, Journal
 from hornbeamramp.statestore import decode_group, progress_key
@@ -12,6 +14,7 @@
 from tests.poolowner.builders import record
 
 COMMIT_S = 0.02
+ADDRESS = QueueAddress("kaya/gate/")
 
 
 class Claim:
@@ -25,13 +28,14 @@
         self.sizes = []
         self.value_by_key = {}
 
-    async def commit(self, puts, deletes, absent):
-        assert len(puts) + len(deletes) + len(absent) <= 30
+    async def commit(self, puts, deletes, revision_by_key):
+        assert len(puts) + len(deletes) + len(revision_by_key) <= 30
         self.sizes.append(len(puts))
         self.value_by_key.update({put.key: put.value for put in puts})
         for key in deletes:
             del self.value_by_key[key]
         await asyncio.sleep(COMMIT_S)
+        return len(self.sizes)
 
     def jobs_by_group(self):
         groups = {k: decode_group(v) for k, v in self.value_by_key.items() if "/group/" in k}
@@ -43,7 +47,13 @@
         claim = Claim(may_group)
         store = SimpleNamespace(max_entries=32)
         journal = Journal(
-            "pool", claim, store, LoopClock(), lambda job: None, lambda: claim.may_group
+            "pool",
+            claim,
+            store,
+            LoopClock(),
+            lambda job: None,
+            lambda: claim.may_group,
+            AddressRecords(lambda key: None),
         )
         task = asyncio.create_task(journal.run())
         try:
@@ -189,7 +199,7 @@
         await journal.wait_recorded()
         assert journal.insert_queue_time() == timedelta(0)
         for _ in range(45):
-            journal.insert(Job(record(StepSpec(1, 1000, 100))))
+            journal.insert(Job(record(StepSpec(1, 1000, 100))), ADDRESS)
         assert journal.insert_queue_time() == timedelta(seconds=3 * COMMIT_S)
         await asyncio.sleep(1)
         assert journal.insert_queue_time() == timedelta(0)
--- a/tests/statestore/test_claim.py
+++ b/tests/statestore/test_claim.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hornbeamramp.statestore import ClaimLostError, KeysExistError, OwnerRecord, PoolClaim, Put
+from hornbeamramp.statestore import ClaimLostError, KeysChangedError, OwnerRecord, PoolClaim, Put
 from hornbeamramp.statestore.claim import decode_owner
 from tests.model.store import ModelStore, StoreView
 from tests.model.virtual_time import LoopClock, run_in_virtual_time
@@ -101,8 +101,8 @@
         claim, _, _ = fixture.claim("a")
         await claim.acquire()
         fixture.store.put("x", b"there")
-        with pytest.raises(KeysExistError) as error:
-            await claim.commit([Put("x", b"new")], absent=["x"])
+        with pytest.raises(KeysChangedError) as error:
+            await claim.commit([Put("x", b"new")], revision_by_key={"x": 0})
         assert list(error.value.item_by_key) == ["x"]
         await claim.commit([Put("y", b"new")])
         assert fixture.store.item_by_key["x"].value == b"there"
@@ -118,11 +118,11 @@
         await claim.acquire()
         fixture.store.put("x", b"there")
         view.is_down = True
-        commit = asyncio.create_task(claim.commit([Put("x", b"new")], absent=["x"]))
+        commit = asyncio.create_task(claim.commit([Put("x", b"new")], revision_by_key={"x": 0}))
         await asyncio.sleep(1.0)
         assert claim.failing_since is not None
         view.is_down = False
-        with pytest.raises(KeysExistError):
+        with pytest.raises(KeysChangedError):
             await commit
         assert claim.failing_since is None
 
--- a/tests/vm/test_queue_moves.py
+++ b/tests/vm/test_queue_moves.py
@@ -39,6 +39,20 @@
         self.queues[BATCH] = msgspec.structs.replace(self.queues[BATCH], pool=pool)
         self.configure()
 
+    def replace_route(self, name, pool=NEW_POOL):
+        """Sends the address of the queue ``batch`` to another pool, under another name."""
+        self.queues[name] = msgspec.structs.replace(self.queues.pop(BATCH), name=name, pool=pool)
+        self.queue_by_job[JobId(JOB)] = name
+        self.configure()
+
+    async def restart(self, vm_name):
+        await self.restart_vm(vm_name, 0.5)
+        await asyncio.sleep(3)
+        return self.vm_by_name[vm_name]
+
+    def starts(self):
+        return len(self.fleet.starts)
+
     async def cancel(self, job_id, vm):
         return await vm.service.cancel(self.queues[BATCH], JobId(job_id), REQUEST_TIMEOUT)
 
@@ -139,6 +153,105 @@
     in_cell(scenario)
 
 
+@VMS
+@pytest.mark.parametrize("spec", [job(StepSpec(2, 1000, 100)), LASTING], ids=["ended", "lasting"])
+def test_job_sent_again_to_a_vm_that_started_after_the_move_stays_one_job(vm_name, spec):
+    """Guards against a second run of a job whose queue has moved, as a VM that started since then
+    did not know of the former pool."""
+
+    async def scenario(cell):
+        assert not (await cell.submit(JOB, spec)).refusal
+        await cell.wait_for_phase(JOB, JobPhase.RUNNING if spec is LASTING else JobPhase.COMPLETED)
+        cell.move()
+        vm = await cell.restart(vm_name)
+        starts = cell.starts()
+        reply = await cell.submit(JOB, spec, vm=vm)
+        assert reply is not None and not reply.refusal
+        await asyncio.sleep(3)
+        assert cell.stored_in(JOB) == [POOL]
+        assert cell.starts() == starts
+
+    in_cell(scenario)
+
+
+def test_job_sent_again_after_all_vms_lost_power_stays_one_job():
+    """Guards against what only the processes' memory tells of former pools."""
+
+    async def scenario(cell):
+        assert not (await cell.submit(JOB, job())).refusal
+        await cell.wait_for_phase(JOB, JobPhase.COMPLETED)
+        cell.move()
+        await asyncio.gather(*(cell.restart(name) for name in list(cell.vm_by_name)))
+        starts = cell.starts()
+        for vm in cell.vm_by_name.values():
+            reply = await cell.submit(JOB, job(), vm=vm)
+            assert reply is not None and not reply.refusal
+        await asyncio.sleep(3)
+        assert cell.stored_in(JOB) == [POOL]
+        assert cell.starts() == starts
+
+    in_cell(scenario)
+
+
+def test_job_sent_again_after_its_route_was_replaced_stays_one_job():
+    """Guards against a second run after a route gave way to one of another name at its address."""
+
+    async def scenario(cell):
+        assert not (await cell.submit(JOB, job())).refusal
+        await cell.wait_for_phase(JOB, JobPhase.COMPLETED)
+        starts = cell.starts()
+        cell.replace_route(RouteName("batch-2"))
+        await asyncio.sleep(1)
+        reply = await cell.submit(JOB, job(), "batch-2")
+        assert reply is not None and not reply.refusal
+        await asyncio.sleep(3)
+        assert cell.stored_in(JOB) == [POOL]
+        assert cell.starts() == starts
+
+    in_cell(scenario)
+
+
+def test_job_sent_again_after_two_moves_stays_one_job():
+    """Guards against owners that compare with the pool of the last move only."""
+
+    async def scenario(cell):
+        await cell.submit("c" * 16, job())
+        cell.move()
+        await asyncio.sleep(1)
+        assert not (await cell.submit(JOB, job())).refusal
+        await cell.wait_for_phase(JOB, JobPhase.COMPLETED)
+        starts = cell.starts()
+        cell.move(POOL)
+        vm = await cell.restart("vm1")
+        reply = await cell.submit(JOB, job(), vm=vm)
+        assert reply is not None and not reply.refusal
+        await asyncio.sleep(3)
+        assert cell.stored_in(JOB) == [NEW_POOL]
+        assert cell.starts() == starts
+
+    in_cell(scenario)
+
+
+def test_new_jobs_are_accepted_while_the_former_pool_has_no_owner():
+    """Guards against a refusal of new jobs, as no owner tells whether the former pool has them."""
+
+    async def scenario(cell):
+        await cell.submit("c" * 16, job())
+        cell.move()
+        await asyncio.sleep(1)
+        former, current = (
+            next(v for v in cell.vm_by_name.values() if v.owner_of(pool))
+            for pool in (POOL, NEW_POOL)
+        )
+        assert former is not current
+        await former.kill()
+        replies = [await cell.submit(f"{n:016x}", job(), vm=current) for n in range(3)]
+        assert all(reply is not None and not reply.refusal for reply in replies)
+        assert not any(v.owner_of(POOL) for v in cell.vm_by_name.values() if v is not former)
+
+    in_cell(scenario)
+
+
 def test_job_is_found_in_its_old_pool_while_that_has_no_owner():
     """Guards against a 410 for a job whose pool is being taken over after its queue has moved."""
 
@@ -175,3 +288,20 @@
         assert await vm.service.pending(cell.queues[BATCH], REQUEST_TIMEOUT) == 2
 
     in_cell(scenario)
+
+
+def test_vm_that_started_after_the_move_counts_pending_jobs_of_the_old_pool():
+    """Guards against a count of 0, as the VM did not know of the former pool."""
+
+    async def scenario(cell):
+        wide = job(StepSpec(40, 8000, 100, estimate_ms=60000))
+        for number in range(3):
+            assert not (await cell.submit(f"{number:016x}", wide)).refusal
+        cell.move()
+        vm = await cell.restart("vm1")
+        other = cell.vm_by_name["vm2"]
+        expected = await other.service.pending(cell.queues[BATCH], REQUEST_TIMEOUT)
+        assert expected > 0
+        assert await vm.service.pending(cell.queues[BATCH], REQUEST_TIMEOUT) == expected
+
+    in_cell(scenario)
