Cancel jobs that wait to be recorded, and answer 410 only if all owners did

While the answer to a commit is missing, each job that arrives is in this state for 0.6 s or more. Where an owner did not answer, the VM took the absence of a record in the store for the absence of the job.

Change: the owner ends a job that waits to be recorded at once, and answers once it is recorded as cancelled. A state waits for the record, too. A VM answers 410 only if each owner that it asked has answered, also those of former pools; a result of one pool goes before an error of another.

Why it works: Launcher starts no unit of an ended job, so what the commit finds is a cancelled job whether its answer comes early or late, and an owner's "no such job" now covers all that it may still record. An owner that dies leaves a record or none: the chain key bars its late commits.

--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -157,8 +157,10 @@
         self._wake.set()
 
     async def wait_inserted(self, job_id: JobId) -> None:
-        """Returns once the record of an inserted job is in the store. Raises `ClaimLostError`."""
-        await asyncio.shield(self._insert_by_id[job_id].recorded)
+        """Returns once no insert of this id waits for its commit. Raises `ClaimLostError`."""
+        insert = self._insert_by_id.get(job_id)
+        if insert is not None:
+            await asyncio.shield(insert.recorded)
 
     def insert_queue_time(self) -> timedelta:
         """Returns how long the jobs that wait delay the record of a new one.
@@ -173,6 +175,11 @@
         """Returns whether a job's record waits for its commit or may be committed already."""
         return job_id in self._insert_by_id
 
+    def inserted_job(self, job_id: JobId) -> Job | None:
+        """Returns a job whose record waits for its commit, ``None`` if there is none."""
+        insert = self._insert_by_id.get(job_id)
+        return None if insert is None else insert.job
+
     def purge(self, job_id: JobId) -> None:
         """Deletes the records of a job whose retention has passed."""
         self._purged.append(job_id)
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -373,16 +373,26 @@
             _log.info("{} accepted into {}", record.job_id, record.queue, extra=fields)
 
     async def cancel(self, job_id: JobId) -> bool:
-        """Cancels a job and returns whether it exists. Raises `ClaimLostError`."""
-        job = self.job_by_id.get(job_id)
+        """Cancels a job and returns whether it exists. Raises `ClaimLostError`.
+
+        A job that waits to be recorded starts nothing from now on, and is recorded as cancelled.
+        """
+        job = self.job_by_id.get(job_id) or self._journal.inserted_job(job_id)
         if job is None:
             return False
         if not job.is_ended:
             self.lifecycle.finish(job, JobPhase.CANCELLED)
+        await self._journal.wait_inserted(job_id)
         await self._journal.wait_recorded()
-        return True
+        # Not so if the record of another pool came first.
+        return job_id in self.job_by_id
 
-    def phase(self, job_id: JobId) -> JobPhase | None:
+    async def phase(self, job_id: JobId) -> JobPhase | None:
+        """Returns the recorded phase of a job, ``None`` if there is no such job.
+
+        Waits for the record of a job that has none yet. Raises `ClaimLostError`.
+        """
+        await self._journal.wait_inserted(job_id)
         job = self.job_by_id.get(job_id)
         return None if job is None else job.recorded_phase
 
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -1,7 +1,7 @@
 """Callers' requests on any VM: each is forwarded to the VM that owns its queue's pool."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from datetime import timedelta
 from enum import Enum
 from typing import Any, TypeVar
@@ -197,6 +197,7 @@
         request = JobPhaseRequest(queue.pool, job_id)
         deadline = self._node.clock.boot_time() + max_wait
         read_time = min(STORE_READ_TIME, max_wait / 2)
+        unanswered = None
         try:
             reply, _ = await self._ask_owner(request, self._on_phase, max_wait, read_time)
             if reply.phase is not None:
@@ -207,19 +208,22 @@
                 job_id,
                 error,
             )
+            unanswered = error
         phase = await self._stored_phase(queue.pool, job_id, deadline)
-        if phase is not None:
-            return phase
-        return await self._find_phase(queue, self._other_pools(queue), job_id, deadline)
+        if phase is None:
+            phase = await self._find_phase(queue, self._other_pools(queue), job_id, deadline)
+        if phase is None and unanswered is not None:
+            # Only the owner knows a job that waits to be recorded.
+            raise unanswered
+        return phase
 
     async def _find_phase(
         self, queue: Queue, pools: list[PoolName], job_id: JobId, deadline: timedelta
     ) -> JobPhase | None:
         """Returns the phase of a job that may be in some pools. Raises `UnavailableError`."""
-        found = await asyncio.gather(
-            *(self._phase_elsewhere(queue, pool, job_id, deadline) for pool in pools)
+        return await _first_found(
+            self._phase_elsewhere(queue, pool, job_id, deadline) for pool in pools
         )
-        return next((phase for phase in found if phase is not None), None)
 
     async def _phase_elsewhere(
         self, queue: Queue, pool: PoolName, job_id: JobId, deadline: timedelta
@@ -228,6 +232,7 @@
 
         Raises `UnavailableError`.
         """
+        unanswered = None
         if self._has_owner(pool):
             request = JobPhaseRequest(pool, job_id)
             try:
@@ -237,7 +242,11 @@
                     return reply.phase
             except UnavailableError as error:
                 _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
-        return await self._stored_phase(pool, job_id, deadline)
+                unanswered = error
+        phase = await self._stored_phase(pool, job_id, deadline)
+        if phase is None and unanswered is not None:
+            raise unanswered
+        return phase
 
     async def _stored_phase(
         self, pool: PoolName, job_id: JobId, deadline: timedelta
@@ -266,31 +275,35 @@
         # A former owner that has not noticed the takeover lacks the newest jobs.
         if await self._stored_phase(queue.pool, job_id, deadline) is not None:
             raise UnavailableError("the job is known to another owner", False)
-        is_cancelled = await asyncio.gather(
-            *(
-                self._cancel_elsewhere(queue, pool, job_id, deadline)
-                for pool in self._other_pools(queue)
-            )
+        cancelled = await _first_found(
+            self._cancel_elsewhere(queue, pool, job_id, deadline)
+            for pool in self._other_pools(queue)
         )
-        return CancelResult.CANCELLED if any(is_cancelled) else CancelResult.ABSENT
+        return cancelled or CancelResult.ABSENT
 
     async def _cancel_elsewhere(
         self, queue: Queue, pool: PoolName, job_id: JobId, deadline: timedelta
-    ) -> bool:
-        """Cancels a job that may be in another pool than its queue's, and returns whether it is
+    ) -> CancelResult | None:
+        """Cancels a job that may be in another pool than its queue's; returns ``None`` if it isn't
         there. Raises `UnavailableError`."""
+        unanswered = None
         if self._has_owner(pool):
             request = CancelJobRequest(pool, job_id)
             try:
                 max_wait = min(OWNER_CALL_TIMEOUT, self._time_left(deadline))
                 reply, _ = await self._ask_owner(request, self._on_cancel, max_wait)
-                if reply.is_known or pool not in self._former_pools(queue):
-                    return bool(reply.is_known)
+                if reply.is_known:
+                    return CancelResult.CANCELLED
+                if pool not in self._former_pools(queue):
+                    return None
             except UnavailableError as error:
                 _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
+                unanswered = error
         if await self._stored_phase(pool, job_id, deadline) is not None:
             raise UnavailableError("the job is known to an owner that does not answer", False)
-        return False
+        if unanswered is not None:
+            raise unanswered
+        return None
 
     async def pending(self, queue: Queue, max_wait: timedelta) -> int:
         """Returns the number of jobs of which no task has started. Raises `UnavailableError`."""
@@ -382,7 +395,7 @@
 
     async def _on_phase(self, request: JobPhaseRequest) -> JobPhaseReply:
         owner = self._owner(request.pool)
-        phase = None if owner is None else owner.phase(request.job_id)
+        phase = None if owner is None else await owner.phase(request.job_id)
         return JobPhaseReply(owner is not None, phase)
 
     async def _on_cancel(self, request: CancelJobRequest) -> CancelJobReply:
@@ -396,3 +409,13 @@
         if owner is None:
             return CountJobsReply(False)
         return CountJobsReply(True, owner.pending(request.queue))
+
+
+async def _first_found(searches: Iterable[Awaitable[T | None]]) -> T | None:
+    """Returns a result other than ``None``; without any, raises the error of a failed search."""
+    results = await asyncio.gather(*searches, return_exceptions=True)
+    errors = [result for result in results if isinstance(result, BaseException)]
+    found = [r for r in results if r is not None and not isinstance(r, BaseException)]
+    if not found and errors:
+        raise errors[0]
+    return found[0] if found else None
