Refuse a job that arrives after its cancellation was answered 410

What callers see: a POST gets no answer, the DELETE sent after it is answered 410, and the job runs all the same, if the DELETE reaches the owner first.

Cause: the two requests are forwarded by different VMs, so the POST may be held up on its connection, or a paused owner may read the connections in any order. VMs give a silent connection up after 7 s. The owner kept nothing of an id that it did not know.

Evidence: test_submission_that_arrives_after_its_cancellation_is_refused fails before with the job accepted 7 s after the 410 (same pool; after a move of the queue it was refused before, too).

Change: for 10 s after a cancellation of an unknown id, the owner refuses that id with the rest of this time as Retry-After.

Why it works: the 410 comes from the owner of each pool that may accept the job, and a new owner is not reached by calls to the one before it.

One entry of memory for each such cancellation, for 10 s; no message, no store call.

--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -77,6 +77,9 @@
 # New jobs are refused at once when those that wait to be recorded take longer than this. Callers
 # would have given up on most of them by then, and those that come later would wait behind them.
 MAX_INSERT_QUEUE_TIME = timedelta(milliseconds=1500)
+# A submission may arrive this much later than a cancellation that was sent after it: VMs give up a
+# connection that is silent for 7 s, and the rest is for a process that was paused.
+MAX_SUBMISSION_DELAY = timedelta(seconds=10)
 # Added to the time for which callers may query the state of an ended job.
 RETENTION_MARGIN = timedelta(seconds=30)
 
@@ -166,6 +169,8 @@
         )
         self._launcher = Launcher(self, context.advice, context.clock, self._journal)
         self.job_by_id: dict[JobId, Job] = {}
+        # Boot times until which jobs are refused that were cancelled before they arrived.
+        self._refused_until_by_id: dict[JobId, timedelta] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
         self._placer = Placer(self, self._launcher, context.clock)
         self.lifecycle = JobLifecycle(self, self._placer, self._journal)
@@ -334,6 +339,9 @@
         is_store_down = (
             outage_since is not None and self._clock.boot_time() - outage_since > MAX_STORE_OUTAGE
         )
+        refused_for = self._refused_until_by_id.get(job_id, timedelta(0)) - self._clock.boot_time()
+        if refused_for > timedelta(0):
+            return Refusal("the job was cancelled before it arrived", refused_for)
         # While an earlier call for this id is pending, its record may still be written, and a
         # refusal could turn out wrong.
         if not self._journal.is_inserting(job_id):
@@ -376,9 +384,11 @@
         """Cancels a job and returns whether it exists. Raises `ClaimLostError`.
 
         A job that waits to be recorded starts nothing from now on, and is recorded as cancelled.
+        One that doesn't exist is refused if its submission still arrives.
         """
         job = self.job_by_id.get(job_id) or self._journal.inserted_job(job_id)
         if job is None:
+            self._refused_until_by_id[job_id] = self._clock.boot_time() + MAX_SUBMISSION_DELAY
             return False
         if not job.is_ended:
             self.lifecycle.finish(job, JobPhase.CANCELLED)
@@ -468,6 +478,10 @@
             elif now_ms - job.ended_ms > to_ms(self._retention):
                 del self.job_by_id[job_id]
                 self._journal.purge(job_id)
+        now = self._clock.boot_time()
+        for job_id, refused_until in list(self._refused_until_by_id.items()):
+            if refused_until <= now:
+                del self._refused_until_by_id[job_id]
         try:
             self._checks.run()
         except Exception:
--- a/tests/vm/test_cancel_before_recorded.py
+++ b/tests/vm/test_cancel_before_recorded.py
@@ -7,6 +7,7 @@
 
 from hornbeamramp.ids import JobId, RouteName
 from hornbeamramp.vm import CancelResult, UnavailableError
+from hornbeamramp.vm.messages import SubmitJobRequest
 from hornbeamramp.workload import JobPhase, StepSpec
 from tests.model.cell import REQUEST_TIMEOUT, ModelCell, job
 from tests.model.virtual_time import run_in_virtual_time
@@ -19,6 +20,8 @@
 SHORT_WAIT = timedelta(milliseconds=125)
 # The platform's bound on starts after the acknowledgement of a cancellation.
 CANCEL_S = 3.0
+# Connections between VMs that are silent for this long are given up.
+MAX_CALL_DELAY_S = 7.0
 VMS = pytest.mark.parametrize("vm_name", ["vm0", "vm1", "vm2"])
 
 
@@ -161,3 +164,28 @@
         await check_not_run_after(cell, 0)
 
     in_cell(scenario, MovingCell)
+
+
+@pytest.mark.parametrize("has_moved", [False, True], ids=["same pool", "former pool"])
+def test_submission_that_arrives_after_its_cancellation_is_refused(has_moved):
+    """Guards against a job that runs after a 410, as its POST was held up on the way to the owner:
+    messages of different VMs overtake each other."""
+
+    async def scenario(cell):
+        vm = cell.vm_by_name["vm1"]
+        owner = next(v for v in cell.vm_by_name.values() if v.owner_of(POOL))
+        cell.fleet.spec_by_job[JobId(JOB)] = SPEC
+        cell.queue_by_job[JobId(JOB)] = BATCH
+        late = SubmitJobRequest(POOL, BATCH, vm.node.config.version, JobId(JOB), SPEC)
+        if has_moved:
+            cell.move(NEW_POOL)
+            await asyncio.sleep(0.5)
+        assert await cancel(cell, vm) is CancelResult.ABSENT
+        await asyncio.sleep(MAX_CALL_DELAY_S)
+        reply = await owner.service._on_submit(late)
+        assert reply.refusal
+        await check_not_run_after(cell, 0)
+        assert await cell.phase(JOB) is None
+        assert not (await cell.submit(JOB, SPEC)).refusal
+
+    in_cell(scenario, MovingCell)
