--- a/tests/vm/test_queue_moves.py
+++ b/tests/vm/test_queue_moves.py
@@ -14,6 +14,7 @@
 from tests.model.virtual_time import run_in_virtual_time
 
 NEW_POOL = PoolName("proofs")
+NEW_POOL_WORKERS = ("w2", "w3")
 BATCH = RouteName("batch")
 JOB = "a" * 16
 LASTING = job(StepSpec(2, 1000, 100, long_running=True))
@@ -26,8 +27,11 @@
         super().__init__(**options)
         self.pools = [POOL, NEW_POOL]
         self.configure()
-        for name in ("w2", "w3"):
-            self.list_worker(name, pool=NEW_POOL)
+        for name in NEW_POOL_WORKERS:
+            self.list_worker(name)
+
+    def list_worker(self, name, draining=False, pool=POOL):
+        super().list_worker(name, draining, NEW_POOL if name in NEW_POOL_WORKERS else pool)
 
     async def __aenter__(self):
         await super().__aenter__()
