Bound the pools in the record of an address

What callers would have seen: no answer to any POST of a queue that has moved through more than 27 pools.

Cause: a new job takes an entry of its commit for each other pool in the record, and a commit has 30.

Evidence: test_jobs_of_an_address_with_many_pools_are_recorded[40] fails with a bound of 100: no job is recorded until the claim's lease of 600 s has ended.

Change: a record lists the 16 pools that came last. A job that was recorded before its queue moved to 16 further pools is no longer compared with.

--- a/hornbeamramp/poolowner/address_pools.py
+++ b/hornbeamramp/poolowner/address_pools.py
@@ -25,12 +25,19 @@
 
 __all__ = ["AddressRecords", "InsertConditions"]
 
+# Most pools in the record of an address, the latest ones. Each new job takes one of the 30 entries
+# of a commit for each of them.
+MAX_POOLS_PER_ADDRESS = 16
+
 _log = logbook.Logger("journal")
 
 
 class KnownAddress(NamedTuple):
-    """The pools of an address, the revision of its record (0: there is none), and the revision of
-    the store that it was read at, or an earlier one."""
+    """The pools of an address and the revision of its record (0: there is none).
+
+    `as_of`
+        Items of the watch up to this revision tell nothing newer.
+    """
 
     pools: tuple[PoolName, ...] = ()
     revision: int = 0
@@ -96,11 +103,14 @@
             self._known_by_address[address] = known
             self.revision_by_key[address_key(address)] = known.revision
             if self._pool not in known.pools:
-                record = AddressPools(address, (*known.pools, self._pool))
+                record = AddressPools(address, self._with_own_pool(known))
                 self.puts.append(Put(address_key(address), encode(record)))
         for pool in (self._pool, *self._other_pools(known)):
             self.revision_by_key[job_key(pool, job_id)] = 0
 
+    def _with_own_pool(self, known: KnownAddress) -> tuple[PoolName, ...]:
+        return (*known.pools, self._pool)[-MAX_POOLS_PER_ADDRESS:]
+
     def _other_pools(self, known: KnownAddress) -> list[PoolName]:
         return [pool for pool in known.pools if pool != self._pool]
 
@@ -112,21 +122,21 @@
     def on_committed(self, revision: int) -> None:
         for address, known in self._known_by_address.items():
             if self._pool not in known.pools:
-                self._records.note_written(address, (*known.pools, self._pool), revision)
+                self._records.note_written(address, self._with_own_pool(known), revision)
 
     def on_changed(self, item_by_key: dict[str, Item | None]) -> None:
         """Applies the items on which the commit has failed."""
         for address in self._known_by_address:
             key = address_key(address)
             if key in item_by_key:
-                _log.info("{}: other pools record jobs sent to {}", self._pool, address)
+                _log.info("{}: the pools that record jobs of {} have changed", self._pool, address)
                 self._records.note_conflict(address, item_by_key[key])
 
 
 def _decode(item: Item) -> KnownAddress:
     """Returns the pools of a record; none if it can't be decoded, so that it is written again."""
     try:
-        pools = decode_address_pools(item.value).pools
+        pools = decode_address_pools(item.value).pools[-MAX_POOLS_PER_ADDRESS:]
     except msgspec.MsgspecError as error:
         _log.error("{}: pools of the address can't be decoded: {}", item.key, error)
         pools = ()
--- a/tests/poolowner/test_address_pools.py
+++ b/tests/poolowner/test_address_pools.py
@@ -12,6 +12,7 @@
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.statestore import (
+    AddressPools,
     OwnerRecord,
     PoolClaim,
     address_key,
@@ -141,6 +142,24 @@
     with_pools(scenario)
 
 
+@pytest.mark.parametrize("length", [16, 40])
+def test_jobs_of_an_address_with_many_pools_are_recorded(length):
+    """Guards against jobs that are never recorded, as a commit can't hold what they depend on."""
+
+    async def scenario(pools):
+        names = tuple(PoolName(f"p{number}") for number in range(length))
+        value = msgspec.msgpack.encode(AddressPools(ADDRESS, names))
+        pools.store.put(address_key(ADDRESS), value)
+        latest = record(StepSpec(1, 1000, 100))
+        pools.store.put(job_key(names[-1], latest.job_id), b"")
+        assert (await pools.send(POOLS[0], latest)).is_ended
+        jobs = await asyncio.gather(*(pools.send(POOLS[0], new_record()) for _ in range(20)))
+        assert not any(job.is_ended for job in jobs)
+        assert pools.pools_of() == (*names[-15:], POOLS[0])
+
+    with_pools(scenario)
+
+
 def test_new_jobs_at_many_addresses_are_recorded():
     """Guards against commits with more entries than the store takes."""
 
--- a/tests/vm/test_moves_under_faults.py
+++ b/tests/vm/test_moves_under_faults.py
@@ -18,7 +18,7 @@
 from tests.vm.test_queue_moves import BATCH, NEW_POOL, POOL, MovingCell
 
 SEEDS = range(24)
-# A VM answers a request without a result this long after its deadline; one that was killed does not.
+# A VM answers a request without a result this long after its deadline, unless it was killed.
 ANSWER_MARGIN = timedelta(milliseconds=100)
 QUEUES = ("gate", "batch", "batch", "render")
 
