Soak moves of queues, and callers that cancel what was not answered

It checks that no job runs whose cancellation was answered 410, and that no id is recorded in two pools.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,5 @@
 """Command line: ``python -m tests.soak [--seeds N] [--first SEED] [--seconds S]
-[--planned]``."""
+[--planned] [--moves]``."""
 
 import shutil
 import sys
@@ -19,6 +19,7 @@
     seconds: float = 20.0,
     folder: Path = Path("build/soak"),
     planned: bool = False,
+    moves: bool = False,
 ) -> None:
     """Runs seeds one after another and keeps the logs of those that fail.
 
@@ -34,12 +35,14 @@
         Folder for the logs of the VMs.
     planned
         Inject only planned work, and check that each request is answered.
+    moves
+        Move a queue between two pools, with callers that give up, cancel and send again.
     """
     failed = []
     for seed in range(first, first + seeds):
         logs = folder.resolve() / f"seed-{seed}"
         shutil.rmtree(logs, ignore_errors=True)
-        outcome = run_seed(seed, seconds, logs, planned)
+        outcome = run_seed(seed, seconds, logs, planned, moves)
         print(
             f"seed {seed}: {outcome.accepted} accepted, {outcome.refused} refused, "
             f"{outcome.starts} starts, {outcome.faults} faults, {len(outcome.problems)} problems",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -105,10 +105,11 @@
         self, session: aiohttp.ClientSession, frontend: str, method: str, job_id: str, body: object
     ) -> tuple[int | None, bytes]:
         path = self._path(job_id)
-        headers = {"Host": HOST, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
+        deadline_s = self._deadline_s(method)
+        headers = {"Host": HOST, "Deadline-Ms": str(int(deadline_s * 1000))}
         data = None if body is None else msgspec.json.encode(body)
         try:
-            async with asyncio.timeout(DEADLINE_S):
+            async with asyncio.timeout(deadline_s):
                 async with session.request(
                     method, f"http://{frontend}{path}", data=data, headers=headers
                 ) as response:
@@ -116,6 +117,9 @@
         except NO_RESPONSE_ERRORS:
             return None, b""
 
+    def _deadline_s(self, method: str) -> float:
+        return DEADLINE_S
+
     def _path(self, job_id: str) -> str:
         return f"{PREFIX_BY_QUEUE[self._queue_by_job[job_id]]}{job_id}"
 
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -20,11 +20,16 @@
 from tests.platform.wire_server import serve_advice, serve_store, serve_worker
 from tests.soak.proxy import Link
 
-__all__ = ["HOST", "PREFIX_BY_QUEUE", "SoakCell", "SoakVm"]
+__all__ = ["HOST", "POOLS", "PREFIX_BY_QUEUE", "SoakCell", "SoakVm"]
 
 ROOT = Path(__file__).parents[2]
 HOST = "soak.example"
 POOL = "tickets"
+# Only a cell with moving queues has a second pool, with the last two workers.
+SECOND_POOL = "proofs"
+POOLS = (POOL, SECOND_POOL)
+SECOND_POOL_WORKERS = 2
+MOVING_QUEUE = "batch"
 PREFIX_BY_QUEUE = {"gate": "/gate/", "batch": "/batch/"}
 ADVISED_QUEUE = "gate"
 MAX_ATTEMPTS = 2
@@ -165,9 +170,13 @@
 
     `folder`
         Folder for the settings and logs of the VMs.
+    `moves`
+        Whether each new configuration moves a queue to the other of two pools.
     """
 
-    def __init__(self, folder: Path, seed: int, vms: int = 4, workers: int = 5) -> None:
+    def __init__(
+        self, folder: Path, seed: int, vms: int = 4, workers: int = 5, moves: bool = False
+    ) -> None:
         self.folder = folder
         self.clock = SystemClock()
         self.store = ModelStore(self.clock)
@@ -183,6 +192,7 @@
         self._runners: list = []
         self._version = 0
         self._vm_and_worker_count = (vms, workers)
+        self._moves = moves
         # Separate loopback addresses, so that several cells can run at the same time.
         self._subnet = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
 
@@ -225,11 +235,16 @@
         self.link_by_worker[name] = link
         self.write_worker_entry(name)
 
+    def _pool_of(self, worker: str) -> str:
+        _, workers = self._vm_and_worker_count
+        is_second = self._moves and int(worker[1:]) >= workers - SECOND_POOL_WORKERS
+        return SECOND_POOL if is_second else POOL
+
     def write_worker_entry(self, name: str, state: str = "ready") -> None:
         """Writes a worker's entry to the store."""
         worker = self.fleet.worker_by_name[name]
         entry = {
-            "service": POOL,
+            "service": self._pool_of(name),
             "address": self.link_by_worker[name].address,
             "zone": "gebze",
             "state": state,
@@ -242,13 +257,14 @@
     def configure(self) -> None:
         """Writes the configuration as its next version."""
         self._version += 2
+        has_moved = self._moves and self._version % 4 == 0
         timing = {"decide-ms": 10, "each-ms": 0.2, "valid-ms": 2000}
         routes = [
             {
                 "name": name,
                 "host": HOST,
                 "prefix": prefix,
-                "service": POOL,
+                "service": SECOND_POOL if has_moved and name == MOVING_QUEUE else POOL,
                 "priority": 0 if name == ADVISED_QUEUE else 2,
                 "max-attempts": MAX_ATTEMPTS,
                 "stretch": 2.0,
@@ -257,7 +273,11 @@
             }
             for name, prefix in PREFIX_BY_QUEUE.items()
         ]
-        config = {"version": self._version, "routes": routes, "services": [{"name": POOL}]}
+        config = {
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": name} for name in POOLS[: 1 + self._moves]],
+        }
         self.store.put("op/config", json.dumps(config).encode())
 
     def _ticket_valid(self, task: str, worker: str, ticket: str) -> bool:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 from tests.soak.cell import GRACE_S, SoakCell
 from tests.soak.faults import Faults, PlannedWork
 from tests.soak.kept_connections import KeptConnectionCallers
+from tests.soak.moves import ImpatientCallers, MovingQueues
 
 __all__ = ["Outcome", "run_seed"]
 
@@ -28,25 +29,31 @@
     problems: tuple[str, ...]
 
 
-def run_seed(seed: int, seconds: float, folder: Path, planned: bool = False) -> Outcome:
+def run_seed(
+    seed: int, seconds: float, folder: Path, planned: bool = False, moves: bool = False
+) -> Outcome:
     """Runs a seed with ``seconds`` of faults. The VMs' logs are written to ``folder``.
 
     `planned`
         Injects only planned work and checks that each request is answered.
+    `moves`
+        Moves a queue between two pools, with callers that give up, cancel and send again.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(_run_seed(seed, seconds, folder, planned))
+    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves))
 
 
-async def _run_seed(seed: int, seconds: float, folder: Path, planned: bool) -> Outcome:
+async def _run_seed(seed: int, seconds: float, folder: Path, planned: bool, moves: bool) -> Outcome:
     rng, fault_rng = random.Random(seed), random.Random(seed + 1)
-    async with SoakCell(folder, seed) as cell:
+    async with SoakCell(folder, seed, moves=moves) as cell:
         callers: Callers
         faults: Faults
         if planned:
             callers, faults = KeptConnectionCallers(cell, rng), PlannedWork(cell, fault_rng)
             for vm in cell.vm_by_name.values():
                 vm.stop_timeout_s = GRACE_S
+        elif moves:
+            callers, faults = ImpatientCallers(cell, rng), MovingQueues(cell, fault_rng)
         else:
             callers, faults = Callers(cell, rng), Faults(cell, fault_rng)
         await asyncio.gather(callers.run(seconds), faults.run(seconds))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,8 @@
 # With planned work only. In 20 s of these, requests were cut off before they were limited to the
 # life of their process.
 PLANNED_SEEDS = (102, 106)
+# With a queue that moves between two pools, and callers that give up, cancel and send again.
+MOVING_SEEDS = (201, 202)
 # Seeds that failed once, with the duration of the failed run in seconds and the cause.
 FAILED_SEEDS: dict[int, tuple[float, str]] = {
     6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
@@ -41,3 +43,13 @@
     outcome = run_seed(seed, SECONDS, tmp_path, planned=True)
     assert outcome.problems == ()
     assert outcome.accepted + outcome.refused > 0
+
+
+@pytest.mark.parametrize("seed", MOVING_SEEDS)
+def test_ids_stay_one_job_while_queues_move(seed, tmp_path):
+    """Guards against jobs that run twice after a move of their queue, and against jobs that run
+    after a 410."""
+    outcome = run_seed(seed, SECONDS, tmp_path, moves=True)
+    assert outcome.problems == ()
+    assert outcome.accepted > 0
+    assert outcome.starts > 0
