--- a/tests/vm/test_cancel_before_recorded.py
+++ b/tests/vm/test_cancel_before_recorded.py
@@ -140,6 +140,32 @@
     in_cell(scenario)
 
 
+@VMS
+@pytest.mark.parametrize("wait_s", [0.0, 0.4])
+def test_answer_for_a_job_of_an_owner_that_is_stopped_stays_true(vm_name, wait_s):
+    """Guards against a 410 for a job that the owner records while it shuts down."""
+
+    async def scenario(cell):
+        owner, _ = await leave_unrecorded(cell, cell.vm_by_name["vm1"])
+        release = asyncio.create_task(owner.node.release())
+        await asyncio.sleep(wait_s)
+        owner.store.lost_share = 0.0
+        vm = cell.vm_by_name[vm_name]
+        outcome = None
+        while outcome is None:
+            try:
+                outcome = await cancel(cell, vm)
+            except UnavailableError:
+                await asyncio.sleep(0.1)
+        answered_at = cell.clock.boot_time().total_seconds()
+        await release
+        await check_not_run_after(cell, answered_at - CANCEL_S)
+        expected = None if outcome is CancelResult.ABSENT else JobPhase.CANCELLED
+        assert await cell.phase(JOB, vm) is expected
+
+    in_cell(scenario)
+
+
 @VMS
 def test_job_that_waits_to_be_recorded_in_a_former_pool_is_cancelled_there(vm_name):
     """Guards against a 410 by the owner of the new pool after the queue has moved."""
--- a/tests/vm/test_queue_moves.py
+++ b/tests/vm/test_queue_moves.py
@@ -49,6 +49,12 @@
         self.queue_by_job[JobId(JOB)] = name
         self.configure()
 
+    def remove_route(self):
+        """Removes the queue ``batch`` from the configuration, and returns it."""
+        removed = self.queues.pop(BATCH)
+        self.configure()
+        return removed
+
     async def restart(self, vm_name):
         await self.restart_vm(vm_name, 0.5)
         await asyncio.sleep(3)
@@ -215,6 +221,52 @@
     in_cell(scenario)
 
 
+def test_job_sent_again_after_its_route_was_removed_and_added_again_stays_one_job():
+    """Guards against a second run after a route came back with another pool."""
+
+    async def scenario(cell):
+        assert not (await cell.submit(JOB, job())).refusal
+        await cell.wait_for_phase(JOB, JobPhase.COMPLETED)
+        starts = cell.starts()
+        removed = cell.remove_route()
+        await asyncio.sleep(1)
+        await asyncio.gather(*(cell.restart(name) for name in list(cell.vm_by_name)))
+        cell.queues[BATCH] = removed
+        cell.move()
+        await asyncio.sleep(1)
+        for vm in cell.vm_by_name.values():
+            reply = await cell.submit(JOB, job(), vm=vm)
+            assert reply is not None and not reply.refusal
+            assert await cell.phase(JOB, vm) is JobPhase.COMPLETED
+        await asyncio.sleep(3)
+        assert cell.stored_in(JOB) == [POOL]
+        assert cell.starts() == starts
+
+    in_cell(scenario)
+
+
+def test_job_sent_again_while_the_store_turns_its_vm_away_stays_one_job():
+    """Guards against a VM whose watch has not told it of the former pool."""
+
+    async def scenario(cell):
+        vm = cell.vm_by_name["vm1"]
+        vm.store.is_down = True
+        assert not (await cell.submit(JOB, job(), vm=cell.vm_by_name["vm0"])).refusal
+        await cell.wait_for_phase(JOB, JobPhase.COMPLETED)
+        starts = cell.starts()
+        cell.move()
+        end = cell.clock.boot_time() + timedelta(seconds=4)
+        while cell.clock.boot_time() < end:
+            await cell.submit(JOB, job(), vm=vm)
+            await asyncio.sleep(0.2)
+        vm.store.is_down = False
+        await asyncio.sleep(3)
+        assert cell.stored_in(JOB) == [POOL]
+        assert cell.starts() == starts
+
+    in_cell(scenario)
+
+
 def test_job_sent_again_after_two_moves_stays_one_job():
     """Guards against owners that compare with the pool of the last move only."""
 
