--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 SOAK_FIRST ?= $(shell date +%s)
 soak: $(STAMP)
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST)
+	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --moves
 
 lint: $(STAMP)
 	$(BIN)/black --check .
