--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -1,10 +1,12 @@
 """Tests of one worker's session: reserved capacity, lease renewal, and calls that fail."""
 
 import asyncio
+import functools
 from datetime import timedelta
 
 import logbook
 import msgspec
+import pytest
 
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.fleet import (
@@ -553,3 +555,42 @@
         assert harness.session.usable
 
     run_with_harness(scenario)
+
+
+class DelayedLists(FleetView):
+    """Delivers each run list some time after the worker made it."""
+
+    delay_s = 0.0
+
+    async def hold(self, *arguments):
+        delay_s = self.delay_s
+        reply = await super().hold(*arguments)
+        await asyncio.sleep(delay_s)
+        return reply
+
+
+@pytest.mark.known_red
+def test_run_started_after_the_list_that_shows_a_restart_was_made_is_not_lost():
+    """Guards against a task that runs on two workers at once (TWICE, kaya-kantar).
+
+    The list that first shows a new boot is made before a start arrives there, and read after it.
+    The run, which the list lacks, counted as one of the old boot, and its task was placed again.
+    """
+
+    async def scenario(harness, lead_s):
+        harness.worker.crash()
+        harness.worker.reboot()
+        attempt = harness.attempt()
+        harness.view.delay_s = 0.06
+        asyncio.get_running_loop().create_task(harness.session._fetch_runs())
+        # The list is made once the call has arrived, 2 ms after it was sent.
+        await asyncio.sleep(0.002 + lead_s)
+        reply = await harness.start(attempt)
+        harness.view.delay_s = 0.0
+        assert reply is StartReply.STARTED
+        await asyncio.sleep(4.0)
+        assert harness.owner.ended == []
+        assert attempt.name in harness.worker.run_by_task
+
+    for lead_s in (0.001, 0.02, 0.05, 0.0595):
+        run_with_harness(functools.partial(scenario, lead_s=lead_s), DelayedLists)
