Log each run that is given up, with the proof and the boots of its worker

Change: an event run_given_up with the proof, its age, the run's phase, the boot that the order went to and the boot that gave the proof; run_orphaned and orphan_ended for runs found later; a counter hornbeamramp.run.given_up by proof. No decision changes.

--- a/hornbeamramp/fleet/__init__.py
+++ b/hornbeamramp/fleet/__init__.py
@@ -3,6 +3,7 @@
 from hornbeamramp.fleet.attempt import Attempt, AttemptPhase
 from hornbeamramp.fleet.base import (
     EndedRun,
+    EndProof,
     HoldReply,
     RunningRun,
     RunOutcome,
@@ -17,6 +18,7 @@
 __all__ = [
     "Attempt",
     "AttemptPhase",
+    "EndProof",
     "EndedRun",
     "HoldReply",
     "RunOutcome",
--- a/hornbeamramp/fleet/attempt.py
+++ b/hornbeamramp/fleet/attempt.py
@@ -37,6 +37,8 @@
     `confirmed_at`
         Boot time of the latest proof that the run exists or can no longer be started. If a run list
         requested later lacks the run, it is gone.
+    `ordered_boot_ms`
+        Boot of the worker that the owner knew when it sent the start order; 0 if unknown.
     `progress_clock_ms`
         Time on the worker's clock at which the run was last known to make progress.
     """
@@ -46,6 +48,7 @@
         "confirmed_at",
         "load",
         "name",
+        "ordered_boot_ms",
         "pace_percent",
         "percent",
         "phase",
@@ -73,6 +76,7 @@
         self.percent = 0.0
         self.load = 0.0
         self.confirmed_at: timedelta | None = None
+        self.ordered_boot_ms = 0
         self.started_at: timedelta | None = None
         self.progress_at: timedelta | None = None
         self.progress_clock_ms: int | None = None
--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -12,6 +12,7 @@
 from hornbeamramp.resources import Resources
 
 __all__ = [
+    "EndProof",
     "EndedRun",
     "HoldReply",
     "RunOutcome",
@@ -36,6 +37,19 @@
     LOST = "lost"
 
 
+class EndProof(Enum):
+    """Why a run counts as ended although no worker has reported its end.
+
+    UNLISTED: a list that would contain the run lacks it. RESTARTED: the worker has restarted.
+    REPLACED: another worker answers at the address. LEASE_OVER: its lease has certainly expired.
+    """
+
+    UNLISTED = "unlisted"
+    RESTARTED = "restarted"
+    REPLACED = "replaced"
+    LEASE_OVER = "lease_over"
+
+
 class StartReply(Enum):
     """Answer to a start order. Any value but STARTED means that the run was not started."""
 
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -10,10 +10,14 @@
 
 import logbook
 
+from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet.attempt import Attempt, AttemptPhase
 from hornbeamramp.fleet.base import (
+    EndedRun,
+    EndProof,
     FencedError,
     HoldReply,
     InstanceMismatchError,
@@ -178,6 +182,7 @@
         if not (self.is_listed and self.reachable) or self.listing.draining:
             return StartReply.UNHEALTHY
         attempt.phase = AttemptPhase.ORDERED
+        attempt.ordered_boot_ms = self._boot_ms or 0
 
         def may_send() -> bool:
             # The job may be cancelled while the call waits for a connection.
@@ -325,6 +330,7 @@
             await self._clock.sleep(RETRY_PAUSE)
 
     async def _send_stop(self, task: str, run: int) -> bool:
+        sent_at = self._clock.boot_time()
         try:
             await self._client.stop(self.listing, task, run, self._owner.token)
         except WorkerUnreachableError as error:
@@ -333,7 +339,7 @@
         except FencedError:
             self._owner.on_fenced(self)
         except InstanceMismatchError:
-            self._on_instance_mismatch()
+            self._on_instance_mismatch(sent_at)
         except Exception:
             # It is sent again; given up, the run would go on and keep its capacity.
             _log.exception("stop of {} run {} failed unexpectedly", task, run)
@@ -344,13 +350,26 @@
         """Stops a run that belongs to no attempt; the worker gets no new runs until it is gone."""
         key = (task, run)
         if key not in self.orphan_stopped_at_by_key:
-            _log.warning("{}: stopping orphaned run: {} run {}", self.worker, task, run)
+            _log.warning(
+                "{}: stopping orphaned run: {} run {}",
+                self.worker,
+                task,
+                run,
+                extra={
+                    "event": "run_orphaned",
+                    "task": task,
+                    "run": run,
+                    "worker": self.worker,
+                    "boot": self._boot_ms,
+                },
+            )
             self.orphan_stopped_at_by_key[key] = timedelta.max
             self._background.spawn(self._stop_orphan(key))
 
     async def pace(self, attempt: Attempt, percent: int) -> None:
         """Limits a run to a percentage of its speed. Without an answer the pace is unknown."""
         attempt.pace_percent = percent
+        sent_at = self._clock.boot_time()
         try:
             await self._client.pace(
                 self.listing, attempt.name, attempt.run, percent, self._owner.token
@@ -361,7 +380,7 @@
         except FencedError:
             self._owner.on_fenced(self)
         except InstanceMismatchError:
-            self._on_instance_mismatch()
+            self._on_instance_mismatch(sent_at)
 
     # The lease loop
 
@@ -406,7 +425,7 @@
             self._owner.on_fenced(self)
             return False
         except InstanceMismatchError:
-            self._on_instance_mismatch()
+            self._on_instance_mismatch(requested_at)
             return False
         self._last_acked = max(self._last_acked, end_to_ack)
         self._apply(reply, requested_at)
@@ -454,7 +473,7 @@
             self._latest_deadline_ms = int(reply.clock_ms + lease / MILLISECOND)
         now = self._clock.boot_time()
         if self._boot_ms is not None and reply.boot_ms != self._boot_ms:
-            self._on_restart(reply)
+            self._on_restart(reply, requested_at)
         self._boot_ms = reply.boot_ms
         self._worker_clock_ms, self._worker_clock_read_at = reply.clock_ms, now
         if not self.reachable:
@@ -469,7 +488,8 @@
                 continue
             had_ends = True
             self._last_applied = end.number
-            self.orphan_stopped_at_by_key.pop((end.task, end.run), None)
+            if self.orphan_stopped_at_by_key.pop((end.task, end.run), None) is not None:
+                self._log_orphan_end(end)
             attempt = self.attempt_by_key.get((end.task, end.run))
             if attempt is not None:
                 self._end(attempt, end.outcome, end.checkpoint)
@@ -510,7 +530,7 @@
             if fenced_off or (
                 attempt.confirmed_at is not None and attempt.confirmed_at < requested_at
             ):
-                self._end(attempt, RunOutcome.LOST, attempt.checkpoint)
+                self._give_up(attempt, RunOutcome.LOST, EndProof.UNLISTED, requested_at)
         for key, stopped_at in list(self.orphan_stopped_at_by_key.items()):
             if key not in listed and stopped_at < requested_at:
                 del self.orphan_stopped_at_by_key[key]
@@ -519,9 +539,59 @@
         self.release(attempt)
         self._owner.on_ended(attempt, outcome, checkpoint or attempt.checkpoint)
 
-    def _on_restart(self, reply: HoldReply) -> None:
+    def _give_up(
+        self, attempt: Attempt, outcome: RunOutcome, proof: EndProof, proved_at: timedelta
+    ) -> None:
+        """Ends a run of which no end was reported.
+
+        `proved_at`
+            When the call was sent that gave the proof, or when the lease had certainly expired.
+        """
+        instruments.runs_given_up.add(1, {"proof": proof.value})
+        age = self._clock.boot_time() - proved_at
+        _log.info(
+            "{} run {} on {} given up as {}: {}",
+            attempt.name,
+            attempt.run,
+            self.worker,
+            outcome.value,
+            proof.value,
+            extra={
+                "event": "run_given_up",
+                "task": attempt.name,
+                "run": attempt.run,
+                "worker": self.worker,
+                "outcome": outcome.value,
+                "proof": proof.value,
+                "proof_age_ms": to_ms(age),
+                "phase": attempt.phase.value,
+                "ordered_boot": attempt.ordered_boot_ms,
+                "answered_boot": self._boot_ms or 0,
+            },
+        )
+        self._end(attempt, outcome, attempt.checkpoint)
+
+    def _log_orphan_end(self, end: EndedRun) -> None:
+        _log.info(
+            "{}: orphaned run {} run {} ended {}",
+            self.worker,
+            end.task,
+            end.run,
+            end.outcome.value,
+            extra={
+                "event": "orphan_ended",
+                "task": end.task,
+                "run": end.run,
+                "worker": self.worker,
+                "boot": self._boot_ms,
+                "outcome": end.outcome.value,
+            },
+        )
+
+    def _on_restart(self, reply: HoldReply, requested_at: timedelta) -> None:
         """Handles a restart of the worker: all earlier runs are gone and ends are numbered anew."""
         _log.warning("worker {} has restarted, boot {}", self.worker, reply.boot_ms)
+        self._boot_ms = reply.boot_ms
         self._last_recorded = self._last_applied = self._last_acked = 0
         # An order in flight has a deadline on the clock of the old boot. On the new boot's clock it
         # may be late enough to give the longest lease.
@@ -538,20 +608,21 @@
                 # The order may still be in flight, and the new boot does not reject old run
                 # numbers, as it has none stored.
                 self._add_orphan(*key)
-            self._end(attempt, RunOutcome.LOST, attempt.checkpoint)
+            self._give_up(attempt, RunOutcome.LOST, EndProof.RESTARTED, requested_at)
 
-    def _on_instance_mismatch(self) -> None:
+    def _on_instance_mismatch(self, requested_at: timedelta) -> None:
         """Handles that another worker has taken over the address, so this one is gone."""
         self.reachable = self.is_listed = False
-        self._end_all(RunOutcome.LOST)
+        self._give_up_all(RunOutcome.LOST, EndProof.REPLACED, requested_at)
 
     def end_lapsed_runs(self) -> None:
         """Ends all runs once their lease has certainly expired."""
-        if self.attempt_by_key and self._clock.boot_time() > self.runs_end_by():
+        runs_end_by = self.runs_end_by()
+        if self.attempt_by_key and self._clock.boot_time() > runs_end_by:
             self.reachable = False
-            self._end_all(RunOutcome.LAPSED)
+            self._give_up_all(RunOutcome.LAPSED, EndProof.LEASE_OVER, runs_end_by)
 
-    def _end_all(self, outcome: RunOutcome) -> None:
+    def _give_up_all(self, outcome: RunOutcome, proof: EndProof, proved_at: timedelta) -> None:
         for attempt in list(self.attempt_by_key.values()):
             if attempt.phase is not AttemptPhase.RESERVED:
-                self._end(attempt, outcome, attempt.checkpoint)
+                self._give_up(attempt, outcome, proof, proved_at)
--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -16,6 +16,7 @@
     "request_time",
     "requests",
     "run_ends",
+    "runs_given_up",
     "starts",
     "store_calls",
     "takeovers",
@@ -60,6 +61,9 @@
 )
 starts = _meter.create_counter("hornbeamramp.run.starts", "1", "Start orders by reply")
 run_ends = _meter.create_counter("hornbeamramp.run.ends", "1", "Ends of runs, by how")
+runs_given_up = _meter.create_counter(
+    "hornbeamramp.run.given_up", "1", "Runs that count as ended without a report, by proof"
+)
 preemptions = _meter.create_counter("hornbeamramp.preemptions", "1", "Runs stopped for others")
 first_start_time = _meter.create_histogram(
     "hornbeamramp.job.first_start", "s", "Time from acceptance to the first start, by queue"
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -557,6 +557,52 @@
     run_with_harness(scenario)
 
 
+def test_log_tells_by_which_proof_a_run_was_given_up(log_records):
+    """Guards against a run that is given up without a trace of why, so that the causes of two runs
+    of one task can't be told apart."""
+
+    async def scenario(harness):
+        attempt = harness.attempt()
+        await harness.start(attempt)
+        await asyncio.sleep(3.0)
+        first_boot = harness.worker.boot_ms
+        harness.worker.crash()
+        await asyncio.sleep(0.5)
+        harness.worker.reboot()
+        await until(lambda: harness.owner.ended)
+        (line,) = [r.extra for r in log_records if r.extra.get("event") == "run_given_up"]
+        assert 0 <= line.pop("proof_age_ms") < 100
+        assert line == {
+            "event": "run_given_up",
+            "task": attempt.name,
+            "run": 1,
+            "worker": "w0",
+            "outcome": "lost",
+            "proof": "restarted",
+            "phase": "running",
+            "ordered_boot": first_boot,
+            "answered_boot": harness.worker.boot_ms,
+        }
+
+    run_with_harness(scenario)
+
+
+def test_log_tells_the_boot_and_the_end_of_an_orphaned_run(log_records):
+    """Guards against a run that goes on after it was given up, of which no line is left."""
+
+    async def scenario(harness):
+        harness.worker.start(StartOrder(f"{'a' * 16}.0.0.7", 1, "payload", 60_000, 5))
+        await asyncio.sleep(4.5)
+        lines = [r.extra for r in log_records if "orphan" in r.extra.get("event", "")]
+        run = {"task": f"{'a' * 16}.0.0.7", "run": 1, "worker": "w0", "boot": 1}
+        assert lines == [
+            {"event": "run_orphaned", **run},
+            {"event": "orphan_ended", **run, "outcome": "stopped"},
+        ]
+
+    run_with_harness(scenario)
+
+
 class DelayedLists(FleetView):
     """Delivers each run list some time after the worker made it."""
 
