End runs of a former owner by later lists if the first one is truncated

Cause: the proof that no order of a former owner can take effect any more was used with the first run list only. If that list was truncated (500 ends), no later list ended a run that had never started. Change: the first list sets the moment from which any list proves that such a run is gone. Measured: the test failed before (the run stays for good) and passes.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -485,6 +485,11 @@
             # token of this call prevents any further extension.
             lease = min(RUN_LEASE / MIN_WORKER_CLOCK_RATE, self._longest_lease)
             self._latest_deadline_ms = int(reply.clock_ms + lease / MILLISECOND)
+            # The list shows the state after fencing: orders of former owners can no longer take
+            # effect, so it and any later list prove which runs are gone.
+            for attempt in self.attempt_by_key.values():
+                if attempt.phase is AttemptPhase.UNCERTAIN:
+                    attempt.confirmed_at = requested_at - timedelta.resolution
         now = self._clock.boot_time()
         if self._boot_ms is not None and reply.boot_ms != self._boot_ms:
             self._on_restart(reply, requested_at)
@@ -508,7 +513,7 @@
             attempt = self.attempt_by_key.get((end.task, end.run))
             if attempt is not None:
                 self._end(attempt, end.outcome, end.checkpoint)
-        self._end_missing(reply, requested_at, is_first)
+        self._end_missing(reply, requested_at)
         if had_ends or is_first:
             self._owner.on_capacity_change(self)
 
@@ -531,7 +536,7 @@
             if was_uncertain:
                 self._owner.on_running(attempt)
 
-    def _end_missing(self, reply: HoldReply, requested_at: timedelta, is_first: bool) -> None:
+    def _end_missing(self, reply: HoldReply, requested_at: timedelta) -> None:
         """Ends the runs that are missing from a list that would contain them if they existed."""
         if len(reply.ended) >= MAX_ENDS_PER_REPLY:
             # The list of ends is truncated and lacks the newest ones.
@@ -540,12 +545,7 @@
         for key, attempt in list(self.attempt_by_key.items()):
             if key in listed or attempt.phase is AttemptPhase.RESERVED:
                 continue
-            # The first list shows the state after fencing: orders of former owners can no longer
-            # take effect.
-            fenced_off = is_first and attempt.phase is AttemptPhase.UNCERTAIN
-            if fenced_off or (
-                attempt.confirmed_at is not None and attempt.confirmed_at < requested_at
-            ):
+            if attempt.confirmed_at is not None and attempt.confirmed_at < requested_at:
                 self._give_up(attempt, RunOutcome.LOST, EndProof.UNLISTED, requested_at)
         for key, stopped_at in list(self.orphan_stopped_at_by_key.items()):
             if key not in listed and stopped_at < requested_at:
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -11,6 +11,7 @@
 from hornbeamramp.fleet import (
     Attempt,
     AttemptPhase,
+    EndedRun,
     RunOutcome,
     StartOrder,
     StartReply,
@@ -681,3 +682,27 @@
         assert harness.worker.start(order) is StartReply.SUPERSEDED
 
     run_with_harness(scenario, DelayedLists)
+
+
+def test_run_that_a_former_owner_ordered_ends_although_the_first_list_is_truncated():
+    """Guards against a task that never runs again.
+
+    Only the first list could prove that a run of a former owner had never started, also if that
+    list was truncated.
+    """
+
+    async def scenario():
+        harness = SessionHarness()
+        try:
+            attempt = harness.attempt()
+            attempt.phase = AttemptPhase.UNCERTAIN
+            for number in range(1, 601):
+                harness.worker.ended.append(
+                    EndedRun(number, f"{'b' * 16}.0.0.{number}", 1, RunOutcome.DONE, "")
+                )
+            await asyncio.sleep(5.0)
+            assert harness.owner.ended == [(attempt.name, RunOutcome.LOST)]
+        finally:
+            await harness.background.cancel()
+
+    run_in_virtual_time(scenario())
