Ignore run lists that an earlier boot of a worker made

Cause: a list of the boot before, requested after the call that showed the restart and delivered later, looked like another restart, which ended the runs of the new boot while they were at work. Change: a list of a boot with an earlier start time is ignored if it was requested before the newest boot was seen. A list requested later is always taken, as the wall clock may step back between two boots. Measured: the test failed before (a run at work ended as lost) and passes.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -112,6 +112,8 @@
         self.reachable = False
         self.consecutive_failures = 0
         self._boot_ms: int | None = None
+        # When the first list of that boot was received.
+        self._boot_seen_at = timedelta(0)
         self._worker_clock_ms = 0
         self._worker_clock_read_at: timedelta | None = None
         self._latest_deadline_ms = 0
@@ -477,6 +479,9 @@
         if requested_at < self._applied_request_at:
             # A list requested later has been applied. The next list repeats what this one adds.
             return
+        if self._is_of_earlier_boot(reply, requested_at):
+            _log.info("{}: late run list of boot {} ignored", self.worker, reply.boot_ms)
+            return
         self._applied_request_at = requested_at
         # The first to be applied, whichever call it answers: lists may overtake one another.
         is_first = self._worker_clock_read_at is None
@@ -494,7 +499,7 @@
         if self._boot_ms is not None and reply.boot_ms != self._boot_ms:
             self._on_restart(reply, requested_at)
         elif self._boot_ms is None:
-            self._boot_ms = reply.boot_ms
+            self._boot_ms, self._boot_seen_at = reply.boot_ms, now
         self._worker_clock_ms, self._worker_clock_read_at = reply.clock_ms, now
         if not self.reachable:
             _log.info("worker {} is reachable, boot {}", self.worker, reply.boot_ms)
@@ -604,6 +609,18 @@
             },
         )
 
+    def _is_of_earlier_boot(self, reply: HoldReply, requested_at: timedelta) -> bool:
+        """Returns whether an earlier boot than the newest one known may have made a list.
+
+        Only a list requested after the newest boot was seen is certainly not from an earlier one;
+        before that, the start times of the boots decide.
+        """
+        return (
+            self._boot_ms is not None
+            and reply.boot_ms < self._boot_ms
+            and requested_at <= self._boot_seen_at
+        )
+
     def _on_restart(self, reply: HoldReply, requested_at: timedelta) -> None:
         """Handles a restart of the worker: the runs of earlier boots are gone and ends are numbered
         anew.
@@ -612,7 +629,7 @@
         have been made before the run's start arrived.
         """
         _log.warning("worker {} has restarted, boot {}", self.worker, reply.boot_ms)
-        self._boot_ms = reply.boot_ms
+        self._boot_ms, self._boot_seen_at = reply.boot_ms, self._clock.boot_time()
         self._last_recorded = self._last_applied = self._last_acked = 0
         # An order in flight has a deadline on the clock of the old boot. On the new boot's clock it
         # may be late enough to give the longest lease.
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -684,6 +684,37 @@
     run_with_harness(scenario, DelayedLists)
 
 
+def test_late_list_of_an_earlier_boot_does_not_end_runs_of_the_new_one():
+    """Guards against a list that the worker made before its restart and that arrives after it.
+
+    Taken as another restart, it ended the runs of the new boot while they were at work.
+    """
+
+    async def scenario(harness):
+        session, view = harness.session, harness.view
+        # This call is sent first and reaches the new boot, as it waits for its connection.
+        view.connected = asyncio.Event()
+        first = asyncio.create_task(session._fetch_runs())
+        await asyncio.sleep(0.01)
+        waiting, view.connected, view.delay_s = view.connected, None, 0.1
+        second = asyncio.create_task(session._fetch_runs())
+        await asyncio.sleep(0.02)
+        view.delay_s = 0.0
+        harness.worker.crash()
+        await asyncio.sleep(0.02)
+        harness.worker.reboot()
+        waiting.set()
+        await first
+        attempt = harness.attempt()
+        assert await harness.start(attempt) is StartReply.STARTED
+        await second
+        await asyncio.sleep(4.0)
+        assert harness.owner.ended == []
+        assert session.reachable
+
+    run_with_harness(scenario, DelayedLists)
+
+
 def test_run_that_a_former_owner_ordered_ends_although_the_first_list_is_truncated():
     """Guards against a task that never runs again.
 
