Take another worker's answer as proof only for the runs that it can concern

Cause: an answer of another worker at the address (421) ended all runs of the session, also if it came late from a former user of the address, if the listing had another address by then, or if a run had been confirmed after the call was sent. The request of a run list after a stop ignored such an answer. Change: the answer is ignored if the listing has moved on or a list that was requested later has arrived; otherwise it ends the runs that were confirmed before the call, as a run list without them does. A stop that it answers counts only then. Unanswered starts end once their stop and the list after it are answered so.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -326,11 +326,15 @@
         # One tick later than the stop's answer, which may have the same time stamp; only a list
         # requested after that answer proves that the run is gone.
         requested_at = self._clock.boot_time() + timedelta.resolution
+        listing = self.listing
         try:
-            reply = await self._client.hold(self.listing, self._owner.token, 0, None, timedelta(0))
-        except (WorkerUnreachableError, FencedError, InstanceMismatchError) as error:
+            reply = await self._client.hold(listing, self._owner.token, 0, None, timedelta(0))
+        except (WorkerUnreachableError, FencedError) as error:
             _log.info("{}: can't get the run list: {!r}", self.worker, error)
             return False
+        except InstanceMismatchError:
+            self._on_instance_mismatch(listing, requested_at)
+            return False
         except Exception:
             # The next hold call gets the list, too.
             _log.exception("{}: request of the run list failed unexpectedly", self.worker)
@@ -346,16 +350,16 @@
             await self._clock.sleep(RETRY_PAUSE)
 
     async def _send_stop(self, task: str, run: int) -> bool:
-        sent_at = self._clock.boot_time()
+        listing, sent_at = self.listing, self._clock.boot_time()
         try:
-            await self._client.stop(self.listing, task, run, self._owner.token)
+            await self._client.stop(listing, task, run, self._owner.token)
         except WorkerUnreachableError as error:
             _log.info("stop of {} run {} failed: {}", task, run, error)
             return False
         except FencedError:
             self._owner.on_fenced(self)
         except InstanceMismatchError:
-            self._on_instance_mismatch(sent_at)
+            return self._on_instance_mismatch(listing, sent_at)
         except Exception:
             # It is sent again; given up, the run would go on and keep its capacity.
             _log.exception("stop of {} run {} failed unexpectedly", task, run)
@@ -385,18 +389,16 @@
     async def pace(self, attempt: Attempt, percent: int) -> None:
         """Limits a run to a percentage of its speed. Without an answer the pace is unknown."""
         attempt.pace_percent = percent
-        sent_at = self._clock.boot_time()
+        listing, sent_at = self.listing, self._clock.boot_time()
         try:
-            await self._client.pace(
-                self.listing, attempt.name, attempt.run, percent, self._owner.token
-            )
+            await self._client.pace(listing, attempt.name, attempt.run, percent, self._owner.token)
         except WorkerUnreachableError as error:
             _log.info("pace change of {} run {} failed: {}", attempt.name, attempt.run, error)
             attempt.pace_percent = -1
         except FencedError:
             self._owner.on_fenced(self)
         except InstanceMismatchError:
-            self._on_instance_mismatch(sent_at)
+            self._on_instance_mismatch(listing, sent_at)
 
     # The lease loop
 
@@ -427,10 +429,9 @@
         if deadline is not None:
             self._latest_deadline_ms = max(self._latest_deadline_ms, deadline)
         end_to_ack = self._end_to_ack()
+        listing = self.listing
         try:
-            reply = await self._client.hold(
-                self.listing, self._owner.token, end_to_ack, deadline, wait
-            )
+            reply = await self._client.hold(listing, self._owner.token, end_to_ack, deadline, wait)
         except WorkerUnreachableError as error:
             self.consecutive_failures += 1
             if self.consecutive_failures == 2:
@@ -441,7 +442,7 @@
             self._owner.on_fenced(self)
             return False
         except InstanceMismatchError:
-            self._on_instance_mismatch(requested_at)
+            self._on_instance_mismatch(listing, requested_at)
             return False
         self._last_acked = max(self._last_acked, end_to_ack)
         self._apply(reply, requested_at)
@@ -662,19 +663,33 @@
             attempt.confirmed_at = None
             self._background.spawn(self._stop_until_answered(attempt))
 
-    def _on_instance_mismatch(self, requested_at: timedelta) -> None:
-        """Handles that another worker has taken over the address, so this one is gone."""
+    def _on_instance_mismatch(self, listing: WorkerListing, requested_at: timedelta) -> bool:
+        """Handles that another worker answered at the address of a listing, so this one is gone,
+        and with it the runs that existed when the call was sent.
+
+        Returns whether the answer still holds: a former user of the address may have answered late,
+        or the worker may be listed at another address by now.
+        """
+        if listing.address != self.listing.address or requested_at < self._applied_request_at:
+            _log.info("{}: late answer of another worker ignored", self.worker)
+            return False
         self.reachable = self.is_listed = False
-        self._give_up_all(RunOutcome.LOST, EndProof.REPLACED, requested_at)
+        # Without any contact, all runs were ordered by former owners.
+        is_first = self._worker_clock_read_at is None
+        for attempt in list(self.attempt_by_key.values()):
+            if attempt.phase is AttemptPhase.RESERVED:
+                continue
+            if is_first or (
+                attempt.confirmed_at is not None and attempt.confirmed_at < requested_at
+            ):
+                self._give_up(attempt, RunOutcome.LOST, EndProof.REPLACED, requested_at)
+        return True
 
     def end_lapsed_runs(self) -> None:
         """Ends all runs once their lease has certainly expired."""
         runs_end_by = self.runs_end_by()
         if self.attempt_by_key and self._clock.boot_time() > runs_end_by:
             self.reachable = False
-            self._give_up_all(RunOutcome.LAPSED, EndProof.LEASE_OVER, runs_end_by)
-
-    def _give_up_all(self, outcome: RunOutcome, proof: EndProof, proved_at: timedelta) -> None:
-        for attempt in list(self.attempt_by_key.values()):
-            if attempt.phase is not AttemptPhase.RESERVED:
-                self._give_up(attempt, outcome, proof, proved_at)
+            for attempt in list(self.attempt_by_key.values()):
+                if attempt.phase is not AttemptPhase.RESERVED:
+                    self._give_up(attempt, RunOutcome.LAPSED, EndProof.LEASE_OVER, runs_end_by)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -19,6 +19,7 @@
     WorkerSession,
     WorkerUnreachableError,
 )
+from hornbeamramp.fleet.base import InstanceMismatchError
 from hornbeamramp.ids import JobId
 from hornbeamramp.poolowner.health import stalled_attempts
 from hornbeamramp.poolowner.jobs import Job, StepRun
@@ -737,3 +738,115 @@
             await harness.background.cancel()
 
     run_in_virtual_time(scenario())
+
+
+class MovingWorker(FleetView):
+    """Answers calls to the worker's former address as another worker there does.
+
+    `is_replaced`
+        Whether another worker answers at any address.
+    `delay_s`
+        Time for which such an answer is on its way back.
+    """
+
+    is_replaced = False
+    delay_s = 0.0
+
+    async def hold(self, worker, *arguments):
+        await self.check_instance(worker)
+        return await super().hold(worker, *arguments)
+
+    async def pace(self, worker, *arguments):
+        await self.check_instance(worker)
+        await super().pace(worker, *arguments)
+
+    async def check_instance(self, worker):
+        if self.is_replaced or worker.address != "w0":
+            await asyncio.sleep(self.delay_s)
+            raise InstanceMismatchError(worker.worker)
+
+
+def test_late_answer_of_another_worker_does_not_end_runs_that_a_newer_list_shows():
+    """Guards against runs that are started again while they are at work, as the former user of
+    their worker's address answered late."""
+
+    async def scenario(harness):
+        attempt = harness.attempt()
+        await harness.start(attempt)
+        harness.view.is_replaced, harness.view.delay_s = True, 0.1
+        late = asyncio.create_task(harness.session.pace(attempt, 100))
+        await asyncio.sleep(0.01)
+        harness.view.is_replaced = False
+        await harness.session._fetch_runs()
+        await late
+        assert harness.owner.ended == []
+        assert harness.session.usable
+
+    run_with_harness(scenario, MovingWorker)
+
+
+def test_answer_at_a_former_address_does_not_end_runs():
+    """Guards against runs that are started again while they are at work, as a call to the former
+    address of their worker was under way when its listing changed."""
+
+    async def scenario(harness):
+        session, listing = harness.session, harness.session.listing
+        attempt = harness.attempt()
+        await harness.start(attempt)
+        harness.view.delay_s = 0.1
+        session.listing = msgspec.structs.replace(listing, address="former")
+        late = asyncio.create_task(session.pace(attempt, 100))
+        await asyncio.sleep(0.01)
+        session.listing = listing
+        await late
+        assert harness.owner.ended == []
+        assert session.usable
+
+    run_with_harness(scenario, MovingWorker)
+
+
+def test_answer_of_another_worker_ends_no_run_that_was_confirmed_after_the_call():
+    """Guards against a run that is started again while it is at work: another worker had the
+    address for a moment, and the run started after that, before its answer arrived."""
+
+    async def scenario(harness):
+        before, after = harness.attempt(0), harness.attempt(1)
+        await harness.start(before)
+        await asyncio.sleep(3)
+        harness.view.is_replaced, harness.view.delay_s = True, 0.1
+        late = asyncio.create_task(harness.session.pace(before, 100))
+        await asyncio.sleep(0.01)
+        harness.worker.crash()
+        harness.worker.reboot()
+        harness.view.is_replaced = False
+        await harness.start(after)
+        await late
+        await asyncio.sleep(1.0)
+        assert harness.owner.ended == [(before.name, RunOutcome.LOST)]
+        assert after.name in harness.worker.run_by_task
+
+    run_with_harness(scenario, MovingWorker)
+
+
+def test_runs_end_once_another_worker_has_their_workers_address():
+    """Guards against runs that hold their capacity for good on a worker that is gone, also if the
+    answer to their start or stop was lost."""
+
+    async def scenario(harness):
+        running, unanswered = harness.attempt(0), harness.attempt(1)
+        await harness.start(running)
+        await asyncio.sleep(1)
+        harness.view.late_share = 1.0
+        assert await harness.start(unanswered) is None
+        harness.session.stop(unanswered)
+        harness.view.late_share = 0.0
+        other = harness.fleet.add("w9", CAPACITY)
+        harness.worker.crash()
+        harness.fleet.worker_by_name["w0"] = other
+        await asyncio.sleep(1)
+        assert dict(harness.owner.ended) == {
+            running.name: RunOutcome.LOST,
+            unanswered.name: RunOutcome.LOST,
+        }
+
+    run_with_harness(scenario)
