Treat a start with an unknown answer as one without an answer

Cause: any status of a start but 200, 429 and 503 counted as a refusal, also one that the workers' page doesn't give (500, 502, 504), so the capacity was released and the task placed again without proof. Change: only 400 and 409 are refusals; after any other status the run may have started, and a stop and the list after it settle it. Measured: the test failed before for each of its five statuses and passes.

--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -131,7 +131,10 @@
             return StartReply.UNHEALTHY
         if reply.status == 409:
             return REFUSAL_BY_REASON.get(_reason(reply), StartReply.INVALID)
-        return StartReply.INVALID
+        if reply.status == 400:
+            return StartReply.INVALID
+        # Nothing is known of whether the worker carried it out.
+        raise WorkerUnreachableError(Step.START, worker.worker, f"status {reply.status}")
 
     async def stop(self, worker: WorkerListing, task: str, run: int, token: int) -> None:
         body = {"task": task, "run": run, "fencing-token": token}
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -150,6 +150,27 @@
     return StartOrder(TASK, run, "payload", deadline_ms, token)
 
 
+@pytest.mark.parametrize("status", [204, 404, 500, 502, 504])
+def test_start_answered_with_an_unknown_status_may_have_taken_effect(status):
+    """Guards against a task that is started elsewhere at once while the run of an order with an
+    answer that tells nothing is at work."""
+
+    async def answer(request):
+        return web.Response(status=status)
+
+    async def main():
+        address, runner = await listen(answer)
+        client = PlatformWorkers(SystemClock())
+        listing = WorkerListing("w0", "pool", address, "gebze", False, CAPACITY)
+        with pytest.raises(WorkerUnreachableError, match=f"status {status}") as raised:
+            await client.start(listing, order(), lambda: True)
+        assert raised.value.sent
+        await client.close()
+        await runner.cleanup()
+
+    asyncio.run(main())
+
+
 def test_values_of_any_bytes_are_written_and_read_back():
     async def scenario(client, model):
         revision = await client.commit(Txn({"a": 0}, (Put("a", b"\x00\xff"),)))
