List tasks of which two runs may have overlapped, with the proof of the first end

Cause: the logs of a task that ran twice did not lead to the reason for which its first run was given up (docs/incidents/2026-12-05-kaya-task-run-twice.md).

It lists each run that a worker listed after it was given up, with each later run that was placed before its end, and counts the runs given up by proof. What it leaves out is noted.

The lines are not yet written by fleet/session.py, so no test reads them from a real session.

--- a/hornbeamramp/cli.py
+++ b/hornbeamramp/cli.py
@@ -130,6 +130,7 @@
     *files: Path,
     plot: Path | None = None,
     unfinished: Annotated[bool, Parameter(negative="")] = False,
+    overlaps: Annotated[bool, Parameter(negative="")] = False,
 ) -> None:
     """Print why jobs were late, failed or refused, from the log files of all VMs.
 
@@ -140,13 +141,20 @@
     unfinished
         List accepted jobs without an end, tasks that did not start again, and requests without an
         answer instead.
+    overlaps
+        List tasks of which two runs may have run at the same time, and why the first of them was
+        given up, instead.
     """
+    from hornbeamramp.overlaps import print_overlaps, read_overlaps
     from hornbeamramp.report import print_report, read_day, write_plot
     from hornbeamramp.unfinished import print_unfinished, read_unfinished
 
     try:
         if unfinished:
             print_unfinished(read_unfinished(files), Console())
+        if overlaps:
+            print_overlaps(read_overlaps(files), Console())
+        if unfinished or overlaps:
             return
         day = read_day(files)
         print_report(day, Console())
