--- a/tests/vm/test_log_evidence.py
+++ b/tests/vm/test_log_evidence.py
@@ -8,6 +8,7 @@
 
 from hornbeamramp import instruments
 from hornbeamramp.logs import json_line
+from hornbeamramp.overlaps import read_overlaps
 from hornbeamramp.unfinished import read_unfinished
 from hornbeamramp.workload import JobPhase, StepSpec
 from tests.model.cell import REQUEST_TIMEOUT, WORKER_PREFIX, ModelCell, job
@@ -191,3 +192,29 @@
     report_after(scenario)
     assert counts["jobs_accepted"].by_attributes == {("batch",): 2}
     assert counts["jobs_ended"].by_attributes == {("completed",): 1, ("cancelled",): 1}
+
+
+def test_logs_tell_which_proof_ended_a_run_that_went_on_beside_the_next(report_after, log):
+    """Guards against lines from which an operator can't tell why a task ran twice: a worker leaves
+    a run out of its lists for a moment, so the run is given up while it is at work."""
+
+    async def scenario(cell):
+        await cell.submit(JOB, LASTING)
+        await cell.wait_for_phase(JOB, JobPhase.RUNNING)
+        [(_, name, task, _)] = cell.fleet.starts
+        worker = cell.fleet.worker_by_name[name]
+        run = worker.run_by_task.pop(task)
+        await asyncio.sleep(4.5)
+        worker.run_by_task[task] = run
+        await asyncio.sleep(5.0)
+        assert len(cell.fleet.starts) == 2
+
+    report_after(scenario)
+    report = read_overlaps([log])
+    assert report.notes == []
+    [overlap] = report.overlaps
+    first, later = overlap.first, overlap.later
+    assert (first.task, first.run, first.proof, later.run) == (f"{JOB}.0.0.0", 1, "unlisted", 2)
+    assert first.ordered_boot == first.answered_boot == first.seen_boot
+    assert first.end_outcome == "stopped"
+    assert first.worker != later.worker
