Ask for a run list when a start was confirmed across a restart

Cause: a start in flight while the restart of its worker is seen may be confirmed by either boot. Change: such an answer asks for a list at once.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -228,6 +228,9 @@
         if reply is StartReply.STARTED:
             attempt.has_begun = True
             attempt.confirmed_at = now
+            if self._boot_ms != attempt.ordered_boot_ms:
+                # The worker has restarted meanwhile, and either boot may have answered.
+                self._background.spawn(self._fetch_runs())
         return reply
 
     def _suspect(self) -> None:
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -616,20 +616,31 @@
     run_with_harness(scenario)
 
 
-class DelayedLists(FleetView):
-    """Delays calls for run lists and their answers.
+class DelayedAnswers(FleetView):
+    """Delays answers on their way back, and calls for run lists on their way there.
 
-    `delay_s`
-        Time for which each list is on its way back.
+    `list_delay_s`, `stop_delay_s`, `start_delay_s`
+        Time for which each list or answer is on its way back.
     `connected`
-        While this event is not set, calls wait before they reach the worker.
+        While this event is not set, calls for lists wait before they reach the worker.
     """
 
-    delay_s = 0.0
+    list_delay_s = stop_delay_s = start_delay_s = 0.0
     connected: asyncio.Event | None = None
 
+    async def start(self, *arguments):
+        delay_s = self.start_delay_s
+        reply = await super().start(*arguments)
+        await asyncio.sleep(delay_s)
+        return reply
+
+    async def stop(self, *arguments):
+        delay_s = self.stop_delay_s
+        await super().stop(*arguments)
+        await asyncio.sleep(delay_s)
+
     async def hold(self, *arguments):
-        delay_s = self.delay_s
+        delay_s = self.list_delay_s
         if self.connected is not None:
             await self.connected.wait()
         reply = await super().hold(*arguments)
@@ -648,19 +659,19 @@
         harness.worker.crash()
         harness.worker.reboot()
         attempt = harness.attempt()
-        harness.view.delay_s = 0.06
+        harness.view.list_delay_s = 0.06
         asyncio.get_running_loop().create_task(harness.session._fetch_runs())
         # The list is made once the call has arrived, 2 ms after it was sent.
         await asyncio.sleep(0.002 + lead_s)
         reply = await harness.start(attempt)
-        harness.view.delay_s = 0.0
+        harness.view.list_delay_s = 0.0
         assert reply is StartReply.STARTED
         await asyncio.sleep(4.0)
         assert harness.owner.ended == []
         assert attempt.name in harness.worker.run_by_task
 
     for lead_s in (0.001, 0.02, 0.05, 0.0595):
-        run_with_harness(functools.partial(scenario, lead_s=lead_s), DelayedLists)
+        run_with_harness(functools.partial(scenario, lead_s=lead_s), DelayedAnswers)
 
 
 def test_stop_answered_by_the_earlier_boot_does_not_settle_a_start_on_the_new_one():
@@ -682,7 +693,51 @@
         order = StartOrder(attempt.name, attempt.run, "payload", 60_000, 5)
         assert harness.worker.start(order) is StartReply.SUPERSEDED
 
-    run_with_harness(scenario, DelayedLists)
+    run_with_harness(scenario, DelayedAnswers)
+
+
+def test_stop_answered_late_by_the_earlier_boot_is_sent_to_the_new_one():
+    """Guards against a start that arrives at a new boot after its task has been placed again: the
+    answer of the earlier boot to the stop was read after the restart was seen."""
+
+    async def scenario(harness):
+        attempt = harness.attempt()
+        harness.view.late_share = 1.0
+        assert await harness.start(attempt) is None
+        harness.view.late_share = 0.0
+        harness.view.stop_delay_s = 0.25
+        harness.session.stop(attempt)
+        await asyncio.sleep(0.01)
+        harness.view.stop_delay_s = 0.0
+        harness.worker.crash()
+        await asyncio.sleep(0.02)
+        harness.worker.reboot()
+        await harness.session._fetch_runs()
+        await until(lambda: harness.owner.ended)
+        order = StartOrder(attempt.name, attempt.run, "payload", 60_000, 5)
+        assert harness.worker.start(order) is StartReply.SUPERSEDED
+
+    run_with_harness(scenario, DelayedAnswers)
+
+
+def test_start_confirmed_by_the_earlier_boot_after_the_restart_was_seen_ends_soon():
+    """Guards against a task that is away for two seconds longer, until the pending hold call is
+    over, as nothing asked for a list once the answer of the earlier boot was there."""
+
+    async def scenario(harness):
+        attempt = harness.attempt()
+        harness.view.start_delay_s = 0.25
+        starting = asyncio.create_task(harness.start(attempt))
+        await asyncio.sleep(0.01)
+        harness.worker.crash()
+        await asyncio.sleep(0.1)
+        harness.worker.reboot()
+        await harness.session._fetch_runs()
+        assert await starting is StartReply.STARTED
+        await asyncio.sleep(0.1)
+        assert harness.owner.ended == [(attempt.name, RunOutcome.LOST)]
+
+    run_with_harness(scenario, DelayedAnswers)
 
 
 def test_late_list_of_an_earlier_boot_does_not_end_runs_of_the_new_one():
@@ -697,23 +752,24 @@
         view.connected = asyncio.Event()
         first = asyncio.create_task(session._fetch_runs())
         await asyncio.sleep(0.01)
-        waiting, view.connected, view.delay_s = view.connected, None, 0.1
+        waiting, view.connected, view.list_delay_s = view.connected, None, 0.1
         second = asyncio.create_task(session._fetch_runs())
         await asyncio.sleep(0.02)
-        view.delay_s = 0.0
+        view.list_delay_s = 0.0
         harness.worker.crash()
         await asyncio.sleep(0.02)
         harness.worker.reboot()
-        waiting.set()
-        await first
         attempt = harness.attempt()
         assert await harness.start(attempt) is StartReply.STARTED
+        waiting.set()
+        await first
+        assert attempt.listed_boot_ms == harness.worker.boot_ms
         await second
         await asyncio.sleep(4.0)
         assert harness.owner.ended == []
         assert session.reachable
 
-    run_with_harness(scenario, DelayedLists)
+    run_with_harness(scenario, DelayedAnswers)
 
 
 def test_run_that_a_former_owner_ordered_ends_although_the_first_list_is_truncated():
