Count runs on a boot without a list as leased for the longest time

Cause: the end of the newest lease is computed on the clock of the boot that the owner knows. A boot that has just begun shortens such a deadline only to its longest lease (10 s), so a run there counted as lapsed after 6 s of silence, up to 3.5 s too early. Likewise for runs that a former owner ordered by the clock of the boot before. Change: a start's answer carries the worker's clock. One that is behind the earliest time of the known boot comes from another boot: the longest lease counts, and a list is asked for at once. After a takeover, the longest lease counts for restored runs on a worker that has been up for less than it. The time after which runs on a lost worker start again is unchanged otherwise (tests of 6.8 s pass). Not covered: a start without an answer, on a boot of which no list is known, whose worker then is silent until its lease is over. The longest lease for each of these would double the time of all tasks that were ordered to a lost worker.

--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -17,6 +17,7 @@
     "HoldReply",
     "RunOutcome",
     "RunningRun",
+    "StartAnswer",
     "StartOrder",
     "StartReply",
     "WorkerClient",
@@ -94,6 +95,13 @@
     ticket: str = ""
 
 
+class StartAnswer(msgspec.Struct, frozen=True):
+    """Answer to a start order. ``clock_ms`` is the worker's clock, ``None`` if not told."""
+
+    reply: StartReply
+    clock_ms: int | None = None
+
+
 class RunningRun(msgspec.Struct, frozen=True):
     """A run in progress. ``load`` is the tail of response times in ms for a task with a response
     target, and the thousandths of a core in use for any other."""
@@ -147,7 +155,7 @@
     @abstractmethod
     async def start(
         self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
-    ) -> StartReply:
+    ) -> StartAnswer:
         """Starts a run. Starting the same run again has no effect."""
 
     @abstractmethod
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -126,6 +126,8 @@
         self._last_recorded = 0
         self._last_applied = 0
         self._last_acked = 0
+        # Latest end of leases that a boot has given of which no list is known yet.
+        self._unknown_boot_lease_until = timedelta(0)
         # When the newest run list that has been applied was requested.
         self._applied_request_at = timedelta(0)
         # Before the first contact, runs may hold leases of a former owner, of which only the
@@ -194,8 +196,9 @@
 
         self._deadline_by_order[attempt] = order.deadline_ms
         is_sent = True
+        least_clock_ms = self._least_clock_ms()
         try:
-            reply = await self._client.start(self.listing, order, may_send)
+            answer = await self._client.start(self.listing, order, may_send)
         except WorkerUnreachableError as error:
             is_sent = error.sent
             if error.sent or may_send():
@@ -221,6 +224,7 @@
             if is_sent:
                 self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
         now = self._clock.boot_time()
+        reply = answer.reply
         if reply is StartReply.STARTED and attempt.phase is AttemptPhase.ORDERED:
             attempt.phase = AttemptPhase.RUNNING
             attempt.started_at = attempt.progress_at = now
@@ -231,8 +235,25 @@
             if self._boot_ms != attempt.ordered_boot_ms:
                 # The worker has restarted meanwhile, and either boot may have answered.
                 self._background.spawn(self._fetch_runs())
+            elif answer.clock_ms is not None and answer.clock_ms < least_clock_ms:
+                self._on_unknown_boot(now)
         return reply
 
+    def _least_clock_ms(self) -> int:
+        """Returns the earliest time that the clock of the worker's boot can show now."""
+        elapsed = self._clock.boot_time() - (self._worker_clock_read_at or timedelta(0))
+        return int(self._worker_clock_ms + MIN_WORKER_CLOCK_RATE * (elapsed / MILLISECOND)) - 1
+
+    def _on_unknown_boot(self, now: timedelta) -> None:
+        """Handles that a boot has answered of which no list is known, as its clock began anew.
+
+        It has granted its longest lease: the deadline was on the clock of the boot before.
+        """
+        _log.info("worker {} has restarted, by the clock in an answer", self.worker)
+        lease_until = now + self._longest_lease / MIN_WORKER_CLOCK_RATE
+        self._unknown_boot_lease_until = max(self._unknown_boot_lease_until, lease_until)
+        self._suspect()
+
     def _suspect(self) -> None:
         """Checks at once whether the worker still answers, and gives it no new runs until it does.
 
@@ -282,7 +303,8 @@
             return self._inherited_lease_until
         deadline_ms = max(self._latest_deadline_ms, *self._deadline_by_order.values(), 0)
         lease = (deadline_ms - self._worker_clock_ms) * MILLISECOND
-        return self._worker_clock_read_at + lease / MIN_WORKER_CLOCK_RATE
+        runs_end_by = self._worker_clock_read_at + lease / MIN_WORKER_CLOCK_RATE
+        return max(runs_end_by, self._unknown_boot_lease_until)
 
     def time_without_progress(self, attempt: Attempt) -> timedelta:
         """Returns for how long a run has made no progress, by the newest run list.
@@ -490,15 +512,22 @@
         # The first to be applied, whichever call it answers: lists may overtake one another.
         is_first = self._worker_clock_read_at is None
         if is_first:
+            restored = [
+                attempt
+                for attempt in self.attempt_by_key.values()
+                if attempt.phase is AttemptPhase.UNCERTAIN
+            ]
             # Runs hold leases that a former owner gave by its estimate of the worker's clock. The
             # token of this call prevents any further extension.
             lease = min(RUN_LEASE / MIN_WORKER_CLOCK_RATE, self._longest_lease)
+            if restored and reply.clock_ms * MILLISECOND < self._longest_lease:
+                # The former owner may have known only the clock of the boot before.
+                lease = self._longest_lease
             self._latest_deadline_ms = int(reply.clock_ms + lease / MILLISECOND)
             # The list shows the state after fencing: orders of former owners can no longer take
             # effect, so it and any later list prove which runs are gone.
-            for attempt in self.attempt_by_key.values():
-                if attempt.phase is AttemptPhase.UNCERTAIN:
-                    attempt.confirmed_at = requested_at - timedelta.resolution
+            for attempt in restored:
+                attempt.confirmed_at = requested_at - timedelta.resolution
         now = self._clock.boot_time()
         if self._boot_ms is not None and reply.boot_ms != self._boot_ms:
             self._on_restart(reply, requested_at)
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -14,6 +14,7 @@
     HoldReply,
     RunningRun,
     RunOutcome,
+    StartAnswer,
     StartOrder,
     StartReply,
     WorkerClient,
@@ -70,6 +71,10 @@
     reason: str = ""
 
 
+class WireClock(msgspec.Struct, frozen=True, rename="kebab"):
+    clock_ms: Count | None = None
+
+
 class WireRunning(msgspec.Struct, frozen=True, array_like=True):
     task: TaskName
     run: Count
@@ -112,7 +117,7 @@
 
     async def start(
         self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
-    ) -> StartReply:
+    ) -> StartAnswer:
         body: dict[str, Any] = {
             "task": order.task,
             "run": order.run,
@@ -126,13 +131,13 @@
             body["ticket"] = order.ticket
         reply = await self._call(worker, "/run-start", body, check=check)
         if reply.status == 200:
-            return StartReply.STARTED
+            return StartAnswer(StartReply.STARTED, _clock_ms(reply))
         if reply.status in (429, 503):
-            return StartReply.UNHEALTHY
+            return StartAnswer(StartReply.UNHEALTHY)
         if reply.status == 409:
-            return REFUSAL_BY_REASON.get(_reason(reply), StartReply.INVALID)
+            return StartAnswer(REFUSAL_BY_REASON.get(_reason(reply), StartReply.INVALID))
         if reply.status == 400:
-            return StartReply.INVALID
+            return StartAnswer(StartReply.INVALID)
         # Nothing is known of whether the worker carried it out.
         raise WorkerUnreachableError(Step.START, worker.worker, f"status {reply.status}")
 
@@ -218,6 +223,14 @@
         return reply
 
 
+def _clock_ms(reply: HttpReply) -> int | None:
+    try:
+        return msgspec.json.decode(reply.body, type=WireClock).clock_ms
+    except (msgspec.MsgspecError, RecursionError) as error:
+        _log.info("clock of a worker can't be decoded: {}", error)
+        return None
+
+
 def _reason(reply: HttpReply) -> str:
     try:
         return msgspec.json.decode(reply.body, type=WireRefusal).reason
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -740,6 +740,47 @@
     run_with_harness(scenario, DelayedAnswers)
 
 
+def test_start_on_a_boot_without_a_list_counts_as_leased_for_the_longest_time():
+    """Guards against a run that is started again while it is at work on a silent worker: the
+    deadline on the clock of the boot before gave it the longest lease of the new one."""
+
+    async def scenario(harness):
+        await asyncio.sleep(20)
+        attempt = harness.attempt()
+        harness.worker.crash()
+        await asyncio.sleep(0.1)
+        harness.worker.reboot()
+        await asyncio.sleep(0.1)
+        assert await harness.start(attempt) is StartReply.STARTED
+        harness.worker.unreachable_from.add("vm0")
+        await until(lambda: harness.owner.ended)
+        assert harness.owner.ended == [(attempt.name, RunOutcome.LAPSED)]
+        assert attempt.name not in harness.worker.run_by_task
+
+    run_with_harness(scenario)
+
+
+def test_run_of_a_former_owner_on_a_young_boot_counts_as_leased_for_the_longest_time():
+    """Guards against a run that is started again while it is at work on a silent worker: its former
+    owner knew only the clock of the boot before."""
+
+    async def scenario():
+        harness = SessionHarness()
+        try:
+            attempt = harness.attempt()
+            attempt.phase = AttemptPhase.UNCERTAIN
+            harness.worker.start(StartOrder(attempt.name, 1, "payload", 26_000, 4))
+            await until(lambda: attempt.phase is AttemptPhase.RUNNING)
+            harness.worker.unreachable_from.add("vm0")
+            await until(lambda: harness.owner.ended)
+            assert harness.owner.ended == [(attempt.name, RunOutcome.LAPSED)]
+            assert attempt.name not in harness.worker.run_by_task
+        finally:
+            await harness.background.cancel()
+
+    run_in_virtual_time(scenario())
+
+
 def test_late_list_of_an_earlier_boot_does_not_end_runs_of_the_new_one():
     """Guards against a list that the worker made before its restart and that arrives after it.
 
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -13,6 +13,7 @@
     HoldReply,
     RunningRun,
     RunOutcome,
+    StartAnswer,
     StartOrder,
     StartReply,
     WorkerClient,
@@ -395,7 +396,7 @@
 
     async def start(
         self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
-    ) -> StartReply:
+    ) -> StartAnswer:
         target = await self._reach(worker)
         if not check():
             raise WorkerUnreachableError(Step.START, worker.worker, "not allowed", sent=False)
@@ -406,11 +407,11 @@
         if not target.is_up or target.boot_ms != initial_boot_ms:
             await self._time_out(worker)
         if not self._fleet.ticket_valid(order.task, worker.worker, order.ticket):
-            return StartReply.TICKET_INVALID
+            return StartAnswer(StartReply.TICKET_INVALID, target.clock_ms)
         if self._random.random() < self.late_share:
             self._run_delayed(target, lambda: target.start(order))
             await self._time_out(worker)
-        return target.start(order)
+        return StartAnswer(target.start(order), target.clock_ms)
 
     async def stop(self, worker: WorkerListing, task: str, run: int, token: int) -> None:
         target = await self._reach(worker)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -245,7 +245,9 @@
 
 def test_run_is_started_listed_and_forgotten():
     async def scenario(client, listing, worker):
-        assert await client.start(listing, order(), lambda: True) is StartReply.STARTED
+        answer = await client.start(listing, order(), lambda: True)
+        assert answer.reply is StartReply.STARTED
+        assert 0 <= worker.clock_ms - answer.clock_ms < 1000
         reply = await client.hold(listing, 5, 0, 9000, NO_WAIT)
         assert [(row.task, row.run) for row in reply.running] == [(TASK, 1)]
         assert reply.boot_ms == worker.boot_ms
@@ -270,7 +272,7 @@
 def test_refusals_of_a_start_are_told_apart(later, reply):
     async def scenario(client, listing, worker):
         await client.stop(listing, TASK, 1, 5)
-        assert await client.start(listing, later, lambda: True) is reply
+        assert (await client.start(listing, later, lambda: True)).reply is reply
 
     with_worker(scenario)
 
