Check right before a call is sent that its end numbers are of the worker's boot

Cause: ends are acknowledged only right after an answer of the same boot, but that was checked when the call was made. A call that waits for its connection, as after the loss of a SYN, reached the next boot with the numbers of the one before, and that boot dropped its own end of that number. Change: the check is repeated right before the call is written; without it the call is made again without an acknowledgement, which is not counted as a failure. An acknowledgement is not counted for another boot. Measured: the test fails without the check (the end of a done run is lost) and passes.

--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -170,6 +170,7 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
+        check: Callable[[], bool] | None = None,
     ) -> HoldReply:
         """Extends the lease of all runs to ``deadline_ms`` on the worker's clock, acknowledges the
         ends up to number ``last_seen``, which the worker then forgets, and waits up to ``wait`` for
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -441,8 +441,14 @@
             if not is_answered:
                 await self._clock.sleep(RETRY_PAUSE)
 
-    async def _hold_once(self) -> bool:
+    async def _hold_once(self, may_ack: bool = True) -> bool:
+        """Sends a hold call. Returns whether the worker has answered.
+
+        `may_ack`
+            Whether the worker may be told to forget ends.
+        """
         requested_at = self._clock.boot_time()
+        boot_ms = self._boot_ms
         is_first = self._worker_clock_read_at is None
         # An unanswered call may have extended the lease. Retries don't extend it again, so that the
         # lease of a worker that is gone expires.
@@ -453,11 +459,21 @@
         wait = MAX_HOLD_WAIT if is_answering and not has_unrecorded_ends else timedelta(0)
         if deadline is not None:
             self._latest_deadline_ms = max(self._latest_deadline_ms, deadline)
-        end_to_ack = self._end_to_ack()
+        end_to_ack = self._end_to_ack() if may_ack else 0
         listing = self.listing
+
+        def is_ack_valid() -> bool:
+            # The worker may restart while the call waits for a connection.
+            return self._end_to_ack() >= end_to_ack
+
+        check = is_ack_valid if end_to_ack else None
         try:
-            reply = await self._client.hold(listing, self._owner.token, end_to_ack, deadline, wait)
+            reply = await self._client.hold(
+                listing, self._owner.token, end_to_ack, deadline, wait, check
+            )
         except WorkerUnreachableError as error:
+            if check is not None and not error.sent and not check():
+                return await self._hold_once(may_ack=False)
             self.consecutive_failures += 1
             if self.consecutive_failures == 2:
                 _log.warning("worker {} is unreachable: {}", self.worker, error)
@@ -469,7 +485,8 @@
         except InstanceMismatchError:
             self._on_instance_mismatch(listing, requested_at)
             return False
-        self._last_acked = max(self._last_acked, end_to_ack)
+        if self._boot_ms == boot_ms:
+            self._last_acked = max(self._last_acked, end_to_ack)
         self._apply(reply, requested_at)
         # Recorded ends are acknowledged in the call right after an answer. Recording more of them
         # before that call would make it too late to acknowledge any, see `_end_to_ack`.
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -156,13 +156,14 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
+        check: Callable[[], bool] | None = None,
     ) -> HoldReply:
         body: dict[str, Any] = {"fencing-token": token, "last-seen": last_seen}
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
         if wait:
             body["wait-ms"] = to_ms(wait)
-        reply = await self._call(worker, "/hold", body, wait)
+        reply = await self._call(worker, "/hold", body, wait, check)
         self._expect_unfenced(reply)
         if reply.status != 200:
             raise WorkerUnreachableError(Step.RENEW, worker.worker, f"status {reply.status}")
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -781,6 +781,32 @@
     run_in_virtual_time(scenario())
 
 
+def test_call_that_waits_for_its_connection_acknowledges_no_ends_of_the_new_boot():
+    """Guards against a task that runs again although it is done: a call with an end number of the
+    old boot reached the new one, which dropped the end that it had by that number."""
+
+    async def scenario(harness):
+        first, second = harness.attempt(0), harness.attempt(1)
+        await harness.start(first)
+        harness.view.connected = waiting = asyncio.Event()
+        harness.worker.end(first.name, RunOutcome.DONE)
+        await until(lambda: harness.session._last_recorded == 1)
+        await asyncio.sleep(0.01)
+        harness.view.connected = None
+        harness.worker.crash()
+        await asyncio.sleep(0.1)
+        harness.worker.reboot()
+        assert await harness.start(second) is StartReply.STARTED
+        await asyncio.sleep(0.4)
+        harness.worker.end(second.name, RunOutcome.DONE)
+        await asyncio.sleep(0.4)
+        waiting.set()
+        await until(lambda: len(harness.owner.ended) == 2)
+        assert harness.owner.ended[1] == (second.name, RunOutcome.DONE)
+
+    run_with_harness(scenario, DelayedAnswers)
+
+
 def test_late_list_of_an_earlier_boot_does_not_end_runs_of_the_new_one():
     """Guards against a list that the worker made before its restart and that arrives after it.
 
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -429,8 +429,11 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
+        check: Callable[[], bool] | None = None,
     ) -> HoldReply:
         target = await self._reach(worker)
+        if check is not None and not check():
+            raise WorkerUnreachableError(Step.RENEW, worker.worker, "not allowed", sent=False)
         if not target.fence(token):
             raise FencedError
         if deadline_ms is not None:
