Use a worker only by a listing of its newest boot

Cause: a new boot may be of another kind, but the boot of a listing was read nowhere, so new runs were placed by the capacity and labels of the boot before until the worker's entry changed. Change: a worker whose listing is of another boot than its newest list gets no new runs; a listing of another boot than the one before asks for a list at once.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -142,9 +142,17 @@
             and self.reachable
             and not self._is_suspect
             and not self.listing.draining
+            and self._is_listing_current()
             and not self.orphan_stopped_at_by_key
         )
 
+    def _is_listing_current(self) -> bool:
+        """Returns whether the listing is of the worker's newest boot known.
+
+        Capacity and labels of another boot may differ.
+        """
+        return self.listing.boot_ms in (0, self._boot_ms)
+
     def free(self) -> tuple[int, int, int]:
         """Returns the free capacity: thousandths of a core, MiB, accelerators."""
         capacity = self.listing.capacity
@@ -185,7 +193,8 @@
         No order goes to a worker that became unusable after it was chosen: the order might not be
         carried out, and its lease would delay the restart of all runs there.
         """
-        if not (self.is_listed and self.reachable) or self.listing.draining:
+        is_usable = self.is_listed and self.reachable and self._is_listing_current()
+        if not is_usable or self.listing.draining:
             return StartReply.UNHEALTHY
         attempt.phase = AttemptPhase.ORDERED
         attempt.ordered_boot_ms = self._boot_ms or 0
@@ -264,6 +273,13 @@
             self._is_suspect = True
             self._background.spawn(self._check_contact())
 
+    def set_listing(self, listing: WorkerListing) -> None:
+        """Sets the worker's listing. The first one of another boot asks for a run list."""
+        is_other_boot = listing.boot_ms != self.listing.boot_ms
+        self.listing, self.is_listed = listing, True
+        if is_other_boot and not self._is_listing_current():
+            self._suspect()
+
     async def _check_contact(self) -> None:
         if not await self._fetch_runs() and self._is_suspect:
             _log.warning("worker {} is unreachable: an order and a check failed", self.worker)
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -430,7 +430,7 @@
                 continue
             if listing.draining and not session.listing.draining:
                 _log.info("{}: worker {} is draining", self.pool, worker)
-            session.listing, session.is_listed = listing, True
+            session.set_listing(listing)
         for worker, session in self.session_by_worker.items():
             if worker not in listings and session.is_listed:
                 _log.info("{}: worker {} is no longer listed", self.pool, worker)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -807,6 +807,50 @@
     run_with_harness(scenario, DelayedAnswers)
 
 
+def test_worker_is_not_used_by_the_listing_of_another_boot():
+    """Guards against a start beyond the capacity of a restarted worker, or without the label that
+    the task needs: the new boot may be of another kind than its listing says."""
+
+    async def scenario(harness):
+        session = harness.session
+        first = msgspec.structs.replace(session.listing, boot_ms=harness.worker.boot_ms)
+        session.set_listing(first)
+        assert session.usable
+        harness.worker.crash()
+        await asyncio.sleep(0.1)
+        harness.worker.reboot()
+        await asyncio.sleep(3.0)
+        assert not session.usable
+        assert await harness.start(harness.attempt()) is StartReply.UNHEALTHY
+        session.set_listing(msgspec.structs.replace(first, boot_ms=harness.worker.boot_ms))
+        assert session.usable
+
+    run_with_harness(scenario)
+
+
+def test_listing_of_a_new_boot_shows_a_restart_at_once():
+    """Guards against starts on a restarted worker by the capacity of its boot before, until the
+    pending call for a list ends."""
+
+    async def scenario(harness):
+        session = harness.session
+        attempt = harness.attempt()
+        await harness.start(attempt)
+        await asyncio.sleep(3.0)
+        harness.worker.crash()
+        await asyncio.sleep(0.1)
+        harness.worker.reboot()
+        session.set_listing(
+            msgspec.structs.replace(session.listing, boot_ms=harness.worker.boot_ms)
+        )
+        assert not session.usable
+        await asyncio.sleep(0.05)
+        assert session.usable
+        assert harness.owner.ended == [(attempt.name, RunOutcome.LOST)]
+
+    run_with_harness(scenario)
+
+
 def test_late_list_of_an_earlier_boot_does_not_end_runs_of_the_new_one():
     """Guards against a list that the worker made before its restart and that arrives after it.
 
