Delay orders to simulated workers and their answers

FleetView now draws a delay of its own for each call, on the way there and on the way back. An answer after the call's time limit is a time-out, one written before a crash may be read after the restart, and an order reaches the new boot only on a connection that is opened after the restart. Workers may change their address, at which another worker then answers, and a crash may close the connections of waiting hold calls.

All of it is off by default.

--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -319,7 +319,7 @@
         listing = WorkerListing(
             worker=UpstreamId(name),
             pool=pool,
-            address=name,
+            address=worker.address,
             data_centre=DataCentreId("gebze"),
             draining=draining,
             capacity=worker.capacity,
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NoReturn, TypeVar
 
 import msgspec
 
@@ -52,12 +53,20 @@
 
 
 class ModelWorker:
-    """One worker. Its clock starts at zero at each boot."""
+    """One worker. Its clock starts at zero at each boot.
+
+    `address`
+        Its address in the list of workers.
+    `closes_connections`
+        Whether a crash fails the hold calls that wait here, instead of leaving them unanswered.
+    """
 
     def __init__(self, fleet: "ModelFleet", name: str, capacity: Resources) -> None:
         self.fleet = fleet
         self.name = name
         self.capacity = capacity
+        self.address = name
+        self.closes_connections = False
         self.is_up = True
         self.unreachable_from: set[str] = set()
         self._boot()
@@ -87,6 +96,8 @@
         Members of their gangs that work on other workers end as ``GANG_BROKEN``.
         """
         self.is_up = False
+        if self.closes_connections:
+            self.run_ended.set()
         runs = list(self.run_by_task.values())
         self.run_by_task.clear()
         for run in runs:
@@ -228,6 +239,9 @@
 class ModelFleet:
     """All workers, the jobs that were submitted, and the observed starts and ends of their tasks.
 
+    `name_by_address`
+        Names of the workers that answer at addresses other than their own name, which is the
+        address of each worker at first. An empty name stands for none.
     `fails`
         Returns whether a run of an order on a worker fails; by default none does.
     `ticket_valid`
@@ -237,6 +251,7 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.worker_by_name: dict[str, ModelWorker] = {}
+        self.name_by_address: dict[str, str] = {}
         self.spec_by_job: dict[JobId, JobSpec] = {}
         self.violations: list[Violation] = []
         self.starts: list[tuple[float, str, str, int]] = []
@@ -255,6 +270,9 @@
         self.worker_by_name[name] = worker
         return worker
 
+    def worker_at(self, address: str) -> ModelWorker | None:
+        return self.worker_by_name.get(self.name_by_address.get(address, address))
+
     def step_of(self, task: str) -> StepSpec:
         job, _, step, _ = task.split(".")
         return self.spec_by_job[JobId(job)].steps[int(step)]
@@ -376,11 +394,35 @@
                 self._record_violation("BUDGET", f"{task} run {run} on {worker} at {start_s}")
 
 
+T = TypeVar("T")
+
+
+class _Call:
+    """A call on a connection to one boot of a worker.
+
+    `limit_s`
+        Loop time at which the caller gives up waiting for the answer.
+    """
+
+    def __init__(self, worker: WorkerListing, target: ModelWorker, limit_s: float) -> None:
+        self.worker = worker
+        self.target = target
+        self.limit_s = limit_s
+        self._boot_ms = target.boot_ms
+
+    @property
+    def is_connected(self) -> bool:
+        return self.target.is_up and self.target.boot_ms == self._boot_ms
+
+
 class FleetView(WorkerClient):
     """One VM's client of the workers.
 
     `late_share`
         Share of orders that get no answer and are executed seconds later.
+    `max_order_delay_s`, `max_answer_delay_s`
+        Longest delay of a message to a worker and of an answer. Each call draws its own, so calls
+        and answers overtake one another. With 0 there is no delay.
     `frozen`
         While this event is not set, calls block; ``None`` if the VM is not frozen.
     """
@@ -390,36 +432,54 @@
         self._vm = vm
         self._random = random.Random(seed)
         self.late_share = 0.0
+        self.max_order_delay_s = 0.0
+        self.max_answer_delay_s = 0.0
         self.is_closed = False
         self.frozen: asyncio.Event | None = None
 
     async def start(
         self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
     ) -> StartReply:
-        target = await self._reach(worker)
+        call = await self._reach(worker)
+        target = call.target
         if not check():
             raise WorkerUnreachableError(Step.START, worker.worker, "not allowed", sent=False)
         # A VM may freeze right after the check, with the order written but not yet sent. A reboot
         # of the worker closes the connection, so the new boot never receives the order.
-        initial_boot_ms = target.boot_ms
         await self._wait_while_frozen()
-        if not target.is_up or target.boot_ms != initial_boot_ms:
+        if not call.is_connected:
             await self._time_out(worker)
-        if not self._fleet.ticket_valid(order.task, worker.worker, order.ticket):
-            return StartReply.TICKET_INVALID
-        if self._random.random() < self.late_share:
-            self._run_delayed(target, lambda: target.start(order))
+
+        def has_valid_ticket() -> bool:
+            return self._fleet.ticket_valid(order.task, worker.worker, order.ticket)
+
+        def execute() -> StartReply:
+            return target.start(order) if has_valid_ticket() else StartReply.TICKET_INVALID
+
+        if has_valid_ticket() and self._random.random() < self.late_share:
+            self._run_delayed(call, lambda: target.start(order))
             await self._time_out(worker)
-        return target.start(order)
+        reply = await self._send(call, execute)
+        await self._receive(call)
+        return reply
 
     async def stop(self, worker: WorkerListing, task: str, run: int, token: int) -> None:
-        target = await self._reach(worker)
+        call = await self._reach(worker)
+        target = call.target
+
+        def execute() -> bool:
+            is_allowed = target.fence(token)
+            if is_allowed:
+                target.stop(task, run)
+            return is_allowed
+
         if self._random.random() < self.late_share:
-            self._run_delayed(target, lambda: target.fence(token) and target.stop(task, run))
+            self._run_delayed(call, execute)
             await self._time_out(worker)
-        if not target.fence(token):
+        is_allowed = await self._send(call, execute)
+        await self._receive(call)
+        if not is_allowed:
             raise FencedError
-        target.stop(task, run)
 
     async def hold(
         self,
@@ -429,55 +489,133 @@
         deadline_ms: int | None,
         wait: timedelta,
     ) -> HoldReply:
-        target = await self._reach(worker)
-        if not target.fence(token):
+        call = await self._reach(worker, wait)
+        target = call.target
+
+        def execute() -> bool:
+            is_allowed = target.fence(token)
+            if is_allowed:
+                if deadline_ms is not None:
+                    target.extend_deadline(deadline_ms)
+                target.acknowledge_ends(last_seen)
+            return is_allowed
+
+        if not await self._send(call, execute):
+            await self._receive(call)
             raise FencedError
-        if deadline_ms is not None:
-            target.extend_deadline(deadline_ms)
-        target.acknowledge_ends(last_seen)
-        initial_boot_ms = target.boot_ms
         if wait and not target.ended:
             try:
                 async with asyncio.timeout(wait.total_seconds()):
                     await target.run_ended.wait()
             except TimeoutError:
                 pass
+        if not call.is_connected and target.closes_connections:
+            await self._receive(call)
+            raise WorkerUnreachableError(Step.RENEW, worker.worker, "connection closed")
         reply = target.hold_reply()
-        if await self._reach(worker) is not target or target.boot_ms != initial_boot_ms:
+        if self.max_answer_delay_s:
+            if not call.is_connected:
+                await self._time_out(worker)
+            await self._receive(call)
+        elif (await self._reach(worker)).target is not target or not call.is_connected:
             await self._time_out(worker)
         return reply
 
     async def pace(
         self, worker: WorkerListing, task: str, run: int, percent: int, token: int
     ) -> None:
-        await self._reach(worker)
-
-    def _run_delayed(self, target: ModelWorker, action: Callable[[], object]) -> None:
-        initial_boot_ms = target.boot_ms
+        await self._receive(await self._reach(worker))
 
+    def _run_delayed(self, call: _Call, action: Callable[[], object]) -> None:
         def run_if_same_boot() -> None:
-            if target.is_up and target.boot_ms == initial_boot_ms:
+            if call.is_connected:
                 action()
 
         asyncio.get_running_loop().call_later(self._random.uniform(2.0, 12.0), run_if_same_boot)
 
-    async def _reach(self, worker: WorkerListing) -> ModelWorker:
+    def _draw_delay(self, longest_s: float) -> float:
+        """Returns a random delay. Most are short: half of them are below an eighth."""
+        return longest_s * self._random.random() ** 3
+
+    async def _send(self, call: _Call, action: Callable[[], T]) -> T:
+        """Executes an order once it arrives, and returns its result.
+
+        It is carried out even if the sender no longer waits, or no longer exists, but only by the
+        boot to which the connection leads.
+        """
+        if not self.max_order_delay_s:
+            return action()
+        loop = asyncio.get_running_loop()
+        result: asyncio.Future[T] = loop.create_future()
+
+        def arrive() -> None:
+            if call.is_connected and self._vm not in call.target.unreachable_from:
+                answer = action()
+                if not result.done():
+                    result.set_result(answer)
+
+        loop.call_later(self._draw_delay(self.max_order_delay_s), arrive)
+        try:
+            async with asyncio.timeout_at(call.limit_s):
+                return await result
+        except TimeoutError:
+            await self._wait_while_frozen()
+            raise self._no_answer(call.worker) from None
+
+    async def _receive(self, call: _Call) -> None:
+        """Waits until an answer that has just been written arrives, also if the worker crashes.
+
+        Raises `WorkerUnreachableError` if the answer arrives after the call's time limit.
+        """
+        if not self.max_answer_delay_s:
+            return
+        loop = asyncio.get_running_loop()
+        arrives_s = loop.time() + self._draw_delay(self.max_answer_delay_s)
+        await asyncio.sleep(min(arrives_s, call.limit_s) - loop.time())
+        if self.is_closed:
+            await asyncio.Event().wait()
+        is_lost = self._vm in call.target.unreachable_from
+        if is_lost:
+            await asyncio.sleep(call.limit_s - loop.time())
+        await self._wait_while_frozen()
+        if is_lost or arrives_s > call.limit_s or loop.time() > call.limit_s:
+            raise self._no_answer(call.worker)
+
+    async def _reach(self, worker: WorkerListing, wait: timedelta = timedelta(0)) -> _Call:
+        """Opens a connection, or takes an open one, and returns the call on it.
+
+        A connection opened late leads to the worker that has the address at that moment.
+        """
         if self.is_closed:
             await asyncio.Event().wait()
         await self._wait_while_frozen()
+        loop = asyncio.get_running_loop()
+        limit_s = loop.time() + (CALL_TIMEOUT + wait).total_seconds()
+        is_new = bool(self.max_order_delay_s) and self._random.random() < 0.5
+        if is_new:
+            opened_s = loop.time() + self._draw_delay(self.max_order_delay_s)
+            await asyncio.sleep(min(opened_s, limit_s) - loop.time())
+            if opened_s > limit_s:
+                raise self._no_answer(worker, sent=False)
         await self._fleet.clock.sleep(CALL_LATENCY)
-        target = self._fleet.worker_by_name.get(worker.address)
+        target = self._fleet.worker_at(worker.address)
         if target is None or not target.is_up or self._vm in target.unreachable_from:
-            await self._time_out(worker)
+            await self._time_out(worker, sent=not is_new)
         assert target is not None
+        call = _Call(worker, target, limit_s)
         if target.name != worker.worker:
+            await self._receive(call)
             raise InstanceMismatchError(worker.worker)
-        return target
+        return call
 
     async def _wait_while_frozen(self) -> None:
         if self.frozen is not None:
             await self.frozen.wait()
 
-    async def _time_out(self, worker: WorkerListing) -> None:
+    async def _time_out(self, worker: WorkerListing, sent: bool = True) -> NoReturn:
         await self._fleet.clock.sleep(CALL_TIMEOUT)
-        raise WorkerUnreachableError(Step.RUN, worker.worker, "no answer")
+        raise self._no_answer(worker, sent)
+
+    @staticmethod
+    def _no_answer(worker: WorkerListing, sent: bool = True) -> WorkerUnreachableError:
+        return WorkerUnreachableError(Step.RUN, worker.worker, "no answer", sent)
