Delay orders for longer in half of the seeds with delayed answers

Orders were delayed by at most 50 ms, the shortest restart, so none was held up from before a crash until after the restart. Odd seeds now delay them by up to 250 ms.

--- a/tests/vm/test_delayed_answers.py
+++ b/tests/vm/test_delayed_answers.py
@@ -19,9 +19,9 @@
 
 SEEDS = range(24)
 PLAY_TIME_S = 18.0
-# Orders arrive sooner than answers, so that many arrive between the writing and the reading of a
-# run list.
-MAX_ORDER_DELAY_S = 0.05
+# With the short one, many orders arrive between the writing and the reading of a run list. With the
+# long one, connections are opened after a restart that began after their orders were given.
+MAX_ORDER_DELAYS_S = (0.05, 0.25)
 # Longer than the time limit of a call (0.3 s), so that some answers are too late to be read.
 MAX_ANSWER_DELAY_S = 0.32
 
@@ -33,7 +33,7 @@
 
     async def start_vm(self, name):
         vm = await super().start_vm(name)
-        vm.workers.max_order_delay_s = MAX_ORDER_DELAY_S
+        vm.workers.max_order_delay_s = MAX_ORDER_DELAYS_S[self.seed % 2]
         vm.workers.max_answer_delay_s = MAX_ANSWER_DELAY_S
         return vm
 
