Count the time in which a worker can't have restarted from when its list was made

Cause: ends are acknowledged within 300 ms of an answer, counted from reading it. An answer that was 0.25 s on its way left time for a restart before the acknowledgement arrived, and the new boot dropped its own ends of these numbers, so their runs counted as lost. Change: the time for which a list can have been on its way is bounded by its request, and by the worker's clock against earlier answers; it counts towards the 300 ms.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -44,7 +44,7 @@
 RETRY_PAUSE = timedelta(milliseconds=250)
 # Worker clocks may run up to 2% slow (the platform's bound).
 MIN_WORKER_CLOCK_RATE = 0.98
-# A worker that has just answered can't have restarted within this time.
+# A worker can't have restarted within this time after it made an answer.
 MIN_RESTART_TIME = timedelta(milliseconds=300)
 # Most ended runs in one reply (the platform's bound), the oldest first.
 MAX_ENDS_PER_REPLY = 500
@@ -116,6 +116,10 @@
         self._boot_seen_at = timedelta(0)
         self._worker_clock_ms = 0
         self._worker_clock_read_at: timedelta | None = None
+        # Latest boot time known to precede the zero of the worker's clock, and the longest time
+        # for which the newest list can have been on its way.
+        self._clock_zero_after: timedelta | None = None
+        self._list_age = timedelta(0)
         self._latest_deadline_ms = 0
         # Deadlines in orders in flight, which the worker may have got.
         self._deadline_by_order: dict[Attempt, int] = {}
@@ -515,12 +519,12 @@
 
         A worker that has restarted since its last answer numbers its ends from 1 again, so the
         numbers of the old boot would make it forget ends of the new one. Ends are acknowledged only
-        right after an answer, when the worker can't have restarted.
+        right after an answer was made, when the worker can't have restarted.
         """
         now = self._clock.boot_time()
         is_fresh = (
             self._worker_clock_read_at is not None
-            and now - self._worker_clock_read_at < MIN_RESTART_TIME
+            and now - self._worker_clock_read_at + self._list_age < MIN_RESTART_TIME
         )
         return self._last_recorded if is_fresh and self.consecutive_failures == 0 else 0
 
@@ -567,6 +571,7 @@
         elif self._boot_ms is None:
             self._boot_ms, self._boot_seen_at = reply.boot_ms, now
         self._worker_clock_ms, self._worker_clock_read_at = reply.clock_ms, now
+        self._measure_list_age(reply, requested_at)
         if not self.reachable:
             _log.info("worker {} is reachable, boot {}", self.worker, reply.boot_ms)
         self.reachable, self.consecutive_failures = True, 0
@@ -675,6 +680,20 @@
             },
         )
 
+    def _measure_list_age(self, reply: HoldReply, requested_at: timedelta) -> None:
+        """Bounds the time since a list that has just arrived was made.
+
+        It was made after its request. As the worker's clock is never fast, its zero, as seen from
+        here, only moves forward; an answer that puts it later than others did was late by as much.
+        """
+        now = self._clock.boot_time()
+        zero_before = now - reply.clock_ms * MILLISECOND
+        self._list_age = now - requested_at
+        if self._clock_zero_after is not None:
+            self._list_age = min(self._list_age, zero_before - self._clock_zero_after)
+        zero_after = zero_before - self._list_age
+        self._clock_zero_after = max(self._clock_zero_after or zero_after, zero_after)
+
     def _is_of_earlier_boot(self, reply: HoldReply, requested_at: timedelta) -> bool:
         """Returns whether an earlier boot than the newest one known may have made a list.
 
@@ -697,6 +716,7 @@
         _log.warning("worker {} has restarted, boot {}", self.worker, reply.boot_ms)
         self._boot_ms, self._boot_seen_at = reply.boot_ms, self._clock.boot_time()
         self._last_recorded = self._last_applied = self._last_acked = 0
+        self._clock_zero_after = None
         # An order in flight has a deadline on the clock of the old boot. On the new boot's clock it
         # may be late enough to give the longest lease.
         self._latest_deadline_ms = self._longest_deadline_ms(reply.clock_ms)
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -851,6 +851,31 @@
     run_with_harness(scenario)
 
 
+def test_late_list_lets_no_ends_of_the_new_boot_be_acknowledged():
+    """Guards against a task that runs again although it is done: the time in which a worker can't
+    have restarted was counted from reading its answer, not from when it was made."""
+
+    async def scenario(harness):
+        first, second = harness.attempt(0), harness.attempt(1)
+        await harness.start(first)
+        harness.view.list_delay_s = 0.35
+        # The next call for a list begins.
+        await asyncio.sleep(2.1)
+        harness.worker.end(first.name, RunOutcome.DONE)
+        await asyncio.sleep(0.01)
+        harness.view.list_delay_s = 0.0
+        harness.worker.crash()
+        await asyncio.sleep(0.1)
+        harness.worker.reboot()
+        assert await harness.start(second) is StartReply.STARTED
+        await asyncio.sleep(0.1)
+        harness.worker.end(second.name, RunOutcome.DONE)
+        await until(lambda: len(harness.owner.ended) == 2)
+        assert harness.owner.ended[1] == (second.name, RunOutcome.DONE)
+
+    run_with_harness(scenario, DelayedAnswers)
+
+
 def test_late_list_of_an_earlier_boot_does_not_end_runs_of_the_new_one():
     """Guards against a list that the worker made before its restart and that arrives after it.
 
