Acknowledge ends only on the connection that gave the list

Cause: an acknowledgement carries no boot, and each boot numbers its ends from 1. It was sent within 300 ms of an answer, as a worker couldn't restart faster; nothing promises that. Change: the calls of a lease loop have a connection of their own, and one that acknowledges ends is sent only if the connection on which the one before was answered is still open. It leads to that boot or to none. If it is closed, the call is made again without an acknowledgement, and the next one has it. This takes the place of the time limit, of the check before the write and of the bound for a list's age. Cost: one more connection to each worker from its pool's owner.

--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -170,11 +170,19 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
-        check: Callable[[], bool] | None = None,
+        in_series: bool = False,
     ) -> HoldReply:
         """Extends the lease of all runs to ``deadline_ms`` on the worker's clock, acknowledges the
         ends up to number ``last_seen``, which the worker then forgets, and waits up to ``wait`` for
-        another run to end. With ``deadline_ms`` ``None`` the lease is not extended."""
+        another run to end. With ``deadline_ms`` ``None`` the lease is not extended.
+
+        Calls in series, of which a worker gets one at a time, have a connection of their own. With
+        ``last_seen`` such a call is sent only on the connection on which the one before was
+        answered, so that the ends of another boot are never forgotten."""
+
+    @abstractmethod
+    async def forget(self, worker: UpstreamId) -> None:
+        """Closes the connection for calls in series to a worker."""
 
     @abstractmethod
     async def pace(
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -44,8 +44,6 @@
 RETRY_PAUSE = timedelta(milliseconds=250)
 # Worker clocks may run up to 2% slow (the platform's bound).
 MIN_WORKER_CLOCK_RATE = 0.98
-# A worker can't have restarted within this time after it made an answer.
-MIN_RESTART_TIME = timedelta(milliseconds=300)
 # Most ended runs in one reply (the platform's bound), the oldest first.
 MAX_ENDS_PER_REPLY = 500
 # How long the lease loop waits for ends to be recorded before it extends the lease again.
@@ -116,15 +114,13 @@
         self._boot_seen_at = timedelta(0)
         self._worker_clock_ms = 0
         self._worker_clock_read_at: timedelta | None = None
-        # Latest boot time known to precede the zero of the worker's clock, and the longest time
-        # for which the newest list can have been on its way.
-        self._clock_zero_after: timedelta | None = None
-        self._list_age = timedelta(0)
         self._latest_deadline_ms = 0
         # Deadlines in orders in flight, which the worker may have got.
         self._deadline_by_order: dict[Attempt, int] = {}
         # An order got no answer, and the worker has not answered since.
         self._is_suspect = False
+        # Boot that answered the latest hold call in series.
+        self._series_boot_ms: int | None = None
         # Numbers of the last end in the store, of the last one reported to the owner, and of the
         # last one that the worker has been told to forget.
         self._last_recorded = 0
@@ -460,6 +456,7 @@
                     self.end_lapsed_runs()
             if not is_answered:
                 await self._clock.sleep(RETRY_PAUSE)
+        await self._client.forget(self.worker)
 
     async def _hold_once(self, may_ack: bool = True) -> bool:
         """Sends a hold call. Returns whether the worker has answered.
@@ -481,18 +478,13 @@
             self._latest_deadline_ms = max(self._latest_deadline_ms, deadline)
         end_to_ack = self._end_to_ack() if may_ack else 0
         listing = self.listing
-
-        def is_ack_valid() -> bool:
-            # The worker may restart while the call waits for a connection.
-            return self._end_to_ack() >= end_to_ack
-
-        check = is_ack_valid if end_to_ack else None
         try:
             reply = await self._client.hold(
-                listing, self._owner.token, end_to_ack, deadline, wait, check
+                listing, self._owner.token, end_to_ack, deadline, wait, in_series=True
             )
         except WorkerUnreachableError as error:
-            if check is not None and not error.sent and not check():
+            if end_to_ack and not error.sent:
+                # The connection to the boot that has these ends is closed.
                 return await self._hold_once(may_ack=False)
             self.consecutive_failures += 1
             if self.consecutive_failures == 2:
@@ -505,11 +497,12 @@
         except InstanceMismatchError:
             self._on_instance_mismatch(listing, requested_at)
             return False
+        self._series_boot_ms = reply.boot_ms
         if self._boot_ms == boot_ms:
             self._last_acked = max(self._last_acked, end_to_ack)
         self._apply(reply, requested_at)
         # Recorded ends are acknowledged in the call right after an answer. Recording more of them
-        # before that call would make it too late to acknowledge any, see `_end_to_ack`.
+        # before that call would postpone it again and again.
         if self._last_applied > self._last_recorded and self._last_recorded <= self._last_acked:
             await self._record_ends()
         return True
@@ -517,16 +510,11 @@
     def _end_to_ack(self) -> int:
         """Returns the number of the last end that the worker may forget, or 0.
 
-        A worker that has restarted since its last answer numbers its ends from 1 again, so the
-        numbers of the old boot would make it forget ends of the new one. Ends are acknowledged only
-        right after an answer was made, when the worker can't have restarted.
+        Each boot numbers its ends from 1. Calls in series acknowledge ends only on the connection
+        on which the one before was answered, so it has to be the boot whose ends these are.
         """
-        now = self._clock.boot_time()
-        is_fresh = (
-            self._worker_clock_read_at is not None
-            and now - self._worker_clock_read_at + self._list_age < MIN_RESTART_TIME
-        )
-        return self._last_recorded if is_fresh and self.consecutive_failures == 0 else 0
+        is_same_boot = self._series_boot_ms is not None and self._series_boot_ms == self._boot_ms
+        return self._last_recorded if is_same_boot and self.consecutive_failures == 0 else 0
 
     async def _record_ends(self) -> None:
         last_applied, boot_ms = self._last_applied, self._boot_ms
@@ -571,7 +559,6 @@
         elif self._boot_ms is None:
             self._boot_ms, self._boot_seen_at = reply.boot_ms, now
         self._worker_clock_ms, self._worker_clock_read_at = reply.clock_ms, now
-        self._measure_list_age(reply, requested_at)
         if not self.reachable:
             _log.info("worker {} is reachable, boot {}", self.worker, reply.boot_ms)
         self.reachable, self.consecutive_failures = True, 0
@@ -680,20 +667,6 @@
             },
         )
 
-    def _measure_list_age(self, reply: HoldReply, requested_at: timedelta) -> None:
-        """Bounds the time since a list that has just arrived was made.
-
-        It was made after its request. As the worker's clock is never fast, its zero, as seen from
-        here, only moves forward; an answer that puts it later than others did was late by as much.
-        """
-        now = self._clock.boot_time()
-        zero_before = now - reply.clock_ms * MILLISECOND
-        self._list_age = now - requested_at
-        if self._clock_zero_after is not None:
-            self._list_age = min(self._list_age, zero_before - self._clock_zero_after)
-        zero_after = zero_before - self._list_age
-        self._clock_zero_after = max(self._clock_zero_after or zero_after, zero_after)
-
     def _is_of_earlier_boot(self, reply: HoldReply, requested_at: timedelta) -> bool:
         """Returns whether an earlier boot than the newest one known may have made a list.
 
@@ -716,7 +689,6 @@
         _log.warning("worker {} has restarted, boot {}", self.worker, reply.boot_ms)
         self._boot_ms, self._boot_seen_at = reply.boot_ms, self._clock.boot_time()
         self._last_recorded = self._last_applied = self._last_acked = 0
-        self._clock_zero_after = None
         # An order in flight has a deadline on the clock of the old boot. On the new boot's clock it
         # may be late enough to give the longest lease.
         self._latest_deadline_ms = self._longest_deadline_ms(reply.clock_ms)
--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -63,6 +63,10 @@
     """The check of the caller returned false, so the request was not written."""
 
 
+class _NoOpenConnectionError(Exception):
+    """No connection is open, and the request must not open one."""
+
+
 class _DisconnectedError(Exception):
     """The connection closed before the response."""
 
@@ -70,8 +74,10 @@
 class _RequestState:
     """State of one request: whether it was written, and the check that precedes the write."""
 
-    def __init__(self, check: Callable[[], bool] | None) -> None:
+    def __init__(self, check: Callable[[], bool] | None, has_body: bool, may_connect: bool) -> None:
         self.sent = False
+        self.has_body = has_body
+        self.may_connect = may_connect
         self.allowed = True
         self._check = check
 
@@ -170,17 +176,19 @@
         wait: timedelta = timedelta(0),
         check: Callable[[], bool] | None = None,
         content_type: str = "application/json",
+        may_connect: bool = True,
     ) -> HttpReply:
         """Sends one request and returns the complete response, whatever its status.
 
         ``path`` includes the query and is already percent-encoded. ``wait`` is added to the
         timeout for long polls. ``check`` requires a body; it is called once connected, right
         before the request is handed to the transport, and the request is not sent if it returns
-        false. Raises `RequestFailedError`.
+        false. With ``may_connect`` false, it is sent only if a connection is open, to the process
+        that answered an earlier request on it. Raises `RequestFailedError`.
         """
         if check is not None and body is None:
             raise ValueError("a request with a check needs a body")
-        state = _RequestState(check)
+        state = _RequestState(check, body is not None, may_connect)
         session = self._acquire_session()
         limit = (self._timeout + wait).total_seconds()
         try:
@@ -194,6 +202,8 @@
         except _TooLargeError as error:
             self._retire(session)
             raise ResponseTooLargeError(str(error), state.sent) from error
+        except _NoOpenConnectionError as error:
+            raise RequestFailedError("not sent: no connection is open", state.sent) from error
         except (aiohttp.ClientError, OSError, ValueError, _DisconnectedError) as error:
             # aiohttp raises ``ValueError`` for a header that can't be written and ``UnicodeError``
             # for a host name that can't be encoded.
@@ -232,7 +242,7 @@
             headers={hdrs.ACCEPT_ENCODING: "identity", **(headers or {})},
             allow_redirects=False,
             middlewares=(_send_once,),
-            trace_request_ctx=state if data is None else None,
+            trace_request_ctx=state,
         ) as response:
             limit = self._max_response_bytes or MAX_RESPONSE_BYTES
             received = bytearray()
@@ -260,6 +270,7 @@
         )
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_on_request_headers_sent)
+        trace.on_connection_create_start.append(_on_connection_create_start)
         return aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -290,10 +301,17 @@
 ) -> None:
     # For requests with a body, `_CheckedBody` sets ``sent``: headers and body are written together.
     state = context.trace_request_ctx
-    if state is not None:
+    if not state.has_body:
         state.sent = True
 
 
+async def _on_connection_create_start(
+    session: aiohttp.ClientSession, context: Any, params: aiohttp.TraceConnectionCreateStartParams
+) -> None:
+    if not context.trace_request_ctx.may_connect:
+        raise _NoOpenConnectionError
+
+
 def _describe(error: Exception) -> str:
     if isinstance(error, _DisconnectedError):
         return str(error)
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -23,6 +23,7 @@
 )
 from hornbeamramp.fleet.base import FencedError, InstanceMismatchError
 from hornbeamramp.http_client import HttpClient, HttpReply, RequestFailedError
+from hornbeamramp.ids import UpstreamId
 from hornbeamramp.states import Step
 
 __all__ = ["PlatformWorkers"]
@@ -114,6 +115,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._client_by_address: dict[str, HttpClient] = {}
+        self._series_client_by_worker: dict[UpstreamId, HttpClient] = {}
 
     async def start(
         self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
@@ -156,14 +158,17 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
-        check: Callable[[], bool] | None = None,
+        in_series: bool = False,
     ) -> HoldReply:
         body: dict[str, Any] = {"fencing-token": token, "last-seen": last_seen}
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
         if wait:
             body["wait-ms"] = to_ms(wait)
-        reply = await self._call(worker, "/hold", body, wait, check)
+        client = await self._series_client(worker) if in_series else None
+        reply = await self._call(
+            worker, "/hold", body, wait, client=client, may_connect=not last_seen
+        )
         self._expect_unfenced(reply)
         if reply.status != 200:
             raise WorkerUnreachableError(Step.RENEW, worker.worker, f"status {reply.status}")
@@ -186,9 +191,28 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for client in self._client_by_address.values():
+        clients = (*self._client_by_address.values(), *self._series_client_by_worker.values())
+        for client in clients:
+            await client.close()
+
+    async def forget(self, worker: UpstreamId) -> None:
+        client = self._series_client_by_worker.pop(worker, None)
+        if client is not None:
             await client.close()
 
+    async def _series_client(self, worker: WorkerListing) -> HttpClient:
+        client = self._series_client_by_worker.get(worker.worker)
+        if client is not None and client.address != worker.address:
+            await self.forget(worker.worker)
+            client = None
+        if client is None:
+            client = self._open_client(worker.address)
+            self._series_client_by_worker[worker.worker] = client
+        return client
+
+    def _open_client(self, address: str) -> HttpClient:
+        return HttpClient(address, CALL_TIMEOUT, self._clock, max_response_bytes=MAX_ANSWER_BYTES)
+
     def _expect_unfenced(self, reply: HttpReply) -> None:
         if reply.status == 409 and _reason(reply) == "fence":
             raise FencedError
@@ -200,21 +224,22 @@
         body: dict[str, Any],
         wait: timedelta = timedelta(0),
         check: Callable[[], bool] | None = None,
+        client: HttpClient | None = None,
+        may_connect: bool = True,
     ) -> HttpReply:
         if not worker.address:
             raise WorkerUnreachableError(
                 Step.RUN, worker.worker, "the listing has no address", sent=False
             )
-        client = self._client_by_address.get(worker.address)
+        client = client or self._client_by_address.get(worker.address)
         if client is None:
-            client = HttpClient(
-                worker.address, CALL_TIMEOUT, self._clock, max_response_bytes=MAX_ANSWER_BYTES
-            )
-            self._client_by_address[worker.address] = client
+            client = self._client_by_address[worker.address] = self._open_client(worker.address)
         headers = {"Expect-Instance": worker.worker}
         data = msgspec.json.encode(body)
         try:
-            reply = await client.request("POST", path, data, headers, wait, check)
+            reply = await client.request(
+                "POST", path, data, headers, wait, check, may_connect=may_connect
+            )
         except RequestFailedError as error:
             raise WorkerUnreachableError(
                 Step.RUN, worker.worker, f"{path}: {error}", error.sent
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -401,10 +401,10 @@
     class SlowFirstList(FleetView):
         calls = 0
 
-        async def hold(self, *arguments):
+        async def hold(self, *arguments, **options):
             self.calls += 1
             is_first = self.calls == 1
-            reply = await super().hold(*arguments)
+            reply = await super().hold(*arguments, **options)
             if is_first:
                 await asyncio.sleep(0.2)
             return reply
@@ -436,12 +436,12 @@
     class LostFirstCall(FleetView):
         calls = 0
 
-        async def hold(self, worker, *arguments):
+        async def hold(self, worker, *arguments, **options):
             self.calls += 1
             if self.calls == 1:
                 await asyncio.sleep(0.3)
                 raise WorkerUnreachableError(Step.RENEW, worker.worker, "no answer")
-            return await super().hold(worker, *arguments)
+            return await super().hold(worker, *arguments, **options)
 
     async def scenario():
         harness = SessionHarness(LostFirstCall)
@@ -639,11 +639,11 @@
         await super().stop(*arguments)
         await asyncio.sleep(delay_s)
 
-    async def hold(self, *arguments):
+    async def hold(self, *arguments, **options):
         delay_s = self.list_delay_s
         if self.connected is not None:
             await self.connected.wait()
-        reply = await super().hold(*arguments)
+        reply = await super().hold(*arguments, **options)
         await asyncio.sleep(delay_s)
         return reply
 
@@ -852,24 +852,27 @@
 
 
 def test_late_list_lets_no_ends_of_the_new_boot_be_acknowledged():
-    """Guards against a task that runs again although it is done: the time in which a worker can't
-    have restarted was counted from reading its answer, not from when it was made."""
+    """Guards against a task that runs again although it is done: a late list of the old boot was
+    followed by an acknowledgement, by which the new boot dropped its own end of that number."""
 
     async def scenario(harness):
         first, second = harness.attempt(0), harness.attempt(1)
         await harness.start(first)
-        harness.view.list_delay_s = 0.35
+        harness.view.list_delay_s = 0.25
         # The next call for a list begins.
         await asyncio.sleep(2.1)
         harness.worker.end(first.name, RunOutcome.DONE)
         await asyncio.sleep(0.01)
         harness.view.list_delay_s = 0.0
         harness.worker.crash()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.05)
         harness.worker.reboot()
-        assert await harness.start(second) is StartReply.STARTED
+        # Its answer arrives after the list.
+        harness.view.start_delay_s = 0.28
+        starting = asyncio.create_task(harness.start(second))
         await asyncio.sleep(0.1)
         harness.worker.end(second.name, RunOutcome.DONE)
+        await starting
         await until(lambda: len(harness.owner.ended) == 2)
         assert harness.owner.ended[1] == (second.name, RunOutcome.DONE)
 
@@ -944,9 +947,9 @@
     is_replaced = False
     delay_s = 0.0
 
-    async def hold(self, worker, *arguments):
+    async def hold(self, worker, *arguments, **options):
         await self.check_instance(worker)
-        return await super().hold(worker, *arguments)
+        return await super().hold(worker, *arguments, **options)
 
     async def pace(self, worker, *arguments):
         await self.check_instance(worker)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -308,3 +308,42 @@
             await client.hold(unaddressed, 5, 0, None, NO_WAIT)
 
     with_worker(scenario)
+
+
+def test_ends_are_acknowledged_only_on_the_connection_of_the_call_before():
+    """Guards against a restarted worker that forgets ends of its new boot, by the numbers that its
+    boot before gave to others."""
+    calls = []
+    closing = asyncio.Event()
+
+    async def answer(request):
+        calls.append((request.transport, (await request.json())["last-seen"]))
+        response = web.json_response({"clock-ms": 5, "born": 1, "running": [], "ended": []})
+        if closing.is_set():
+            response.force_close()
+        return response
+
+    async def main():
+        address, runner = await listen(answer)
+        client = PlatformWorkers(SystemClock())
+        listing = WorkerListing("w0", "pool", address, "gebze", False, CAPACITY)
+
+        def hold(last_seen, in_series=True):
+            return client.hold(listing, 1, last_seen, None, timedelta(0), in_series=in_series)
+
+        with pytest.raises(WorkerUnreachableError) as raised:
+            await hold(1)
+        assert not raised.value.sent
+        await hold(0)
+        await hold(0, in_series=False)
+        closing.set()
+        await hold(2)
+        with pytest.raises(WorkerUnreachableError) as raised:
+            await hold(3)
+        assert not raised.value.sent
+        assert [last_seen for _, last_seen in calls] == [0, 0, 2]
+        assert calls[0][0] is calls[2][0] is not calls[1][0]
+        await client.close()
+        await runner.cleanup()
+
+    asyncio.run(main())
