Soak workers that restart under their ids and answer late

The soak had no answers that arrive late while the requests arrive in time, none that overtake another, and few restarts of workers, so it could not show a task that runs twice after a list made before a start was read after it.

The links of the proxy can draw a delay for each answer, and can end the connections to a crashed worker while answers that it had written still arrive, with or without the end of the connection. `--restarts` restarts one to three workers at a time, in series of one to four, after 0.05 to 2 s, beside kills and pauses of VMs and callers that cancel. Workers' starts and ends are kept in workers.log. The simulated worker carried out orders while it was down, after it had aborted their connection; now it does nothing.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 soak: $(STAMP)
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST)
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --moves
+	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --restarts
 
 lint: $(STAMP)
 	$(BIN)/black --check .
--- a/tests/platform/wire_server.py
+++ b/tests/platform/wire_server.py
@@ -160,6 +160,7 @@
         body = json.loads(await request.read())
         if not worker.is_up:
             _abort_connection(request)
+            return web.Response()
         if request.headers["Expect-Instance"] != worker.name:
             return web.json_response({}, status=421)
         if request.path == "/run-start":
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,5 @@
 """Command line: ``python -m tests.soak [--seeds N] [--first SEED] [--seconds S]
-[--planned] [--moves]``."""
+[--planned] [--moves] [--restarts]``."""
 
 import shutil
 import sys
@@ -20,6 +20,7 @@
     folder: Path = Path("build/soak"),
     planned: bool = False,
     moves: bool = False,
+    restarts: bool = False,
 ) -> None:
     """Runs seeds one after another and keeps the logs of those that fail.
 
@@ -37,12 +38,14 @@
         Inject only planned work, and check that each request is answered.
     moves
         Move a queue between two pools, with callers that give up, cancel and send again.
+    restarts
+        Restart workers under their ids and delay their answers, with the same callers.
     """
     failed = []
     for seed in range(first, first + seeds):
         logs = folder.resolve() / f"seed-{seed}"
         shutil.rmtree(logs, ignore_errors=True)
-        outcome = run_seed(seed, seconds, logs, planned, moves)
+        outcome = run_seed(seed, seconds, logs, planned, moves, restarts)
         print(
             f"seed {seed}: {outcome.accepted} accepted, {outcome.refused} refused, "
             f"{outcome.starts} starts, {outcome.faults} faults, {len(outcome.problems)} problems",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -49,6 +49,8 @@
         self._cell = cell
         self._rng = rng
         self._queue_by_job: dict[str, str] = {}
+        # Longest time between two jobs.
+        self.max_pause_s = 0.4
         self.accepted: set[str] = set()
         self.cancelled: set[str] = set()
         self.problems: list[str] = []
@@ -61,7 +63,7 @@
             while loop.time() < end:
                 number += 1
                 group.create_task(self._call(session, f"{number:016x}"))
-                await asyncio.sleep(self._rng.uniform(0.05, 0.4))
+                await asyncio.sleep(self._rng.uniform(0.05, self.max_pause_s))
 
     async def _call(self, session: aiohttp.ClientSession, job_id: str) -> None:
         queue = self._rng.choice(sorted(PREFIX_BY_QUEUE))
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -223,6 +223,16 @@
         with (self.folder / "soak.log").open("a") as log:
             log.write(f"{self.clock.now().isoformat()} {text}\n")
 
+    def log_starts_and_ends(self) -> None:
+        """Writes what the workers saw of the runs to a log beside those of the VMs."""
+        starts, ends = self.fleet.starts, self.fleet.ends
+        rows = [(at_s, f"start {task} run {run} on {name}") for at_s, name, task, run in starts]
+        rows += [(e.at_s, f"end {e.task} run {e.run} on {e.worker} {e.outcome}") for e in ends]
+        origin = self.clock.now() - self.clock.boot_time()
+        with (self.folder / "workers.log").open("w") as log:
+            for at_s, text in sorted(rows):
+                log.write(f"{(origin + timedelta(seconds=at_s)).isoformat()} {at_s:.3f} {text}\n")
+
     async def _serve(self, serving) -> str:
         address, runner = await serving
         self._runners.append(runner)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,7 @@
 from tests.soak.cell import SoakCell, SoakVm
 from tests.soak.proxy import Link, LinkState
 
-__all__ = ["Faults", "PlannedWork"]
+__all__ = ["Faults", "PlannedWork", "WorkerRestarts"]
 
 # Below the time for which a start order of a cancelled job may still be carried out.
 MAX_DELAY_S = 2.0
@@ -18,6 +18,11 @@
     LinkState.REFUSED,
     LinkState.DELAYED,
 )
+# Longest delay of an answer on a link, up to more than the timeout of an order (0.3 s).
+MAX_ANSWER_DELAYS_S = (0.02, 0.1, 0.2, 0.28, 0.8)
+# Ranges of the time for which a worker is away. Only if no order fails in it, orders reach the new
+# boot before its first list is read, so most restarts are short.
+RESTART_TIMES_S = ((0.05, 0.1), (0.05, 0.1), (0.1, 2.0))
 
 
 class Faults:
@@ -192,3 +197,47 @@
     async def _terminate_all(self) -> None:
         vms = self._cell.vm_by_name.values()
         await asyncio.gather(*(self._restart(vm, Signals.SIGTERM) for vm in vms))
+
+
+class WorkerRestarts(Faults):
+    """Workers that restart under their id, in series and several at a time, and late answers."""
+
+    def _choices(self) -> list[Callable[[], Awaitable[None]]]:
+        links = [self._worker_link, self._reset_connections]
+        other = [self._terminate, self._drain_worker, self._change_configuration]
+        return 10 * [self._restart_workers] + 2 * [self._kill, self._pause] + links + other
+
+    async def run(self, seconds: float) -> None:
+        links = self._cell.link_by_worker.values()
+        for link in links:
+            self._delay_answers(link)
+        await super().run(seconds)
+        for link in links:
+            link.draw_answer_delay_s = lambda: 0.0
+
+    def _delay_answers(self, link: Link) -> None:
+        # Its own generator, so that the faults of a seed don't depend on the number of answers.
+        max_s, rng = self._rng.choice(MAX_ANSWER_DELAYS_S), random.Random(self._rng.random())
+        link.draw_answer_delay_s = lambda: rng.uniform(0.0, max_s)
+
+    async def _restart_workers(self) -> None:
+        names = self._rng.sample(sorted(self._cell.link_by_worker), self._rng.randint(1, 3))
+        await asyncio.gather(*(self._restart_worker_in_series(name) for name in names))
+
+    async def _restart_worker_in_series(self, name: str) -> None:
+        worker, link = self._cell.fleet.worker_by_name[name], self._cell.link_by_worker[name]
+        self._delay_answers(link)
+        for _ in range(self._rng.randint(1, 4)):
+            if not worker.is_up:
+                return
+            end_connections = self._rng.choice((link.reset, link.cut_target, link.silence_target))
+            self._cell.log_event(f"{name} crashes: {end_connections.__name__}")
+            worker.crash()
+            end_connections()
+            await asyncio.sleep(self._rng.uniform(*self._rng.choice(RESTART_TIMES_S)))
+            worker.reboot()
+            self._cell.log_event(f"{name} is up, boot {worker.boot_ms}")
+            # The listing may lag behind the worker.
+            await asyncio.sleep(self._rng.choice((0.0, 0.0, 0.3)))
+            self._cell.write_worker_entry(name)
+            await self._sleep_randomly(1.0)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from enum import Enum
 
 __all__ = ["Link", "LinkState"]
@@ -26,6 +27,10 @@
 
     Connections that were open when the link was silenced stay silent after it is open again, as if
     a middlebox had lost their state.
+
+    `draw_answer_delay_s`
+        Returns the delay of the next answer, by default none. Answers on different connections
+        overtake each other; those on one connection keep their order.
     """
 
     def __init__(self, host: str, target: str) -> None:
@@ -35,6 +40,7 @@
         self._connections: set[_Connection] = set()
         self.state = LinkState.OPEN
         self.delay_s = 0.0
+        self.draw_answer_delay_s: Callable[[], float] = lambda: 0.0
         self.address = ""
 
     async def start(self) -> None:
@@ -60,6 +66,17 @@
         for connection in list(self._connections):
             connection.abort()
 
+    def cut_target(self) -> None:
+        """Ends all connections to the target; answers that it had written still arrive."""
+        for connection in self._connections:
+            connection.cut_target()
+
+    def silence_target(self) -> None:
+        """Does the same, and clients don't see the end of their connections."""
+        for connection in self._connections:
+            connection.is_end_lost = True
+        self.cut_target()
+
     async def _on_connect(
         self, client_reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter
     ) -> None:
@@ -91,11 +108,15 @@
         self._link = link
         self._writers = (client, target)
         self.permanent_state: LinkState | None = None
+        self.is_end_lost = False
 
     def abort(self) -> None:
         for writer in self._writers:
             writer.transport.abort()
 
+    def cut_target(self) -> None:
+        self._writers[1].transport.abort()
+
     async def forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_answer: bool
     ) -> None:
@@ -104,11 +125,14 @@
                 state = self.permanent_state or self._link.state
                 if state is LinkState.DELAYED:
                     await asyncio.sleep(self._link.delay_s)
+                if is_answer and (delay_s := self._link.draw_answer_delay_s()):
+                    await asyncio.sleep(delay_s)
                 is_lost = state is LinkState.SILENT or (
                     state is LinkState.ANSWERS_LOST and is_answer
                 )
                 if not is_lost and not writer.is_closing():
                     writer.write(data)
                     await writer.drain()
-            if writer.can_write_eof() and not writer.is_closing():
+            is_end_lost = is_answer and self.is_end_lost
+            if writer.can_write_eof() and not writer.is_closing() and not is_end_lost:
                 writer.write_eof()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,7 +8,7 @@
 
 from tests.soak.callers import Callers
 from tests.soak.cell import GRACE_S, SoakCell
-from tests.soak.faults import Faults, PlannedWork
+from tests.soak.faults import Faults, PlannedWork, WorkerRestarts
 from tests.soak.kept_connections import KeptConnectionCallers
 from tests.soak.moves import ImpatientCallers, MovingQueues
 
@@ -30,7 +30,12 @@
 
 
 def run_seed(
-    seed: int, seconds: float, folder: Path, planned: bool = False, moves: bool = False
+    seed: int,
+    seconds: float,
+    folder: Path,
+    planned: bool = False,
+    moves: bool = False,
+    restarts: bool = False,
 ) -> Outcome:
     """Runs a seed with ``seconds`` of faults. The VMs' logs are written to ``folder``.
 
@@ -38,12 +43,16 @@
         Injects only planned work and checks that each request is answered.
     `moves`
         Moves a queue between two pools, with callers that give up, cancel and send again.
+    `restarts`
+        Restarts workers under their ids and delays their answers, with the same callers.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves))
+    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves, restarts))
 
 
-async def _run_seed(seed: int, seconds: float, folder: Path, planned: bool, moves: bool) -> Outcome:
+async def _run_seed(
+    seed: int, seconds: float, folder: Path, planned: bool, moves: bool, restarts: bool
+) -> Outcome:
     rng, fault_rng = random.Random(seed), random.Random(seed + 1)
     async with SoakCell(folder, seed, moves=moves) as cell:
         callers: Callers
@@ -54,10 +63,15 @@
                 vm.stop_timeout_s = GRACE_S
         elif moves:
             callers, faults = ImpatientCallers(cell, rng), MovingQueues(cell, fault_rng)
+        elif restarts:
+            callers, faults = ImpatientCallers(cell, rng), WorkerRestarts(cell, fault_rng)
+            # Many starts on workers that are not full.
+            callers.max_pause_s, cell.fleet.duration_s = 0.15, 0.15
         else:
             callers, faults = Callers(cell, rng), Faults(cell, fault_rng)
         await asyncio.gather(callers.run(seconds), faults.run(seconds))
         await callers.wait_for_ends(END_TIMEOUT_S)
+        cell.log_starts_and_ends()
         cell.fleet.check_repeated_starts()
         # Lost start orders may leave a gang incomplete; the GANG rule holds only without faults.
         violations = [str(v) for v in cell.fleet.violations if v.rule != "GANG"]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,6 +19,8 @@
     4107: "a VM that was paused handed on a POST after its cancellation was answered 410",
     4116: "the same",
 }
+# With workers that restart under their ids and answer late, and the same callers.
+RESTARTING_SEEDS = (301, 302)
 # Seeds that failed once, with the duration of the failed run in seconds and the cause.
 FAILED_SEEDS: dict[int, tuple[float, str]] = {
     6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
@@ -63,3 +65,13 @@
 @pytest.mark.parametrize("seed", FAILED_MOVING_SEEDS)
 def test_moving_seeds_that_failed_once_pass(seed, tmp_path):
     assert run_seed(seed, 20.0, tmp_path, moves=True).problems == ()
+
+
+@pytest.mark.parametrize("seed", RESTARTING_SEEDS)
+def test_tasks_run_once_while_workers_restart(seed, tmp_path):
+    """Guards against a task that is started again while its run is at work on a restarted worker,
+    whose answers arrive late and overtake each other."""
+    outcome = run_seed(seed, SECONDS, tmp_path, restarts=True)
+    assert outcome.problems == ()
+    assert outcome.accepted > 0
+    assert outcome.starts > 0
