--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -227,7 +227,9 @@
         """Writes what the workers saw of the runs to a log beside those of the VMs."""
         starts, ends = self.fleet.starts, self.fleet.ends
         rows = [(at_s, f"start {task} run {run} on {name}") for at_s, name, task, run in starts]
-        rows += [(e.at_s, f"end {e.task} run {e.run} on {e.worker} {e.outcome}") for e in ends]
+        rows += [
+            (e.at_s, f"end {e.task} run {e.run} on {e.worker} {e.outcome.value}") for e in ends
+        ]
         origin = self.clock.now() - self.clock.boot_time()
         with (self.folder / "workers.log").open("w") as log:
             for at_s, text in sorted(rows):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,8 +19,9 @@
     4107: "a VM that was paused handed on a POST after its cancellation was answered 410",
     4116: "the same",
 }
-# With workers that restart under their ids and answer late, and the same callers.
-RESTARTING_SEEDS = (301, 302)
+# With workers that restart under their ids and answer late, and the same callers. In 20 s of these,
+# tasks ran twice while a list made before a start was taken as proof that its run is gone.
+RESTARTING_SEEDS = (6006, 6009)
 # Seeds that failed once, with the duration of the failed run in seconds and the cause.
 FAILED_SEEDS: dict[int, tuple[float, str]] = {
     6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
