--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -15,10 +15,8 @@
 from hornbeamramp import instruments
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
-from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet.attempt import Attempt, AttemptPhase
 from hornbeamramp.fleet.base import (
-    EndedRun,
     EndProof,
     FencedError,
     HoldReply,
@@ -31,6 +29,7 @@
     WorkerListing,
     WorkerUnreachableError,
 )
+from hornbeamramp.fleet.run_log import given_up_fields, orphan_end_fields, orphan_fields
 from hornbeamramp.resources import Resources
 
 __all__ = ["SessionOwner", "WorkerSession"]
@@ -416,13 +415,7 @@
                 self.worker,
                 task,
                 run,
-                extra={
-                    "event": "run_orphaned",
-                    "task": task,
-                    "run": run,
-                    "worker": self.worker,
-                    "boot": self._boot_ms,
-                },
+                extra=orphan_fields(self.worker, self._boot_ms, task, run),
             )
             self.orphan_stopped_at_by_key[key] = timedelta.max
             self._background.spawn(self._stop_orphan(key))
@@ -537,22 +530,7 @@
         # The first to be applied, whichever call it answers: lists may overtake one another.
         is_first = self._worker_clock_read_at is None
         if is_first:
-            restored = [
-                attempt
-                for attempt in self.attempt_by_key.values()
-                if attempt.phase is AttemptPhase.UNCERTAIN
-            ]
-            # Runs hold leases that a former owner gave by its estimate of the worker's clock. The
-            # token of this call prevents any further extension.
-            lease = min(RUN_LEASE / MIN_WORKER_CLOCK_RATE, self._longest_lease)
-            if restored and reply.clock_ms * MILLISECOND < self._longest_lease:
-                # The former owner may have known only the clock of the boot before.
-                lease = self._longest_lease
-            self._latest_deadline_ms = int(reply.clock_ms + lease / MILLISECOND)
-            # The list shows the state after fencing: orders of former owners can no longer take
-            # effect, so it and any later list prove which runs are gone.
-            for attempt in restored:
-                attempt.confirmed_at = requested_at - timedelta.resolution
+            self._apply_first(reply, requested_at)
         now = self._clock.boot_time()
         if self._boot_ms is not None and reply.boot_ms != self._boot_ms:
             self._on_restart(reply, requested_at)
@@ -572,7 +550,14 @@
             had_ends = True
             self._last_applied = end.number
             if self.orphan_stopped_at_by_key.pop((end.task, end.run), None) is not None:
-                self._log_orphan_end(end)
+                _log.info(
+                    "{}: orphaned run {} run {} ended {}",
+                    self.worker,
+                    end.task,
+                    end.run,
+                    end.outcome.value,
+                    extra=orphan_end_fields(self.worker, self._boot_ms, end),
+                )
             attempt = self.attempt_by_key.get((end.task, end.run))
             if attempt is not None:
                 self._end(attempt, end.outcome, end.checkpoint)
@@ -580,6 +565,26 @@
         if had_ends or is_first:
             self._owner.on_capacity_change(self)
 
+    def _apply_first(self, reply: HoldReply, requested_at: timedelta) -> None:
+        """Takes over the runs that former owners may have started.
+
+        The token of the call prevents any further order or extension of theirs.
+        """
+        restored = [
+            attempt
+            for attempt in self.attempt_by_key.values()
+            if attempt.phase is AttemptPhase.UNCERTAIN
+        ]
+        # A former owner gave leases by its estimate of the worker's clock. Shortly after a restart,
+        # that may have been the clock of the boot before.
+        lease = min(RUN_LEASE / MIN_WORKER_CLOCK_RATE, self._longest_lease)
+        if restored and reply.clock_ms * MILLISECOND < self._longest_lease:
+            lease = self._longest_lease
+        self._latest_deadline_ms = int(reply.clock_ms + lease / MILLISECOND)
+        # This list and any later one prove which of the runs are gone.
+        for attempt in restored:
+            attempt.confirmed_at = requested_at - timedelta.resolution
+
     def _apply_running(self, row: RunningRun, now: timedelta) -> None:
         attempt = self.attempt_by_key.get((row.task, row.run))
         if attempt is None:
@@ -635,38 +640,10 @@
             self.worker,
             outcome.value,
             proof.value,
-            extra={
-                "event": "run_given_up",
-                "task": attempt.name,
-                "run": attempt.run,
-                "worker": self.worker,
-                "outcome": outcome.value,
-                "proof": proof.value,
-                "proof_age_ms": to_ms(age),
-                "phase": attempt.phase.value,
-                "ordered_boot": attempt.ordered_boot_ms,
-                "answered_boot": self._boot_ms or 0,
-            },
+            extra=given_up_fields(attempt, outcome, proof, age, self._boot_ms),
         )
         self._end(attempt, outcome, attempt.checkpoint)
 
-    def _log_orphan_end(self, end: EndedRun) -> None:
-        _log.info(
-            "{}: orphaned run {} run {} ended {}",
-            self.worker,
-            end.task,
-            end.run,
-            end.outcome.value,
-            extra={
-                "event": "orphan_ended",
-                "task": end.task,
-                "run": end.run,
-                "worker": self.worker,
-                "boot": self._boot_ms,
-                "outcome": end.outcome.value,
-            },
-        )
-
     def _is_of_earlier_boot(self, reply: HoldReply, requested_at: timedelta) -> bool:
         """Returns whether an earlier boot than the newest one known may have made a list.
 
