Close HTTP sessions that were retired while they were idle

Cause: a session that was idle for over 5 s is retired, and was closed only at the end of a request of its own, which never came. The calls of the lease loops had kept most from idling; since they have connections of their own, each pause of over 5 s between two orders to a worker kept a session, about 9 kB. Change: each request closes the retired sessions without pending requests. Measured: the test failed before (4 sessions kept after 5 requests) and passes. The test of requests that must not connect covers.

--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -289,11 +289,13 @@
         pending = self._pending_by_session[session] - 1
         if pending:
             self._pending_by_session[session] = pending
-            return
-        del self._pending_by_session[session]
-        if session in self._retired:
-            self._retired.discard(session)
-            await session.close()
+        else:
+            del self._pending_by_session[session]
+        # Among them is one that was retired while it was idle.
+        unused = [each for each in self._retired if each not in self._pending_by_session]
+        self._retired.difference_update(unused)
+        for each in unused:
+            await each.close()
 
 
 async def _on_request_headers_sent(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -224,6 +224,39 @@
     run(scenario())
 
 
+def test_sessions_that_were_idle_for_long_are_closed(run):
+    """Guards against a process that keeps a session for each pause between two requests."""
+
+    async def scenario():
+        clock = ManualClock()
+        async with serving() as server, connected(server.address, clock=clock) as client:
+            for number in range(5):
+                clock.set(number * (IDLE_LIMIT + SECOND))
+                await client.request("GET", "/1")
+            assert client._retired == set()
+
+    run(scenario())
+
+
+def test_request_that_must_not_connect_goes_only_on_an_open_connection(run):
+    """Guards against a request that reaches another process than the one before it."""
+
+    async def scenario():
+        async with serving("answer", "close") as server, connected(server.address) as client:
+            with pytest.raises(RequestFailedError) as caught:
+                await client.request("POST", "/1", b"1", may_connect=False)
+            assert not caught.value.sent
+            await client.request("POST", "/2", b"1")
+            with pytest.raises(RequestFailedError):
+                await client.request("POST", "/3", b"1", may_connect=False)
+            with pytest.raises(RequestFailedError) as caught:
+                await client.request("POST", "/4", b"1", may_connect=False)
+            assert not caught.value.sent
+            assert [connection for connection, _ in server.requests] == [1, 1]
+
+    run(scenario())
+
+
 def test_answer_cut_in_the_middle_is_a_failure(run):
     """Guards against taking a truncated response for a complete one."""
 
