Give the calls of each session a series of their own

Callers would see a task that runs again although it is done (TWICE), or one that never ends (LOST). Cause and change: - A call without a list (a status other than 200) left the connection in the pool, and a late list could set the failures to none, so that the next call acknowledged ends of the boot before there. Now only a call that was answered with a list allows the next acknowledgement. - A worker that closes each connection was called without a pause and never told which ends are known. After two acknowledgements in a row that found no open connection they may open one, and a line tells it. - The connection went by the worker's id, across sessions, and closing it took some ticks in which a worker listed again got a session without a loop. Now a session ends its own series at once, also if cancelled. - A list without a start time no longer makes the worker unusable for good. Measured: two tests fail without the first and the second change and pass; the wire test covers the connection.

--- a/hornbeamramp/fleet/__init__.py
+++ b/hornbeamramp/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from hornbeamramp.fleet.attempt import Attempt, AttemptPhase
 from hornbeamramp.fleet.base import (
+    CallSeries,
     EndedRun,
     EndProof,
     HoldReply,
@@ -19,6 +20,7 @@
 __all__ = [
     "Attempt",
     "AttemptPhase",
+    "CallSeries",
     "EndProof",
     "EndedRun",
     "HoldReply",
--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -12,6 +12,7 @@
 from hornbeamramp.resources import Resources
 
 __all__ = [
+    "CallSeries",
     "EndProof",
     "EndedRun",
     "HoldReply",
@@ -136,6 +137,17 @@
     """No answer from a worker. If ``sent`` is true, the order may still be carried out later."""
 
 
+class CallSeries:
+    """Hold calls of one session.
+
+    `may_reconnect`
+        Whether a call that acknowledges ends may open a connection.
+    """
+
+    def __init__(self) -> None:
+        self.may_reconnect = False
+
+
 class FencedError(Exception):
     """The worker has seen a higher fencing token."""
 
@@ -170,19 +182,19 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
-        in_series: bool = False,
+        series: "CallSeries | None" = None,
     ) -> HoldReply:
         """Extends the lease of all runs to ``deadline_ms`` on the worker's clock, acknowledges the
         ends up to number ``last_seen``, which the worker then forgets, and waits up to ``wait`` for
         another run to end. With ``deadline_ms`` ``None`` the lease is not extended.
 
-        Calls in series, of which a worker gets one at a time, have a connection of their own. With
-        ``last_seen`` such a call is sent only on the connection on which the one before was
-        answered, so that the ends of another boot are never forgotten."""
+        The calls of a series, made one after the other, have a connection of their own. With
+        ``last_seen`` one is sent only on the connection on which the one before was answered, so
+        that the ends of another boot are never forgotten, or on any if ``may_reconnect`` is set."""
 
     @abstractmethod
-    async def forget(self, worker: UpstreamId) -> None:
-        """Closes the connection for calls in series to a worker."""
+    def end_series(self, series: "CallSeries") -> None:
+        """Closes the connection of a series."""
 
     @abstractmethod
     async def pace(
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -17,6 +17,7 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet.attempt import Attempt, AttemptPhase
 from hornbeamramp.fleet.base import (
+    CallSeries,
     EndProof,
     FencedError,
     HoldReply,
@@ -118,8 +119,11 @@
         self._deadline_by_order: dict[Attempt, int] = {}
         # An order got no answer, and the worker has not answered since.
         self._is_suspect = False
-        # Boot that answered the latest hold call in series.
+        self._series = CallSeries()
+        # Boot that answered the latest call of the series, and the acknowledgements in a row that
+        # were not sent, as its connection had been closed.
         self._series_boot_ms: int | None = None
+        self._unsent_acks = 0
         # Numbers of the last end in the store, of the last one reported to the owner, and of the
         # last one that the worker has been told to forget.
         self._last_recorded = 0
@@ -150,7 +154,7 @@
 
         Capacity and labels of another boot may differ.
         """
-        return self.listing.boot_ms in (0, self._boot_ms)
+        return 0 in (self.listing.boot_ms, self._boot_ms) or self.listing.boot_ms == self._boot_ms
 
     def free(self) -> tuple[int, int, int]:
         """Returns the free capacity: thousandths of a core, MiB, accelerators."""
@@ -439,17 +443,22 @@
     async def run(self) -> None:
         """Extends the worker's lease and applies its run lists, until the worker is no longer
         listed and no attempt is left on it."""
-        while self.is_listed or self.attempt_by_key:
-            is_answered = False
-            try:
-                is_answered = self._owner.may_extend() and await self._hold_once()
-            finally:
-                # After an unexpected error, too: without their end, tasks would never run again.
-                if not is_answered:
-                    self.end_lapsed_runs()
+        try:
+            while self.is_listed or self.attempt_by_key:
+                await self._run_once()
+        finally:
+            self._client.end_series(self._series)
+
+    async def _run_once(self) -> None:
+        is_answered = False
+        try:
+            is_answered = self._owner.may_extend() and await self._hold_once()
+        finally:
+            # After an unexpected error, too: without their end, tasks would never run again.
             if not is_answered:
-                await self._clock.sleep(RETRY_PAUSE)
-        await self._client.forget(self.worker)
+                self.end_lapsed_runs()
+        if not is_answered:
+            await self._clock.sleep(RETRY_PAUSE)
 
     async def _hold_once(self, may_ack: bool = True) -> bool:
         """Sends a hold call. Returns whether the worker has answered.
@@ -470,15 +479,23 @@
         if deadline is not None:
             self._latest_deadline_ms = max(self._latest_deadline_ms, deadline)
         end_to_ack = self._end_to_ack() if may_ack else 0
+        self._series_boot_ms = None
+        # A worker that closes each connection is told right after an answer, when it can hardly
+        # have restarted; otherwise its list of ends would grow without bound.
+        self._series.may_reconnect = self._unsent_acks > 1
         listing = self.listing
         try:
             reply = await self._client.hold(
-                listing, self._owner.token, end_to_ack, deadline, wait, in_series=True
+                listing, self._owner.token, end_to_ack, deadline, wait, self._series
             )
         except WorkerUnreachableError as error:
             if end_to_ack and not error.sent:
                 # The connection to the boot that has these ends is closed.
+                self._unsent_acks += 1
+                if self._unsent_acks == 2:
+                    _log.warning("worker {} closes its connections", self.worker)
                 return await self._hold_once(may_ack=False)
+            self._unsent_acks = 0
             self.consecutive_failures += 1
             if self.consecutive_failures == 2:
                 _log.warning("worker {} is unreachable: {}", self.worker, error)
@@ -491,6 +508,8 @@
             self._on_instance_mismatch(listing, requested_at)
             return False
         self._series_boot_ms = reply.boot_ms
+        if end_to_ack and not self._series.may_reconnect:
+            self._unsent_acks = 0
         if self._boot_ms == boot_ms:
             self._last_acked = max(self._last_acked, end_to_ack)
         self._apply(reply, requested_at)
@@ -503,8 +522,8 @@
     def _end_to_ack(self) -> int:
         """Returns the number of the last end that the worker may forget, or 0.
 
-        Each boot numbers its ends from 1. Calls in series acknowledge ends only on the connection
-        on which the one before was answered, so it has to be the boot whose ends these are.
+        Each boot numbers its ends from 1. A series acknowledges ends only on the connection on
+        which its call before was answered, so that has to be the boot whose ends these are.
         """
         is_same_boot = self._series_boot_ms is not None and self._series_boot_ms == self._boot_ms
         return self._last_recorded if is_same_boot and self.consecutive_failures == 0 else 0
@@ -666,6 +685,7 @@
         _log.warning("worker {} has restarted, boot {}", self.worker, reply.boot_ms)
         self._boot_ms, self._boot_seen_at = reply.boot_ms, self._clock.boot_time()
         self._last_recorded = self._last_applied = self._last_acked = 0
+        self._unsent_acks = 0
         # An order in flight has a deadline on the clock of the old boot. On the new boot's clock it
         # may be late enough to give the longest lease.
         self._latest_deadline_ms = self._longest_deadline_ms(reply.clock_ms)
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -7,9 +7,11 @@
 import logbook
 import msgspec
 
+from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
 from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet import (
+    CallSeries,
     EndedRun,
     HoldReply,
     RunningRun,
@@ -23,7 +25,6 @@
 )
 from hornbeamramp.fleet.base import FencedError, InstanceMismatchError
 from hornbeamramp.http_client import HttpClient, HttpReply, RequestFailedError
-from hornbeamramp.ids import UpstreamId
 from hornbeamramp.states import Step
 
 __all__ = ["PlatformWorkers"]
@@ -115,7 +116,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._client_by_address: dict[str, HttpClient] = {}
-        self._series_client_by_worker: dict[UpstreamId, HttpClient] = {}
+        self._client_by_series: dict[CallSeries, HttpClient] = {}
+        self._background = BackgroundTasks("workers", _log)
 
     async def start(
         self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
@@ -158,16 +160,16 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
-        in_series: bool = False,
+        series: CallSeries | None = None,
     ) -> HoldReply:
         body: dict[str, Any] = {"fencing-token": token, "last-seen": last_seen}
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
         if wait:
             body["wait-ms"] = to_ms(wait)
-        client = await self._series_client(worker) if in_series else None
+        may_connect = not last_seen or series is None or series.may_reconnect
         reply = await self._call(
-            worker, "/hold", body, wait, client=client, may_connect=not last_seen
+            worker, "/hold", body, wait, series=series, may_connect=may_connect
         )
         self._expect_unfenced(reply)
         if reply.status != 200:
@@ -191,23 +193,24 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        clients = (*self._client_by_address.values(), *self._series_client_by_worker.values())
-        for client in clients:
+        for client in (*self._client_by_address.values(), *self._client_by_series.values()):
             await client.close()
 
-    async def forget(self, worker: UpstreamId) -> None:
-        client = self._series_client_by_worker.pop(worker, None)
+    def end_series(self, series: CallSeries) -> None:
+        client = self._client_by_series.pop(series, None)
         if client is not None:
-            await client.close()
-
-    async def _series_client(self, worker: WorkerListing) -> HttpClient:
-        client = self._series_client_by_worker.get(worker.worker)
-        if client is not None and client.address != worker.address:
-            await self.forget(worker.worker)
-            client = None
-        if client is None:
-            client = self._open_client(worker.address)
-            self._series_client_by_worker[worker.worker] = client
+            self._background.spawn(client.close())
+
+    def _client(self, address: str, series: CallSeries | None) -> HttpClient:
+        if series is None:
+            client = self._client_by_address.get(address)
+            if client is None:
+                client = self._client_by_address[address] = self._open_client(address)
+            return client
+        client = self._client_by_series.get(series)
+        if client is None or client.address != address:
+            self.end_series(series)
+            client = self._client_by_series[series] = self._open_client(address)
         return client
 
     def _open_client(self, address: str) -> HttpClient:
@@ -224,16 +227,14 @@
         body: dict[str, Any],
         wait: timedelta = timedelta(0),
         check: Callable[[], bool] | None = None,
-        client: HttpClient | None = None,
+        series: CallSeries | None = None,
         may_connect: bool = True,
     ) -> HttpReply:
         if not worker.address:
             raise WorkerUnreachableError(
                 Step.RUN, worker.worker, "the listing has no address", sent=False
             )
-        client = client or self._client_by_address.get(worker.address)
-        if client is None:
-            client = self._client_by_address[worker.address] = self._open_client(worker.address)
+        client = self._client(worker.address, series)
         headers = {"Expect-Instance": worker.worker}
         data = msgspec.json.encode(body)
         try:
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -401,10 +401,10 @@
     class SlowFirstList(FleetView):
         calls = 0
 
-        async def hold(self, *arguments, **options):
+        async def hold(self, *arguments):
             self.calls += 1
             is_first = self.calls == 1
-            reply = await super().hold(*arguments, **options)
+            reply = await super().hold(*arguments)
             if is_first:
                 await asyncio.sleep(0.2)
             return reply
@@ -436,12 +436,12 @@
     class LostFirstCall(FleetView):
         calls = 0
 
-        async def hold(self, worker, *arguments, **options):
+        async def hold(self, worker, *arguments):
             self.calls += 1
             if self.calls == 1:
                 await asyncio.sleep(0.3)
                 raise WorkerUnreachableError(Step.RENEW, worker.worker, "no answer")
-            return await super().hold(worker, *arguments, **options)
+            return await super().hold(worker, *arguments)
 
     async def scenario():
         harness = SessionHarness(LostFirstCall)
@@ -639,11 +639,11 @@
         await super().stop(*arguments)
         await asyncio.sleep(delay_s)
 
-    async def hold(self, *arguments, **options):
+    async def hold(self, *arguments):
         delay_s = self.list_delay_s
         if self.connected is not None:
             await self.connected.wait()
-        reply = await super().hold(*arguments, **options)
+        reply = await super().hold(*arguments)
         await asyncio.sleep(delay_s)
         return reply
 
@@ -947,9 +947,9 @@
     is_replaced = False
     delay_s = 0.0
 
-    async def hold(self, worker, *arguments, **options):
+    async def hold(self, worker, *arguments):
         await self.check_instance(worker)
-        return await super().hold(worker, *arguments, **options)
+        return await super().hold(worker, *arguments)
 
     async def pace(self, worker, *arguments):
         await self.check_instance(worker)
@@ -1045,3 +1045,70 @@
         }
 
     run_with_harness(scenario)
+
+
+class ScriptedWorker(FleetView):
+    """Answers the calls of a series by a script; other calls as the simulated worker does."""
+
+    script = None
+
+    async def hold(self, worker, token, last_seen, deadline_ms, wait, series=None):
+        if self.script is not None and series is not None:
+            return await self.script(last_seen, deadline_ms)
+        return await super().hold(worker, token, last_seen, deadline_ms, wait, series)
+
+
+def unreachable(sent=True):
+    return WorkerUnreachableError(Step.RENEW, "w0", "no answer", sent)
+
+
+def test_ends_are_not_acknowledged_after_a_call_without_a_list():
+    """Guards against a new boot that forgets its own ends: it answered a call without a list, on
+    the connection on which the next one went, with the end numbers of the boot before."""
+
+    async def scenario(harness):
+        acknowledged = []
+
+        async def script(last_seen, deadline_ms):
+            acknowledged.append(last_seen)
+            # As a late list of the earlier boot does.
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.1, setattr, harness.session, "consecutive_failures", 0)
+            raise unreachable()
+
+        await harness.start(harness.attempt())
+        await asyncio.sleep(0.5)
+        harness.worker.end(f"{'a' * 16}.0.0.0", RunOutcome.DONE)
+        await until(lambda: harness.session._last_recorded == 1)
+        harness.view.script = script
+        await asyncio.sleep(4.0)
+        assert len(acknowledged) > 2
+        assert set(acknowledged[1:]) == {0}
+
+    run_with_harness(scenario, ScriptedWorker)
+
+
+def test_worker_that_closes_its_connections_is_told_which_ends_are_known():
+    """Guards against a list of ends that grows without bound, and calls without a pause."""
+
+    async def scenario(harness):
+        calls = []
+
+        async def script(last_seen, deadline_ms):
+            calls.append(last_seen)
+            if last_seen and not harness.session._series.may_reconnect:
+                raise unreachable(sent=False)
+            await asyncio.sleep(0.01)
+            harness.worker.acknowledge_ends(last_seen)
+            if not harness.worker.ended:
+                await asyncio.sleep(1.0)
+            return harness.worker.hold_reply()
+
+        harness.view.script = script
+        await harness.start(harness.attempt())
+        harness.worker.end(f"{'a' * 16}.0.0.0", RunOutcome.DONE)
+        await asyncio.sleep(5.0)
+        assert harness.worker.ended == []
+        assert len(calls) < 15
+
+    run_with_harness(scenario, ScriptedWorker)
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -10,6 +10,7 @@
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import (
+    CallSeries,
     EndedRun,
     HoldReply,
     RunningRun,
@@ -452,7 +453,7 @@
         self.late_share = 0.0
         self.max_order_delay_s = 0.0
         self.max_answer_delay_s = 0.0
-        self._series_call_by_worker: dict[str, _Call] = {}
+        self._call_by_series: dict[CallSeries, _Call] = {}
         self.is_closed = False
         self.frozen: asyncio.Event | None = None
 
@@ -511,10 +512,10 @@
         last_seen: int,
         deadline_ms: int | None,
         wait: timedelta,
-        in_series: bool = False,
+        series: CallSeries | None = None,
     ) -> HoldReply:
-        before = self._series_call_by_worker.pop(worker.worker, None) if in_series else None
-        if last_seen:
+        before = None if series is None else self._call_by_series.pop(series, None)
+        if last_seen and series is not None and not series.may_reconnect:
             call = await self._reach_again(worker, before, wait)
         else:
             call = await self._reach(worker, wait)
@@ -547,8 +548,8 @@
             await self._receive(call)
         elif (await self._reach(worker)).target is not target or not call.is_connected:
             await self._time_out(worker)
-        if in_series:
-            self._series_call_by_worker[worker.worker] = call
+        if series is not None:
+            self._call_by_series[series] = call
         return reply
 
     async def pace(
@@ -556,8 +557,8 @@
     ) -> None:
         await self._receive(await self._reach(worker))
 
-    async def forget(self, worker: str) -> None:
-        self._series_call_by_worker.pop(worker, None)
+    def end_series(self, series: CallSeries) -> None:
+        self._call_by_series.pop(series, None)
 
     def _run_delayed(self, call: _Call, action: Callable[[], object]) -> None:
         def run_if_same_boot() -> None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,7 +9,7 @@
 from hornbeamramp import http_client
 from hornbeamramp.clock import SystemClock
 from hornbeamramp.errors import StoreUnavailableError
-from hornbeamramp.fleet import RunOutcome, StartOrder, StartReply, WorkerListing
+from hornbeamramp.fleet import CallSeries, RunOutcome, StartOrder, StartReply, WorkerListing
 from hornbeamramp.fleet.base import FencedError, InstanceMismatchError, WorkerUnreachableError
 from hornbeamramp.ids import JobId
 from hornbeamramp.platform.store import PlatformStore
@@ -328,20 +328,25 @@
         client = PlatformWorkers(SystemClock())
         listing = WorkerListing("w0", "pool", address, "gebze", False, CAPACITY)
 
-        def hold(last_seen, in_series=True):
-            return client.hold(listing, 1, last_seen, None, timedelta(0), in_series=in_series)
+        series = CallSeries()
+
+        def hold(last_seen, series=series):
+            return client.hold(listing, 1, last_seen, None, timedelta(0), series)
 
         with pytest.raises(WorkerUnreachableError) as raised:
             await hold(1)
         assert not raised.value.sent
         await hold(0)
-        await hold(0, in_series=False)
+        await hold(0, series=None)
         closing.set()
         await hold(2)
         with pytest.raises(WorkerUnreachableError) as raised:
             await hold(3)
         assert not raised.value.sent
         assert [last_seen for _, last_seen in calls] == [0, 0, 2]
+        series.may_reconnect = True
+        await hold(3)
+        client.end_series(series)
         assert calls[0][0] is calls[2][0] is not calls[1][0]
         await client.close()
         await runner.cleanup()
