Extend no lease while a worker may have restarted

Cause: once another boot has answered a start, its longest lease is counted from that answer. A hold call sent before the list that follows still carried a deadline on the clock of the boot before, for which the new boot gives its longest lease anew; the end of the runs was taken as up to 0.3 s too early. Change: while the worker is suspect, hold calls extend no lease and don't wait.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -470,8 +470,8 @@
         boot_ms = self._boot_ms
         is_first = self._worker_clock_read_at is None
         # An unanswered call may have extended the lease. Retries don't extend it again, so that the
-        # lease of a worker that is gone expires.
-        is_answering = not is_first and self.consecutive_failures == 0
+        # lease of a worker that is gone expires. A suspect one may have restarted.
+        is_answering = not is_first and self.consecutive_failures == 0 and not self._is_suspect
         deadline = self.deadline_ms() if is_answering else None
         # Unrecorded ends are listed again and answer the call at once, so waiting is of no use.
         has_unrecorded_ends = self._last_applied > self._last_recorded
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -1088,6 +1088,26 @@
     run_with_harness(scenario, ScriptedWorker)
 
 
+def test_lease_is_not_extended_by_the_old_clock_once_another_boot_has_answered():
+    """Guards against a run that counts as lapsed while it is at work: a call with a deadline on the
+    clock of the boot before extended the lease after it was taken as given."""
+
+    async def scenario(harness):
+        deadlines = []
+
+        async def script(last_seen, deadline_ms):
+            deadlines.append(deadline_ms)
+            raise unreachable()
+
+        await asyncio.sleep(20)
+        harness.session._is_suspect = True
+        harness.view.script = script
+        await harness.session._hold_once()
+        assert deadlines == [None]
+
+    run_with_harness(scenario, ScriptedWorker)
+
+
 def test_worker_that_closes_its_connections_is_told_which_ends_are_known():
     """Guards against a list of ends that grows without bound, and calls without a pause."""
 
