review: case 6, a task runs on a restarted worker and elsewhere at once (TWICE)

A worker restarts, is told to start a task before its holder knows, and is cut off at once, so the answer is lost. The holder counts the lease on the clock of the old boot, takes it for over up to 5 s early, and starts the task on another worker beside it.

--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -290,6 +290,11 @@
         # While set, it answers starts with 503 and does nothing, and is sound otherwise.
         self.is_shedding = False
         self.shed = 0
+        # While set, nothing that is sent arrives in either direction, and the worker runs on.
+        self.is_cut = False
+        self.cut_at = 0.0
+        self._healed = asyncio.Event()
+        self.zone = "gebze"
         self.state = "ready"
         self.born = 0
         self.sequence = 0
@@ -331,11 +336,12 @@
         self.world.record.write(f"worker {self.name} has crashed")
 
     def register(self) -> None:
+        self._beat_at = time.monotonic()
         self.sequence += 1
         entry = {
             "service": self.service,
             "address": self.listener.address,
-            "zone": "gebze",
+            "zone": self.zone,
             "version": "1",
             "slots": 8,
             "state": self.state,
@@ -347,6 +353,14 @@
         }
         self.world.store.put(f"servers/{self.name}", json.dumps(entry).encode())
 
+    def beat(self) -> None:
+        """Writes the entry every `HEARTBEAT_S`; it goes after three times this in silence."""
+        now = time.monotonic()
+        if self.is_cut and now - self.cut_at > 3 * HEARTBEAT_S:
+            self.world.store.delete(f"servers/{self.name}")
+        elif self.is_up and not self.is_cut and now - self._beat_at >= HEARTBEAT_S:
+            self.register()
+
     @property
     def clock_ms(self) -> int:
         return int((time.monotonic() - self._booted_at) * 1000)
@@ -375,7 +389,30 @@
         self._run_ended.set()
         self._run_ended = asyncio.Event()
 
+    def cut(self) -> None:
+        """Cuts the worker off from all others, in silence."""
+        self.is_cut, self.cut_at = True, time.monotonic()
+        self._healed = asyncio.Event()
+        self.world.record.write(f"worker {self.name} is cut off")
+
+    async def heal(self) -> None:
+        """Ends the cut; connections that were open are gone."""
+        self.is_cut = False
+        self._healed.set()
+        await self.listener.crash()
+        await self.listener.start()
+        self.register()
+        self.world.record.write(f"worker {self.name} is no longer cut off")
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        answer = web.Response() if self.is_cut else await self._answer_of(request)
+        if self.is_cut:
+            # Lost. The connection is reset once the cut has ended.
+            await self._healed.wait()
+            await asyncio.sleep(1.0)
+        return answer
+
+    async def _answer_of(self, request: web.BaseRequest) -> web.StreamResponse:
         body = json.loads(await request.read())
         if request.headers.get("Expect-Instance", self.name) != self.name:
             return reply({"clock-ms": self.clock_ms}, 421)
@@ -420,7 +457,8 @@
             return self._answer({}, 503)
         reason = self._refusal(body)
         self.world.record.write(
-            f"worker {self.name} is told to start {task} run {number}: {reason or 'started'}"
+            f"worker {self.name} is told to start {task} run {number}, lease to"
+            f" {body['deadline-ms']} at {self.clock_ms}: {reason or 'started'}"
         )
         if reason == "there":
             return self._answer({})
@@ -745,10 +783,15 @@
         except (aiohttp.ClientError, TimeoutError):
             return False
 
-    async def add_worker(self, name: str, service: str, kind: str, rack: str) -> Worker:
+    async def add_worker(
+        self, name: str, service: str, kind: str, rack: str, zone: str = "gebze"
+    ) -> Worker:
         worker = Worker(self, name, service, kind, rack)
+        worker.zone = zone
         self.worker_by_name[name] = worker
         await worker.boot()
+        # The beats of the workers are spread over time.
+        worker._beat_at -= HEARTBEAT_S * (len(self.worker_by_name) % 12) / 12
         return worker
 
     def configure(self, config: dict[str, Any]) -> None:
@@ -765,16 +808,11 @@
         return None
 
     async def _heartbeats(self) -> None:
-        beat = time.monotonic()
         while True:
             await asyncio.sleep(0.02)
             for worker in self.worker_by_name.values():
                 worker.lapse()
-            if time.monotonic() - beat >= HEARTBEAT_S:
-                beat = time.monotonic()
-                for worker in self.worker_by_name.values():
-                    if worker.is_up:
-                        worker.register()
+                worker.beat()
 
     async def __aexit__(self, *error: object) -> None:
         await asyncio.gather(*(vm.stop() for vm in self.vms))
