Send starts only on connections to a boot that is known

What callers saw: a worker restarted under its id, got a start before its pool's owner knew, and was cut off before the answer.

Cause: the order's deadline is a time on the clock of the boot before. On the new boot's clock it lies far in the future, so the worker granted its longest lease (10 s), while the owner counted the 6 s that it had ordered. Nothing kept an order from going to a boot of which no list was known; the end of the pending hold call, which a restart resets, wasn't needed for that.

Change: connections end with the process to which they lead. One that was open before the newest list was requested leads to that list's boot or to none. `HttpClient` passes the time of a connection's first use to a check right before the write, and `WorkerSession` requests a list first if the connection is newer than the newest list. If the list shows another boot, or there is none, the start is not sent, which is certain, and the task is placed again at once. So an unanswered order has the lease that was counted, and the longest one needn't be counted for any.

The model's starts now go over connections that are kept, as those of the HTTP client are. Nine tests of proofs for orders that reach an unknown boot now reach it through a proxy (`has_proxy`), whose connections outlive boots; their checks are the same.

--- a/hornbeamramp/background.py
+++ b/hornbeamramp/background.py
@@ -49,11 +49,12 @@
 
     def spawn(
         self, coroutine: Coroutine[Any, Any, Any], context: contextvars.Context | None = None
-    ) -> None:
-        """Runs a coroutine as a task, by default in the caller's context."""
+    ) -> asyncio.Task[Any]:
+        """Runs a coroutine as a task, by default in the caller's context, and returns the task."""
         task = asyncio.get_running_loop().create_task(coroutine, context=context)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
+        return task
 
     async def cancel(self) -> None:
         """Cancels all tasks and waits until they have ended."""
--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -1,7 +1,7 @@
 """Interface of the client that sends orders to workers, and the types of their reports."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from enum import Enum
 
@@ -125,12 +125,17 @@
 
 
 class HoldReply(msgspec.Struct, frozen=True):
-    """All runs in progress on a worker, and the ended runs that it has not been told to forget."""
+    """All runs in progress on a worker, and the ended runs that it has not been told to forget.
+
+    `sent_at`
+        Boot time at which the call was written to its connection; ``None`` if not known.
+    """
 
     clock_ms: int
     boot_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    sent_at: timedelta | None = None
 
 
 class WorkerUnreachableError(UnreachableError):
@@ -166,9 +171,16 @@
 
     @abstractmethod
     async def start(
-        self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
+        self,
+        worker: WorkerListing,
+        order: StartOrder,
+        check: Callable[[], bool],
+        check_connection: Callable[[timedelta], Awaitable[bool]],
     ) -> StartAnswer:
-        """Starts a run. Starting the same run again has no effect."""
+        """Starts a run. Starting the same run again has no effect.
+
+        ``check_connection`` is awaited with a boot time by which the connection for the order was
+        open; if it returns false, the order is not sent."""
 
     @abstractmethod
     async def stop(self, worker: WorkerListing, task: str, run: int, token: int) -> None:
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -131,8 +131,12 @@
         self._last_acked = 0
         # Latest end of leases that a boot has given of which no list is known yet.
         self._unknown_boot_lease_until = timedelta(0)
-        # When the newest run list that has been applied was requested.
+        # When the newest run list that has been applied was requested, and when that request was
+        # written to its connection.
         self._applied_request_at = timedelta(0)
+        self._list_sent_at = timedelta.min
+        # Request of a run list by starts that wait until their connections' boot is known.
+        self._connection_check: asyncio.Task[bool] | None = None
         # Before the first contact, runs may hold leases of a former owner, of which only the
         # longest possible duration is known.
         self._inherited_lease_until = clock.boot_time() + inherited_lease
@@ -200,22 +204,27 @@
         if not is_usable or self.listing.draining:
             return StartReply.UNHEALTHY
         attempt.phase = AttemptPhase.ORDERED
-        attempt.ordered_boot_ms = self._boot_ms or 0
+        boot_ms = self._boot_ms
+        attempt.ordered_boot_ms = boot_ms or 0
 
         def may_send() -> bool:
-            # The job may be cancelled while the call waits for a connection.
-            return self._owner.may_order() and not attempt.stop_wanted
+            # The job may be cancelled, or a restart be seen, while the call waits for a connection.
+            is_same_boot = self._boot_ms == boot_ms
+            return self._owner.may_order() and is_same_boot and not attempt.stop_wanted
 
         self._deadline_by_order[attempt] = order.deadline_ms
         is_sent = True
         least_clock_ms = self._least_clock_ms()
         try:
-            answer = await self._client.start(self.listing, order, may_send)
+            answer = await self._client.start(
+                self.listing, order, may_send, self._leads_to_known_boot
+            )
         except WorkerUnreachableError as error:
             is_sent = error.sent
             if error.sent or may_send():
                 self._suspect()
             if not error.sent:
+                _log.info("start of {} run {} not sent: {}", attempt.name, attempt.run, error)
                 return StartReply.UNHEALTHY
             _log.info("start of {} run {} unanswered: {}", attempt.name, attempt.run, error)
             self._mark_uncertain(attempt)
@@ -248,24 +257,46 @@
                 # The worker has restarted meanwhile, and either boot may have answered.
                 self._background.spawn(self._fetch_runs())
             elif answer.clock_ms is not None and answer.clock_ms < least_clock_ms:
-                self._on_unknown_boot(now)
+                self._on_unknown_boot()
         return reply
 
+    async def _leads_to_known_boot(self, connected_at: timedelta) -> bool:
+        """Returns whether a connection leads to the newest boot known of the worker, or to none.
+
+        A connection ends with the boot to which it leads, so one that was open before the newest
+        list was requested can't lead to a later boot than that of the list. For any other, a list
+        is requested now. Connections opened at the same time share the request.
+
+        `connected_at`
+            Boot time by which the connection was open.
+        """
+        while connected_at > self._list_sent_at:
+            if self._connection_check is None or self._connection_check.done():
+                instruments.connection_checks.add(1)
+                self._connection_check = self._background.spawn(self._fetch_runs())
+            if not await asyncio.shield(self._connection_check):
+                return False
+        return True
+
     def _least_clock_ms(self) -> int:
         """Returns the earliest time that the clock of the worker's boot can show now."""
         elapsed = self._clock.boot_time() - (self._worker_clock_read_at or timedelta(0))
         return int(self._worker_clock_ms + MIN_WORKER_CLOCK_RATE * (elapsed / MILLISECOND)) - 1
 
-    def _on_unknown_boot(self, now: timedelta) -> None:
+    def _on_unknown_boot(self) -> None:
         """Handles that a boot has answered of which no list is known, as its clock began anew.
 
         It has granted its longest lease: the deadline was on the clock of the boot before.
         """
         _log.info("worker {} has restarted, by the clock in an answer", self.worker)
-        lease_until = now + self._longest_lease / MIN_WORKER_CLOCK_RATE
-        self._unknown_boot_lease_until = max(self._unknown_boot_lease_until, lease_until)
+        self._count_longest_lease()
         self._suspect()
 
+    def _count_longest_lease(self) -> None:
+        """Counts the longest lease from now on for the worker's runs."""
+        lease_until = self._clock.boot_time() + self._longest_lease / MIN_WORKER_CLOCK_RATE
+        self._unknown_boot_lease_until = max(self._unknown_boot_lease_until, lease_until)
+
     def _suspect(self) -> None:
         """Checks at once whether the worker still answers, and gives it no new runs until it does.
 
@@ -546,6 +577,7 @@
             _log.info("{}: late run list of boot {} ignored", self.worker, reply.boot_ms)
             return
         self._applied_request_at = requested_at
+        self._list_sent_at = max(self._list_sent_at, reply.sent_at or requested_at)
         # The first to be applied, whichever call it answers: lists may overtake one another.
         is_first = self._worker_clock_read_at is None
         if is_first:
--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -9,6 +9,7 @@
 import asyncio
 import functools
 import socket
+import weakref
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from typing import Any
@@ -36,11 +37,16 @@
 
 
 class HttpReply(msgspec.Struct, frozen=True):
-    """A complete response. Header names are case-insensitive."""
+    """A complete response. Header names are case-insensitive.
+
+    `sent_at`
+        Boot time at which the request was written to its connection; ``None`` if it has no body.
+    """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    sent_at: timedelta | None = None
 
 
 class RequestFailedError(Exception):
@@ -72,14 +78,33 @@
 
 
 class _RequestState:
-    """State of one request: whether it was written, and the check that precedes the write."""
+    """State of one request: whether it was written, and the checks that precede the write.
 
-    def __init__(self, check: Callable[[], bool] | None, has_body: bool, may_connect: bool) -> None:
+    `is_over`
+        The caller has its answer or error, so nothing may be written any more.
+    """
+
+    def __init__(
+        self,
+        check: Callable[[], bool] | None,
+        check_connection: Callable[[timedelta], Awaitable[bool]] | None,
+        has_body: bool,
+        may_connect: bool,
+    ) -> None:
         self.sent = False
+        self.sent_at: timedelta | None = None
         self.has_body = has_body
         self.may_connect = may_connect
         self.allowed = True
+        self.is_over = False
         self._check = check
+        self._check_connection = check_connection
+
+    async def run_connection_check(self, connected_at: timedelta) -> None:
+        """Runs the check of the connection. Raises `_CheckFailedError` if it returns false."""
+        if self._check_connection is not None and not await self._check_connection(connected_at):
+            self.allowed = False
+            raise _CheckFailedError
 
     def run_check(self) -> None:
         """Runs the check. Raises `_CheckFailedError` if it returns false."""
@@ -104,21 +129,47 @@
         raise _DisconnectedError(_describe(error)) from error
 
 
+class _Connections:
+    """The times by which the connections of one client were open."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self._connected_at: weakref.WeakKeyDictionary[asyncio.BaseTransport, timedelta] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def connected_at(self, transport: asyncio.BaseTransport) -> timedelta:
+        """Returns the boot time of the first use of a connection, by which it was open."""
+        return self._connected_at.setdefault(transport, self.clock.boot_time())
+
+
 class _CheckedBody(payload.BytesPayload):
-    """Request body that runs the check right before headers and body are written."""
+    """Request body that runs the checks right before headers and body are written."""
 
-    def __init__(self, body: bytes, state: _RequestState, content_type: str) -> None:
+    def __init__(
+        self, body: bytes, state: _RequestState, connections: _Connections, content_type: str
+    ) -> None:
         super().__init__(body, content_type=content_type)
         self._state = state
+        self._connections = connections
 
     async def write_with_length(self, writer: Any, content_length: int | None) -> None:
         # aiohttp buffers the headers until the first part of the body is written.
-        if writer.transport is None or writer.transport.is_closing():
-            raise ConnectionResetError("the connection closed before the request was written")
+        transport = self._open_transport(writer)
+        await self._state.run_connection_check(self._connections.connected_at(transport))
+        # It may have been closed during the check.
+        self._open_transport(writer)
         self._state.run_check()
         self._state.sent = True
+        self._state.sent_at = self._connections.clock.boot_time()
         await writer.write(self._value)
 
+    def _open_transport(self, writer: Any) -> asyncio.BaseTransport:
+        transport = writer.transport
+        if transport is None or transport.is_closing() or self._state.is_over:
+            raise ConnectionResetError("the connection closed before the request was written")
+        return transport
+
 
 def open_socket(address: tuple[Any, ...], user_timeout: timedelta) -> socket.socket:
     """Returns a socket for ``address``, an entry of ``getaddrinfo``.
@@ -165,6 +216,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._retired: set[aiohttp.ClientSession] = set()
         self._pending_by_session: dict[aiohttp.ClientSession, int] = {}
+        self._connections = _Connections(clock)
         self._last_used = clock.boot_time()
 
     async def request(
@@ -177,18 +229,21 @@
         check: Callable[[], bool] | None = None,
         content_type: str = "application/json",
         may_connect: bool = True,
+        check_connection: Callable[[timedelta], Awaitable[bool]] | None = None,
     ) -> HttpReply:
         """Sends one request and returns the complete response, whatever its status.
 
         ``path`` includes the query and is already percent-encoded. ``wait`` is added to the
         timeout for long polls. ``check`` requires a body; it is called once connected, right
         before the request is handed to the transport, and the request is not sent if it returns
-        false. With ``may_connect`` false, it is sent only if a connection is open, to the process
-        that answered an earlier request on it. Raises `RequestFailedError`.
+        false. ``check_connection`` is awaited before that, with a boot time by which the connection
+        was open, and prevents the request as ``check`` does; the time limit includes it. With
+        ``may_connect`` false, the request is sent only if a connection is open, to the process that
+        answered an earlier request on it. Raises `RequestFailedError`.
         """
-        if check is not None and body is None:
+        if body is None and (check is not None or check_connection is not None):
             raise ValueError("a request with a check needs a body")
-        state = _RequestState(check, body is not None, may_connect)
+        state = _RequestState(check, check_connection, body is not None, may_connect)
         session = self._acquire_session()
         limit = (self._timeout + wait).total_seconds()
         try:
@@ -214,6 +269,7 @@
             self._retire(session)
             raise RequestFailedError(_describe(error), state.sent) from error
         finally:
+            state.is_over = True
             await self._release_session(session)
 
     async def close(self) -> None:
@@ -234,7 +290,9 @@
         headers: Mapping[str, str] | None,
         content_type: str,
     ) -> HttpReply:
-        data = None if body is None else _CheckedBody(body, state, content_type)
+        data = None
+        if body is not None:
+            data = _CheckedBody(body, state, self._connections, content_type)
         async with session.request(
             method,
             f"http://{self.address}{path}",
@@ -250,7 +308,7 @@
                 received += part
                 if len(received) > limit:
                     raise _TooLargeError(f"answer is larger than {limit} bytes")
-            return HttpReply(response.status, response.headers, bytes(received))
+            return HttpReply(response.status, response.headers, bytes(received), state.sent_at)
 
     def _acquire_session(self) -> aiohttp.ClientSession:
         now = self._clock.boot_time()
--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -5,6 +5,7 @@
 __all__ = [
     "advice_time",
     "commit_time",
+    "connection_checks",
     "first_start_time",
     "jobs_accepted",
     "jobs_ended",
@@ -60,6 +61,11 @@
     "hornbeamramp.jobs.open", "1", "Jobs that have not ended, by pool; 0 after a pool is lost"
 )
 starts = _meter.create_counter("hornbeamramp.run.starts", "1", "Start orders by reply")
+connection_checks = _meter.create_counter(
+    "hornbeamramp.run.connection_checks",
+    "1",
+    "Run lists requested before a start, to learn to which boot a connection leads",
+)
 run_ends = _meter.create_counter("hornbeamramp.run.ends", "1", "Ends of runs, by how")
 runs_given_up = _meter.create_counter(
     "hornbeamramp.run.given_up", "1", "Runs that count as ended without a report, by proof"
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -1,6 +1,6 @@
 """HTTP client for the workers' interface of the platform."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Annotated, Any
 
@@ -120,7 +120,11 @@
         self._background = BackgroundTasks("workers", _log)
 
     async def start(
-        self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
+        self,
+        worker: WorkerListing,
+        order: StartOrder,
+        check: Callable[[], bool],
+        check_connection: Callable[[timedelta], Awaitable[bool]],
     ) -> StartAnswer:
         body: dict[str, Any] = {
             "task": order.task,
@@ -133,7 +137,9 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        reply = await self._call(worker, "/run-start", body, check=check)
+        reply = await self._call(
+            worker, "/run-start", body, check=check, check_connection=check_connection
+        )
         if reply.status == 200:
             return StartAnswer(StartReply.STARTED, _clock_ms(reply))
         if reply.status in (429, 503):
@@ -181,6 +187,7 @@
                 wire.born,
                 tuple(row.decode() for row in wire.running),
                 tuple(row.decode() for row in wire.ended),
+                reply.sent_at,
             )
         except (msgspec.MsgspecError, RecursionError) as error:
             raise WorkerUnreachableError(Step.RENEW, worker.worker, str(error)) from error
@@ -229,6 +236,7 @@
         check: Callable[[], bool] | None = None,
         series: CallSeries | None = None,
         may_connect: bool = True,
+        check_connection: Callable[[timedelta], Awaitable[bool]] | None = None,
     ) -> HttpReply:
         if not worker.address:
             raise WorkerUnreachableError(
@@ -239,7 +247,14 @@
         data = msgspec.json.encode(body)
         try:
             reply = await client.request(
-                "POST", path, data, headers, wait, check, may_connect=may_connect
+                "POST",
+                path,
+                data,
+                headers,
+                wait,
+                check,
+                may_connect=may_connect,
+                check_connection=check_connection,
             )
         except RequestFailedError as error:
             raise WorkerUnreachableError(
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -237,6 +237,7 @@
     """
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         spec = job(StepSpec(1, 1000, 100, estimate_ms=300))
         harness.fleet.spec_by_job[JobId("a" * 16)] = spec
         harness.worker.crash()
@@ -278,6 +279,7 @@
     """
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         spec = job(StepSpec(9, 1000, 100, estimate_ms=300))
         harness.fleet.spec_by_job[JobId("a" * 16)] = spec
         for index in range(4):
@@ -520,11 +522,11 @@
     three seconds (kaya-kantar-grown, workers-gone-in-calm)."""
 
     class Refusing(FleetView):
-        async def start(self, worker, order, check):
+        async def start(self, worker, *arguments):
             await asyncio.sleep(0.01)
             if self.is_refusing:
                 raise WorkerUnreachableError(Step.RUN, "w0", "connection refused", sent=False)
-            return await super().start(worker, order, check)
+            return await super().start(worker, *arguments)
 
         is_refusing = False
 
@@ -575,6 +577,7 @@
     of one task can't be told apart."""
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         attempt = harness.attempt()
         await harness.start(attempt)
         await asyncio.sleep(3.0)
@@ -656,6 +659,7 @@
     """
 
     async def scenario(harness, lead_s):
+        harness.view.has_proxy = True
         harness.worker.crash()
         harness.worker.reboot()
         attempt = harness.attempt()
@@ -745,6 +749,7 @@
     deadline on the clock of the boot before gave it the longest lease of the new one."""
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         await asyncio.sleep(20)
         attempt = harness.attempt()
         harness.worker.crash()
@@ -760,6 +765,59 @@
     run_with_harness(scenario)
 
 
+def cut_off_when_started(harness):
+    """Cuts the worker off once it has begun a run, so that the answer to its start is lost."""
+    worker = harness.worker
+    start = worker.start
+
+    def start_and_cut(order, is_held_up=False):
+        reply = start(order, is_held_up)
+        worker.unreachable_from.add("vm0")
+        return reply
+
+    worker.start = start_and_cut
+    harness.view.max_answer_delay_s = 0.001
+
+
+def test_unanswered_start_on_a_boot_not_yet_known_is_not_started_again_beside_its_run():
+    """Guards against a task that runs on two workers at once (TWICE): its order reached a new boot,
+    which gave it the longest lease, and the owner counted the shorter one of the boot before."""
+
+    async def scenario(harness):
+        first = harness.attempt(0)
+        await harness.start(first)
+        await asyncio.sleep(20)
+        harness.worker.crash()
+        await asyncio.sleep(0.1)
+        harness.worker.reboot()
+        cut_off_when_started(harness)
+        attempt = harness.attempt(1)
+        reply = await harness.start(attempt)
+        if reply is None:
+            await until(lambda: attempt.session.attempt_by_key.get((attempt.name, 1)) is None)
+        assert attempt.name not in harness.worker.run_by_task
+
+    run_with_harness(scenario)
+
+
+def test_unanswered_start_on_a_worker_that_is_lost_lapses_with_its_lease():
+    """Guards against tasks of a lost worker that wait for the longest lease: a start on the boot
+    that is known has the lease that was ordered."""
+
+    async def scenario(harness):
+        await harness.start(harness.attempt(0))
+        await asyncio.sleep(20)
+        cut_off_when_started(harness)
+        attempt = harness.attempt(1)
+        ordered_at = harness.clock.boot_time()
+        assert await harness.start(attempt) is None
+        await until(lambda: attempt.session.attempt_by_key.get((attempt.name, 1)) is None)
+        assert attempt.name not in harness.worker.run_by_task
+        assert harness.clock.boot_time() - ordered_at < timedelta(seconds=6.8)
+
+    run_with_harness(scenario)
+
+
 def test_run_of_a_former_owner_on_a_young_boot_counts_as_leased_for_the_longest_time():
     """Guards against a run that is started again while it is at work on a silent worker: its former
     owner knew only the clock of the boot before."""
@@ -786,6 +844,7 @@
     old boot reached the new one, which dropped the end that it had by that number."""
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         first, second = harness.attempt(0), harness.attempt(1)
         await harness.start(first)
         harness.view.connected = waiting = asyncio.Event()
@@ -856,6 +915,7 @@
     followed by an acknowledgement, by which the new boot dropped its own end of that number."""
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         first, second = harness.attempt(0), harness.attempt(1)
         await harness.start(first)
         harness.view.list_delay_s = 0.25
@@ -886,6 +946,7 @@
     """
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         session, view = harness.session, harness.view
         # This call is sent first and reaches the new boot, as it waits for its connection.
         view.connected = asyncio.Event()
@@ -1005,6 +1066,7 @@
     address for a moment, and the run started after that, before its answer arrived."""
 
     async def scenario(harness):
+        harness.view.has_proxy = True
         before, after = harness.attempt(0), harness.attempt(1)
         await harness.start(before)
         await asyncio.sleep(3)
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import NoReturn, TypeVar
 
@@ -421,12 +421,21 @@
 
     `limit_s`
         Loop time at which the caller gives up waiting for the answer.
+    `connected_at`
+        Boot time by which the connection was open.
     """
 
-    def __init__(self, worker: WorkerListing, target: ModelWorker, limit_s: float) -> None:
+    def __init__(
+        self,
+        worker: WorkerListing,
+        target: ModelWorker,
+        limit_s: float,
+        connected_at: timedelta,
+    ) -> None:
         self.worker = worker
         self.target = target
         self.limit_s = limit_s
+        self.connected_at = connected_at
         self._boot_ms = target.boot_ms
 
     @property
@@ -437,6 +446,9 @@
 class FleetView(WorkerClient):
     """One VM's client of the workers.
 
+    `has_proxy`
+        Connections lead to a proxy, so they outlive the boots of a worker, and an order may reach a
+        boot that its sender doesn't know.
     `late_share`
         Share of orders that get no answer and are executed seconds later.
     `max_order_delay_s`, `max_answer_delay_s`
@@ -450,19 +462,27 @@
         self._fleet = fleet
         self._vm = vm
         self._random = random.Random(seed)
+        self.has_proxy = False
         self.late_share = 0.0
         self.max_order_delay_s = 0.0
         self.max_answer_delay_s = 0.0
         self._call_by_series: dict[CallSeries, _Call] = {}
+        # Calls on the open connections that calls of no series share.
+        self._kept_calls_by_address: dict[str, list[_Call]] = {}
         self.is_closed = False
         self.frozen: asyncio.Event | None = None
 
     async def start(
-        self, worker: WorkerListing, order: StartOrder, check: Callable[[], bool]
+        self,
+        worker: WorkerListing,
+        order: StartOrder,
+        check: Callable[[], bool],
+        check_connection: Callable[[timedelta], Awaitable[bool]],
     ) -> StartAnswer:
-        call = await self._reach(worker)
+        call = await self._reach_for_order(worker)
         target = call.target
-        if not check():
+        connected_at = timedelta.min if self.has_proxy else call.connected_at
+        if not await check_connection(connected_at) or not check():
             raise WorkerUnreachableError(Step.START, worker.worker, "not allowed", sent=False)
         # A VM may freeze right after the check, with the order written but not yet sent. A reboot
         # of the worker closes the connection, so the new boot never receives the order.
@@ -485,10 +505,11 @@
             await self._time_out(worker)
         answer = await self._send(call, execute)
         await self._receive(call)
+        self._keep(call)
         return answer
 
     async def stop(self, worker: WorkerListing, task: str, run: int, token: int) -> None:
-        call = await self._reach(worker)
+        call = await self._reach_for_order(worker)
         target = call.target
 
         def execute() -> bool:
@@ -502,6 +523,7 @@
             await self._time_out(worker)
         is_allowed = await self._send(call, execute)
         await self._receive(call)
+        self._keep(call)
         if not is_allowed:
             raise FencedError
 
@@ -520,6 +542,7 @@
         else:
             call = await self._reach(worker, wait)
         target = call.target
+        sent_at = self._fleet.clock.boot_time()
 
         def execute() -> bool:
             is_allowed = target.fence(token)
@@ -550,7 +573,9 @@
             await self._time_out(worker)
         if series is not None:
             self._call_by_series[series] = call
-        return reply
+        else:
+            self._keep(call)
+        return msgspec.structs.replace(reply, sent_at=sent_at)
 
     async def pace(
         self, worker: WorkerListing, task: str, run: int, percent: int, token: int
@@ -636,7 +661,7 @@
         if target is None or not target.is_up or self._vm in target.unreachable_from:
             await self._time_out(worker, sent=not is_new)
         assert target is not None
-        call = _Call(worker, target, limit_s)
+        call = _Call(worker, target, limit_s, self._fleet.clock.boot_time())
         if target.name != worker.worker:
             await self._receive(call)
             raise InstanceMismatchError(worker.worker)
@@ -655,7 +680,23 @@
         await self._fleet.clock.sleep(CALL_LATENCY)
         if not before.is_connected or self._vm in before.target.unreachable_from:
             await self._time_out(worker)
-        return _Call(worker, before.target, limit_s)
+        return _Call(worker, before.target, limit_s, before.connected_at)
+
+    async def _reach_for_order(
+        self, worker: WorkerListing, wait: timedelta = timedelta(0)
+    ) -> _Call:
+        """Returns a call on a kept connection that is still open, or on a new one."""
+        kept = self._kept_calls_by_address.setdefault(worker.address, [])
+        while kept:
+            before = kept.pop(0)
+            if before.is_connected and before.target.name == worker.worker:
+                return await self._reach_again(worker, before, wait)
+        return await self._reach(worker, wait)
+
+    def _keep(self, call: _Call) -> None:
+        """Keeps an open connection for later calls that belong to no series."""
+        if call.is_connected:
+            self._kept_calls_by_address.setdefault(call.worker.address, []).append(call)
 
     async def _wait_while_frozen(self) -> None:
         if self.frozen is not None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -150,6 +150,11 @@
     return StartOrder(TASK, run, "payload", deadline_ms, token)
 
 
+async def is_known(connected_at):
+    """A check of connections that all pass."""
+    return True
+
+
 @pytest.mark.parametrize("status", [204, 404, 500, 502, 504])
 def test_start_answered_with_an_unknown_status_may_have_taken_effect(status):
     """Guards against a task that is started elsewhere at once while the run of an order with an
@@ -163,7 +168,7 @@
         client = PlatformWorkers(SystemClock())
         listing = WorkerListing("w0", "pool", address, "gebze", False, CAPACITY)
         with pytest.raises(WorkerUnreachableError, match=f"status {status}") as raised:
-            await client.start(listing, order(), lambda: True)
+            await client.start(listing, order(), lambda: True, is_known)
         assert raised.value.sent
         await client.close()
         await runner.cleanup()
@@ -245,7 +250,7 @@
 
 def test_run_is_started_listed_and_forgotten():
     async def scenario(client, listing, worker):
-        answer = await client.start(listing, order(), lambda: True)
+        answer = await client.start(listing, order(), lambda: True, is_known)
         assert answer.reply is StartReply.STARTED
         assert 0 <= worker.clock_ms - answer.clock_ms < 1000
         reply = await client.hold(listing, 5, 0, 9000, NO_WAIT)
@@ -272,7 +277,7 @@
 def test_refusals_of_a_start_are_told_apart(later, reply):
     async def scenario(client, listing, worker):
         await client.stop(listing, TASK, 1, 5)
-        assert (await client.start(listing, later, lambda: True)).reply is reply
+        assert (await client.start(listing, later, lambda: True, is_known)).reply is reply
 
     with_worker(scenario)
 
@@ -294,7 +299,7 @@
 def test_order_is_not_sent_when_the_check_fails():
     async def scenario(client, listing, worker):
         with pytest.raises(WorkerUnreachableError) as error:
-            await client.start(listing, order(), lambda: False)
+            await client.start(listing, order(), lambda: False, is_known)
         assert not error.value.sent
         assert worker.run_by_task == {}
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -257,6 +257,74 @@
     run(scenario())
 
 
+def test_connection_is_checked_with_the_time_by_which_it_was_open(run):
+    """Guards against an order that reaches a process started after the caller last heard of it."""
+
+    async def scenario():
+        clock = ManualClock()
+        opened_at = []
+
+        async def check_connection(connected_at):
+            opened_at.append(connected_at)
+            return True
+
+        async def send(seconds):
+            clock.set(seconds * SECOND)
+            return await client.request("POST", "/x", b"1", check_connection=check_connection)
+
+        async with (
+            serving("answer", "answer", "close") as server,
+            connected(server.address, clock=clock) as client,
+        ):
+            assert (await send(1)).sent_at == SECOND
+            await send(3)
+            with pytest.raises(RequestFailedError):
+                await send(4)
+            await send(5)
+            assert opened_at == [SECOND, SECOND, SECOND, 5 * SECOND]
+            assert [connection for connection, _ in server.requests] == [1, 1, 1, 2]
+
+    run(scenario())
+
+
+def test_nothing_is_written_when_the_check_of_the_connection_fails(run):
+    async def scenario():
+        async def check_connection(connected_at):
+            return False
+
+        async with serving() as server, connected(server.address) as client:
+            with pytest.raises(RequestFailedError) as caught:
+                await client.request("POST", "/x", b"1", check_connection=check_connection)
+            assert not caught.value.sent
+            assert server.requests == []
+
+    run(scenario())
+
+
+def test_nothing_is_written_once_the_time_limit_has_passed_during_the_check(run):
+    """Guards against an order that takes effect although its caller was told that it wasn't sent:
+    the check of its connection ends after the time limit."""
+
+    async def scenario():
+        checked = asyncio.Event()
+
+        async def check_connection(connected_at):
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(0.3)
+            checked.set()
+            return True
+
+        async with serving() as server, connected(server.address, SECOND / 10) as client:
+            with pytest.raises(RequestFailedError) as caught:
+                await client.request("POST", "/x", b"1", check_connection=check_connection)
+            assert not caught.value.sent
+            await checked.wait()
+            await client.request("POST", "/after", b"1")
+            assert b"/x" not in server.received
+
+    run(scenario())
+
+
 def test_answer_cut_in_the_middle_is_a_failure(run):
     """Guards against taking a truncated response for a complete one."""
 
--- a/tests/vm/test_delayed_answers.py
+++ b/tests/vm/test_delayed_answers.py
@@ -24,6 +24,13 @@
 MAX_ORDER_DELAYS_S = (0.05, 0.25)
 # Longer than the time limit of a call (0.3 s), so that some answers are too late to be read.
 MAX_ANSWER_DELAY_S = 0.32
+# Each of them failed before starts went only to boots that are known.
+CUT_SEEDS = (8, 102, 106, 122, 134, 137, 156)
+# Between the lease that an owner orders (6 s) and the longest one that a worker grants (10 s), so
+# that a run with the longer one goes on for some time after the other is over.
+MIN_CUT_S, MAX_CUT_S = 6.5, 9.5
+# Time after a restart within which the first start is waited for.
+FIRST_START_LIMIT_MS = 500
 
 app = App(help="Delayed answers beside random faults in virtual time.")
 
@@ -101,6 +108,35 @@
             self.cell.list_worker(worker.name)
 
 
+class CutFaults(RestartFaults):
+    """Cuts half of the restarted workers off from all VMs once they have begun their first run,
+    which loses the answer to its start."""
+
+    async def restart(self, worker):
+        if worker.unreachable_from:
+            return
+        await self.crash_and_reboot(worker)
+        if self.rng.random() < 0.5 and await self.has_first_start(worker):
+            vms = set(self.cell.vm_by_name)
+            worker.unreachable_from |= vms
+            await asyncio.sleep(self.rng.uniform(MIN_CUT_S, MAX_CUT_S))
+            worker.unreachable_from -= vms
+
+    async def has_first_start(self, worker):
+        for _ in range(FIRST_START_LIMIT_MS):
+            if worker.run_by_task:
+                return True
+            await asyncio.sleep(0.001)
+        return False
+
+    async def restart_workers(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+            workers = [w for w in self.cell.fleet.worker_by_name.values() if w.is_up]
+            if workers:
+                await self.restart(self.rng.choice(workers))
+
+
 def busy_spec(rng):
     """Returns a job that starts several tasks at once in most cases."""
     if rng.random() < 0.3:
@@ -127,13 +163,13 @@
             await self.cancel(job_id, self.cell.queue_by_job[job_id])
 
 
-async def play(seed):
+async def play(seed, faults_type=RestartFaults):
     rng = random.Random(seed)
     async with DelayedCell(vms=3, workers=8, granted=0.7, seed=seed) as cell:
         # Short tasks leave room for new ones on most workers, also while ends are not yet known.
         cell.fleet.duration_s = 0.2
         cell.fleet.fails = lambda worker, order: random.Random(order.task).random() < 0.03
-        callers, faults = HastyCallers(cell, rng), RestartFaults(cell, rng)
+        callers, faults = HastyCallers(cell, rng), faults_type(cell, rng)
         await asyncio.gather(callers.run(), faults.run())
         await cell.wait_for_owner()
         await settle(cell, callers)
@@ -153,8 +189,17 @@
     assert starts > 5
 
 
+@pytest.mark.parametrize("seed", CUT_SEEDS)
+def test_guarantees_hold_while_restarted_workers_are_cut_off(seed):
+    """Guards against a run whose lease is counted on the clock of a boot that is gone: its task
+    runs again elsewhere while the new boot still has the longest lease."""
+    accepted, starts = run_in_virtual_time(play(seed, CutFaults))
+    assert accepted > 5
+    assert starts > 5
+
+
 @app.default
-def main(seeds: int = 10, first: int = 1000) -> None:
+def main(seeds: int = 10, first: int = 1000, cuts: bool = False) -> None:
     """Plays seeds one after another and prints the violations.
 
     Parameters
@@ -163,11 +208,14 @@
         Number of seeds.
     first
         The first seed.
+    cuts
+        Whether restarted workers are cut off.
     """
+    faults_type = CutFaults if cuts else RestartFaults
     failed = []
     for seed in range(first, first + seeds):
         try:
-            accepted, starts = run_in_virtual_time(play(seed))
+            accepted, starts = run_in_virtual_time(play(seed, faults_type))
             print(f"seed {seed}: {accepted} accepted, {starts} starts", flush=True)
         except Exception as error:
             failed.append(seed)
