Extend leases only on the connection to the boot that is known

What callers could see: as with the start on an unknown boot, a task that runs on two workers (TWICE).

Cause: a hold call with a deadline on the clock of one boot could open a connection to the next one, or go on a connection to it, when the list that shows it had come too late to be applied. The next boot then had its longest lease, and the owner counted less.

Change: a call that extends the lease follows the rule for calls that acknowledge ends: only on the connection on which the newest boot known answered the call before. Otherwise a call without a deadline comes first, one round trip earlier. A worker that closes each connection is still extended on new ones; without an answer, the longest lease is counted there.

Measured: test_lease_is_not_extended_on_a_connection_to_another_boot_than_the_one_known fails before, and so does test_lease_is_extended_only_on_the_connection_of_the_call_before.

--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -146,7 +146,7 @@
     """Hold calls of one session.
 
     `may_reconnect`
-        Whether a call that acknowledges ends may open a connection.
+        Whether a call that acknowledges ends or extends the lease may open a connection.
     """
 
     def __init__(self) -> None:
@@ -201,8 +201,9 @@
         another run to end. With ``deadline_ms`` ``None`` the lease is not extended.
 
         The calls of a series, made one after the other, have a connection of their own. With
-        ``last_seen`` one is sent only on the connection on which the one before was answered, so
-        that the ends of another boot are never forgotten, or on any if ``may_reconnect`` is set."""
+        ``last_seen`` or ``deadline_ms`` one is sent only on the connection on which the one before
+        was answered, or on any if ``may_reconnect`` is set: both hold for one boot of the worker.
+        """
 
     @abstractmethod
     def end_series(self, series: "CallSeries") -> None:
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -120,10 +120,10 @@
         # An order got no answer, and the worker has not answered since.
         self._is_suspect = False
         self._series = CallSeries()
-        # Boot that answered the latest call of the series, and the acknowledgements in a row that
-        # were not sent, as its connection had been closed.
+        # Boot that answered the latest call of the series, and the calls in a row that were meant
+        # for that boot and not sent, as its connection had been closed.
         self._series_boot_ms: int | None = None
-        self._unsent_acks = 0
+        self._unsent_calls = 0
         # Numbers of the last end in the store, of the last one reported to the owner, and of the
         # last one that the worker has been told to forget.
         self._last_recorded = 0
@@ -491,11 +491,12 @@
         if not is_answered:
             await self._clock.sleep(RETRY_PAUSE)
 
-    async def _hold_once(self, may_ack: bool = True) -> bool:
+    async def _hold_once(self, is_connected: bool = True) -> bool:
         """Sends a hold call. Returns whether the worker has answered.
 
-        `may_ack`
-            Whether the worker may be told to forget ends.
+        `is_connected`
+            Whether the series may have an open connection on which a call was answered. Without
+            one, the call neither acknowledges ends nor extends the lease: a new boot may get it.
         """
         requested_at = self._clock.boot_time()
         boot_ms = self._boot_ms
@@ -503,30 +504,36 @@
         # An unanswered call may have extended the lease. Retries don't extend it again, so that the
         # lease of a worker that is gone expires. A suspect one may have restarted.
         is_answering = not is_first and self.consecutive_failures == 0 and not self._is_suspect
+        is_connected = is_connected and self._is_series_of_known_boot()
+        is_answering = is_answering and is_connected
         deadline = self.deadline_ms() if is_answering else None
         # Unrecorded ends are listed again and answer the call at once, so waiting is of no use.
         has_unrecorded_ends = self._last_applied > self._last_recorded
         wait = MAX_HOLD_WAIT if is_answering and not has_unrecorded_ends else timedelta(0)
         if deadline is not None:
             self._latest_deadline_ms = max(self._latest_deadline_ms, deadline)
-        end_to_ack = self._end_to_ack() if may_ack else 0
+        end_to_ack = self._end_to_ack() if is_connected else 0
+        is_of_one_boot = end_to_ack > 0 or deadline is not None
         self._series_boot_ms = None
         # A worker that closes each connection is told right after an answer, when it can hardly
-        # have restarted; otherwise its list of ends would grow without bound.
-        self._series.may_reconnect = self._unsent_acks > 1
+        # have restarted; otherwise its list of ends would grow without bound, and its runs lapse.
+        self._series.may_reconnect = self._unsent_calls > 1
         listing = self.listing
         try:
             reply = await self._client.hold(
                 listing, self._owner.token, end_to_ack, deadline, wait, self._series
             )
         except WorkerUnreachableError as error:
-            if end_to_ack and not error.sent:
-                # The connection to the boot that has these ends is closed.
-                self._unsent_acks += 1
-                if self._unsent_acks == 2:
+            if is_of_one_boot and not error.sent:
+                # The connection to the boot for which the call was meant is closed.
+                self._unsent_calls += 1
+                if self._unsent_calls == 2:
                     _log.warning("worker {} closes its connections", self.worker)
-                return await self._hold_once(may_ack=False)
-            self._unsent_acks = 0
+                return await self._hold_once(is_connected=False)
+            if deadline is not None and self._series.may_reconnect and error.sent:
+                # The deadline may have given a boot not yet known its longest lease.
+                self._count_longest_lease()
+            self._unsent_calls = 0
             self.consecutive_failures += 1
             if self.consecutive_failures == 2:
                 _log.warning("worker {} is unreachable: {}", self.worker, error)
@@ -539,8 +546,8 @@
             self._on_instance_mismatch(listing, requested_at)
             return False
         self._series_boot_ms = reply.boot_ms
-        if end_to_ack and not self._series.may_reconnect:
-            self._unsent_acks = 0
+        if is_of_one_boot and not self._series.may_reconnect:
+            self._unsent_calls = 0
         if self._boot_ms == boot_ms:
             self._last_acked = max(self._last_acked, end_to_ack)
         self._apply(reply, requested_at)
@@ -550,14 +557,18 @@
             await self._record_ends()
         return True
 
-    def _end_to_ack(self) -> int:
-        """Returns the number of the last end that the worker may forget, or 0.
+    def _is_series_of_known_boot(self) -> bool:
+        """Returns whether the newest boot known has answered the latest call of the series.
 
-        Each boot numbers its ends from 1. A series acknowledges ends only on the connection on
-        which its call before was answered, so that has to be the boot whose ends these are.
+        A series acknowledges ends and extends the lease only on the connection on which that call
+        was answered. Each boot numbers its ends from 1 and has a clock of its own, so that has to
+        be the boot whose ends and whose clock these are.
         """
-        is_same_boot = self._series_boot_ms is not None and self._series_boot_ms == self._boot_ms
-        return self._last_recorded if is_same_boot and self.consecutive_failures == 0 else 0
+        return self._series_boot_ms is not None and self._series_boot_ms == self._boot_ms
+
+    def _end_to_ack(self) -> int:
+        """Returns the number of the last end that the worker may forget, or 0."""
+        return self._last_recorded if self.consecutive_failures == 0 else 0
 
     async def _record_ends(self) -> None:
         last_applied, boot_ms = self._last_applied, self._boot_ms
@@ -717,7 +728,7 @@
         _log.warning("worker {} has restarted, boot {}", self.worker, reply.boot_ms)
         self._boot_ms, self._boot_seen_at = reply.boot_ms, self._clock.boot_time()
         self._last_recorded = self._last_applied = self._last_acked = 0
-        self._unsent_acks = 0
+        self._unsent_calls = 0
         # An order in flight has a deadline on the clock of the old boot. On the new boot's clock it
         # may be late enough to give the longest lease.
         self._latest_deadline_ms = self._longest_deadline_ms(reply.clock_ms)
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -173,7 +173,8 @@
             body["deadline-ms"] = deadline_ms
         if wait:
             body["wait-ms"] = to_ms(wait)
-        may_connect = not last_seen or series is None or series.may_reconnect
+        is_of_one_boot = last_seen > 0 or deadline_ms is not None
+        may_connect = not is_of_one_boot or series is None or series.may_reconnect
         reply = await self._call(
             worker, "/hold", body, wait, series=series, may_connect=may_connect
         )
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -1170,6 +1170,34 @@
     run_with_harness(scenario, ScriptedWorker)
 
 
+def test_lease_is_not_extended_on_a_connection_to_another_boot_than_the_one_known():
+    """Guards against a run that counts as lapsed while it is at work (TWICE): a list of the new boot
+    came too late to count, and the next call on its connection had a deadline on the old clock."""
+
+    async def scenario(harness):
+        deadlines = []
+        answered = asyncio.Event()
+        new_boot = msgspec.structs.replace(harness.worker.hold_reply(), boot_ms=2_000_000)
+
+        async def script(last_seen, deadline_ms):
+            deadlines.append(deadline_ms)
+            if len(deadlines) > 1:
+                raise unreachable()
+            await answered.wait()
+            return new_boot
+
+        await asyncio.sleep(20)
+        harness.view.script = script
+        await until(lambda: deadlines)
+        # Requested after the call that waits, and answered by the boot before.
+        assert await harness.session._fetch_runs()
+        answered.set()
+        await until(lambda: len(deadlines) == 2)
+        assert deadlines[1] is None
+
+    run_with_harness(scenario, ScriptedWorker)
+
+
 def test_worker_that_closes_its_connections_is_told_which_ends_are_known():
     """Guards against a list of ends that grows without bound, and calls without a pause."""
 
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -537,8 +537,11 @@
         series: CallSeries | None = None,
     ) -> HoldReply:
         before = None if series is None else self._call_by_series.pop(series, None)
-        if last_seen and series is not None and not series.may_reconnect:
+        is_of_one_boot = last_seen > 0 or deadline_ms is not None
+        if is_of_one_boot and series is not None and not series.may_reconnect:
             call = await self._reach_again(worker, before, wait)
+        elif series is None:
+            call = await self._reach_for_order(worker, wait)
         else:
             call = await self._reach(worker, wait)
         target = call.target
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -315,6 +315,45 @@
     with_worker(scenario)
 
 
+def test_lease_is_extended_only_on_the_connection_of_the_call_before():
+    """Guards against a new boot that grants its longest lease, by a deadline on the clock of the
+    boot before, of which the owner counts less (TWICE)."""
+
+    async def scenario(client, listing, worker):
+        series = CallSeries()
+        with pytest.raises(WorkerUnreachableError) as raised:
+            await client.hold(listing, 1, 0, 5000, NO_WAIT, series)
+        assert not raised.value.sent
+        assert worker.deadline_ms == 0
+        await client.hold(listing, 1, 0, None, NO_WAIT, series)
+        await client.hold(listing, 1, 0, 5000, NO_WAIT, series)
+        assert worker.deadline_ms == 5000
+        client.end_series(series)
+
+    with_worker(scenario)
+
+
+def test_start_is_not_sent_on_a_connection_to_a_boot_not_yet_known():
+    """Guards against a start on a new boot by the clock of the boot before (TWICE). A list that is
+    requested on the connection, or after it was opened, makes its boot known."""
+
+    async def scenario(client, listing, worker):
+        known_since = timedelta(0)
+
+        async def check_connection(connected_at):
+            return connected_at <= known_since
+
+        with pytest.raises(WorkerUnreachableError) as raised:
+            await client.start(listing, order(), lambda: True, check_connection)
+        assert not raised.value.sent
+        assert worker.run_by_task == {}
+        known_since = (await client.hold(listing, 5, 0, None, NO_WAIT)).sent_at
+        answer = await client.start(listing, order(), lambda: True, check_connection)
+        assert answer.reply is StartReply.STARTED
+
+    with_worker(scenario)
+
+
 def test_ends_are_acknowledged_only_on_the_connection_of_the_call_before():
     """Guards against a restarted worker that forgets ends of its new boot, by the numbers that its
     boot before gave to others."""
