Take the pace of a run as set only if its worker says so

Its worker had answered one order to pause with 503.

Cause: `PlatformWorkers.pace` looked only for a refusal by the fence and took any other status for success, and the session noted the pace before the answer. An unexpected error left it noted as well. The pacer sends an order only if the pace differs from the one noted.

Change: what is known of a pace is kept in `RunPace`. From the sending of an order until its positive answer the pace is unknown; an order that fails is sent again after 500 ms, and a run has one order under way at a time. So a worker that refuses gets two orders a second for each run at most.

--- a/hornbeamramp/fleet/__init__.py
+++ b/hornbeamramp/fleet/__init__.py
@@ -15,9 +15,11 @@
     WorkerListing,
     WorkerUnreachableError,
 )
+from hornbeamramp.fleet.pace import FULL_PERCENT, RunPace
 from hornbeamramp.fleet.session import SessionOwner, WorkerSession
 
 __all__ = [
+    "FULL_PERCENT",
     "Attempt",
     "AttemptPhase",
     "CallSeries",
@@ -25,6 +27,7 @@
     "EndedRun",
     "HoldReply",
     "RunOutcome",
+    "RunPace",
     "RunningRun",
     "SessionOwner",
     "StartAnswer",
--- a/hornbeamramp/fleet/attempt.py
+++ b/hornbeamramp/fleet/attempt.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from hornbeamramp.fleet.pace import RunPace
 from hornbeamramp.resources import Resources
 
 if TYPE_CHECKING:
@@ -30,8 +31,8 @@
 
     `task`
         The owner's task object; opaque to sessions.
-    `pace_percent`
-        Percentage of its speed to which the run was last limited; -1 if unknown.
+    `pace`
+        The share of its speed to which the run is limited.
     `resumed`
         The run started from a checkpoint, so its duration is no measure of the worker's speed.
     `confirmed_at`
@@ -55,7 +56,7 @@
         "load",
         "name",
         "ordered_boot_ms",
-        "pace_percent",
+        "pace",
         "percent",
         "phase",
         "progress_at",
@@ -90,4 +91,4 @@
         self.progress_clock_ms: int | None = None
         self.stop_wanted = False
         self.resumed = False
-        self.pace_percent = 100
+        self.pace = RunPace()
--- a/hornbeamramp/fleet/base.py
+++ b/hornbeamramp/fleet/base.py
@@ -212,5 +212,7 @@
     @abstractmethod
     async def pace(
         self, worker: WorkerListing, task: str, run: int, percent: int, token: int
-    ) -> None:
-        """Limits a run to a percentage of its speed, 0 to 100."""
+    ) -> bool:
+        """Limits a run to a percentage of its speed, 0 to 100.
+
+        Returns whether the worker has done so; it has done nothing otherwise."""
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -456,18 +456,37 @@
             self._background.spawn(self._stop_orphan(key))
 
     async def pace(self, attempt: Attempt, percent: int) -> None:
-        """Limits a run to a percentage of its speed. Without an answer the pace is unknown."""
-        attempt.pace_percent = percent
+        """Limits a run to a percentage of its speed. Only a positive answer confirms it."""
+        attempt.pace.begin_order()
         listing, sent_at = self.listing, self._clock.boot_time()
+        is_done = False
         try:
-            await self._client.pace(listing, attempt.name, attempt.run, percent, self._owner.token)
+            is_done = await self._client.pace(
+                listing, attempt.name, attempt.run, percent, self._owner.token
+            )
+            if not is_done:
+                _log.info(
+                    "pace {}% of {} run {} refused by {}",
+                    percent,
+                    attempt.name,
+                    attempt.run,
+                    self.worker,
+                )
         except WorkerUnreachableError as error:
             _log.info("pace change of {} run {} failed: {}", attempt.name, attempt.run, error)
-            attempt.pace_percent = -1
         except FencedError:
             self._owner.on_fenced(self)
         except InstanceMismatchError:
             self._on_instance_mismatch(listing, sent_at)
+        except Exception:
+            _log.exception(
+                "pace change of {} run {} failed unexpectedly", attempt.name, attempt.run
+            )
+        finally:
+            if is_done:
+                attempt.pace.confirm_order(percent)
+            else:
+                attempt.pace.fail_order(self._clock.boot_time())
 
     # The lease loop
 
--- a/hornbeamramp/platform/workers.py
+++ b/hornbeamramp/platform/workers.py
@@ -57,6 +57,11 @@
 }
 
 
+# With these, an unhealthy worker has done nothing.
+UNHEALTHY_STATUSES = (429, 503)
+# With these, a worker has done nothing. After any other but 200, the effect of a call is unknown.
+REFUSED_STATUSES = (400, 409, *UNHEALTHY_STATUSES)
+
 # Run and end numbers, clocks and times are sent back to workers or recorded, and time is computed
 # with them.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
@@ -142,7 +147,7 @@
         )
         if reply.status == 200:
             return StartAnswer(StartReply.STARTED, _clock_ms(reply))
-        if reply.status in (429, 503):
+        if reply.status in UNHEALTHY_STATUSES:
             return StartAnswer(StartReply.UNHEALTHY)
         if reply.status == 409:
             return StartAnswer(REFUSAL_BY_REASON.get(_reason(reply), StartReply.INVALID))
@@ -195,9 +200,15 @@
 
     async def pace(
         self, worker: WorkerListing, task: str, run: int, percent: int, token: int
-    ) -> None:
+    ) -> bool:
         body = {"task": task, "run": run, "percent": percent, "fencing-token": token}
-        self._expect_unfenced(await self._call(worker, "/pace", body))
+        reply = await self._call(worker, "/pace", body)
+        self._expect_unfenced(reply)
+        if reply.status == 200:
+            return True
+        if reply.status in REFUSED_STATUSES:
+            return False
+        raise WorkerUnreachableError(Step.RUN, worker.worker, f"status {reply.status}")
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/hornbeamramp/poolowner/pacing.py
+++ b/hornbeamramp/poolowner/pacing.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from hornbeamramp.fleet import Attempt, AttemptPhase, WorkerSession
+from hornbeamramp.fleet import FULL_PERCENT, Attempt, AttemptPhase, WorkerSession
 
 __all__ = ["Pacer", "is_best_effort", "is_latency_sensitive"]
 
@@ -20,7 +20,6 @@
 # worker's measurement covers and the 2 s within which a new one is certain to arrive.
 RESUME_STEP_PERCENT = 25
 RESUME_INTERVAL = timedelta(seconds=2.5)
-FULL_PERCENT = 100
 
 
 def is_latency_sensitive(attempt: Attempt) -> bool:
@@ -43,21 +42,16 @@
     def percent(self, session: WorkerSession, now: timedelta) -> int:
         """Updates and returns the pace of a worker's best-effort tasks, 0 to 100 percent."""
         worker = session.worker
-        percent = self._percent_by_worker.get(worker, FULL_PERCENT)
-        highest_share = max(
-            (
-                attempt.load / attempt.task.unit.step.spec.response_target_ms
-                for attempt in session.attempt_by_key.values()
-                if is_latency_sensitive(attempt) and attempt.phase is AttemptPhase.RUNNING
-            ),
-            default=0.0,
-        )
-        is_due = now - self._changed_at.get(worker, timedelta.min) >= RESUME_INTERVAL
+        if worker not in self._percent_by_worker:
+            self._set_percent(worker, FULL_PERCENT, now)
+        percent = self._percent_by_worker[worker]
+        highest_share = _highest_share(session)
+        is_due = now - self._changed_at[worker] >= RESUME_INTERVAL
         if highest_share >= PAUSE_SHARE:
             self._set_percent(worker, 0, now)
         elif highest_share <= RESUME_SHARE and percent < FULL_PERCENT and is_due:
             self._set_percent(worker, min(percent + RESUME_STEP_PERCENT, FULL_PERCENT), now)
-        return self._percent_by_worker.get(worker, FULL_PERCENT)
+        return self._percent_by_worker[worker]
 
     def _set_percent(self, worker: str, percent: int, now: timedelta) -> None:
         self._percent_by_worker[worker] = percent
@@ -66,7 +60,7 @@
     def changes(
         self, sessions: Iterable[WorkerSession], now: timedelta
     ) -> list[tuple[Attempt, int]]:
-        """Returns the runs whose pace has to change, with their new pace in percent."""
+        """Returns the runs to which an order on their pace is due, with that pace in percent."""
         changes = []
         for session in sessions:
             best_effort = [
@@ -76,5 +70,24 @@
             ]
             if best_effort:
                 percent = self.percent(session, now)
-                changes += [(a, percent) for a in best_effort if a.pace_percent != percent]
+                changes += [(a, percent) for a in best_effort if a.pace.is_due(percent, now)]
         return changes
+
+
+def _latency_sensitive(session: WorkerSession) -> list[Attempt]:
+    return [
+        attempt
+        for attempt in session.attempt_by_key.values()
+        if is_latency_sensitive(attempt) and attempt.phase is AttemptPhase.RUNNING
+    ]
+
+
+def _highest_share(session: WorkerSession) -> float:
+    """Returns the highest tail latency of a worker's tasks, as a share of its target."""
+    return max(
+        (
+            attempt.load / attempt.task.unit.step.spec.response_target_ms
+            for attempt in _latency_sensitive(session)
+        ),
+        default=0.0,
+    )
--- a/tests/fleet/test_session.py
+++ b/tests/fleet/test_session.py
@@ -1014,7 +1014,7 @@
 
     async def pace(self, worker, *arguments):
         await self.check_instance(worker)
-        await super().pace(worker, *arguments)
+        return await super().pace(worker, *arguments)
 
     async def check_instance(self, worker):
         if self.is_replaced or worker.address != "w0":
@@ -1171,8 +1171,9 @@
 
 
 def test_lease_is_not_extended_on_a_connection_to_another_boot_than_the_one_known():
-    """Guards against a run that counts as lapsed while it is at work (TWICE): a list of the new boot
-    came too late to count, and the next call on its connection had a deadline on the old clock."""
+    """Guards against a run that counts as lapsed while it is at work (TWICE): a list of the new
+    boot came too late to count, and the next call on its connection had a deadline on the old
+    clock."""
 
     async def scenario(harness):
         deadlines = []
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -56,6 +56,7 @@
         self.started_s = now
         self.is_stopping = False
         self.is_working = not step.gang
+        self.pace_percent = 100
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -66,6 +67,10 @@
         Its address in the list of workers.
     `closes_connections`
         Whether a crash fails the hold calls that wait here, instead of leaving them unanswered.
+    `refuses_pace`
+        Whether orders on pace are refused and not carried out.
+    `pace_orders`
+        Times in s, tasks and percentages of the orders on pace that arrived.
     """
 
     def __init__(self, fleet: "ModelFleet", name: str, capacity: Resources) -> None:
@@ -74,6 +79,8 @@
         self.capacity = capacity
         self.address = name
         self.closes_connections = False
+        self.refuses_pace = False
+        self.pace_orders: list[tuple[float, str, int]] = []
         self.is_up = True
         self.unreachable_from: set[str] = set()
         self._boot()
@@ -188,6 +195,18 @@
         loop = asyncio.get_running_loop()
         run.timer = loop.call_later(STOP_DELAY_S, self.end, task, RunOutcome.STOPPED)
 
+    def pace(self, task: str, run_number: int, percent: int) -> bool:
+        """Limits a run to a share of its speed. Returns whether that was done.
+
+        Only the pace is recorded; a run takes as long as at full speed.
+        """
+        self.pace_orders.append((self.fleet.clock.boot_time().total_seconds(), task, percent))
+        run = self.run_by_task.get(task)
+        if self.refuses_pace or run is None or run.order.run != run_number:
+            return False
+        run.pace_percent = percent
+        return True
+
     def end(self, task: str, outcome: RunOutcome) -> None:
         run = self.run_by_task.pop(task, None)
         if run is None:
@@ -207,7 +226,7 @@
 
     def hold_reply(self) -> HoldReply:
         running = tuple(
-            RunningRun(task, run.order.run, "", self._percent(run))
+            RunningRun(task, run.order.run, "", self._percent(run), self.fleet.load(self, run))
             for task, run in self.run_by_task.items()
         )
         return HoldReply(self.clock_ms, self.boot_ms, running, tuple(self.ended[:500]))
@@ -252,6 +271,8 @@
         address of each worker at first. An empty name stands for none.
     `fails`
         Returns whether a run of an order on a worker fails; by default none does.
+    `load`
+        Returns the load of a run on a worker, as workers list it; by default it is 0.
     `ticket_valid`
         Returns whether a worker accepts a ticket for a task; by default it accepts all.
     """
@@ -271,6 +292,7 @@
         self.cancelled_at: dict[JobId, float] = {}
         self.ticket_valid: Callable[[str, str, str], bool] = lambda task, worker, ticket: True
         self.fails: Callable[[str, StartOrder], bool] = lambda worker, order: False
+        self.load: Callable[[ModelWorker, ModelRun], float] = lambda worker, run: 0.0
         self.duration_s = 0.5
 
     def add(self, name: str, capacity: Resources) -> ModelWorker:
@@ -582,8 +604,22 @@
 
     async def pace(
         self, worker: WorkerListing, task: str, run: int, percent: int, token: int
-    ) -> None:
-        await self._receive(await self._reach(worker))
+    ) -> bool:
+        call = await self._reach_for_order(worker)
+        target = call.target
+
+        def execute() -> bool | None:
+            return target.pace(task, run, percent) if target.fence(token) else None
+
+        if self._random.random() < self.late_share:
+            self._run_delayed(call, execute)
+            await self._time_out(worker)
+        is_done = await self._send(call, execute)
+        await self._receive(call)
+        self._keep(call)
+        if is_done is None:
+            raise FencedError
+        return is_done
 
     def end_series(self, series: CallSeries) -> None:
         self._call_by_series.pop(series, None)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -155,25 +155,121 @@
     return True
 
 
-@pytest.mark.parametrize("status", [204, 404, 500, 502, 504])
-def test_start_answered_with_an_unknown_status_may_have_taken_effect(status):
-    """Guards against a task that is started elsewhere at once while the run of an order with an
-    answer that tells nothing is at work."""
+def with_status(status, scenario, reason=""):
+    """Runs a scenario against a worker that answers all calls with one status."""
 
     async def answer(request):
-        return web.Response(status=status)
+        return web.json_response({"clock-ms": 5, "reason": reason}, status=status)
 
     async def main():
         address, runner = await listen(answer)
         client = PlatformWorkers(SystemClock())
         listing = WorkerListing("w0", "pool", address, "gebze", False, CAPACITY)
+        try:
+            await scenario(client, listing)
+        finally:
+            await client.close()
+            await runner.cleanup()
+
+    asyncio.run(main())
+
+
+UNKNOWN_STATUSES = (204, 404, 500, 502, 504)
+
+
+@pytest.mark.parametrize("status", UNKNOWN_STATUSES)
+def test_start_answered_with_an_unknown_status_may_have_taken_effect(status):
+    """Guards against a task that is started elsewhere at once while the run of an order with an
+    answer that tells nothing is at work."""
+
+    async def scenario(client, listing):
         with pytest.raises(WorkerUnreachableError, match=f"status {status}") as raised:
             await client.start(listing, order(), lambda: True, is_known)
         assert raised.value.sent
-        await client.close()
-        await runner.cleanup()
 
-    asyncio.run(main())
+    with_status(status, scenario)
+
+
+@pytest.mark.parametrize(
+    "status, reply",
+    [
+        (400, StartReply.INVALID),
+        (409, StartReply.INVALID),
+        (429, StartReply.UNHEALTHY),
+        (503, StartReply.UNHEALTHY),
+    ],
+)
+def test_start_that_a_worker_refuses_has_not_taken_effect(status, reply):
+    async def scenario(client, listing):
+        answer = await client.start(listing, order(), lambda: True, is_known)
+        assert answer.reply is reply
+
+    with_status(status, scenario)
+
+
+@pytest.mark.parametrize("status", [400, 429, 503, *UNKNOWN_STATUSES])
+def test_stop_that_a_worker_does_not_confirm_is_not_taken_as_done(status):
+    """Guards against a task that is placed again while its run goes on."""
+
+    async def scenario(client, listing):
+        with pytest.raises(WorkerUnreachableError, match=f"status {status}"):
+            await client.stop(listing, TASK, 1, 5)
+
+    with_status(status, scenario)
+
+
+def test_stop_of_a_run_that_is_not_there_is_done():
+    async def scenario(client, listing):
+        await client.stop(listing, TASK, 1, 5)
+
+    with_status(409, scenario, "old")
+
+
+@pytest.mark.parametrize("status", [400, 409, 429, 503, *UNKNOWN_STATUSES])
+def test_hold_call_without_a_list_is_no_contact(status):
+    """Guards against a lease that counts as extended although the worker refused the call."""
+
+    async def scenario(client, listing):
+        with pytest.raises(WorkerUnreachableError, match=f"status {status}"):
+            await client.hold(listing, 5, 0, 5000, NO_WAIT)
+
+    with_status(status, scenario)
+
+
+@pytest.mark.parametrize("status", [200, 400, 409, 429, 503])
+def test_pace_is_set_only_if_the_worker_says_so(status):
+    """Guards against best-effort tasks that go on at full speed beside a task over its target
+    (HARM): an order answered 503 counted as carried out."""
+
+    async def scenario(client, listing):
+        assert await client.pace(listing, TASK, 1, 0, 5) is (status == 200)
+
+    with_status(status, scenario)
+
+
+@pytest.mark.parametrize("status", UNKNOWN_STATUSES)
+def test_pace_answered_with_an_unknown_status_may_have_been_set(status):
+    async def scenario(client, listing):
+        with pytest.raises(WorkerUnreachableError, match=f"status {status}") as raised:
+            await client.pace(listing, TASK, 1, 0, 5)
+        assert raised.value.sent
+
+    with_status(status, scenario)
+
+
+def test_any_call_with_a_lower_token_is_fenced():
+    async def scenario(client, listing):
+        answer = await client.start(listing, order(), lambda: True, is_known)
+        assert answer.reply is StartReply.FENCED
+        for call in (
+            client.stop(listing, TASK, 1, 5),
+            client.hold(listing, 5, 0, None, NO_WAIT),
+            client.pace(listing, TASK, 1, 0, 5),
+        ):
+            with pytest.raises(FencedError):
+                await call
+
+    with_status(409, scenario, "fence")
 
 
 def test_values_of_any_bytes_are_written_and_read_back():
--- a/tests/poolowner/test_pacing.py
+++ b/tests/poolowner/test_pacing.py
@@ -21,7 +21,8 @@
 def paces(pacer, worker, seconds=0.0):
     changes = pacer.changes([worker], worker.now + timedelta(seconds=seconds))
     for attempt, percent in changes:
-        attempt.pace_percent = percent
+        attempt.pace.begin_order()
+        attempt.pace.confirm_order(percent)
     return [percent for _, percent in changes]
 
 
@@ -48,8 +49,31 @@
     pacer = Pacer()
     worker, _, best_effort = worker_with(load=120)
     assert paces(pacer, worker) == [0]
-    best_effort.pace_percent = -1
-    assert paces(pacer, worker) == [0]
+    best_effort.pace.begin_order()
+    best_effort.pace.fail_order(worker.now)
+    assert paces(pacer, worker) == []
+    assert paces(pacer, worker, 0.5) == [0]
+
+
+def test_one_order_at_a_time_is_sent_for_a_run():
+    """Guards against two orders on one run whose effects overtake each other."""
+    pacer = Pacer()
+    worker, _, best_effort = worker_with(load=120)
+    best_effort.pace.begin_order()
+    assert paces(pacer, worker, 5.0) == []
+    best_effort.pace.confirm_order(100)
+    assert paces(pacer, worker, 5.0) == [0]
+
+
+def test_refused_order_is_not_repeated_once_another_was_confirmed():
+    """Guards against needless orders: a refused one can't take effect later."""
+    pacer = Pacer()
+    worker, latency_sensitive, best_effort = worker_with(load=120)
+    best_effort.pace.begin_order()
+    best_effort.pace.fail_order(worker.now)
+    assert paces(pacer, worker, 0.5) == [0]
+    latency_sensitive.load = 70
+    assert [paces(pacer, worker, seconds) for seconds in (3, 5, 7)] == [[], [], []]
 
 
 def test_worker_without_latency_sensitive_tasks_runs_best_effort_tasks_at_full_speed():
