Repeat an order on pace while an earlier one may take effect late

What callers could see: the same as with a refused order.

Cause: an answer to the newest order was taken as the last word on the pace, though the platform may carry out an earlier order later.

Change: for 15 s after an order that may still take effect, the confirmed pace is ordered again every 2 s; so is a pause for as long as the worker lists a task over its target, whatever undid it. Without disturbance no further orders are sent. A task that is over its target by its own load costs one order every 2 s for each best-effort run beside it.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -459,11 +459,12 @@
         """Limits a run to a percentage of its speed. Only a positive answer confirms it."""
         attempt.pace.begin_order()
         listing, sent_at = self.listing, self._clock.boot_time()
-        is_done = False
+        is_done, may_take_effect = False, True
         try:
             is_done = await self._client.pace(
                 listing, attempt.name, attempt.run, percent, self._owner.token
             )
+            may_take_effect = False
             if not is_done:
                 _log.info(
                     "pace {}% of {} run {} refused by {}",
@@ -473,6 +474,7 @@
                     self.worker,
                 )
         except WorkerUnreachableError as error:
+            may_take_effect = error.sent
             _log.info("pace change of {} run {} failed: {}", attempt.name, attempt.run, error)
         except FencedError:
             self._owner.on_fenced(self)
@@ -483,10 +485,11 @@
                 "pace change of {} run {} failed unexpectedly", attempt.name, attempt.run
             )
         finally:
+            now = self._clock.boot_time()
             if is_done:
-                attempt.pace.confirm_order(percent)
+                attempt.pace.confirm_order(percent, now)
             else:
-                attempt.pace.fail_order(self._clock.boot_time())
+                attempt.pace.fail_order(now, may_take_effect)
 
     # The lease loop
 
--- a/hornbeamramp/poolowner/pacing.py
+++ b/hornbeamramp/poolowner/pacing.py
@@ -70,7 +70,10 @@
             ]
             if best_effort:
                 percent = self.percent(session, now)
-                changes += [(a, percent) for a in best_effort if a.pace.is_due(percent, now)]
+                has_no_effect = percent == 0 and _highest_share(session) >= PAUSE_SHARE
+                changes += [
+                    (a, percent) for a in best_effort if a.pace.is_due(percent, now, has_no_effect)
+                ]
         return changes
 
 
--- a/tests/poolowner/test_pacing.py
+++ b/tests/poolowner/test_pacing.py
@@ -22,7 +22,7 @@
     changes = pacer.changes([worker], worker.now + timedelta(seconds=seconds))
     for attempt, percent in changes:
         attempt.pace.begin_order()
-        attempt.pace.confirm_order(percent)
+        attempt.pace.confirm_order(percent, worker.now + timedelta(seconds=seconds))
     return [percent for _, percent in changes]
 
 
@@ -50,7 +50,7 @@
     worker, _, best_effort = worker_with(load=120)
     assert paces(pacer, worker) == [0]
     best_effort.pace.begin_order()
-    best_effort.pace.fail_order(worker.now)
+    best_effort.pace.fail_order(worker.now, may_take_effect=True)
     assert paces(pacer, worker) == []
     assert paces(pacer, worker, 0.5) == [0]
 
@@ -61,7 +61,7 @@
     worker, _, best_effort = worker_with(load=120)
     best_effort.pace.begin_order()
     assert paces(pacer, worker, 5.0) == []
-    best_effort.pace.confirm_order(100)
+    best_effort.pace.confirm_order(100, worker.now)
     assert paces(pacer, worker, 5.0) == [0]
 
 
@@ -70,12 +70,30 @@
     pacer = Pacer()
     worker, latency_sensitive, best_effort = worker_with(load=120)
     best_effort.pace.begin_order()
-    best_effort.pace.fail_order(worker.now)
+    best_effort.pace.fail_order(worker.now, may_take_effect=False)
     assert paces(pacer, worker, 0.5) == [0]
     latency_sensitive.load = 70
     assert [paces(pacer, worker, seconds) for seconds in (3, 5, 7)] == [[], [], []]
 
 
+def test_order_is_repeated_while_an_earlier_one_may_take_effect():
+    pacer = Pacer()
+    worker, latency_sensitive, best_effort = worker_with(load=120)
+    best_effort.pace.begin_order()
+    best_effort.pace.fail_order(worker.now, may_take_effect=True)
+    assert paces(pacer, worker, 1.0) == [0]
+    latency_sensitive.load = 70
+    sent = [paces(pacer, worker, seconds) for seconds in (2.0, 3.0, 4.0, 5.0, 14.9, 17.0)]
+    assert sent == [[], [0], [], [0], [0], []]
+
+
+def test_pause_is_ordered_again_while_a_task_stays_over_its_target():
+    """Guards against a pause that the worker has confirmed and that is not in force (HARM)."""
+    pacer = Pacer()
+    worker, _, _ = worker_with(load=120)
+    assert [paces(pacer, worker, seconds) for seconds in (0.0, 1.9, 2.0)] == [[0], [], [0]]
+
+
 def test_worker_without_latency_sensitive_tasks_runs_best_effort_tasks_at_full_speed():
     worker = session("w0")
     running(worker, BEST_EFFORT)
--- a/tests/vm/test_pacing.py
+++ b/tests/vm/test_pacing.py
@@ -3,6 +3,8 @@
 
 import asyncio
 
+import pytest
+
 from hornbeamramp.workload import JobPhase, StepSpec
 from tests.model.cell import ModelCell, job
 from tests.model.fleet import FleetView
@@ -126,6 +128,30 @@
     run_with_load(scenario)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_order_on_pace_that_takes_effect_late_does_not_last(seed):
+    """Guards against a task that is over its target for good (HARM): an order to resume got no
+    answer and was carried out seconds later, after a newer one to pause."""
+
+    async def scenario(cell, load):
+        load.is_busy = True
+        await until(lambda: paces(cell) == [0] * WORKERS)
+        load.is_busy = False
+        view = (await cell.wait_for_owner()).workers
+        view._random.seed(seed)
+        view.late_share = 1.0
+        # The first orders to resume are due 2.5 s after the list that shows the pause's effect.
+        await asyncio.sleep(6)
+        view.late_share = 0.0
+        load.is_busy = True
+        await asyncio.sleep(CONTACT_S)
+        assert await load.observe(20) <= MAX_HARM_S
+        workers = cell.fleet.worker_by_name.values()
+        assert any(percent > 0 for worker in workers for *_, percent in worker.pace_orders)
+
+    run_with_load(scenario)
+
+
 def test_order_on_pace_that_fails_unexpectedly_is_sent_again(monkeypatch):
     """Guards against a pace that counts as set after an error that no code expects."""
     pace = FleetView.pace
