Resume runs whose pace a former owner has limited

Cause: a new owner took the pace of restored runs for full speed, so it sent no order to resume those that its predecessor had paused.

Change: the pace of a restored run is unknown. Where tasks with a target share the worker, its best-effort runs are taken over at 25% and resumed step by step as after a pause, as they may have been paused for the sake of those; elsewhere at once.

--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -23,6 +23,7 @@
     Attempt,
     AttemptPhase,
     RunOutcome,
+    RunPace,
     WorkerClient,
     WorkerListing,
     WorkerSession,
@@ -229,6 +230,7 @@
             attempt = Attempt(task, task.name, open_task.run, task.unit.step.size, session)
             attempt.phase = AttemptPhase.UNCERTAIN
             attempt.checkpoint = open_task.checkpoint
+            attempt.pace = RunPace(None)
             session.reserve(attempt)
             task.attempt = attempt
         self.lifecycle.open_due(job)
--- a/hornbeamramp/poolowner/pacing.py
+++ b/hornbeamramp/poolowner/pacing.py
@@ -43,7 +43,7 @@
         """Updates and returns the pace of a worker's best-effort tasks, 0 to 100 percent."""
         worker = session.worker
         if worker not in self._percent_by_worker:
-            self._set_percent(worker, FULL_PERCENT, now)
+            self._set_percent(worker, _initial_percent(session), now)
         percent = self._percent_by_worker[worker]
         highest_share = _highest_share(session)
         is_due = now - self._changed_at[worker] >= RESUME_INTERVAL
@@ -94,3 +94,16 @@
         ),
         default=0.0,
     )
+
+
+def _initial_percent(session: WorkerSession) -> int:
+    """Returns the pace at which a worker's best-effort tasks are taken over or started.
+
+    A former owner may have paused them for the sake of others, so they are resumed step by step.
+    """
+    has_unknown_pace = any(
+        is_best_effort(attempt) and attempt.pace.percent is None
+        for attempt in session.attempt_by_key.values()
+    )
+    is_shared = bool(_latency_sensitive(session))
+    return RESUME_STEP_PERCENT if has_unknown_pace and is_shared else FULL_PERCENT
--- a/tests/poolowner/test_pacing.py
+++ b/tests/poolowner/test_pacing.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from hornbeamramp.fleet import RunPace
 from hornbeamramp.poolowner.pacing import Pacer
 from hornbeamramp.workload import StepSpec
 from tests.poolowner.builders import running, session
@@ -94,6 +95,19 @@
     assert [paces(pacer, worker, seconds) for seconds in (0.0, 1.9, 2.0)] == [[0], [], [0]]
 
 
+def test_runs_that_a_former_owner_may_have_paused_are_resumed_step_by_step():
+    pacer = Pacer()
+    worker, _, best_effort = worker_with(load=40)
+    best_effort.pace = RunPace(None)
+    assert [paces(pacer, worker, 3.0 * n) for n in range(4)] == [[25], [50], [75], [100]]
+
+
+def test_pace_of_a_former_owner_is_lifted_at_once_if_no_other_task_is_there():
+    worker = session("w0")
+    running(worker, BEST_EFFORT).pace = RunPace(None)
+    assert paces(Pacer(), worker) == [100]
+
+
 def test_worker_without_latency_sensitive_tasks_runs_best_effort_tasks_at_full_speed():
     worker = session("w0")
     running(worker, BEST_EFFORT)
--- a/tests/vm/test_pacing.py
+++ b/tests/vm/test_pacing.py
@@ -152,6 +152,33 @@
     run_with_load(scenario)
 
 
+def test_paused_runs_are_resumed_after_a_takeover():
+    """Guards against best-effort tasks that never end (LOST): the new owner took the pace of runs
+    that its predecessor had paused for full speed."""
+
+    async def scenario(cell, load):
+        load.is_busy = True
+        await until(lambda: paces(cell) == [0] * WORKERS)
+        await (await cell.wait_for_owner()).kill()
+        load.is_busy = False
+        await until(lambda: paces(cell) == [100] * WORKERS)
+
+    run_with_load(scenario)
+
+
+def test_runs_that_disturb_others_are_not_resumed_at_once_after_a_takeover():
+    """Guards against tasks over their target because a new owner resumes all paused runs at full
+    speed before it knows the load."""
+
+    async def scenario(cell, load):
+        load.is_busy = True
+        await until(lambda: paces(cell) == [0] * WORKERS)
+        await (await cell.wait_for_owner()).kill()
+        assert await load.observe(30) <= MAX_HARM_S
+
+    run_with_load(scenario)
+
+
 def test_order_on_pace_that_fails_unexpectedly_is_sent_again(monkeypatch):
     """Guards against a pace that counts as set after an error that no code expects."""
     pace = FleetView.pace
