Play refused orders on pace in the soak

Change: a variant `--pacing` with one serving and one best-effort task for each worker, load that changes within seconds, workers that refuse orders on pace, takeovers, crashes and degraded links.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST)
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --moves
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --restarts
+	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --pacing
 
 lint: $(STAMP)
 	$(BIN)/black --check .
--- a/tests/platform/wire_server.py
+++ b/tests/platform/wire_server.py
@@ -171,7 +171,9 @@
             worker.stop(body["task"], body["run"])
             return web.json_response({"clock-ms": worker.clock_ms})
         if request.path == "/pace":
-            return web.json_response({"clock-ms": worker.clock_ms})
+            is_done = worker.pace(body["task"], body["run"], body["percent"])
+            status = 200 if is_done else 503
+            return web.json_response({"clock-ms": worker.clock_ms}, status=status)
         worker.acknowledge_ends(body["last-seen"])
         if "deadline-ms" in body:
             worker.extend_deadline(body["deadline-ms"])
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,5 @@
 """Command line: ``python -m tests.soak [--seeds N] [--first SEED] [--seconds S]
-[--planned] [--moves] [--restarts]``."""
+[--planned] [--moves] [--restarts] [--pacing]``."""
 
 import shutil
 import sys
@@ -21,6 +21,7 @@
     planned: bool = False,
     moves: bool = False,
     restarts: bool = False,
+    pacing: bool = False,
 ) -> None:
     """Runs seeds one after another and keeps the logs of those that fail.
 
@@ -40,12 +41,14 @@
         Move a queue between two pools, with callers that give up, cancel and send again.
     restarts
         Restart workers under their ids and delay their answers, with the same callers.
+    pacing
+        Run best-effort tasks beside tasks that serve, on workers that refuse orders on pace.
     """
     failed = []
     for seed in range(first, first + seeds):
         logs = folder.resolve() / f"seed-{seed}"
         shutil.rmtree(logs, ignore_errors=True)
-        outcome = run_seed(seed, seconds, logs, planned, moves, restarts)
+        outcome = run_seed(seed, seconds, logs, planned, moves, restarts, pacing)
         print(
             f"seed {seed}: {outcome.accepted} accepted, {outcome.refused} refused, "
             f"{outcome.starts} starts, {outcome.faults} faults, {len(outcome.problems)} problems",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,7 +11,7 @@
 from tests.model.cell import random_spec
 from tests.soak.cell import HOST, PREFIX_BY_QUEUE, SoakCell
 
-__all__ = ["Callers"]
+__all__ = ["Callers", "encode_job"]
 
 DEADLINE_S = 3.0
 TERMINAL = {"completed", "failed", "cancelled"}
@@ -30,6 +30,10 @@
             "after": list(step.after),
             "checkpointing": step.checkpointing,
             "gang": step.gang,
+            "long-running": step.long_running,
+            "target-ms": step.response_target_ms,
+            "fills": step.fills,
+            "max-per-server": step.max_per_worker,
         }
         for step in spec.steps
     ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 from tests.soak.faults import Faults, PlannedWork, WorkerRestarts
 from tests.soak.kept_connections import KeptConnectionCallers
 from tests.soak.moves import ImpatientCallers, MovingQueues
+from tests.soak.pacing import PacedCallers, PacingFaults
 
 __all__ = ["Outcome", "run_seed"]
 
@@ -36,6 +37,7 @@
     planned: bool = False,
     moves: bool = False,
     restarts: bool = False,
+    pacing: bool = False,
 ) -> Outcome:
     """Runs a seed with ``seconds`` of faults. The VMs' logs are written to ``folder``.
 
@@ -45,13 +47,21 @@
         Moves a queue between two pools, with callers that give up, cancel and send again.
     `restarts`
         Restarts workers under their ids and delays their answers, with the same callers.
+    `pacing`
+        Runs best-effort tasks beside tasks that serve, on workers that refuse orders on pace.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves, restarts))
+    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves, restarts, pacing))
 
 
 async def _run_seed(
-    seed: int, seconds: float, folder: Path, planned: bool, moves: bool, restarts: bool
+    seed: int,
+    seconds: float,
+    folder: Path,
+    planned: bool,
+    moves: bool,
+    restarts: bool,
+    pacing: bool,
 ) -> Outcome:
     rng, fault_rng = random.Random(seed), random.Random(seed + 1)
     async with SoakCell(folder, seed, moves=moves) as cell:
@@ -67,6 +77,8 @@
             callers, faults = ImpatientCallers(cell, rng), WorkerRestarts(cell, fault_rng)
             # Many starts on workers that are not full.
             callers.max_pause_s, cell.fleet.duration_s = 0.15, 0.15
+        elif pacing:
+            callers, faults = PacedCallers(cell, rng), PacingFaults(cell, fault_rng)
         else:
             callers, faults = Callers(cell, rng), Faults(cell, fault_rng)
         await asyncio.gather(callers.run(seconds), faults.run(seconds))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,10 @@
 # With workers that restart under their ids and answer late, and the same callers. In 20 s of these,
 # tasks ran twice while a list made before a start was taken as proof that its run is gone.
 RESTARTING_SEEDS = (6006, 6009)
+# With best-effort tasks beside tasks that serve. In 12 s of these, tasks were over their target for
+# good while an order on pace that a worker refused counted as carried out.
+PACING_SEEDS = (7001, 7005)
+PACING_SECONDS = 12.0
 # Seeds that failed once, with the duration of the failed run in seconds and the cause.
 FAILED_SEEDS: dict[int, tuple[float, str]] = {
     6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
@@ -68,6 +72,14 @@
     assert run_seed(seed, 20.0, tmp_path, moves=True).problems == ()
 
 
+@pytest.mark.parametrize("seed", PACING_SEEDS)
+def test_tails_stay_below_their_target_while_workers_refuse_orders_on_pace(seed, tmp_path):
+    """Guards against a task that is over its target for good beside best-effort tasks (HARM)."""
+    outcome = run_seed(seed, PACING_SECONDS, tmp_path, pacing=True)
+    assert outcome.problems == ()
+    assert outcome.starts > 0
+
+
 @pytest.mark.parametrize("seed", RESTARTING_SEEDS)
 def test_tasks_run_once_while_workers_restart(seed, tmp_path):
     """Guards against a task that is started again while its run is at work on a restarted worker,
