Decode client accounts, public queues and limits of requests

Cause: the program on the users' platform knows no client accounts; keys, weights and quotas of the configuration are ignored.

A configuration with a name or key that occurs twice, a negative weight or a quota of another type is rejected and the last good one stays; the reason never repeats a key. The account goes with a job's submission into its record. Nothing checks or uses it yet; queues without accounts are served as before. The settings decode memory, descriptors and the bound on revoked keys.

--- /dev/null
+++ b/hornbeamramp/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: whose key a call carries, and what room an account may have."""
--- a/hornbeamramp/ids.py
+++ b/hornbeamramp/ids.py
@@ -3,7 +3,10 @@
 from typing import NewType
 
 __all__ = [
+    "NO_ACCOUNT",
     "UNKNOWN_DATA_CENTRE",
+    "AccountId",
+    "ApiKey",
     "AttemptId",
     "ChangeId",
     "DataCentreId",
@@ -23,6 +26,8 @@
     "split_shard_id",
 ]
 
+AccountId = NewType("AccountId", str)
+ApiKey = NewType("ApiKey", str)
 AttemptId = NewType("AttemptId", str)
 ChangeId = NewType("ChangeId", str)
 DataCentreId = NewType("DataCentreId", str)
@@ -40,6 +45,8 @@
 VmId = NewType("VmId", str)
 
 UNKNOWN_DATA_CENTRE = DataCentreId("")
+# Jobs of cells without client accounts, and those sent to a public queue without a key.
+NO_ACCOUNT = AccountId("")
 
 
 def shard_id(pool: PoolName, data_centre: DataCentreId) -> ShardId:
--- a/hornbeamramp/platform/decoding.py
+++ b/hornbeamramp/platform/decoding.py
@@ -9,15 +9,18 @@
 from result import Err, Ok, Result
 
 from hornbeamramp.fleet import WorkerListing
-from hornbeamramp.ids import DataCentreId, PoolName, RouteName, UpstreamId
+from hornbeamramp.ids import AccountId, ApiKey, DataCentreId, PoolName, RouteName, UpstreamId
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import Item
 from hornbeamramp.workload import (
+    AccountQuota,
     AdviceTiming,
+    ClientAccount,
     ClusterConfig,
     JobSpec,
     Pool,
     Queue,
+    RequestLimits,
     StepSpec,
     check_job,
 )
@@ -60,6 +63,9 @@
 MAX_STRETCH = 1000.0
 # Versions are sent between VMs as 64-bit integers.
 MAX_VERSION = 2**63 - 1
+# A key travels in a header, within the limit of a request's head.
+MAX_KEY_LENGTH = 1000
+MAX_WEIGHT = 1e9
 # Characters of a wrong value that an error repeats.
 MAX_QUOTED = 60
 
@@ -94,6 +100,7 @@
     target_completion_ms: Milliseconds = 0.0
     timeout_ms: Milliseconds = 3000.0
     advice: WireAdviceTiming | None = None
+    public: bool = False
 
 
 class WireService(msgspec.Struct, frozen=True, rename="kebab"):
@@ -108,8 +115,27 @@
 
 
 class WireLimits(msgspec.Struct, frozen=True, rename="kebab"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)] = 16_384
+    max_body_bytes: Count = 262_144
+    header_timeout_ms: Milliseconds = 3000.0
+    idle_timeout_ms: Milliseconds = 15_000.0
+
+
+class WireQuota(msgspec.Struct, frozen=True, rename="kebab"):
+    """Limits of what an account has running; 0 is none. ``cpu`` is in thousandths of a core."""
+
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+
+
+class WireTenant(msgspec.Struct, frozen=True, rename="kebab"):
+    """A tenant of the platform, which is a client account here."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_LABEL_LENGTH)]
+    api_keys: list[Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_KEY_LENGTH)]] = []
+    weight: Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)] = 1.0
+    max_count: WireQuota = WireQuota()
 
 
 class WireConfig(msgspec.Struct, frozen=True):
@@ -117,6 +143,7 @@
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = WireLimits()
+    tenants: list[WireTenant] = []
 
 
 class WireCapacity(msgspec.Struct, frozen=True, rename="kebab"):
@@ -196,9 +223,43 @@
         )
         for service in wire.services
     }
-    limits = wire.limits
-    return Ok(
-        ClusterConfig(wire.version, queues, pools, limits.max_header_bytes, limits.max_body_bytes)
+    problem = _check_tenants(wire.tenants)
+    if problem:
+        return Err(problem)
+    accounts = {AccountId(tenant.name): _account(tenant) for tenant in wire.tenants}
+    limits = RequestLimits(
+        max_header_bytes=wire.limits.max_header_bytes,
+        max_body_bytes=wire.limits.max_body_bytes,
+        header_timeout=_milliseconds(wire.limits.header_timeout_ms),
+        idle_timeout=_milliseconds(wire.limits.idle_timeout_ms),
+    )
+    return Ok(ClusterConfig(wire.version, queues, pools, limits, accounts))
+
+
+def _check_tenants(tenants: list[WireTenant]) -> str:
+    """Returns what is wrong with the tenants; empty if names and keys are unique. Keys are secrets,
+    so the text doesn't repeat them."""
+    names: set[str] = set()
+    name_by_key: dict[str, str] = {}
+    for number, tenant in enumerate(tenants):
+        if tenant.name in names:
+            return f"tenants[{number}].name: {tenant.name[:MAX_QUOTED]!r} occurs twice"
+        names.add(tenant.name)
+        for key in tenant.api_keys:
+            if key in name_by_key:
+                other = name_by_key[key][:MAX_QUOTED]
+                return f"tenants[{number}].api-keys: a key of {other!r} occurs twice"
+            name_by_key[key] = tenant.name
+    return ""
+
+
+def _account(tenant: WireTenant) -> ClientAccount:
+    quota = tenant.max_count
+    return ClientAccount(
+        id=AccountId(tenant.name),
+        weight=tenant.weight,
+        quota=AccountQuota(quota.cpu, quota.mem_mb, quota.gpu),
+        keys=tuple(ApiKey(key) for key in tenant.api_keys),
     )
 
 
@@ -223,6 +284,7 @@
                 _milliseconds(timing.valid_ms),
             )
         ),
+        is_public=route.public,
     )
 
 
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -65,6 +65,7 @@
         self.advice: PlatformAdvice = PlatformAdvice(settings.advice, clock)
         self.job_retention = settings.job_retention
         self.longest_lease = settings.longest_lease
+        self.revocation_bound = settings.revocation_bound
 
     def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
         return decoding.decode_config(item)
--- a/hornbeamramp/platform/settings.py
+++ b/hornbeamramp/platform/settings.py
@@ -29,10 +29,16 @@
 
 
 class LimitSettings(msgspec.Struct, frozen=True, rename="kebab"):
-    """The VM has ``cpu_share`` of a core that is ``cores`` times as fast as a standard one."""
+    """The VM has ``cpu_share`` of a core that is ``cores`` times as fast as a standard one.
+
+    `memory_mb`, `max_fds`
+        Memory in MiB and file descriptors of the process; 0 if not known.
+    """
 
     cpu_share: float = 1.0
     cores: float = 1.0
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)] = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)] = 0
 
 
 class BoundSettings(msgspec.Struct, frozen=True):
@@ -43,6 +49,10 @@
         default=10_000, name="hold-max-ms"
     )
     grace_s: Seconds = msgspec.field(default=6, name="grace-s")
+    strict_revoke: bool = msgspec.field(default=False, name="strict-revoke")
+    revoke_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS * 1000)] = msgspec.field(
+        default=5000, name="revoke-ms"
+    )
 
     def __post_init__(self) -> None:
         for field in msgspec.structs.fields(self):
@@ -86,6 +96,12 @@
         """Longest lease that a worker grants its runs."""
         return timedelta(milliseconds=self.bounds.hold_max_ms)
 
+    @property
+    def revocation_bound(self) -> timedelta | None:
+        """Time after which a revoked key is refused everywhere; ``None`` without such a bound."""
+        bounds = self.bounds
+        return timedelta(milliseconds=bounds.revoke_ms) if bounds.strict_revoke else None
+
     @property
     def shutdown_grace(self) -> timedelta:
         """Time between SIGTERM and the kill."""
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -29,7 +29,9 @@
     WorkerSession,
 )
 from hornbeamramp.ids import (
+    NO_ACCOUNT,
     UNKNOWN_DATA_CENTRE,
+    AccountId,
     DataCentreId,
     JobId,
     PoolName,
@@ -325,11 +327,14 @@
         queue: Queue,
         spec: JobSpec,
         data_centre: DataCentreId = UNKNOWN_DATA_CENTRE,
+        account: AccountId = NO_ACCOUNT,
     ) -> Refusal | None:
         """Records a job; repeated calls with the same id record it once.
 
         `data_centre`
             Where its caller sent it.
+        `account`
+            The client account whose key its caller sent.
 
         Raises `ClaimLostError` if it is unknown whether the job was recorded.
         """
@@ -359,6 +364,7 @@
             stretch=queue.stretch,
             target_ms=to_ms(queue.target),
             spec=spec,
+            account=account,
         )
         if not self._journal.is_inserting(job_id):
             job = Job(record, data_centre)
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -14,7 +14,16 @@
 
 import msgspec
 
-from hornbeamramp.ids import JobId, PoolName, QueueAddress, RouteName, UpstreamId, VmId
+from hornbeamramp.ids import (
+    NO_ACCOUNT,
+    AccountId,
+    JobId,
+    PoolName,
+    QueueAddress,
+    RouteName,
+    UpstreamId,
+    VmId,
+)
 from hornbeamramp.workload import JobPhase, JobSpec
 
 __all__ = [
@@ -63,7 +72,7 @@
 
 class JobRecord(msgspec.Struct, frozen=True):
     """A job as accepted. ``accepted_ms`` is Unix time; the limits are those of its queue at that
-    time."""
+    time. ``account`` is the client account whose key its caller sent."""
 
     job_id: JobId
     queue: RouteName
@@ -73,6 +82,7 @@
     stretch: float
     target_ms: int
     spec: JobSpec
+    account: AccountId = NO_ACCOUNT
 
 
 class OpenTask(msgspec.Struct, frozen=True, array_like=True):
--- a/hornbeamramp/vm/adapter.py
+++ b/hornbeamramp/vm/adapter.py
@@ -47,6 +47,9 @@
         Time for which the state of an ended job can be queried.
     `longest_lease`
         Longest lease that a worker grants for a task's run.
+    `revocation_bound`
+        Time after the operator's change within which a revoked key is refused on every VM, in touch
+        with the store or not; ``None`` if there is no such bound.
     """
 
     store: StateStore
@@ -57,6 +60,7 @@
     worker_prefix: str
     job_retention: timedelta
     longest_lease: timedelta
+    revocation_bound: timedelta | None = None
 
     @abstractmethod
     def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -11,7 +11,7 @@
 
 from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import SchedulerError, StoreUnavailableError, UnreachableError
-from hornbeamramp.ids import JobId, PoolName
+from hornbeamramp.ids import NO_ACCOUNT, AccountId, JobId, PoolName
 from hornbeamramp.poolowner import PoolOwner, retry_delay
 from hornbeamramp.rpc import PeerServer
 from hornbeamramp.states import Step
@@ -114,9 +114,14 @@
         return max(end - self._node.clock.boot_time(), timedelta(0))
 
     async def submit(
-        self, queue: Queue, job_id: JobId, spec: JobSpec, max_wait: timedelta
+        self,
+        queue: Queue,
+        job_id: JobId,
+        spec: JobSpec,
+        max_wait: timedelta,
+        account: AccountId = NO_ACCOUNT,
     ) -> SubmitResult:
-        """Records a job with the owner of its pool.
+        """Records a job of a client account with the owner of its pool.
 
         Raises `UnavailableError`; the job may be recorded then only if ``may_have_run`` is true.
         """
@@ -127,13 +132,18 @@
         if self._node.config is None:
             return SubmitResult("there is no configuration yet", CONFIG_RETRY_AFTER)
         deadline = self._node.clock.boot_time() + max_wait
-        result = await self._submit_to_owner(queue, job_id, spec, deadline)
+        result = await self._submit_to_owner(queue, job_id, spec, deadline, account)
         if result.refusal and await self._is_in_former_pool(queue, job_id, deadline):
             return SubmitResult()
         return result
 
     async def _submit_to_owner(
-        self, queue: Queue, job_id: JobId, spec: JobSpec, deadline: timedelta
+        self,
+        queue: Queue,
+        job_id: JobId,
+        spec: JobSpec,
+        deadline: timedelta,
+        account: AccountId,
     ) -> SubmitResult:
         """Sends a job to its pool's owner, and on to those of newer configurations.
 
@@ -145,7 +155,13 @@
             version = self._node.config.version
             queue = self._node.config.queue_by_name.get(queue.name, queue)
             request = SubmitJobRequest(
-                queue.pool, queue.name, version, job_id, spec, self._node.identity.data_centre
+                queue.pool,
+                queue.name,
+                version,
+                job_id,
+                spec,
+                self._node.identity.data_centre,
+                account,
             )
             max_wait = deadline - self._node.clock.boot_time()
             try:
@@ -387,7 +403,9 @@
             return SubmitJobReply(True, "the queue is no longer configured", 1000)
         if queue.pool != request.pool and not owner.is_known(request.job_id):
             return SubmitJobReply(True, "the queue has moved to another pool", 1000, has_moved=True)
-        refusal = await owner.accept(request.job_id, queue, request.spec, request.data_centre)
+        refusal = await owner.accept(
+            request.job_id, queue, request.spec, request.data_centre, request.account
+        )
         if refusal is None:
             return SubmitJobReply(True)
         retry_after_ms = to_ms(refusal.retry_after)
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -3,7 +3,9 @@
 import msgspec
 
 from hornbeamramp.ids import (
+    NO_ACCOUNT,
     UNKNOWN_DATA_CENTRE,
+    AccountId,
     DataCentreId,
     JobId,
     PoolName,
@@ -38,6 +40,8 @@
         Version of the configuration by which the sender chose the queue and its pool.
     `data_centre`
         That of the sender, where the caller's request arrived.
+    `account`
+        The client account whose key the sender has checked.
     """
 
     pool: PoolName
@@ -46,6 +50,7 @@
     job_id: JobId
     spec: JobSpec
     data_centre: DataCentreId = UNKNOWN_DATA_CENTRE
+    account: AccountId = NO_ACCOUNT
 
 
 class SubmitJobReply(msgspec.Struct, frozen=True):
--- a/hornbeamramp/workload/__init__.py
+++ b/hornbeamramp/workload/__init__.py
@@ -2,10 +2,13 @@
 
 from hornbeamramp.workload.config import (
     URGENT,
+    AccountQuota,
     AdviceTiming,
+    ClientAccount,
     ClusterConfig,
     Pool,
     Queue,
+    RequestLimits,
     RouteMatch,
 )
 from hornbeamramp.workload.model import (
@@ -23,12 +26,15 @@
     "MAX_TASKS",
     "TERMINAL_PHASES",
     "URGENT",
+    "AccountQuota",
     "AdviceTiming",
+    "ClientAccount",
     "ClusterConfig",
     "JobPhase",
     "JobSpec",
     "Pool",
     "Queue",
+    "RequestLimits",
     "RouteMatch",
     "StepKey",
     "StepSpec",
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -8,6 +8,7 @@
 
 from hornbeamramp.platform.decoding import decode_config, decode_job, decode_worker
 from hornbeamramp.statestore import Item
+from hornbeamramp.workload import AccountQuota, RequestLimits
 
 ROUTE = {
     "name": "r-1",
@@ -232,3 +233,48 @@
     result = decode_job(data)
     assert not isinstance(result, Ok)
     assert field in result.err_value
+
+
+TENANT = {
+    "name": "t-1",
+    "api-keys": ["key-1", "key-2"],
+    "priority": 1,
+    "weight": 16,
+    "max-count": {"cpu": 17000, "mem-mb": 4096, "gpu": 3},
+}
+
+
+def test_tenants_become_client_accounts():
+    public = {**ROUTE, "name": "r-2", "prefix": "/open/", "public": True}
+    wire = {**CONFIG, "routes": [ROUTE, public], "tenants": [TENANT]}
+    config = decode_config(item("op/config", wire)).unwrap()
+    account = config.account_by_id["t-1"]
+    assert (account.weight, account.keys) == (16, ("key-1", "key-2"))
+    assert account.quota == AccountQuota(17000, 4096, 3)
+    assert config.account_by_key == {"key-1": account, "key-2": account}
+    assert [queue.is_public for queue in config.queue_by_name.values()] == [False, True]
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [TENANT, TENANT],
+        [TENANT, {**TENANT, "name": "t-2"}],
+        [{**TENANT, "weight": -1}],
+        [{**TENANT, "max-count": {"cpu": "17000"}}],
+        [{**TENANT, "max-count": 3}],
+        [{**TENANT, "api-keys": [""]}],
+    ],
+    ids=["name twice", "key twice", "weight", "quota's field", "quota", "empty key"],
+)
+def test_configuration_with_invalid_tenants_is_refused_without_naming_a_key(tenants):
+    """One key that names two accounts would let one of them use the other's quota."""
+    problem = decode_config(item("op/config", {**CONFIG, "tenants": tenants})).err()
+    assert problem is not None
+    assert "key-1" not in problem
+
+
+def test_limits_of_requests_are_decoded():
+    wire = {**CONFIG, "limits": {"max-header-bytes": 9000, "header-timeout-ms": 250}}
+    limits = decode_config(item("op/config", wire)).unwrap().request_limits
+    assert limits == RequestLimits(9000, 262_144, timedelta(milliseconds=250))
