Check keys of client accounts on each call, by a configuration proved fresh

Cause: the program on the users' platform served each call, with a wrong or a revoked key and without one. A VM that is cut off would serve a revoked key for as long as it lives.

Change: accounts/access.py decides from queue, keys, configuration and the age of its proof; accounts/freshness.py keeps the proof, which is the sending time of the newest call on the configuration whose answer is applied. The watch renews it without further calls; calls that find it old share one read of the configuration (vm/config_renewal.py). No key, a malformed or an unknown one gets 401, a call that can't be judged 503, a job of another account 403, also where only its stored record or its former pool knows it. An invalid configuration is counted, and one whose decoding fails unexpectedly no longer restarts the watch. STORE_OUTAGE_THRESHOLD moved from caller_service.py to node.py.

Tests: the stubs of test_caller_log_lines.py got the new parameter and an empty account_by_id; their checks are unchanged. tests/model/cell.py has accounts and the bound on revoked keys.

--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -13,7 +13,9 @@
     "jobs_recovered",
     "loop_lag",
     "preemptions",
+    "rejected_configurations",
     "rejected_entries",
+    "refused_access",
     "request_time",
     "requests",
     "run_ends",
@@ -44,6 +46,14 @@
 rejected_entries = _meter.create_counter(
     "hornbeamramp.worker_entries.rejected", "1", "Workers' entries that became unusable"
 )
+rejected_configurations = _meter.create_counter(
+    "hornbeamramp.configurations.rejected", "1", "Configurations that could not be used"
+)
+refused_access = _meter.create_counter(
+    "hornbeamramp.caller.access_refused",
+    "1",
+    "Requests of callers refused for their key or for the account of the job, by reason",
+)
 takeovers = _meter.create_counter("hornbeamramp.takeovers", "1", "Pools taken over, by pool")
 advice_time = _meter.create_histogram(
     "hornbeamramp.advice.time", "s", "Time from a question to its answer, waiting included"
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -10,11 +10,19 @@
 from result import Err
 
 from hornbeamramp import instruments
-from hornbeamramp.ids import JobId
+from hornbeamramp.accounts import Access, AccessProblem
+from hornbeamramp.ids import NO_ACCOUNT, JobId
 from hornbeamramp.platform.decoding import decode_job
+from hornbeamramp.platform.key_checks import KeyChecks
 from hornbeamramp.telemetry import prometheus_text
-from hornbeamramp.vm import CallerService, CancelResult, Node, UnavailableError
-from hornbeamramp.workload import RouteMatch
+from hornbeamramp.vm import (
+    AccessDeniedError,
+    CallerService,
+    CancelResult,
+    Node,
+    UnavailableError,
+)
+from hornbeamramp.workload import ClusterConfig, RouteMatch
 
 __all__ = ["CallerServer"]
 
@@ -35,6 +43,9 @@
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
 # Time for which connections may stay open after the last response was due.
 CLOSE_TIMEOUT = timedelta(milliseconds=100)
+# Delay after which a caller whose key could not be checked should come back: the configuration has
+# been read again by then, or the VM reports itself as not ready.
+KEY_CHECK_RETRY_AFTER = timedelta(seconds=1)
 # Iterations of the event loop from the arrival of a request until its handler runs.
 HANDLER_START_ITERATIONS = 3
 
@@ -64,6 +75,7 @@
         self._node = node
         self._clock = node.clock
         self._service = service
+        self._key_checks = KeyChecks(node)
         self._runner: web.ServerRunner | None = None
         self._ready_runner: web.ServerRunner | None = None
         self._metrics_runner: web.ServerRunner | None = None
@@ -225,10 +237,27 @@
         config = self._node.config
         if config is None:
             return _unavailable("no configuration yet", timedelta(seconds=1))
-        route_match = config.match(request.host.rpartition(":")[0] or request.host, request.path)
+        timeout = _caller_timeout(request)
+        route_match = _match(config, request)
         if route_match is None:
             return _json(404, {"error": "no such queue"})
-        timeout = _caller_timeout(request)
+        decided = self._key_checks.decide(config, route_match.queue, request)
+        if decided == Err(AccessProblem.UNPROVED_CONFIG):
+            asked_at = self._clock.boot_time()
+            await self._key_checks.renew_proof(timeout)
+            timeout = max(timeout - (self._clock.boot_time() - asked_at), timedelta(0))
+            config = self._node.config or config
+            route_match = _match(config, request)
+            if route_match is None:
+                return _json(404, {"error": "no such queue"})
+            decided = self._key_checks.decide(config, route_match.queue, request)
+        if isinstance(decided, Err):
+            problem = decided.err_value
+            self._key_checks.record_refusal(config, route_match.queue, problem)
+            if problem is AccessProblem.UNPROVED_CONFIG:
+                return _unavailable(problem.value, KEY_CHECK_RETRY_AFTER)
+            return _json(401, {"error": problem.value})
+        access = decided.ok_value
         try:
             if request.method == "GET" and not route_match.path_suffix:
                 return _json(
@@ -236,7 +265,11 @@
                 )
             if not JOB_ID.fullmatch(route_match.path_suffix):
                 return _json(404, {"error": "the job id must be 16 hexadecimal digits"})
-            return await self._handle_job(request, route_match, timeout)
+            return await self._handle_job(request, route_match, timeout, access)
+        except AccessDeniedError as error:
+            instruments.refused_access.add(1, {"reason": "other_account"})
+            _log.info("caller request {} {} refused: {}", request.method, request.path, error)
+            return _json(403, {"error": str(error)})
         except UnavailableError as error:
             _log.info(
                 "caller request {} {} could not be answered: {}",
@@ -249,13 +282,17 @@
             return _unavailable(str(error), timedelta(seconds=1))
 
     async def _handle_job(
-        self, request: web.BaseRequest, route_match: RouteMatch, timeout: timedelta
+        self,
+        request: web.BaseRequest,
+        route_match: RouteMatch,
+        timeout: timedelta,
+        access: Access | None,
     ) -> web.StreamResponse:
         job_id = JobId(route_match.path_suffix)
         if request.method == "POST":
-            return await self._submit(request, route_match, job_id, timeout)
+            return await self._submit(request, route_match, job_id, timeout, access)
         if request.method == "GET":
-            phase = await self._service.phase(route_match.queue, job_id, timeout)
+            phase = await self._service.phase(route_match.queue, job_id, timeout, access)
             if phase is None:
                 _log_unknown(request, job_id, route_match)
                 return _json(410, {"error": "no such job"})
@@ -263,20 +300,28 @@
         if request.method == "DELETE":
             fields = {"event": "job_cancel_requested", "job": job_id}
             _log.info("{}: cancellation requested by a caller", job_id, extra=fields)
-            outcome = await self._service.cancel(route_match.queue, job_id, timeout)
+            outcome = await self._service.cancel(route_match.queue, job_id, timeout, access)
             if outcome is CancelResult.ABSENT:
                 _log_unknown(request, job_id, route_match)
             return _json(200 if outcome is CancelResult.CANCELLED else 410, {})
         return _json(405, {"error": f"method {request.method} is not known"})
 
     async def _submit(
-        self, request: web.BaseRequest, route_match: RouteMatch, job_id: JobId, timeout: timedelta
+        self,
+        request: web.BaseRequest,
+        route_match: RouteMatch,
+        job_id: JobId,
+        timeout: timedelta,
+        access: Access | None,
     ) -> web.StreamResponse:
         job = decode_job(await request.read())
         if isinstance(job, Err):
             _log.info("{} refused: malformed job: {}", job_id, job.err_value)
             return _json(400, {"error": job.err_value})
-        submitted = await self._service.submit(route_match.queue, job_id, job.ok_value, timeout)
+        account = NO_ACCOUNT if access is None else access.account
+        submitted = await self._service.submit(
+            route_match.queue, job_id, job.ok_value, timeout, account
+        )
         if submitted.refusal:
             _log.info("{} refused: {}", job_id, submitted.refusal)
             return _unavailable(submitted.refusal, submitted.retry_after)
@@ -296,6 +341,10 @@
     )
 
 
+def _match(config: ClusterConfig, request: web.BaseRequest) -> RouteMatch | None:
+    return config.match(request.host.rpartition(":")[0] or request.host, request.path)
+
+
 def _log_unknown(request: web.BaseRequest, job_id: JobId, route_match: RouteMatch) -> None:
     """Logs an answer 410: neither the pool's owner nor the store knows the job."""
     queue = route_match.queue
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -378,6 +378,11 @@
         """Returns whether a job is recorded here, or may be soon."""
         return job_id in self.job_by_id or self._journal.is_inserting(job_id)
 
+    def record_of(self, job_id: JobId) -> JobRecord | None:
+        """Returns the record of a job that is known here, also while it waits for its commit."""
+        job = self.job_by_id.get(job_id) or self._journal.inserted_job(job_id)
+        return None if job is None else job.record
+
     def _on_recorded(self, job: Job) -> None:
         """Registers a job once its record is in the store."""
         record = job.record
--- a/hornbeamramp/vm/__init__.py
+++ b/hornbeamramp/vm/__init__.py
@@ -2,6 +2,7 @@
 
 from hornbeamramp.vm.adapter import Adapter, AdviceClient, VmIdentity
 from hornbeamramp.vm.caller_service import (
+    AccessDeniedError,
     CallerService,
     CancelResult,
     SubmitResult,
@@ -10,6 +11,7 @@
 from hornbeamramp.vm.node import Node
 
 __all__ = [
+    "AccessDeniedError",
     "Adapter",
     "AdviceClient",
     "CallerService",
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -9,13 +9,21 @@
 import logbook
 import msgspec
 
+from hornbeamramp.accounts import Access, needs_key
 from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import SchedulerError, StoreUnavailableError, UnreachableError
 from hornbeamramp.ids import NO_ACCOUNT, AccountId, JobId, PoolName
 from hornbeamramp.poolowner import PoolOwner, retry_delay
 from hornbeamramp.rpc import PeerServer
 from hornbeamramp.states import Step
-from hornbeamramp.statestore import ClaimLostError, decode_progress, job_key, progress_key
+from hornbeamramp.statestore import (
+    ClaimLostError,
+    JobRecord,
+    decode_progress,
+    decode_record,
+    job_key,
+    progress_key,
+)
 from hornbeamramp.vm.messages import (
     AdviseRequest,
     CancelJobReply,
@@ -30,7 +38,13 @@
 from hornbeamramp.vm.node import Node
 from hornbeamramp.workload import JobPhase, JobSpec, Queue
 
-__all__ = ["CallerService", "CancelResult", "SubmitResult", "UnavailableError"]
+__all__ = [
+    "AccessDeniedError",
+    "CallerService",
+    "CancelResult",
+    "SubmitResult",
+    "UnavailableError",
+]
 
 # A commit takes some 25 ms, and 600 ms with a slow store, as it waits for the commit in progress.
 OWNER_CALL_TIMEOUT = timedelta(milliseconds=700)
@@ -51,10 +65,6 @@
 # An isolated VM fails its readiness probe. The platform stops sending it callers after two failed
 # probes, one second apart.
 ISOLATED_RETRY_AFTER = timedelta(seconds=2)
-# The store counts as unavailable once direct and relayed calls have failed for this long. Each of
-# those calls has already taken up to 1.5 s.
-STORE_OUTAGE_THRESHOLD = timedelta(milliseconds=300)
-
 # How often a job is sent on to the pool of a newer configuration.
 MAX_MOVES_PER_REQUEST = 3
 
@@ -75,6 +85,13 @@
         self.may_have_run = may_have_run
 
 
+class AccessDeniedError(Exception):
+    """A job belongs to another client account than its caller; nothing was done."""
+
+    def __init__(self, job_id: JobId) -> None:
+        super().__init__(f"job {job_id} belongs to another account")
+
+
 class SubmitResult(msgspec.Struct, frozen=True):
     """``refusal`` is empty if the job is recorded; otherwise it is certain that it never runs."""
 
@@ -123,17 +140,19 @@
     ) -> SubmitResult:
         """Records a job of a client account with the owner of its pool.
 
-        Raises `UnavailableError`; the job may be recorded then only if ``may_have_run`` is true.
+        Raises `AccessDeniedError`, and `UnavailableError`; the job may be recorded then only if
+        ``may_have_run`` is true.
         """
         if self._node.isolation.is_isolated:
             return SubmitResult("this VM is cut off from the others", ISOLATED_RETRY_AFTER)
-        if self._is_store_unavailable():
+        if self._node.is_store_unavailable():
             return SubmitResult("the store can't be reached", retry_delay(queue, spec))
         if self._node.config is None:
             return SubmitResult("there is no configuration yet", CONFIG_RETRY_AFTER)
         deadline = self._node.clock.boot_time() + max_wait
+        access = self._submit_access(queue, account)
         result = await self._submit_to_owner(queue, job_id, spec, deadline, account)
-        if result.refusal and await self._is_in_former_pool(queue, job_id, deadline):
+        if result.refusal and await self._is_in_former_pool(queue, job_id, deadline, access):
             return SubmitResult()
         return result
 
@@ -147,7 +166,7 @@
     ) -> SubmitResult:
         """Sends a job to its pool's owner, and on to those of newer configurations.
 
-        Raises `UnavailableError`.
+        Raises `AccessDeniedError` and `UnavailableError`.
         """
         for _ in range(MAX_MOVES_PER_REQUEST):
             # Read together: owners tell by the version which configuration chose the pool.
@@ -170,6 +189,10 @@
                 if error.may_have_run:
                     raise
                 return SubmitResult(str(error), OWNER_RETRY_AFTER)
+            if reply.is_denied:
+                raise AccessDeniedError(job_id)
+            if reply.is_elsewhere:
+                await self._check_recorded_job(queue, job_id, deadline, account)
             if not reply.has_moved:
                 if reply.refusal and may_have_run:
                     raise UnavailableError(reply.refusal, True)
@@ -180,10 +203,30 @@
                 _log.info("job {}: newer configuration not read: {}", job_id, error)
         return SubmitResult(reply.refusal, OWNER_RETRY_AFTER)
 
-    async def _is_in_former_pool(self, queue: Queue, job_id: JobId, deadline: timedelta) -> bool:
-        """Returns whether a job is known in a former pool of its queue, as far as can be told."""
+    async def _check_recorded_job(
+        self, queue: Queue, job_id: JobId, deadline: timedelta, account: AccountId
+    ) -> None:
+        """Raises `AccessDeniedError` if a job that its queue's owner doesn't have is another
+        account's. Without an answer, raises `UnavailableError`, as the job may be the caller's."""
+        access = self._submit_access(queue, account)
+        if access is None:
+            return
+        pools = [queue.pool, *self._other_pools(queue)]
+        try:
+            await self._find_phase(queue, pools, job_id, deadline, access)
+        except UnavailableError as error:
+            raise UnavailableError(str(error), True) from error
+
+    async def _is_in_former_pool(
+        self, queue: Queue, job_id: JobId, deadline: timedelta, access: Access | None
+    ) -> bool:
+        """Returns whether a job is known in a former pool of its queue, as far as can be told.
+
+        Raises `AccessDeniedError`.
+        """
+        pools = self._former_pools(queue)
         try:
-            phase = await self._find_phase(queue, self._former_pools(queue), job_id, deadline)
+            phase = await self._find_phase(queue, pools, job_id, deadline, access)
         except UnavailableError as error:
             _log.info("job {}: former pools of its queue not asked: {}", job_id, error)
             return False
@@ -201,21 +244,25 @@
     def _has_owner(self, pool: PoolName) -> bool:
         return pool in self._node.owner_by_pool or self._node.owner_record(pool) is not None
 
-    def _is_store_unavailable(self) -> bool:
-        first_failure_at = self._node.store.failing_since
-        return (
-            first_failure_at is not None
-            and self._node.clock.boot_time() - first_failure_at > STORE_OUTAGE_THRESHOLD
-        )
+    async def phase(
+        self,
+        queue: Queue,
+        job_id: JobId,
+        max_wait: timedelta,
+        access: Access | None = None,
+    ) -> JobPhase | None:
+        """Returns a job's phase, ``None`` if there is no such job.
 
-    async def phase(self, queue: Queue, job_id: JobId, max_wait: timedelta) -> JobPhase | None:
-        """Returns a job's phase, ``None`` if there is no such job. Raises `UnavailableError`."""
-        request = JobPhaseRequest(queue.pool, job_id)
+        Raises `AccessDeniedError` and `UnavailableError`.
+        """
+        request = JobPhaseRequest(queue.pool, job_id, access)
         deadline = self._node.clock.boot_time() + max_wait
         read_time = min(STORE_READ_TIME, max_wait / 2)
         unanswered = None
         try:
             reply, _ = await self._ask_owner(request, self._on_phase, max_wait, read_time)
+            if reply.is_denied:
+                raise AccessDeniedError(job_id)
             if reply.phase is not None:
                 return reply.phase
         except UnavailableError as error:
@@ -225,89 +272,146 @@
                 error,
             )
             unanswered = error
-        phase = await self._stored_phase(queue.pool, job_id, deadline)
+        phase = await self._stored_phase(queue.pool, job_id, deadline, access)
         if phase is None:
-            phase = await self._find_phase(queue, self._other_pools(queue), job_id, deadline)
+            pools = self._other_pools(queue)
+            phase = await self._find_phase(queue, pools, job_id, deadline, access)
         if phase is None and unanswered is not None:
             # Only the owner knows a job that waits to be recorded.
             raise unanswered
         return phase
 
     async def _find_phase(
-        self, queue: Queue, pools: list[PoolName], job_id: JobId, deadline: timedelta
+        self,
+        queue: Queue,
+        pools: list[PoolName],
+        job_id: JobId,
+        deadline: timedelta,
+        access: Access | None,
     ) -> JobPhase | None:
-        """Returns the phase of a job that may be in some pools. Raises `UnavailableError`."""
+        """Returns the phase of a job that may be in some pools.
+
+        Raises `AccessDeniedError` and `UnavailableError`.
+        """
         return await _first_found(
-            self._phase_elsewhere(queue, pool, job_id, deadline) for pool in pools
+            self._phase_elsewhere(queue, pool, job_id, deadline, access) for pool in pools
         )
 
     async def _phase_elsewhere(
-        self, queue: Queue, pool: PoolName, job_id: JobId, deadline: timedelta
+        self,
+        queue: Queue,
+        pool: PoolName,
+        job_id: JobId,
+        deadline: timedelta,
+        access: Access | None,
     ) -> JobPhase | None:
         """Returns the phase of a job that may be in another pool than its queue's.
 
-        Raises `UnavailableError`.
+        Raises `AccessDeniedError` and `UnavailableError`.
         """
         unanswered = None
         if self._has_owner(pool):
-            request = JobPhaseRequest(pool, job_id)
+            request = JobPhaseRequest(pool, job_id, access)
             try:
                 max_wait = min(OWNER_CALL_TIMEOUT, self._time_left(deadline))
                 reply, _ = await self._ask_owner(request, self._on_phase, max_wait)
+                if reply.is_denied:
+                    raise AccessDeniedError(job_id)
                 if reply.phase is not None or pool not in self._former_pools(queue):
                     return reply.phase
             except UnavailableError as error:
                 _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
                 unanswered = error
-        phase = await self._stored_phase(pool, job_id, deadline)
+        phase = await self._stored_phase(pool, job_id, deadline, access)
         if phase is None and unanswered is not None:
             raise unanswered
         return phase
 
     async def _stored_phase(
-        self, pool: PoolName, job_id: JobId, deadline: timedelta
+        self, pool: PoolName, job_id: JobId, deadline: timedelta, access: Access | None
     ) -> JobPhase | None:
+        """Returns the phase of a job that is recorded in a pool, as far as other VMs than the owner
+        know it. Raises `AccessDeniedError` and `UnavailableError`."""
+        store = self._node.store
         try:
             async with asyncio.timeout(self._time_left(deadline).total_seconds()):
-                progress = await self._node.store.get(progress_key(pool, job_id))
-                if progress is not None:
+                progress = await store.get(progress_key(pool, job_id))
+                if progress is not None and access is None:
                     return decode_progress(progress.value).phase
-                record = await self._node.store.get(job_key(pool, job_id))
+                record = await store.get(job_key(pool, job_id))
+                may_access = (
+                    record is None
+                    or access is None
+                    or self._may_access(access, decode_record(record.value))
+                )
+                if not may_access:
+                    raise AccessDeniedError(job_id)
         except TimeoutError as error:
             raise UnavailableError("the store did not answer in time", False) from error
         except StoreUnavailableError as error:
             raise UnavailableError(str(error), False) from error
         except msgspec.MsgspecError as error:
             raise UnavailableError(f"the job's record can't be decoded: {error}", False) from error
+        if progress is not None:
+            return decode_progress(progress.value).phase
         return None if record is None else JobPhase.QUEUED
 
-    async def cancel(self, queue: Queue, job_id: JobId, max_wait: timedelta) -> CancelResult:
-        """Cancels a job. Raises `UnavailableError`."""
-        request = CancelJobRequest(queue.pool, job_id)
+    def _submit_access(self, queue: Queue, account: AccountId) -> Access | None:
+        """Returns what a call that submits a job may access; ``None`` without client accounts."""
+        config = self._node.config
+        if config is None or not config.account_by_id:
+            return None
+        return Access(account, is_public=not needs_key(config, queue))
+
+    def _may_access(self, access: Access, record: JobRecord) -> bool:
+        config = self._node.config
+        job_needs_key = config is not None and needs_key(
+            config, config.queue_by_name.get(record.queue)
+        )
+        return access.includes(record.account, job_needs_key)
+
+    async def cancel(
+        self,
+        queue: Queue,
+        job_id: JobId,
+        max_wait: timedelta,
+        access: Access | None = None,
+    ) -> CancelResult:
+        """Cancels a job. Raises `AccessDeniedError` and `UnavailableError`."""
+        request = CancelJobRequest(queue.pool, job_id, access)
         deadline = self._node.clock.boot_time() + max_wait
         reply, _ = await self._ask_owner(request, self._on_cancel, max_wait)
+        if reply.is_denied:
+            raise AccessDeniedError(job_id)
         if reply.is_known:
             return CancelResult.CANCELLED
         # A former owner that has not noticed the takeover lacks the newest jobs.
-        if await self._stored_phase(queue.pool, job_id, deadline) is not None:
+        if await self._stored_phase(queue.pool, job_id, deadline, access) is not None:
             raise UnavailableError("the job is known to another owner", False)
         cancelled = await _first_found(
-            self._cancel_elsewhere(queue, pool, job_id, deadline)
+            self._cancel_elsewhere(queue, pool, job_id, deadline, access)
             for pool in self._other_pools(queue)
         )
         return cancelled or CancelResult.ABSENT
 
     async def _cancel_elsewhere(
-        self, queue: Queue, pool: PoolName, job_id: JobId, deadline: timedelta
+        self,
+        queue: Queue,
+        pool: PoolName,
+        job_id: JobId,
+        deadline: timedelta,
+        access: Access | None,
     ) -> CancelResult | None:
         """Cancels a job that may be in another pool than its queue's; returns ``None`` if it isn't
-        there. Raises `UnavailableError`."""
+        there. Raises `AccessDeniedError` and `UnavailableError`."""
         unanswered = None
         if self._has_owner(pool):
-            request = CancelJobRequest(pool, job_id)
+            request = CancelJobRequest(pool, job_id, access)
             try:
                 max_wait = min(OWNER_CALL_TIMEOUT, self._time_left(deadline))
                 reply, _ = await self._ask_owner(request, self._on_cancel, max_wait)
+                if reply.is_denied:
+                    raise AccessDeniedError(job_id)
                 if reply.is_known:
                     return CancelResult.CANCELLED
                 if pool not in self._former_pools(queue):
@@ -315,7 +419,7 @@
             except UnavailableError as error:
                 _log.info("job {}: no answer from the owner of {}: {}", job_id, pool, error)
                 unanswered = error
-        if await self._stored_phase(pool, job_id, deadline) is not None:
+        if await self._stored_phase(pool, job_id, deadline, access) is not None:
             raise UnavailableError("the job is known to an owner that does not answer", False)
         if unanswered is not None:
             raise unanswered
@@ -384,6 +488,11 @@
         owner = self._node.owner_by_pool.get(pool)
         return owner if owner is not None and owner.is_ready else None
 
+    def _is_denied(self, owner: PoolOwner, job_id: JobId, access: Access | None) -> bool:
+        """Returns whether a job that an owner knows is one that its caller may not access."""
+        record = None if access is None else owner.record_of(job_id)
+        return access is not None and record is not None and not self._may_access(access, record)
+
     async def _on_submit(self, request: SubmitJobRequest) -> SubmitJobReply:
         try:
             await self._node.ensure_config_version(request.config_version)
@@ -403,23 +512,30 @@
             return SubmitJobReply(True, "the queue is no longer configured", 1000)
         if queue.pool != request.pool and not owner.is_known(request.job_id):
             return SubmitJobReply(True, "the queue has moved to another pool", 1000, has_moved=True)
+        access = self._submit_access(queue, request.account)
+        if self._is_denied(owner, request.job_id, access):
+            return SubmitJobReply(True, is_denied=True)
         refusal = await owner.accept(
             request.job_id, queue, request.spec, request.data_centre, request.account
         )
         if refusal is None:
-            return SubmitJobReply(True)
+            return SubmitJobReply(True, is_elsewhere=not owner.is_known(request.job_id))
         retry_after_ms = to_ms(refusal.retry_after)
         return SubmitJobReply(True, refusal.reason, retry_after_ms)
 
     async def _on_phase(self, request: JobPhaseRequest) -> JobPhaseReply:
         owner = self._owner(request.pool)
         phase = None if owner is None else await owner.phase(request.job_id)
+        if owner is not None and self._is_denied(owner, request.job_id, request.access):
+            return JobPhaseReply(True, is_denied=True)
         return JobPhaseReply(owner is not None, phase)
 
     async def _on_cancel(self, request: CancelJobRequest) -> CancelJobReply:
         owner = self._owner(request.pool)
         if owner is None or not owner.may_order():
             return CancelJobReply(False)
+        if self._is_denied(owner, request.job_id, request.access):
+            return CancelJobReply(True, is_denied=True)
         return CancelJobReply(True, await owner.cancel(request.job_id))
 
     async def _on_count(self, request: CountJobsRequest) -> CountJobsReply:
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from hornbeamramp.accounts import Access
 from hornbeamramp.ids import (
     NO_ACCOUNT,
     UNKNOWN_DATA_CENTRE,
@@ -62,34 +63,51 @@
     `has_moved`
         Whether the owner refused a job that it doesn't know, as the queue has moved to another pool
         by its configuration.
+    `is_denied`
+        Whether a job of another client account has the id; nothing was done.
+    `is_elsewhere`
+        Whether the job was found recorded in another pool, or by another owner.
     """
 
     is_owner: bool
     refusal: str = ""
     retry_after_ms: int = 0
     has_moved: bool = False
+    is_denied: bool = False
+    is_elsewhere: bool = False
 
 
 class JobPhaseRequest(msgspec.Struct, frozen=True):
+    """``access`` is what the caller may see, ``None`` for all jobs."""
+
     pool: PoolName
     job_id: JobId
+    access: Access | None = None
 
 
 class JobPhaseReply(msgspec.Struct, frozen=True):
-    """``phase`` is ``None`` if the owner has no such job."""
+    """``phase`` is ``None`` if the owner has no such job, or if ``is_denied`` as it belongs to
+    another client account."""
 
     is_owner: bool
     phase: JobPhase | None = None
+    is_denied: bool = False
 
 
 class CancelJobRequest(msgspec.Struct, frozen=True):
+    """``access`` is what the caller may cancel, ``None`` for all jobs."""
+
     pool: PoolName
     job_id: JobId
+    access: Access | None = None
 
 
 class CancelJobReply(msgspec.Struct, frozen=True):
+    """Nothing was done if ``is_denied``, as the job belongs to another client account."""
+
     is_owner: bool
     is_known: bool = False
+    is_denied: bool = False
 
 
 class CountJobsRequest(msgspec.Struct, frozen=True):
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -13,6 +13,7 @@
 from result import Err, Result
 
 from hornbeamramp import instruments
+from hornbeamramp.accounts import ConfigFreshness
 from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import StoreUnavailableError
@@ -43,11 +44,12 @@
 )
 from hornbeamramp.vm.adapter import Adapter, VmIdentity
 from hornbeamramp.vm.advice_queue import AdviceQueue, DistributedAdviceSource
+from hornbeamramp.vm.config_renewal import ConfigRenewal
 from hornbeamramp.vm.isolation import IsolationDetector
 from hornbeamramp.vm.lease import VmLease
 from hornbeamramp.vm.messages import PingRequest
 from hornbeamramp.vm.relay import RelayedStore, RelayRequest
-from hornbeamramp.vm.watching import PrefixCache
+from hornbeamramp.vm.watching import WATCH_WAIT, PrefixCache
 from hornbeamramp.workload import ClusterConfig
 
 __all__ = ["Node"]
@@ -73,6 +75,9 @@
 # entries again within two seconds of the store's recovery (the platform's bound); half a second is
 # for the watch.
 EXPIRED_WORKER_GRACE = timedelta(milliseconds=2500)
+# The store counts as unavailable once direct and relayed calls have failed for this long. Each of
+# those calls has already taken up to 1.5 s.
+STORE_OUTAGE_THRESHOLD = timedelta(milliseconds=300)
 
 # Characters of a rejected worker entry's key and of the reason that are logged.
 MAX_LOGGED_KEY = 100
@@ -86,6 +91,8 @@
 
     `config`
         The configuration with the highest version seen; an older version never replaces it.
+    `config_freshness`, `config_renewal`
+        The proof of how fresh the configuration is, and what renews it for calls that need it.
     `addresses`
         The pools that record the jobs of each address.
     """
@@ -134,8 +141,17 @@
         )
         server.handle(PingRequest, self.isolation.serve)
         self._background = BackgroundTasks("node", _log)
+        self.config_freshness = ConfigFreshness(adapter.revocation_bound)
         self._config_cache = PrefixCache(
-            self.store, clock, adapter.config_prefix, self._on_config_change
+            self.store,
+            clock,
+            adapter.config_prefix,
+            self._on_config_change,
+            on_current=self.config_freshness.record,
+            watch_wait=self.config_freshness.max_watch_wait(WATCH_WAIT),
+        )
+        self.config_renewal = ConfigRenewal(
+            self._config_cache.refresh, self.is_store_unavailable, clock, self._background
         )
         self._cell_cache = PrefixCache(self.store, clock, CELL_PREFIX, self._on_cell_change)
         # The decoded records of the cell, and from them the addresses of the other VMs.
@@ -195,6 +211,14 @@
             and not self.isolation.is_isolated
         )
 
+    def is_store_unavailable(self) -> bool:
+        """Tells whether neither direct nor relayed calls of the store have succeeded lately."""
+        first_failure_at = self.store.failing_since
+        return (
+            first_failure_at is not None
+            and self.clock.boot_time() - first_failure_at > STORE_OUTAGE_THRESHOLD
+        )
+
     # Configuration
 
     def _on_config_change(self, changed: set[str]) -> None:
@@ -203,10 +227,15 @@
         item = self._config_cache.item_by_key.get(self.adapter.config_key)
         if item is None:
             return
-        decoded = self.adapter.decode_config(item)
+        decoded = self._decode_config(item)
         if isinstance(decoded, Err):
+            instruments.rejected_configurations.add(1)
             _log.error(
-                "configuration of store revision {} rejected: {}", item.revision, decoded.err_value
+                "configuration of store revision {} rejected, version {} stays in force: {}",
+                item.revision,
+                None if self.config is None else self.config.version,
+                decoded.err_value[:MAX_LOGGED_REASON],
+                extra={"event": "config_rejected"},
             )
             return
         config = decoded.ok_value
@@ -224,6 +253,13 @@
             owner.wake()
         self._notify_cell()
 
+    def _decode_config(self, item: Item) -> Result[ClusterConfig, str]:
+        try:
+            return self.adapter.decode_config(item)
+        except Exception as error:
+            # The error's text may quote the configuration, which has the accounts' keys.
+            return Err(f"unexpected error: {type(error).__name__}")
+
     async def ensure_config_version(self, version: int) -> None:
         """Reads the configuration again if this VM's is older than ``version``.
 
--- a/hornbeamramp/vm/watching.py
+++ b/hornbeamramp/vm/watching.py
@@ -27,6 +27,11 @@
         keys again.
     `batch_delay`
         Time between two watch calls, so that one call returns several changes of a busy prefix.
+    `on_current`
+        Called after each answered call, once its changes have been reported, with the boot time at
+        which the call was sent: the copy holds all that the store had acknowledged by then.
+    `watch_wait`
+        Longest wait of one watch call.
     """
 
     def __init__(
@@ -36,12 +41,16 @@
         prefix: str,
         on_change: Callable[[set[str]], None],
         batch_delay: timedelta = timedelta(0),
+        on_current: Callable[[timedelta], None] | None = None,
+        watch_wait: timedelta = WATCH_WAIT,
     ) -> None:
         self._store = store
         self._clock = clock
         self._prefix = prefix
         self._on_change = on_change
         self._batch_delay = batch_delay
+        self._on_current = on_current
+        self._watch_wait = watch_wait
         self.item_by_key: dict[str, Item] = {}
         self.is_loaded = False
         self._as_of = 0
@@ -74,9 +83,11 @@
         await self._list()
 
     async def _list(self) -> None:
+        sent_at = self._clock.boot_time()
         items, as_of = await self._store.range(self._prefix)
         # A watch may have returned newer changes meanwhile, which the older list must not undo.
         if self.is_loaded and as_of < self._as_of:
+            self._report_current(sent_at)
             return
         before = self.item_by_key
         self.item_by_key = {item.key: item for item in items}
@@ -90,14 +101,17 @@
                 if _revision(before.get(key)) != _revision(self.item_by_key.get(key))
             }
         )
+        self._report_current(sent_at)
 
     async def _watch(self) -> None:
-        reply = await self._store.watch(self._prefix, self._as_of, WATCH_WAIT)
+        sent_at = self._clock.boot_time()
+        reply = await self._store.watch(self._prefix, self._as_of, self._watch_wait)
         self._end_outage()
         changed = {change.key for change in reply.changes if self._apply(change)}
         self._as_of = max(self._as_of, reply.as_of)
         if changed or self._unreported:
             self._report(changed)
+        self._report_current(sent_at)
         if self._batch_delay:
             await self._clock.sleep(self._batch_delay)
 
@@ -106,6 +120,10 @@
         self._on_change(self._unreported)
         self._unreported = set()
 
+    def _report_current(self, sent_at: timedelta) -> None:
+        if self._on_current is not None and not self._unreported:
+            self._on_current(sent_at)
+
     def _apply(self, change: Change) -> bool:
         current = self.item_by_key.get(change.key)
         if change.revision <= _revision(current):
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -12,7 +12,16 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import UnreachableError
 from hornbeamramp.fleet import WorkerListing
-from hornbeamramp.ids import DataCentreId, JobId, PoolName, RouteName, UpstreamId, VmId
+from hornbeamramp.ids import (
+    NO_ACCOUNT,
+    AccountId,
+    DataCentreId,
+    JobId,
+    PoolName,
+    RouteName,
+    UpstreamId,
+    VmId,
+)
 from hornbeamramp.poolowner import Advice, AdviceUnavailableError, PoolOwner
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import Step
@@ -28,6 +37,7 @@
 )
 from hornbeamramp.workload import (
     AdviceTiming,
+    ClientAccount,
     ClusterConfig,
     JobPhase,
     JobSpec,
@@ -201,6 +211,7 @@
         self.store = StoreView(cell.store, seed)
         self.workers = FleetView(cell.fleet, name, seed)
         adapter = ModelAdapter(self.store, self.workers, cell.advice)
+        adapter.revocation_bound = cell.revocation_bound
         size = cell.size_by_vm.get(name, 1.0)
         identity = VmIdentity(
             VmId(name), DataCentreId("gebze"), self.address, f"{name}#{boot}", size
@@ -237,6 +248,10 @@
         Share of the workers except w0 and w1 that the advice service grants to each step.
     `size_by_vm`
         Relative sizes of the VMs whose size is not 1.
+    `accounts`
+        The client accounts; `configure` writes those in ``account_by_id``.
+    `revocation_bound`
+        Time after which a revoked key is refused on every VM; ``None`` without such a bound.
     """
 
     def __init__(
@@ -246,6 +261,8 @@
         granted: float = 1.0,
         seed: int = 0,
         size_by_vm: dict[str, float] | None = None,
+        accounts: tuple[ClientAccount, ...] = (),
+        revocation_bound: timedelta | None = None,
     ) -> None:
         self.seed = seed
         self.size_by_vm = size_by_vm or {}
@@ -262,6 +279,8 @@
         self.queues = {q.name: q for q in queues}
         self.pools = [POOL]
         self.version = 0
+        self.account_by_id = {account.id: account for account in accounts}
+        self.revocation_bound = revocation_bound
         self.configure()
         for number in range(workers):
             self.add_worker(f"w{number}")
@@ -304,7 +323,8 @@
         """Writes the configuration under a new version."""
         self.version += 3
         pools = {name: Pool(name) for name in self.pools}
-        config = ClusterConfig(self.version, dict(self.queues), pools)
+        accounts = dict(self.account_by_id)
+        config = ClusterConfig(self.version, dict(self.queues), pools, account_by_id=accounts)
         self.store.put(CONFIG_KEY, msgspec.msgpack.encode(config))
 
     def add_worker(self, name: str) -> None:
@@ -362,7 +382,12 @@
                 await asyncio.sleep(0.05)
 
     async def submit(
-        self, job_id: str, spec: JobSpec, queue_name: str = "batch", vm: ModelVm | None = None
+        self,
+        job_id: str,
+        spec: JobSpec,
+        queue_name: str = "batch",
+        vm: ModelVm | None = None,
+        account: AccountId = NO_ACCOUNT,
     ) -> SubmitResult | None:
         """Submits a job to a VM and returns the reply, or ``None`` without a definite answer."""
         identity = JobId(job_id)
@@ -371,7 +396,7 @@
         vm = vm or next(iter(self.vm_by_name.values()))
         try:
             return await vm.service.submit(
-                self.queues[RouteName(queue_name)], identity, spec, REQUEST_TIMEOUT
+                self.queues[RouteName(queue_name)], identity, spec, REQUEST_TIMEOUT, account
             )
         except UnavailableError:
             return None
--- a/tests/platform/test_caller_log_lines.py
+++ b/tests/platform/test_caller_log_lines.py
@@ -16,6 +16,8 @@
 
 
 class StubConfig:
+    account_by_id = {}
+
     def match(self, host, path):
         return RouteMatch(queue("gate"), path.rpartition("/")[2])
 
@@ -34,13 +36,13 @@
         self.block = False
         self.is_asked = asyncio.Event()
 
-    async def phase(self, queue, job_id, timeout):
+    async def phase(self, queue, job_id, timeout, access):
         self.is_asked.set()
         if self.block:
             await asyncio.sleep(60.0)
         return
 
-    async def cancel(self, queue, job_id, timeout):
+    async def cancel(self, queue, job_id, timeout, access):
         return CancelResult.ABSENT
 
 
