Keep an item removed that a newer list lacks and an older watch reports

Cause: a watch that was sent before a refresh may be answered after it. It reports that an item was written, and the list that a later removal has taken it away. The copy then had the item for good, as the next watch continues from the list: an owner record, for instance, that no longer exists.

Change: changes up to the revision of the newest list are left out.

Result: the new test fails without the change and passes with it.

--- a/hornbeamramp/vm/watching.py
+++ b/hornbeamramp/vm/watching.py
@@ -125,8 +125,9 @@
             self._on_current(sent_at)
 
     def _apply(self, change: Change) -> bool:
-        current = self.item_by_key.get(change.key)
-        if change.revision <= _revision(current):
+        # A list that was read while the watch waited has all changes up to its revision, also the
+        # removals, which leave nothing to compare a change with.
+        if change.revision <= max(_revision(self.item_by_key.get(change.key)), self._as_of):
             return False
         if change.item is not None:
             self.item_by_key[change.key] = change.item
--- a/tests/vm/test_config_renewal.py
+++ b/tests/vm/test_config_renewal.py
@@ -228,3 +228,25 @@
         assert reads.started == 2
 
     with_reads(scenario)
+
+
+def test_key_removed_before_a_refresh_stays_removed_after_an_earlier_watch():
+    """Guards against an item that comes back as a watch, answered after a newer list, reports that
+    it was written, and no later watch that it was removed."""
+
+    async def scenario(watched):
+        watched.store.put("op/notice", b"notice")
+        reply = await watched.view.watch("op/", 0, timedelta(0))
+        watched.store.remove("op/notice")
+        await watched.cache.refresh()
+        assert "op/notice" not in watched.cache.item_by_key
+
+        async def answer_late(prefix, after, wait):
+            watched.view.watch = watch
+            return reply
+
+        watch, watched.view.watch = watched.view.watch, answer_late
+        await asyncio.sleep(3)
+        assert "op/notice" not in watched.cache.item_by_key
+
+    with_watch(scenario)
