Keep what client accounts use within their quotas over all pools

The platform's path knew no quotas: an owner placed whatever fitted, and no VM saw what an account uses in all pools.

Each owner now has an allotment of each account's quota in a record of its pool, raised under the condition that the records of all pools are the ones it has read. The placer asks for room at each reservation; a step without room waits for quota, asks for no advice and preempts nothing. Runs listed without an open task count, and after a takeover what may be left of jobs that the former owner ended. A job with a task or gang that can't fit its account's quota is refused at once with 429. Without quotas in the configuration nothing is read or written.

--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -158,6 +158,11 @@
             and not self.orphan_stopped_at_by_key
         )
 
+    @property
+    def has_listed_runs(self) -> bool:
+        """Returns whether the worker has listed its runs to this session."""
+        return self._worker_clock_read_at is not None
+
     def _is_listing_current(self) -> bool:
         """Returns whether the listing is of the worker's newest boot known.
 
--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -13,6 +13,8 @@
     "jobs_recovered",
     "loop_lag",
     "preemptions",
+    "quota_waits",
+    "quota_writes",
     "rejected_entries",
     "request_time",
     "requests",
@@ -71,6 +73,14 @@
     "hornbeamramp.run.given_up", "1", "Runs that count as ended without a report, by proof"
 )
 preemptions = _meter.create_counter("hornbeamramp.preemptions", "1", "Runs stopped for others")
+quota_waits = _meter.create_gauge(
+    "hornbeamramp.quota.waiting_accounts",
+    "1",
+    "Accounts with tasks that only their quota keeps waiting, by pool",
+)
+quota_writes = _meter.create_counter(
+    "hornbeamramp.quota.writes", "1", "Writes of a pool's allotments, by pool and outcome"
+)
 first_start_time = _meter.create_histogram(
     "hornbeamramp.job.first_start", "s", "Time from acceptance to the first start, by queue"
 )
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -12,8 +12,9 @@
 from hornbeamramp import instruments
 from hornbeamramp.ids import JobId
 from hornbeamramp.platform.decoding import decode_job
+from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.telemetry import prometheus_text
-from hornbeamramp.vm import CallerService, CancelResult, Node, UnavailableError
+from hornbeamramp.vm import CallerService, CancelResult, Node, SubmitResult, UnavailableError
 from hornbeamramp.workload import RouteMatch
 
 __all__ = ["CallerServer"]
@@ -30,6 +31,7 @@
 HANDLER_MARGIN = timedelta(milliseconds=100)
 # Idle connections stay open this long; closing one earlier may lose a request already in flight.
 KEEPALIVE_TIMEOUT_S = 75.0
+STATUS_BY_REFUSAL = {RefusalKind.UNAVAILABLE: 503, RefusalKind.QUOTA: 429}
 METRICS_PATH = "/metrics"
 # Period at which a draining server checks whether callers are still connected.
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
@@ -279,7 +281,7 @@
         submitted = await self._service.submit(route_match.queue, job_id, job.ok_value, timeout)
         if submitted.refusal:
             _log.info("{} refused: {}", job_id, submitted.refusal)
-            return _unavailable(submitted.refusal, submitted.retry_after)
+            return _refused(submitted)
         return _json(200, {})
 
 
@@ -329,7 +331,12 @@
     )
 
 
-def _unavailable(error: str, retry_after: timedelta) -> web.Response:
-    response = _json(503, {"error": error})
+def _refused(submitted: SubmitResult) -> web.Response:
+    status = STATUS_BY_REFUSAL[submitted.kind]
+    return _unavailable(submitted.refusal, submitted.retry_after, status)
+
+
+def _unavailable(error: str, retry_after: timedelta, status: int = 503) -> web.Response:
+    response = _json(status, {"error": error})
     response.headers["Retry-After"] = str(max(round(retry_after.total_seconds()), 1))
     return response
--- a/hornbeamramp/poolowner/__init__.py
+++ b/hornbeamramp/poolowner/__init__.py
@@ -3,7 +3,8 @@
 from hornbeamramp.poolowner.address_pools import AddressRecords
 from hornbeamramp.poolowner.advice import Advice, AdviceSource, AdviceUnavailableError
 from hornbeamramp.poolowner.lateness import retry_delay
-from hornbeamramp.poolowner.owner import OwnerContext, PoolOwner, Refusal
+from hornbeamramp.poolowner.owner import OwnerContext, PoolOwner
+from hornbeamramp.poolowner.refusals import Refusal, RefusalKind
 
 __all__ = [
     "AddressRecords",
@@ -13,5 +14,6 @@
     "OwnerContext",
     "PoolOwner",
     "Refusal",
+    "RefusalKind",
     "retry_delay",
 ]
--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -16,7 +16,16 @@
 if TYPE_CHECKING:
     from hornbeamramp.poolowner.gangs import GangPlan
 
-__all__ = ["Job", "StepRun", "Task", "Unit"]
+__all__ = ["Job", "StepRun", "Task", "Unit", "reserved_size"]
+
+
+def reserved_size(spec: StepSpec) -> Resources:
+    """Returns what a run of a step reserves on its worker.
+
+    Best-effort tasks use processors that others leave idle, so none are reserved for them.
+    """
+    processors = 0 if spec.fills else spec.processors_milli
+    return Resources(processors, spec.memory_mib, spec.accelerators, 0, 0)
 
 
 class Task:
@@ -71,9 +80,7 @@
         self.job = job
         self.key = key
         self.spec = spec
-        # Best-effort tasks use processors that others leave idle, so none are reserved for them.
-        processors = 0 if spec.fills else spec.processors_milli
-        self.size = Resources(processors, spec.memory_mib, spec.accelerators, 0, 0)
+        self.size = reserved_size(spec)
         if spec.gang:
             self.units = [Unit(self, range(spec.count))]
         else:
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from hornbeamramp import instruments
+from hornbeamramp.accounts.quotas import quota_problem
 from hornbeamramp.accounts.usage import AccountUsage
 from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
@@ -49,7 +50,9 @@
 from hornbeamramp.poolowner.lifecycle import JobLifecycle
 from hornbeamramp.poolowner.monitor import PoolMonitor
 from hornbeamramp.poolowner.placer import Placer
+from hornbeamramp.poolowner.quota_keeper import CachedPrefix, QuotaKeeper
 from hornbeamramp.poolowner.recovery import placeholder_listing, read_jobs
+from hornbeamramp.poolowner.refusals import Refusal, RefusalKind
 from hornbeamramp.poolowner.summaries import accepted_fields, takeover_fields
 from hornbeamramp.statestore import (
     ClaimLostError,
@@ -60,7 +63,7 @@
 )
 from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue
 
-__all__ = ["OwnerContext", "PoolOwner", "Refusal"]
+__all__ = ["OwnerContext", "PoolOwner"]
 
 # Time for which an owner goes on extending worker leases after its claim is no longer guaranteed to
 # be valid. Together with the 6 s leases, it lets running tasks survive store outages of up to 10 s.
@@ -81,23 +84,14 @@
 # New jobs are refused at once when those that wait to be recorded take longer than this. Callers
 # would have given up on most of them by then, and those that come later would wait behind them.
 MAX_INSERT_QUEUE_TIME = timedelta(milliseconds=1500)
+# A job that can't run within its account's quota is refused until operators raise it.
+QUOTA_RETRY_AFTER = timedelta(seconds=60)
 # Added to the time for which callers may query the state of an ended job.
 RETENTION_MARGIN = timedelta(seconds=30)
 
 _log = logbook.Logger("owner")
 
 
-class Refusal(msgspec.Struct, frozen=True):
-    """Why a job was refused; none of its tasks has run or will run.
-
-    `retry_after`
-        Delay after which the caller should submit the job again.
-    """
-
-    reason: str
-    retry_after: timedelta
-
-
 class OwnerContext(msgspec.Struct, frozen=True):
     """Dependencies and settings that the process passes to its pool owners.
 
@@ -109,6 +103,8 @@
         Returns whether all VMs can read progress groups.
     `addresses`
         The pools that record the jobs of each address.
+    `open_prefix`
+        Returns a copy of a prefix of the store, which calls back with the keys that have changed.
     """
 
     store: StateStore
@@ -119,6 +115,7 @@
     longest_lease: timedelta
     may_group_records: Callable[[], bool]
     addresses: AddressRecords
+    open_prefix: Callable[[str, Callable[[set[str]], None]], CachedPrefix]
 
 
 def _pause_after_pass(elapsed: timedelta) -> timedelta:
@@ -174,7 +171,15 @@
         self._refused_until_ms_by_id: dict[JobId, int] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
         self.usage = AccountUsage()
-        self._placer = Placer(self, self._launcher, context.clock)
+        self._quotas = QuotaKeeper(
+            self,
+            self.usage,
+            context.store,
+            context.open_prefix,
+            context.clock,
+            MAX_FORMER_OWNER_LEASE,
+        )
+        self._placer = Placer(self, self._launcher, context.clock, self._quotas)
         self.lifecycle = JobLifecycle(self, self._placer, self._journal)
         self._checks = RunChecks(self, self._placer, context.clock)
         self._wake = asyncio.Event()
@@ -193,7 +198,9 @@
 
         Raises `StoreUnavailableError` if the store can't be read.
         """
-        records, listings = await asyncio.gather(read_jobs(self._store, self.pool), load_listings())
+        records, listings, _ = await asyncio.gather(
+            read_jobs(self._store, self.pool), load_listings(), self._quotas.load()
+        )
         self.taken_at = self._clock.boot_time()
         group_by_job: dict[Job, str] = {}
         for stored in records.jobs:
@@ -205,6 +212,7 @@
         self._journal.adopt_groups(records.groups, group_by_job)
         self._refused_until_ms_by_id = dict(records.refused_until_ms_by_id)
         self.set_workers(listings)
+        self._quotas.take_over(self.job_by_id.values())
         self.spawn(self._run_journal())
         scheduler = f"scheduler of pool {self.pool}"
         self.spawn(run_until_done(scheduler, self._run_scheduler, self._clock, _log))
@@ -359,6 +367,9 @@
                 return Refusal("the store does not answer", retry_delay(queue, spec))
             if self._journal.insert_queue_time() > MAX_INSERT_QUEUE_TIME:
                 return Refusal("too many jobs wait to be recorded", retry_delay(queue, spec))
+            problem = self._quota_problem(spec, account)
+            if problem:
+                return Refusal(problem, QUOTA_RETRY_AFTER, RefusalKind.QUOTA)
         record = JobRecord(
             job_id=job_id,
             queue=queue.name,
@@ -378,6 +389,10 @@
         await self._journal.wait_inserted(job_id)
         return None
 
+    def _quota_problem(self, spec: JobSpec, account: AccountId) -> str:
+        owner = None if self.config is None else self.config.account_by_id.get(account)
+        return "" if owner is None else quota_problem(owner.quota, spec.steps)
+
     def is_known(self, job_id: JobId) -> bool:
         """Returns whether a job is recorded here, or may be soon."""
         return job_id in self.job_by_id or self._journal.is_inserting(job_id)
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -34,6 +34,7 @@
     expected_slots,
     is_preemptible,
 )
+from hornbeamramp.poolowner.quota_keeper import QuotaKeeper
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.workload import URGENT, AdviceTiming, Queue
@@ -88,10 +89,21 @@
 
 
 class Placer:
-    """Keeps the steps with waiting units, and speed and health of workers from ended runs."""
+    """Keeps the steps with waiting units, and speed and health of workers from ended runs.
 
-    def __init__(self, owner: "PoolOwner", launcher: Launcher, clock: Clock) -> None:
+    `quotas`
+        What may start of each client account; ``None`` if nothing is limited.
+    """
+
+    def __init__(
+        self,
+        owner: "PoolOwner",
+        launcher: Launcher,
+        clock: Clock,
+        quotas: QuotaKeeper | None = None,
+    ) -> None:
         self._owner = owner
+        self._quotas = quotas
         self._launcher = launcher
         self._clock = clock
         self._open_steps: list[StepRun] = []
@@ -165,6 +177,8 @@
             self._searched_at = now
             self._searches.clear()
         current = self._begin_pass(now)
+        if self._quotas is not None:
+            self._quotas.begin_pass()
         if self._is_searching:
             self._prepare_restarts(current)
         # Long-running tasks are missed as soon as they don't run, so their steps have a limit of
@@ -186,8 +200,28 @@
             # tickets. Steps that no worker may run don't count: they stay in the queue indefinitely
             # and would use up the limit.
             is_feasible = self._is_feasible(step, now)
-            prefetches_left_by_long_running[step.spec.long_running] -= is_feasible
+            if reason is not WaitReason.QUOTA:
+                prefetches_left_by_long_running[step.spec.long_running] -= is_feasible
             step.wait.set(reason if is_feasible else WaitReason.WORKER, now)
+        if self._quotas is not None:
+            self._quotas.end_pass()
+
+    def _startable(self, step: StepRun) -> int:
+        """Returns how many of a step's waiting units its account's quota lets start."""
+        return len(step.waiting) if self._quotas is None else self._quotas.count_startable(step)
+
+    def _is_out_of_quota(self, step: StepRun, current: SchedulingPass) -> bool:
+        """Returns whether the account has no room for a step's next unit, which is asked for then.
+
+        Such a step keeps no capacity, preempts nothing and makes no advice requests.
+        """
+        if self._quotas is None or self._startable(step):
+            return False
+        capacity = current.capacity
+        has_capacity = any(capacity.fits(s, step.size) for s in current.with_capacity())
+        self._quotas.note_short(step, has_capacity)
+        step.plan = None
+        return True
 
     def _prepare_restarts(self, current: SchedulingPass) -> None:
         """Renews tickets for long-running tasks on unreachable workers before their leases lapse.
@@ -263,11 +297,15 @@
         With ``may_prefetch``, tickets are also renewed while there is no capacity, so that freed
         capacity does not stay idle during an advice request.
         """
+        if self._is_out_of_quota(step, current):
+            return WaitReason.QUOTA
         queue = self._owner.queue_of(step.job)
         shortage = WaitReason.GANG if step.is_gang else WaitReason.CAPACITY
         if queue is None or queue.advice is None:
             self._launch_on(step, current.with_capacity(), current)
             if step.waiting:
+                if self._is_out_of_quota(step, current):
+                    return WaitReason.QUOTA
                 self._make_room(step, current, None)
             return shortage
         grants = step.grants
@@ -277,6 +315,8 @@
         self._launch_on(step, ticketed, current)
         if not step.waiting:
             return shortage
+        if self._is_out_of_quota(step, current):
+            return WaitReason.QUOTA
         may_ask = (
             not grants.is_pending and now >= grants.not_before and self._launcher.may_ask(step)
         )
@@ -284,6 +324,8 @@
         reserved = self._reserve(step, with_capacity, current) if may_ask else []
         if reserved:
             self._launcher.renew_and_launch(step, queue, reserved, current.granted(step))
+            if step.waiting and self._is_out_of_quota(step, current):
+                return WaitReason.QUOTA
             return shortage
         plan = self._make_room(step, current, queue.advice) if grants.granted else None
         if not grants.granted:
@@ -533,7 +575,8 @@
 
     def _preempt(self, step: StepRun, sessions: Collection[WorkerSession], now: timedelta) -> None:
         """Preempts less urgent runs for the tasks of a step that don't fit."""
-        waiting_tasks = sum(len(unit.tasks) for unit in step.waiting)
+        startable = step.waiting[: self._startable(step)]
+        waiting_tasks = sum(len(unit.tasks) for unit in startable)
         missing = min(waiting_tasks, MAX_TASKS_PER_PREEMPTION) - expected_slots(step, sessions)
         if missing > 0:
             self._stop_victims(step, choose_victims(step, missing, sessions, now))
@@ -564,12 +607,15 @@
                 attempt.session.worker for unit in step.units for attempt in unit.attempts()
             )
         for usable, available in self._choices(step, sessions, current):
-            while step.waiting:
-                chosen = self._choose(step, usable, assigned_by_worker, available)
+            while startable := step.waiting[: self._startable(step)]:
+                chosen = self._choose(startable, usable, assigned_by_worker, available)
                 if not chosen:
                     break
                 for unit, workers in chosen:
                     self._reserve_unit(unit, workers)
+                if self._quotas is not None:
+                    self._quotas.note_start(step)
+                for _, workers in chosen:
                     assigned_by_worker.update(session.worker for session in workers)
                 reserved += [unit for unit, _ in chosen]
                 current.note_reserved()
@@ -595,13 +641,12 @@
 
     def _choose(
         self,
-        step: StepRun,
+        units: list[Unit],
         sessions: list[WorkerSession],
         assigned_by_worker: Counter[str],
         available: Capacity,
     ) -> list[tuple[Unit, list[WorkerSession]]]:
-        """Returns the next units with the workers chosen for their tasks."""
-        units = step.waiting
+        """Returns the first of these units of a step with the workers chosen for their tasks."""
         if len(units[0].tasks) == 1 and not units[0].avoided_workers:
             alike = list(itertools.takewhile(lambda unit: not unit.avoided_workers, units))
             workers = choose_each(alike, sessions, self.speeds, assigned_by_worker, available)
--- a/hornbeamramp/poolowner/waiting.py
+++ b/hornbeamramp/poolowner/waiting.py
@@ -24,6 +24,8 @@
         The end of earlier runs, which is not known yet, or of those that are being stopped.
     `WORKER`
         A worker that may run the step at all.
+    `QUOTA`
+        Room within the quota of the job's client account.
     `OWNER`
         The claim's certainty: nothing is placed while it has run out or the store is away.
     """
@@ -34,6 +36,7 @@
     GANG = "gang"
     END = "end"
     WORKER = "worker"
+    QUOTA = "quota"
     OWNER = "owner"
 
 
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from hornbeamramp.accounts.quotas import QuotaRecord
 from hornbeamramp.ids import (
     NO_ACCOUNT,
     AccountId,
@@ -42,6 +43,7 @@
     "decode_address_pools",
     "decode_group",
     "decode_progress",
+    "decode_quota",
     "decode_record",
     "decode_refused",
     "encode",
@@ -54,6 +56,8 @@
     "owner_prefix",
     "progress_key",
     "progress_prefix",
+    "quota_key",
+    "quota_prefix",
     "refused_key",
     "refused_prefix",
     "vm_key",
@@ -157,6 +161,7 @@
 decode_group = _decoder(ProgressGroup)
 decode_record = _decoder(JobRecord)
 decode_progress = _decoder(JobProgress)
+decode_quota = _decoder(QuotaRecord)
 decode_refused = _decoder(RefusedId)
 
 
@@ -221,6 +226,15 @@
     return f"{progress_prefix(pool)}{job_id}"
 
 
+def quota_prefix() -> str:
+    return f"{ROOT}quota/"
+
+
+def quota_key(pool: PoolName) -> str:
+    """Returns the key of a pool's allotments of the accounts' quotas."""
+    return f"{quota_prefix()}{pool}"
+
+
 def refused_prefix(pool: PoolName) -> str:
     return f"{ROOT}refused/{pool}/"
 
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -13,6 +13,7 @@
     UpstreamId,
 )
 from hornbeamramp.messages import HelloReply, HelloRequest
+from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.vm.relay import RelayReply, RelayRequest
 from hornbeamramp.workload import JobPhase, JobSpec, StepKey
 
@@ -68,6 +69,7 @@
     refusal: str = ""
     retry_after_ms: int = 0
     has_moved: bool = False
+    kind: RefusalKind = RefusalKind.UNAVAILABLE
 
 
 class JobPhaseRequest(msgspec.Struct, frozen=True):
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -65,6 +65,10 @@
 # 20 times a second in total. Draining has to be noticed within two seconds.
 WORKER_WATCH_PAUSE = timedelta(milliseconds=400)
 
+# Pause between watch calls of an owner for records of other owners, which may change 20 times a
+# second.
+RECORD_WATCH_PAUSE = timedelta(milliseconds=50)
+
 # Delay before other VMs may claim a pool after a store outage in which leases expired. Until then
 # only its last owner may claim it: that VM still has the entries of the pool's workers, while the
 # others have none for workers whose entries expired as well.
@@ -128,6 +132,9 @@
             adapter.longest_lease,
             self._may_group_records,
             self.addresses,
+            lambda prefix, on_change: PrefixCache(
+                self.store, clock, prefix, on_change, RECORD_WATCH_PAUSE
+            ),
         )
         self.isolation = IsolationDetector(
             peers, clock, lambda: self.store.last_answer_at, self._ping_targets
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -12,7 +12,16 @@
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import UnreachableError
 from hornbeamramp.fleet import WorkerListing
-from hornbeamramp.ids import DataCentreId, JobId, PoolName, RouteName, UpstreamId, VmId
+from hornbeamramp.ids import (
+    NO_ACCOUNT,
+    AccountId,
+    DataCentreId,
+    JobId,
+    PoolName,
+    RouteName,
+    UpstreamId,
+    VmId,
+)
 from hornbeamramp.poolowner import Advice, AdviceUnavailableError, PoolOwner
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import Step
@@ -28,6 +37,7 @@
 )
 from hornbeamramp.workload import (
     AdviceTiming,
+    ClientAccount,
     ClusterConfig,
     JobPhase,
     JobSpec,
@@ -261,6 +271,7 @@
         queues = (queue("gate"), queue("batch", 2, advice=False), queue("render", 1, decide_ms=500))
         self.queues = {q.name: q for q in queues}
         self.pools = [POOL]
+        self.account_by_id: dict[AccountId, ClientAccount] = {}
         self.version = 0
         self.configure()
         for number in range(workers):
@@ -304,7 +315,9 @@
         """Writes the configuration under a new version."""
         self.version += 3
         pools = {name: Pool(name) for name in self.pools}
-        config = ClusterConfig(self.version, dict(self.queues), pools)
+        config = ClusterConfig(
+            self.version, dict(self.queues), pools, account_by_id=dict(self.account_by_id)
+        )
         self.store.put(CONFIG_KEY, msgspec.msgpack.encode(config))
 
     def add_worker(self, name: str) -> None:
@@ -362,16 +375,23 @@
                 await asyncio.sleep(0.05)
 
     async def submit(
-        self, job_id: str, spec: JobSpec, queue_name: str = "batch", vm: ModelVm | None = None
+        self,
+        job_id: str,
+        spec: JobSpec,
+        queue_name: str = "batch",
+        vm: ModelVm | None = None,
+        account: AccountId = NO_ACCOUNT,
     ) -> SubmitResult | None:
         """Submits a job to a VM and returns the reply, or ``None`` without a definite answer."""
         identity = JobId(job_id)
         self.fleet.spec_by_job.setdefault(identity, spec)
         self.queue_by_job.setdefault(identity, queue_name)
+        if account != NO_ACCOUNT:
+            self.fleet.account_by_job[identity] = account
         vm = vm or next(iter(self.vm_by_name.values()))
         try:
             return await vm.service.submit(
-                self.queues[RouteName(queue_name)], identity, spec, REQUEST_TIMEOUT
+                self.queues[RouteName(queue_name)], identity, spec, REQUEST_TIMEOUT, account
             )
         except UnavailableError:
             return None
--- a/tests/model/fleet.py
+++ b/tests/model/fleet.py
@@ -23,10 +23,10 @@
     WorkerUnreachableError,
 )
 from hornbeamramp.fleet.base import FencedError, InstanceMismatchError
-from hornbeamramp.ids import JobId
+from hornbeamramp.ids import AccountId, JobId
 from hornbeamramp.resources import Resources
 from hornbeamramp.states import Step
-from hornbeamramp.workload import JobSpec, StepSpec
+from hornbeamramp.workload import AccountQuota, JobSpec, StepSpec
 
 __all__ = ["FleetView", "ModelFleet", "ModelWorker"]
 
@@ -40,6 +40,8 @@
 CANCEL_LIMIT_S = 3.0
 CONTACT_S = 3.0
 STOP_LIMIT_S = 0.2
+# An account may have this share of its quota, and one task, beyond it.
+QUOTA_TOLERANCE = 0.1
 
 
 class ModelRun:
@@ -171,6 +173,7 @@
         run = ModelRun(order, step, self.fleet.duration(order.task, step), now)
         self.run_by_task[order.task] = run
         self.fleet.check_capacity(self)
+        self.fleet.check_quota(order)
         if step.gang:
             run.timer = asyncio.get_running_loop().call_later(
                 GANG_TIMEOUT_S, self.end, order.task, RunOutcome.GANG_INCOMPLETE
@@ -283,6 +286,8 @@
         Returns the load of a run on a worker, as workers list it; by default it is 0.
     `ticket_valid`
         Returns whether a worker accepts a ticket for a task; by default it accepts all.
+    `quota_by_account`
+        The highest quotas that may be in force.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -290,6 +295,8 @@
         self.worker_by_name: dict[str, ModelWorker] = {}
         self.name_by_address: dict[str, str] = {}
         self.spec_by_job: dict[JobId, JobSpec] = {}
+        self.account_by_job: dict[JobId, AccountId] = {}
+        self.quota_by_account: dict[AccountId, AccountQuota] = {}
         self.violations: list[Violation] = []
         self.starts: list[tuple[float, str, str, int]] = []
         self.ends: list[ObservedEnd] = []
@@ -406,6 +413,31 @@
         if any(amount > maximum for amount, maximum in zip(used, limit, strict=True)):
             self._record_violation("LIMIT", f"{worker.name}: {used} of {limit}")
 
+    def used_by(self, account: AccountId) -> tuple[int, int, int]:
+        """Returns what the runs of an account use on all workers, also those being stopped."""
+        used = [0, 0, 0]
+        for worker in self.worker_by_name.values():
+            for task, run in worker.run_by_task.items():
+                if self.account_by_job.get(JobId(task.partition(".")[0])) == account:
+                    used[0] += 0 if run.step.fills else run.step.processors_milli
+                    used[1] += run.step.memory_mib
+                    used[2] += run.step.accelerators
+        return (used[0], used[1], used[2])
+
+    def check_quota(self, order: StartOrder) -> None:
+        account = self.account_by_job.get(JobId(order.task.partition(".")[0]))
+        if account is None or account not in self.quota_by_account:
+            return
+        quota, step = self.quota_by_account[account], self.step_of(order.task)
+        limits = (quota.processors_milli, quota.memory_mib, quota.accelerators)
+        size = (step.processors_milli, step.memory_mib, step.accelerators)
+        used = self.used_by(account)
+        if any(
+            limit and amount > limit * (1 + QUOTA_TOLERANCE) + task
+            for amount, limit, task in zip(used, limits, size, strict=True)
+        ):
+            self._record_violation("QUOTA", f"{account}: {used} of {limits}, start of {order.task}")
+
     def record_end(self, worker: ModelWorker, order: StartOrder, outcome: RunOutcome) -> None:
         now = self.clock.boot_time().total_seconds()
         self.ends.append(
--- a/tests/model/load.py
+++ b/tests/model/load.py
@@ -17,6 +17,7 @@
 from hornbeamramp.poolowner import AddressRecords, Advice, AdviceSource, OwnerContext, PoolOwner
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import OwnerRecord, PoolClaim
+from hornbeamramp.vm.watching import PrefixCache
 from hornbeamramp.workload import (
     AdviceTiming,
     ClusterConfig,
@@ -334,6 +335,7 @@
         timedelta(seconds=10),
         lambda: True,
         AddressRecords(lambda key: None),
+        lambda prefix, on_change: PrefixCache(view, clock, prefix, on_change),
     )
     owner = PoolOwner(POOL, claim, context, lambda: timedelta(days=1))
     queues = {kind.queue().name: kind.queue() for kind in kinds}
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -11,6 +11,7 @@
 from hornbeamramp.clock import SystemClock
 from hornbeamramp.ids import PoolName, RouteName
 from hornbeamramp.platform.callers import CallerServer
+from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.vm.caller_service import SubmitResult
 from hornbeamramp.workload import ClusterConfig, Queue
 from tests.model.cell import job
@@ -44,8 +45,7 @@
         pass
 
     async def submit(self, *arguments):
-        await self._behaviour()
-        return SubmitResult()
+        return await self._behaviour() or SubmitResult()
 
     async def phase(self, *arguments):
         await self._behaviour()
@@ -97,6 +97,24 @@
     await server.close()
 
 
+@pytest.mark.parametrize(
+    ("kind", "status"), [(RefusalKind.UNAVAILABLE, 503), (RefusalKind.QUOTA, 429)]
+)
+def test_status_tells_whether_a_refused_job_may_be_accepted_later(kind, status):
+    """Guards against 503 for a job that can't run within its account's quota: its caller would send
+    it again and again."""
+
+    async def refuse():
+        return SubmitResult("the account's quota is smaller", timedelta(seconds=60), kind)
+
+    async def scenario(server, address):
+        connection = await Connection.open(address)
+        assert (await connection.request("POST", PATH, 3.0, BODY)).status == status
+        connection.close()
+
+    with_server(refuse, scenario)
+
+
 @pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
 @pytest.mark.parametrize("behaviour", [fail, wait_for_cancelled_future])
 def test_request_that_fails_unexpectedly_has_an_unknown_outcome(behaviour, method):
