--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -14,12 +14,14 @@
 from hornbeamramp.ids import NO_ACCOUNT, JobId
 from hornbeamramp.platform.decoding import decode_job
 from hornbeamramp.platform.key_checks import KeyChecks
+from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.telemetry import prometheus_text
 from hornbeamramp.vm import (
     AccessDeniedError,
     CallerService,
     CancelResult,
     Node,
+    SubmitResult,
     UnavailableError,
 )
 from hornbeamramp.workload import ClusterConfig, RouteMatch
@@ -38,6 +40,7 @@
 HANDLER_MARGIN = timedelta(milliseconds=100)
 # Idle connections stay open this long; closing one earlier may lose a request already in flight.
 KEEPALIVE_TIMEOUT_S = 75.0
+STATUS_BY_REFUSAL = {RefusalKind.UNAVAILABLE: 503, RefusalKind.QUOTA: 429}
 METRICS_PATH = "/metrics"
 # Period at which a draining server checks whether callers are still connected.
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
@@ -324,7 +327,7 @@
         )
         if submitted.refusal:
             _log.info("{} refused: {}", job_id, submitted.refusal)
-            return _unavailable(submitted.refusal, submitted.retry_after)
+            return _refused(submitted)
         return _json(200, {})
 
 
@@ -378,7 +381,12 @@
     )
 
 
-def _unavailable(error: str, retry_after: timedelta) -> web.Response:
-    response = _json(503, {"error": error})
+def _refused(submitted: SubmitResult) -> web.Response:
+    status = STATUS_BY_REFUSAL[submitted.kind]
+    return _unavailable(submitted.refusal, submitted.retry_after, status)
+
+
+def _unavailable(error: str, retry_after: timedelta, status: int = 503) -> web.Response:
+    response = _json(status, {"error": error})
     response.headers["Retry-After"] = str(max(round(retry_after.total_seconds()), 1))
     return response
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -14,6 +14,7 @@
     UpstreamId,
 )
 from hornbeamramp.messages import HelloReply, HelloRequest
+from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.vm.relay import RelayReply, RelayRequest
 from hornbeamramp.workload import JobPhase, JobSpec, StepKey
 
@@ -73,6 +74,7 @@
     refusal: str = ""
     retry_after_ms: int = 0
     has_moved: bool = False
+    kind: RefusalKind = RefusalKind.UNAVAILABLE
     is_denied: bool = False
     is_elsewhere: bool = False
 
--- a/tests/model/cell.py
+++ b/tests/model/cell.py
@@ -396,6 +396,8 @@
         identity = JobId(job_id)
         self.fleet.spec_by_job.setdefault(identity, spec)
         self.queue_by_job.setdefault(identity, queue_name)
+        if account != NO_ACCOUNT:
+            self.fleet.account_by_job[identity] = account
         vm = vm or next(iter(self.vm_by_name.values()))
         try:
             return await vm.service.submit(
