Replace keys of client accounts in the soak

Cause: the tests of revoked keys run in the model's cell; nothing played them with real processes that are paused, killed, cut off or relayed.

In the soak a 401 now counts as a refusal, after which the job must not run.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,5 @@
 """Command line: ``python -m tests.soak [--seeds N] [--first SEED] [--seconds S]
-[--planned] [--moves] [--restarts] [--pacing]``."""
+[--planned] [--moves] [--restarts] [--pacing] [--accounts]``."""
 
 import shutil
 import sys
@@ -22,6 +22,7 @@
     moves: bool = False,
     restarts: bool = False,
     pacing: bool = False,
+    accounts: bool = False,
 ) -> None:
     """Runs seeds one after another and keeps the logs of those that fail.
 
@@ -43,12 +44,14 @@
         Restart workers under their ids and delay their answers, with the same callers.
     pacing
         Run best-effort tasks beside tasks that serve, on workers that refuse orders on pace.
+    accounts
+        Replace keys of client accounts, with callers that go on sending the revoked ones.
     """
     failed = []
     for seed in range(first, first + seeds):
         logs = folder.resolve() / f"seed-{seed}"
         shutil.rmtree(logs, ignore_errors=True)
-        outcome = run_seed(seed, seconds, logs, planned, moves, restarts, pacing)
+        outcome = run_seed(seed, seconds, logs, planned, moves, restarts, pacing, accounts)
         print(
             f"seed {seed}: {outcome.accepted} accepted, {outcome.refused} refused, "
             f"{outcome.starts} starts, {outcome.faults} faults, {len(outcome.problems)} problems",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -82,7 +82,7 @@
             if status is not None and 200 <= status < 300:
                 self.accepted.add(job_id)
                 break
-            is_refused = is_refused and status in (429, 503)
+            is_refused = is_refused and status in (401, 429, 503)
             await asyncio.sleep(0.3)
         if job_id not in self.accepted:
             if is_refused:
@@ -108,11 +108,21 @@
         return status
 
     async def _request(
-        self, session: aiohttp.ClientSession, frontend: str, method: str, job_id: str, body: object
+        self,
+        session: aiohttp.ClientSession,
+        frontend: str,
+        method: str,
+        job_id: str,
+        body: object,
+        key: str = "",
     ) -> tuple[int | None, bytes]:
+        """Returns the status, ``None`` without a response, and the body. ``key`` is sent along if
+        it is not empty."""
         path = self._path(job_id)
         deadline_s = self._deadline_s(method)
         headers = {"Host": HOST, "Deadline-Ms": str(int(deadline_s * 1000))}
+        if key:
+            headers["Api-Key"] = key
         data = None if body is None else msgspec.json.encode(body)
         try:
             async with asyncio.timeout(deadline_s):
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -32,6 +32,8 @@
 MOVING_QUEUE = "batch"
 PREFIX_BY_QUEUE = {"gate": "/gate/", "batch": "/batch/"}
 ADVISED_QUEUE = "gate"
+ACCOUNTS = ("studio", "school")
+REVOCATION_BOUND = timedelta(seconds=3)
 MAX_ATTEMPTS = 2
 CAPACITY = Resources(8000, 8000, 4, 0, 0)
 # Enough for a process to start on a busy machine; on an idle one it takes half a second.
@@ -68,6 +70,7 @@
         self.was_killed = False
         self.is_stopping = False
         self._folder = cell.folder
+        self._bounds = cell.extra_bounds
         self._log_event = cell.log_event
         self._process: asyncio.subprocess.Process | None = None
         # Start time of the process, shifted by the time for which it was paused.
@@ -112,6 +115,7 @@
 status_s = 120
 hold-max-ms = 10000
 grace-s = {GRACE_S}
+{self._bounds}
 """
 
     def send_signal(self, signal: Signals) -> None:
@@ -172,10 +176,21 @@
         Folder for the settings and logs of the VMs.
     `moves`
         Whether each new configuration moves a queue to the other of two pools.
+    `accounts`
+        Whether there are client accounts.
+    `key_by_account`, `revoked_at_by_key`
+        The key of each account that is in force, and the boot times at which the store acknowledged
+        the removal of others.
     """
 
     def __init__(
-        self, folder: Path, seed: int, vms: int = 4, workers: int = 5, moves: bool = False
+        self,
+        folder: Path,
+        seed: int,
+        vms: int = 4,
+        workers: int = 5,
+        moves: bool = False,
+        accounts: bool = False,
     ) -> None:
         self.folder = folder
         self.clock = SystemClock()
@@ -193,6 +208,11 @@
         self._version = 0
         self._vm_and_worker_count = (vms, workers)
         self._moves = moves
+        self.key_by_account = {name: f"{name}-0" for name in ACCOUNTS} if accounts else {}
+        self.revoked_at_by_key: dict[str, timedelta] = {}
+        self.revocation_bound = REVOCATION_BOUND
+        bound_ms = REVOCATION_BOUND // timedelta(milliseconds=1)
+        self.extra_bounds = f"strict-revoke = true\nrevoke-ms = {bound_ms}" if accounts else ""
         # Separate loopback addresses, so that several cells can run at the same time.
         self._subnet = f"127.{os.getpid() % 200 + 20}.{seed % 250 + 1}"
 
@@ -266,6 +286,14 @@
         }
         self.store.put(f"servers/{name}", json.dumps(entry).encode())
 
+    def replace_key(self, account: str) -> None:
+        """Revokes an account's key and adds another."""
+        revoked = self.key_by_account[account]
+        self.key_by_account[account] = f"{account}-{len(self.revoked_at_by_key) + 1}"
+        self.configure()
+        self.revoked_at_by_key[revoked] = self.clock.boot_time()
+        self.log_event(f"key {revoked} revoked")
+
     def configure(self) -> None:
         """Writes the configuration as its next version."""
         self._version += 2
@@ -289,6 +317,9 @@
             "version": self._version,
             "routes": routes,
             "services": [{"name": name} for name in POOLS[: 1 + self._moves]],
+            "tenants": [
+                {"name": name, "api-keys": [key]} for name, key in self.key_by_account.items()
+            ],
         }
         self.store.put("op/config", json.dumps(config).encode())
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from tests.soak.accounts import KeyedCallers, ReplacedKeys
 from tests.soak.callers import Callers
 from tests.soak.cell import GRACE_S, SoakCell
 from tests.soak.faults import Faults, PlannedWork, WorkerRestarts
@@ -38,6 +39,7 @@
     moves: bool = False,
     restarts: bool = False,
     pacing: bool = False,
+    accounts: bool = False,
 ) -> Outcome:
     """Runs a seed with ``seconds`` of faults. The VMs' logs are written to ``folder``.
 
@@ -49,9 +51,11 @@
         Restarts workers under their ids and delays their answers, with the same callers.
     `pacing`
         Runs best-effort tasks beside tasks that serve, on workers that refuse orders on pace.
+    `accounts`
+        Replaces keys of client accounts, with callers that go on sending the revoked ones.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves, restarts, pacing))
+    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves, restarts, pacing, accounts))
 
 
 async def _run_seed(
@@ -62,9 +66,10 @@
     moves: bool,
     restarts: bool,
     pacing: bool,
+    accounts: bool,
 ) -> Outcome:
     rng, fault_rng = random.Random(seed), random.Random(seed + 1)
-    async with SoakCell(folder, seed, moves=moves) as cell:
+    async with SoakCell(folder, seed, moves=moves, accounts=accounts) as cell:
         callers: Callers
         faults: Faults
         if planned:
@@ -79,6 +84,8 @@
             callers.max_pause_s, cell.fleet.duration_s = 0.15, 0.15
         elif pacing:
             callers, faults = PacedCallers(cell, rng), PacingFaults(cell, fault_rng)
+        elif accounts:
+            callers, faults = KeyedCallers(cell, rng), ReplacedKeys(cell, fault_rng)
         else:
             callers, faults = Callers(cell, rng), Faults(cell, fault_rng)
         await asyncio.gather(callers.run(seconds), faults.run(seconds))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,9 @@
 # good while an order on pace that a worker refused counted as carried out.
 PACING_SEEDS = (7001, 7005)
 PACING_SECONDS = 12.0
+# With client accounts whose keys are replaced, and callers that go on sending the revoked ones.
+ACCOUNT_SEEDS = (8001, 8002)
+ACCOUNT_SECONDS = 12.0
 # Seeds that failed once, with the duration of the failed run in seconds and the cause.
 FAILED_SEEDS: dict[int, tuple[float, str]] = {
     6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
@@ -80,6 +83,16 @@
     assert outcome.starts > 0
 
 
+@pytest.mark.parametrize("seed", ACCOUNT_SEEDS)
+def test_revoked_keys_are_refused_within_the_bound(seed, tmp_path):
+    """Guards against a VM that goes on serving a revoked key as it is cut off, paused, restarted or
+    has its store calls relayed, and against keys that a VM refuses for good."""
+    outcome = run_seed(seed, ACCOUNT_SECONDS, tmp_path, accounts=True)
+    assert outcome.problems == ()
+    assert outcome.accepted > 0
+    assert outcome.starts > 0
+
+
 @pytest.mark.parametrize("seed", RESTARTING_SEEDS)
 def test_tasks_run_once_while_workers_restart(seed, tmp_path):
     """Guards against a task that is started again while its run is at work on a restarted worker,
--- a/tests/vm/test_client_account_keys.py
+++ b/tests/vm/test_client_account_keys.py
@@ -15,7 +15,7 @@
 from hornbeamramp.vm import AccessDeniedError, CancelResult
 from hornbeamramp.workload import ClientAccount, JobPhase, StepSpec
 from tests.model.cell import CONFIG_KEY, POOL, REQUEST_TIMEOUT, ModelCell, job
-from tests.model.virtual_time import run_in_virtual_time
+from tests.model.virtual_time import START_TIME, run_in_virtual_time
 
 BOUND = timedelta(seconds=5)
 # Share of the bound for which a VM without the store serves calls with keys at most.
@@ -265,6 +265,36 @@
     in_cell(scenario)
 
 
+def test_vm_that_is_told_to_stop_checks_keys_until_its_end(in_cell):
+    """Guards against callers on open connections refused, or served with a revoked key, while
+    their VM drains."""
+
+    async def scenario(cell):
+        await cell.vm_by_name["vm2"].node.release()
+        rows = await cell.statuses("vm2", "key-1", 6)
+        assert {status for _, status in rows} == {200}
+        cell.revoke("key-1")
+        await asyncio.sleep(0.05)
+        assert await cell.call("vm2", "key-1") == 401
+
+    in_cell(scenario)
+
+
+def test_changes_of_the_time_of_day_change_nothing(in_cell):
+    """Guards against proofs that end, or last for hours, as a clock is set."""
+
+    async def scenario(cell):
+        for hours in (1, -1):
+            cell.clock.now = lambda hours=hours: START_TIME + timedelta(hours=hours)
+            rows = await cell.statuses("vm2", "key-1", 5)
+            assert {status for _, status in rows} == {200}
+        cell.cut_off("vm2")
+        await asyncio.sleep(4)
+        assert await cell.call("vm2", "key-1") == 503
+
+    in_cell(scenario)
+
+
 def test_invalid_configuration_leaves_the_last_good_one_in_force(in_cell, log_records):
     """Guards against callers refused, or revoked keys back, for a mistake in the configuration."""
 
