Test crowds of callers that keep to no limit

Change: tests/hostile starts one VM's process on loopback, with 112 MiB and 600 descriptors in its settings, and sends it a crowd whose connections stay open. Each test checks that the process lives, that its peak memory and its open descriptors stay under the settings, and that one ordinary request is answered. The bounds are those of the settings; crowd and bounds stay as they are. The tests are marked `alone`, and `make test` runs them after the others, one at a time.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,10 @@
 demo: $(STAMP)
 	$(BIN)/python -m hornbeamramp demo
 
+# Tests that measure the memory of a process run after the others, one at a time.
 test: $(STAMP)
-	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) -m "not alone"; status=$$?; \
+	$(BIN)/python -m pytest -m alone && exit $$status
 
 # Fresh seeds of the fault soak; the logs of seeds that fail stay in build/soak.
 SOAK_SEEDS ?= 10
--- /dev/null
+++ b/tests/hostile/crowd.py
@@ -0,0 +1,166 @@
+"""A crowd of callers that keep their connections open, and a VM's process under its settings."""
+
+import asyncio
+import contextlib
+import json
+import threading
+from collections.abc import Awaitable, Callable, Iterable
+from pathlib import Path
+
+import msgspec
+
+from tests.model.cell import job
+from tests.soak.callers import encode_job
+from tests.soak.cell import HOST, SoakCell, SoakVm
+from tests.soak.kept_connections import Connection
+
+__all__ = ["MAX_FDS", "MEMORY_MB", "Crowd", "Gauge", "HostileCell", "head"]
+
+# Settings of the VM's process, and with them the bounds of all tests here.
+MEMORY_MB = 112
+MAX_FDS = 600
+# Time for a crowd to send what it has; members that are held up then stay as they are.
+SEND_TIMEOUT_S = 20.0
+# Deadline that keeps a request open beyond the end of a test.
+LONG_DEADLINE_MS = 60_000
+# Requests of an ordinary caller until one is answered.
+ORDINARY_ATTEMPTS = 40
+ORDINARY_PAUSE_S = 0.5
+ORDINARY_DEADLINE_S = 3.0
+DESCRIPTOR_PERIOD_S = 0.01
+
+Behaviour = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def head(method: str = "POST", path: str = f"/batch/{'c' * 16}", *lines: str) -> bytes:
+    """Returns the head of a request whose caller waits long, with more header lines."""
+    first = f"{method} {path} HTTP/1.1"
+    fields = (f"Host: {HOST}", f"Deadline-Ms: {LONG_DEADLINE_MS}", *lines)
+    return "\r\n".join((first, *fields, "", "")).encode()
+
+
+class Gauge:
+    """Measures a process from a thread of its own, which the crowd's event loop doesn't hold up.
+
+    `peak_descriptors`
+        Most open descriptors that were seen.
+    """
+
+    def __init__(self, pid: int) -> None:
+        self.peak_descriptors = 0
+        self._process = Path(f"/proc/{pid}")
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._count, daemon=True)
+
+    def __enter__(self) -> "Gauge":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._stopped.set()
+        self._thread.join()
+
+    @property
+    def is_running(self) -> bool:
+        """Tells whether the process lives; a zombie doesn't."""
+        try:
+            return (self._process / "stat").read_text().rpartition(")")[2].split()[0] != "Z"
+        except FileNotFoundError:
+            return False
+
+    @property
+    def peak_memory_mb(self) -> float:
+        """Peak of the resident memory, in MiB. Raises ``OSError`` if the process has ended."""
+        lines = (self._process / "status").read_text().splitlines()
+        return next(int(x.split()[1]) / 1024 for x in lines if x.startswith("VmHWM:"))
+
+    def _count(self) -> None:
+        while not self._stopped.wait(DESCRIPTOR_PERIOD_S):
+            with contextlib.suppress(FileNotFoundError, ProcessLookupError):
+                count = sum(1 for _ in (self._process / "fd").iterdir())
+                self.peak_descriptors = max(self.peak_descriptors, count)
+
+
+class Crowd:
+    """Connections to one address that stay open, as far as this side decides, until `close`."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._members: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def send(self, count: int, pieces: Iterable[bytes]) -> None:
+        """Opens ``count`` connections, each of which sends the pieces and then waits."""
+        pieces = list(pieces)
+
+        async def send_pieces(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+                # Members take turns, so that all are under way at the same time.
+                await asyncio.sleep(0)
+
+        await self.act(count, send_pieces)
+
+    async def act(self, count: int, behaviour: Behaviour) -> None:
+        """Opens ``count`` connections and runs a behaviour on each, for a limited time."""
+        sending = [asyncio.create_task(self._act(behaviour)) for _ in range(count)]
+        _, held_up = await asyncio.wait(sending, timeout=SEND_TIMEOUT_S)
+        for task in held_up:
+            task.cancel()
+        await asyncio.gather(*sending, return_exceptions=True)
+
+    async def _act(self, behaviour: Behaviour) -> None:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(self._host, self._port)
+            self._members.append((reader, writer))
+            await behaviour(reader, writer)
+
+    async def close(self) -> None:
+        for _, writer in self._members:
+            writer.transport.abort()
+
+
+class HostileCell(SoakCell):
+    """One VM under the settings of this module, and one worker."""
+
+    def __init__(self, folder: Path) -> None:
+        limits = f"[limits]\nmemory-mb = {MEMORY_MB}\nmax-fds = {MAX_FDS}\n"
+        super().__init__(folder, 0, vms=1, workers=1, more_settings=limits)
+
+    @property
+    def vm(self) -> SoakVm:
+        return self.vm_by_name["vm0"]
+
+    async def is_ordinary_request_answered(self) -> bool:
+        """Tells whether a job is accepted from an ordinary caller, which repeats its request."""
+        body = msgspec.json.encode(encode_job(job()))
+        for number in range(ORDINARY_ATTEMPTS):
+            with contextlib.suppress(OSError, EOFError):
+                connection = await Connection.open(self.vm.frontend)
+                try:
+                    async with asyncio.timeout(2 * ORDINARY_DEADLINE_S):
+                        path = f"/batch/{number:016x}"
+                        response = await connection.request("POST", path, ORDINARY_DEADLINE_S, body)
+                finally:
+                    connection.close()
+                if response.status == 200:
+                    assert json.loads(response.body) == {}
+                    return True
+            await asyncio.sleep(ORDINARY_PAUSE_S)
+        return False
+
+    async def is_answered(self, address: str, path: str) -> bool:
+        """Tells whether a GET to another listener is answered with 200, after repetitions."""
+        for _ in range(ORDINARY_ATTEMPTS):
+            with contextlib.suppress(OSError, EOFError):
+                connection = await Connection.open(address)
+                try:
+                    async with asyncio.timeout(2 * ORDINARY_DEADLINE_S):
+                        response = await connection.request("GET", path, ORDINARY_DEADLINE_S)
+                finally:
+                    connection.close()
+                if response.status == 200:
+                    return True
+            await asyncio.sleep(ORDINARY_PAUSE_S)
+        return False
--- /dev/null
+++ b/tests/hostile/test_crowds.py
@@ -0,0 +1,177 @@
+"""Crowds of callers that keep to no limit, against one VM's process on loopback.
+
+Each test checks the process, its memory and descriptors, and one ordinary request beside the crowd,
+whose connections stay open. None checks times or how many requests are served.
+"""
+
+import asyncio
+import collections
+
+import pytest
+
+from hornbeamramp.platform.serve import METRICS_PORT
+from tests.hostile.crowd import MAX_FDS, MEMORY_MB, Crowd, Gauge, HostileCell, head
+from tests.hostile.http2 import endless_head, send_messages
+from tests.model.cell import job
+
+pytestmark = pytest.mark.alone
+
+BODY_BYTES = 262_144
+# Bytes that a body lacks of its end.
+SHORT_BY = 100
+PIECE_BYTES = 32_768
+# Members of a crowd that send bodies; one in `WHOLE_SHARE` sends all of its body.
+BODIES = 320
+WHOLE_SHARE = 8
+# Bodies in chunks of one byte, each of which takes six bytes to send; fewer and smaller ones keep
+# the crowd's processor time to seconds.
+TINY_CHUNK_BODIES = 160
+TINY_CHUNK_BODY_BYTES = 65_536
+HEADS = 80
+# Header lines of a head, each within the limit of a line of usual servers.
+FIELD_BYTES = 8_000
+FIELDS = 120
+EMPTY_LINES_BYTES = 4_194_304
+CONNECTIONS = 800
+HEAD_BYTES = FIELD_BYTES * FIELDS
+# Calls of other VMs may have messages of up to 4 MiB.
+MESSAGE_BYTES = 4_000_000
+MESSAGE_STREAMS = 4
+MESSAGE_CONNECTIONS = 10
+LISTENERS = ("frontend", "ready", "metrics")
+
+
+@pytest.fixture
+def hold_out(tmp_path):
+    """Runs an attack, a coroutine function of a cell and a crowd, and checks what must hold."""
+
+    def start(attack, listener="frontend"):
+        async def main():
+            async with HostileCell(tmp_path) as cell:
+                cell.fleet.spec_by_job = collections.defaultdict(job)
+                assert await cell.is_ordinary_request_answered()
+                vm = cell.vm
+                address_by_listener = {
+                    "frontend": vm.frontend,
+                    "ready": f"{vm.ip}:8141",
+                    "metrics": f"{vm.ip}:{METRICS_PORT}",
+                    "peers": f"{vm.ip}:7380",
+                }
+                crowd = Crowd(address_by_listener[listener])
+                with Gauge(vm.pid) as gauge:
+                    try:
+                        await attack(crowd)
+                        assert await cell.is_ordinary_request_answered()
+                        for name, path in (("ready", "/"), ("metrics", "/metrics")):
+                            assert await cell.is_answered(address_by_listener[name], path)
+                        assert gauge.is_running
+                        print(
+                            f"peak {gauge.peak_memory_mb:.0f} MiB of {MEMORY_MB},"
+                            f" {gauge.peak_descriptors} descriptors of {MAX_FDS}"
+                        )
+                        assert gauge.peak_memory_mb < MEMORY_MB
+                        assert gauge.peak_descriptors < MAX_FDS
+                    finally:
+                        await crowd.close()
+                assert vm.problems == []
+
+        asyncio.run(main())
+
+    return start
+
+
+def split(data, size):
+    return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+def chunked(total, size):
+    """Returns a chunked body of ``total`` bytes in chunks of a size, with its end."""
+    body = b"x" * total
+    return b"".join(b"%x\r\n%s\r\n" % (len(c), c) for c in split(body, size)) + b"0\r\n\r\n"
+
+
+async def send_bodies(crowd, request_head, body, piece_bytes, count=BODIES):
+    """Most members stop just short of the end of their body."""
+    whole = count // WHOLE_SHARE
+    await asyncio.gather(
+        crowd.send(whole, split(request_head + body, piece_bytes)),
+        crowd.send(count - whole, split(request_head + body[:-SHORT_BY], piece_bytes)),
+    )
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_heads_over_the_limit(hold_out, listener):
+    """Guards against heads that are read to their end, whatever their size."""
+    fields = [f"X-{number}: {'x' * FIELD_BYTES}" for number in range(FIELDS)]
+    data = head("GET", f"/batch/{'c' * 16}", *fields)
+    hold_out(lambda crowd: crowd.send(HEADS, split(data, PIECE_BYTES)), listener)
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_heads_without_end(hold_out, listener):
+    """Guards against the memory of heads that never end, on connections that stay open."""
+    fields = [f"X-{number}: {'x' * FIELD_BYTES}" for number in range(FIELDS)]
+    data = head("GET", f"/batch/{'c' * 16}", *fields)[:-2]
+    hold_out(lambda crowd: crowd.send(HEADS, split(data, PIECE_BYTES)), listener)
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_empty_lines_before_a_request(hold_out, listener):
+    """Guards against bytes that are no part of a request and are read without a limit."""
+    pieces = split(b"\r\n" * (EMPTY_LINES_BYTES // 2), PIECE_BYTES)
+    hold_out(lambda crowd: crowd.send(HEADS, pieces), listener)
+
+
+@pytest.mark.parametrize("piece_bytes", [2 * BODY_BYTES, PIECE_BYTES], ids=["whole", "pieces"])
+def test_bodies_that_stop_short(hold_out, piece_bytes):
+    """Guards against the sum of bodies of legal size, each of which is held until its end."""
+    request_head = head("POST", f"/batch/{'c' * 16}", f"Content-Length: {BODY_BYTES}")
+
+    async def attack(crowd):
+        await send_bodies(crowd, request_head, b"x" * BODY_BYTES, piece_bytes)
+
+    hold_out(attack)
+
+
+@pytest.mark.parametrize("piece_bytes", [2 * BODY_BYTES, PIECE_BYTES], ids=["whole", "pieces"])
+@pytest.mark.parametrize(
+    ("count", "total", "chunk_bytes"),
+    [(BODIES, BODY_BYTES, BODY_BYTES), (TINY_CHUNK_BODIES, TINY_CHUNK_BODY_BYTES, 1)],
+    ids=["one chunk", "single bytes"],
+)
+def test_chunked_bodies_that_stop_short(hold_out, count, total, chunk_bytes, piece_bytes):
+    """Guards against chunks whose bookkeeping needs many times the memory of their bytes."""
+    request_head = head("POST", f"/batch/{'c' * 16}", "Transfer-Encoding: chunked")
+    body = chunked(total, chunk_bytes)
+    hold_out(lambda crowd: send_bodies(crowd, request_head, body, piece_bytes, count))
+
+
+@pytest.mark.parametrize("listener", ["ready", "metrics"])
+def test_bodies_to_listeners_without_bodies(hold_out, listener):
+    """Guards against bodies that are held by listeners that need none."""
+    request_head = head("GET", "/metrics", f"Content-Length: {BODY_BYTES}")
+
+    async def attack(crowd):
+        await send_bodies(crowd, request_head, b"x" * BODY_BYTES, PIECE_BYTES)
+
+    hold_out(attack, listener)
+
+
+@pytest.mark.parametrize("listener", (*LISTENERS, "peers"))
+def test_more_connections_than_descriptors(hold_out, listener):
+    """Guards against connections that take the descriptors of the process."""
+    hold_out(lambda crowd: crowd.send(CONNECTIONS, [b"GET "]), listener)
+
+
+def test_heads_without_end_at_the_port_of_the_vms(hold_out):
+    """Guards against heads of calls between VMs that are read to their end."""
+    hold_out(lambda crowd: crowd.send(HEADS, endless_head(HEAD_BYTES)), "peers")
+
+
+def test_messages_that_stop_short_at_the_port_of_the_vms(hold_out):
+    """Guards against the sum of messages of legal size, on streams that stay open."""
+
+    def send(reader, writer):
+        return send_messages(reader, writer, MESSAGE_STREAMS, MESSAGE_BYTES)
+
+    hold_out(lambda crowd: crowd.act(MESSAGE_CONNECTIONS, send), "peers")
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -68,6 +68,7 @@
         self.was_killed = False
         self.is_stopping = False
         self._folder = cell.folder
+        self._more_settings = cell.more_settings
         self._log_event = cell.log_event
         self._process: asyncio.subprocess.Process | None = None
         # Start time of the process, shifted by the time for which it was paused.
@@ -112,8 +113,15 @@
 status_s = 120
 hold-max-ms = 10000
 grace-s = {GRACE_S}
+{self._more_settings}
 """
 
+    @property
+    def pid(self) -> int:
+        """Id of the latest process."""
+        assert self._process is not None
+        return self._process.pid
+
     def send_signal(self, signal: Signals) -> None:
         """Sends a signal to the process, unless it has ended."""
         if self._process is not None and self._process.returncode is None:
@@ -172,12 +180,21 @@
         Folder for the settings and logs of the VMs.
     `moves`
         Whether each new configuration moves a queue to the other of two pools.
+    `more_settings`
+        Tables added to the settings of each VM.
     """
 
     def __init__(
-        self, folder: Path, seed: int, vms: int = 4, workers: int = 5, moves: bool = False
+        self,
+        folder: Path,
+        seed: int,
+        vms: int = 4,
+        workers: int = 5,
+        moves: bool = False,
+        more_settings: str = "",
     ) -> None:
         self.folder = folder
+        self.more_settings = more_settings
         self.clock = SystemClock()
         self.store = ModelStore(self.clock)
         self.fleet = ModelFleet(self.clock)
