Read callers' requests within limits of size, time, memory and connections

Cause: bodies were gathered for as long as their callers' deadlines allow, up to 1 MiB each; heads could have 128 lines of 8 KiB; nothing bounded the sum of these, nor the connections. Small chunks cost many times their bytes, as aiohttp keeps an object for each until its reader runs.

Change: the listeners of callers, readiness and metrics share a subclass of aiohttp's connection. It counts the bytes of a head from the first byte of the connection on, gathers the body as it arrives, piece by piece, and parses nothing behind a request until that is answered. The limits are those of the configuration. One budget, an eighth of the process's memory, holds for the bytes of all requests; beyond it the reader that was stalled the longest is refused, unless it holds little. Connections are bounded by half of the sockets and an eighth of the memory; beyond that one that is being refused, a stalled reader or an idle one gives way. Requests that were handed on are never refused, and none is before its body is whole. Refusals are counted by listener and reason; a reason has one log line in five seconds. A head of the configured size may now consist of one line.

The stub of a configuration in test_caller_log_lines has the limits that every configuration has.

--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -13,6 +13,7 @@
     "jobs_recovered",
     "loop_lag",
     "preemptions",
+    "refused_requests",
     "rejected_entries",
     "request_time",
     "requests",
@@ -35,6 +36,11 @@
 unanswered_requests = _meter.create_counter(
     "hornbeamramp.caller.unanswered", "1", "Requests of callers that were cut off, by method"
 )
+refused_requests = _meter.create_counter(
+    "hornbeamramp.caller.refused",
+    "1",
+    "Requests and connections refused unread or in part, by listener and reason",
+)
 store_calls = _meter.create_counter(
     "hornbeamramp.store.operations", "1", "Store calls by operation, way and outcome"
 )
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import logbook
@@ -11,10 +12,18 @@
 
 from hornbeamramp import instruments
 from hornbeamramp.ids import JobId
+from hornbeamramp.platform.connections import (
+    Guard,
+    GuardedServer,
+    RequestRefusedError,
+    refusal_response,
+)
 from hornbeamramp.platform.decoding import decode_job
+from hornbeamramp.platform.read_budget import PROBE_BOUNDS, caller_bounds
+from hornbeamramp.platform.settings import LimitSettings
 from hornbeamramp.telemetry import prometheus_text
 from hornbeamramp.vm import CallerService, CancelResult, Node, UnavailableError
-from hornbeamramp.workload import RouteMatch
+from hornbeamramp.workload import RequestLimits, RouteMatch
 
 __all__ = ["CallerServer"]
 
@@ -28,8 +37,12 @@
 # A request that its handler has not answered by its deadline, or by the time at which the server
 # stops, is answered this much later without it.
 HANDLER_MARGIN = timedelta(milliseconds=100)
-# Idle connections stay open this long; closing one earlier may lose a request already in flight.
-KEEPALIVE_TIMEOUT_S = 75.0
+# Idle connections stay open this long, and longer where the configuration says so; closing one
+# earlier may lose a request already in flight.
+KEEPALIVE_TIMEOUT = timedelta(seconds=75)
+# Requests to the readiness probe and for metrics, which have no bodies.
+PROBE_LIMITS = RequestLimits(max_header_bytes=8192, max_body_bytes=0)
+DEFAULT_LIMITS = RequestLimits()
 METRICS_PATH = "/metrics"
 # Period at which a draining server checks whether callers are still connected.
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
@@ -58,12 +71,17 @@
     """Serves one VM's callers. While draining, each response closes its connection.
 
     Each request is answered within the time that its caller waits, and before the server stops.
+    What is held of requests that are being read, and how many connections are open, follow from the
+    memory and the descriptors of the process.
     """
 
-    def __init__(self, node: Node, service: CallerService) -> None:
+    def __init__(
+        self, node: Node, service: CallerService, limits: LimitSettings | None = None
+    ) -> None:
         self._node = node
         self._clock = node.clock
         self._service = service
+        self._bounds = caller_bounds(limits or LimitSettings())
         self._runner: web.ServerRunner | None = None
         self._ready_runner: web.ServerRunner | None = None
         self._metrics_runner: web.ServerRunner | None = None
@@ -77,12 +95,10 @@
 
     async def start(self, frontend: str, ready: str, metrics: str) -> None:
         """Listens on the three addresses, each ``host:port``. Raises ``OSError``."""
-        server = web.Server(
-            self._on_request, keepalive_timeout=KEEPALIVE_TIMEOUT_S, access_log=None
-        )
-        self._runner = _runner(server)
-        self._ready_runner = _runner(web.Server(self._on_ready, access_log=None))
-        self._metrics_runner = _runner(web.Server(_on_metrics, access_log=None))
+        guard = Guard("callers", self._bounds, self._request_limits)
+        self._runner = _runner(GuardedServer(self._on_request, guard, self._idle_timeout))
+        self._ready_runner = _runner(_probe_server("ready", self._on_ready))
+        self._metrics_runner = _runner(_probe_server("metrics", _on_metrics))
         listeners = (
             (self._runner, frontend),
             (self._ready_runner, ready),
@@ -93,6 +109,13 @@
             host, _, port = address.rpartition(":")
             await web.TCPSite(runner, host, int(port)).start()
 
+    def _request_limits(self) -> RequestLimits:
+        config = self._node.config
+        return DEFAULT_LIMITS if config is None else config.request_limits
+
+    def _idle_timeout(self) -> timedelta:
+        return max(KEEPALIVE_TIMEOUT, self._request_limits().idle_timeout)
+
     def begin_drain(self, stops_at: timedelta) -> None:
         """Reports this VM as not ready, and limits all requests to a boot time."""
         self._stops_at = stops_at
@@ -195,6 +218,8 @@
                 await request.read()
                 is_read = True
                 return await self._handle(request)
+        except RequestRefusedError as error:
+            return refusal_response(error.refusal)
         except TimeoutError:
             if not is_read:
                 response = _unavailable("the request did not arrive in time", timedelta(seconds=1))
@@ -288,6 +313,20 @@
         await asyncio.sleep(0)
 
 
+def _probe_server(
+    name: str, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+) -> GuardedServer:
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            await request.read()
+        except RequestRefusedError as error:
+            return refusal_response(error.refusal)
+        return await handler(request)
+
+    guard = Guard(name, PROBE_BOUNDS, lambda: PROBE_LIMITS)
+    return GuardedServer(answer, guard, lambda: KEEPALIVE_TIMEOUT)
+
+
 async def _on_metrics(request: web.BaseRequest) -> web.StreamResponse:
     if request.path != METRICS_PATH:
         return web.Response(status=404)
--- /dev/null
+++ b/hornbeamramp/platform/connections.py
@@ -0,0 +1,538 @@
+"""HTTP connections of programs that aren't ours, read within limits of size, time and memory."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from http import HTTPStatus
+from typing import Any
+
+import logbook
+import msgspec
+from aiohttp import hdrs, web
+from aiohttp.http import HttpRequestParser, RawRequestMessage
+from aiohttp.http_exceptions import LineTooLong
+
+from hornbeamramp import instruments
+from hornbeamramp.platform.read_budget import ListenerBounds, ReadBudget
+from hornbeamramp.workload import RequestLimits
+
+__all__ = ["Guard", "GuardedServer", "Refusal", "RequestRefusedError", "refusal_response"]
+
+# Bytes of a body that are parsed before what they added is counted. In chunks of one byte, they
+# take eight times as much for a moment.
+PIECE_BYTES = 32 * 1024
+HEAD_END = b"\r\n\r\n"
+# A head is held as bytes, and again as the names and values of its fields.
+HEAD_COST = 3
+# Time and bytes for which a refused caller's data is read and dropped: a connection that is closed
+# with unread data is reset, and the caller may lose its answer.
+LINGER_S = 1.0
+LINGER_BYTES = 1024 * 1024
+# Longest time for which a response waits for a caller that doesn't read.
+WRITE_TIMEOUT_S = 15.0
+RETRY_AFTER_S = 1
+LOG_PERIOD_S = 5.0
+
+_log = logbook.Logger("connections")
+
+
+class Refusal(Enum):
+    """Reason for which a request is refused before anything is done with it."""
+
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TOO_SLOW = "head_too_slow"
+    BODY_TOO_LARGE = "body_too_large"
+    MALFORMED = "malformed"
+    NO_MEMORY = "no_memory"
+    NO_CONNECTION = "no_connection"
+
+
+STATUS_BY_REFUSAL = {
+    Refusal.HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Refusal.HEAD_TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
+    Refusal.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Refusal.MALFORMED: HTTPStatus.BAD_REQUEST,
+    Refusal.NO_MEMORY: HTTPStatus.SERVICE_UNAVAILABLE,
+    Refusal.NO_CONNECTION: HTTPStatus.SERVICE_UNAVAILABLE,
+}
+
+
+class RequestRefusedError(Exception):
+    """The request is refused and has not been read to its end."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.value)
+        self.refusal = refusal
+
+
+def refusal_response(refusal: Refusal) -> web.Response:
+    """Returns the response to a refused request, which closes its connection."""
+    status = STATUS_BY_REFUSAL[refusal]
+    response = web.Response(
+        status=status, body=_refusal_body(refusal), content_type="application/json"
+    )
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        response.headers[hdrs.RETRY_AFTER] = str(RETRY_AFTER_S)
+    response.force_close()
+    return response
+
+
+def _refusal_body(refusal: Refusal) -> bytes:
+    return msgspec.json.encode({"error": f"not run: {refusal.value.replace('_', ' ')}"})
+
+
+def _refusal_bytes(refusal: Refusal) -> bytes:
+    status = STATUS_BY_REFUSAL[refusal]
+    body = _refusal_body(refusal)
+    lines = [
+        f"HTTP/1.1 {status.value} {status.phrase}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    ]
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        lines.append(f"Retry-After: {RETRY_AFTER_S}")
+    return "\r\n".join((*lines, "", "")).encode() + body
+
+
+class Guard:
+    """What the connections of one listener share: its limits, its budget and its refusals.
+
+    `name`
+        Name of the listener in metrics and logs.
+    `limits`
+        Returns the limits in force, which may change with the configuration.
+    """
+
+    def __init__(
+        self, name: str, bounds: ListenerBounds, limits: Callable[[], RequestLimits]
+    ) -> None:
+        self.limits = limits
+        self.budget: ReadBudget[GuardedConnection] = ReadBudget(bounds)
+        self._name = name
+        self._logged_at: dict[Refusal, float] = {}
+        self._count_by_refusal: dict[Refusal, int] = {}
+
+    def count(self, refusal: Refusal) -> None:
+        """Counts a refusal, and logs at most one line a reason in each period."""
+        instruments.refused_requests.add(1, {"listener": self._name, "reason": refusal.value})
+        count = self._count_by_refusal.get(refusal, 0) + 1
+        self._count_by_refusal[refusal] = count
+        now = asyncio.get_running_loop().time()
+        if now < self._logged_at.get(refusal, now - LOG_PERIOD_S) + LOG_PERIOD_S:
+            return
+        _log.warning(
+            "{} refused {} requests or connections: {}",
+            self._name,
+            count,
+            refusal.value,
+            extra={"event": "requests_refused", "reason": refusal.value, "count": count},
+        )
+        self._logged_at[refusal] = now
+        self._count_by_refusal[refusal] = 0
+
+
+class _Phase(Enum):
+    """What a connection waits for. A refused one only for its end."""
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    HANDLED = "handled"
+    REFUSED = "refused"
+
+
+class GuardedConnection(web.RequestHandler):
+    """One connection, which reads one request at a time.
+
+    Nothing after a request is parsed before it is answered. Its body is gathered as it arrives, so
+    that it takes no more memory in small chunks than in one.
+    """
+
+    __slots__ = (
+        "_guard",
+        "_phase",
+        "_entry",
+        "_body",
+        "_head_bytes",
+        "_head_tail",
+        "_body_bytes",
+        "_max_body_bytes",
+        "_rest",
+        "_held",
+        "_dropped_bytes",
+        "_refusal",
+        "_body_waiter",
+        "_timer",
+    )
+
+    def __init__(self, manager: web.Server, guard: Guard, **options: Any) -> None:
+        limit = guard.limits().max_header_bytes
+        super().__init__(
+            manager, lingering_time=LINGER_S, max_line_size=limit, max_field_size=limit, **options
+        )
+        # Stops after each request, and leaves bodies as they are on the wire.
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=limit,
+            max_field_size=limit,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=1,
+        )
+        self._guard = guard
+        self._phase = _Phase.IDLE
+        # The request that is being read, as the parser returned it.
+        self._entry: Any = None
+        self._body: bytes | bytearray = b""
+        self._head_bytes = 0
+        # The last bytes of the head so far, in which its end may begin.
+        self._head_tail = b""
+        # Size of the body by its head; ``None`` for a chunked one.
+        self._body_bytes: int | None = 0
+        self._max_body_bytes = 0
+        # What the parser has kept of the piece in which a request ended.
+        self._rest = b""
+        # Data that arrived while a request was handled.
+        self._held = b""
+        self._dropped_bytes = 0
+        self._refusal: Refusal | None = None
+        self._body_waiter: asyncio.Future[None] | None = None
+        # Ends the time for a head, or that of a refused connection.
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        evicted = self._guard.budget.open(self)
+        if evicted is self:
+            self._guard.count(Refusal.NO_CONNECTION)
+            self._phase = _Phase.REFUSED
+            transport.abort()
+            return
+        super().connection_made(transport)
+        if evicted is not None:
+            evicted._evict()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._guard.budget.close(self)
+        self._stop_timer()
+        self._wake(ConnectionResetError("connection lost"))
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if not data:
+            # The parser is fed as each request ends, and never stops within one.
+            return
+        if self._phase is _Phase.REFUSED:
+            self._drop(len(data))
+        elif self._phase is _Phase.HANDLED:
+            self._hold(data)
+        else:
+            self._feed(data)
+
+    async def read_body(self) -> bytes:
+        """Returns the request's body. Raises `RequestRefusedError`, and ``OSError`` if the
+        connection ends before."""
+        if self._phase is _Phase.BODY:
+            self._body_waiter = self._loop.create_future()
+            try:
+                await self._body_waiter
+            finally:
+                self._body_waiter = None
+        if self._refusal is not None:
+            raise RequestRefusedError(self._refusal)
+        return bytes(self._body)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuses the request that is being read, and drops what has arrived of it."""
+        was_read = self._phase is _Phase.BODY
+        self._guard.count(refusal)
+        self._discard()
+        self._refusal = refusal
+        if was_read:
+            # Its handler answers.
+            self._wake(None)
+            return
+        if self.transport is not None:
+            self.transport.write(_refusal_bytes(refusal))
+        self.close()
+        self._timer = self._loop.call_later(LINGER_S, self._abort)
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        if self._phase is _Phase.BODY:
+            # Answered before it was read; what follows can't be told from its body.
+            resp.force_close()
+            self._discard()
+        result = await super().finish_response(request, resp, start_time)
+        if self.writing_paused:
+            await self._wait_for_reader()
+        if self._phase is _Phase.HANDLED:
+            self._finish()
+        return result
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        if status != HTTPStatus.BAD_REQUEST:
+            return super().handle_error(request, status, exc, message)
+        is_large = isinstance(exc, LineTooLong)
+        refusal = Refusal.HEAD_TOO_LARGE if is_large else Refusal.MALFORMED
+        self._guard.count(refusal)
+        return refusal_response(refusal)
+
+    def _feed(self, data: bytes) -> None:
+        """Parses data up to the end of a request, and counts what is held after each piece."""
+        start = 0
+        while start < len(data):
+            if self._phase is _Phase.HANDLED:
+                self._hold(data[start:])
+                return
+            if self._phase is _Phase.REFUSED:
+                self._drop(len(data) - start)
+                return
+            if self._phase is _Phase.BODY:
+                piece = data[start : start + self._body_room()]
+                self._feed_body(piece)
+            else:
+                room = self._guard.limits().max_header_bytes - self._head_bytes
+                piece = data[start : start + max(room, 1)]
+                self._feed_head(piece, piece)
+            start += len(piece)
+
+    def _body_room(self) -> int:
+        """Returns how much may be parsed at once; never more than the rest of a body of a known
+        size."""
+        if self._body_bytes is None:
+            return PIECE_BYTES
+        _, payload = self._entry
+        return max(min(self._body_bytes - payload.total_bytes, PIECE_BYTES), 1)
+
+    def _feed_head(self, data: bytes, piece: bytes) -> None:
+        """Parses data. ``piece`` is what that adds to the head, also where the parser has it."""
+        self._phase = _Phase.HEAD
+        self._head_bytes += len(piece)
+        # Empty lines before a request aren't its end.
+        head = self._head_tail + piece if self._head_tail else piece.lstrip(b"\r\n")
+        super().data_received(data)
+        if self._messages:
+            self._begin_body(head)
+            return
+        limits = self._guard.limits()
+        if self._head_bytes >= limits.max_header_bytes:
+            self.refuse(Refusal.HEAD_TOO_LARGE)
+            return
+        self._head_tail = head[1 - len(HEAD_END) :]
+        if self._timer is None:
+            timeout_s = limits.header_timeout.total_seconds()
+            self._timer = self._loop.call_later(timeout_s, self.refuse, Refusal.HEAD_TOO_SLOW)
+        self._charge()
+
+    def _begin_body(self, head: bytes) -> None:
+        """Takes over a request, or the parser's error. ``head`` is the end of the head, and what
+        follows it."""
+        self._stop_timer()
+        self._entry = message, payload = self._messages[-1]
+        if not isinstance(message, RawRequestMessage):
+            self._discard()
+            return
+        self._phase = _Phase.BODY
+        limit = self._max_body_bytes = self._guard.limits().max_body_bytes
+        self._body_bytes = None if message.chunked else _declared_bytes(message)
+        # Where no body is allowed, the end of an empty one isn't awaited.
+        if (self._body_bytes or 0) > limit or (message.chunked and not limit):
+            self.refuse(Refusal.BODY_TOO_LARGE)
+            return
+        if self._body_bytes is not None and payload.is_eof():
+            body_start = head.find(HEAD_END) + len(HEAD_END)
+            self._rest = head[body_start + self._body_bytes :]
+        self._gather()
+
+    def _feed_body(self, piece: bytes) -> None:
+        super().data_received(piece)
+        if self._messages and self._messages[-1] is not self._entry:
+            self.refuse(Refusal.MALFORMED)
+        else:
+            self._gather()
+
+    def _gather(self) -> None:
+        """Takes what has arrived of the body, and hands the request on once it is whole."""
+        _, payload = self._entry
+        while part := payload.read_nowait():
+            if not self._body:
+                self._body = part
+            else:
+                if isinstance(self._body, bytes):
+                    self._body = bytearray(self._body)
+                self._body += part
+        if len(self._body) > self._max_body_bytes:
+            self.refuse(Refusal.BODY_TOO_LARGE)
+            return
+        if not payload.is_eof():
+            self._charge()
+            return
+        self._body = bytes(self._body)
+        budget = self._guard.budget
+        budget.hand_on(self, self._held_bytes())
+        if budget.is_exceeded:
+            self._charge()
+            if self._phase is _Phase.REFUSED:
+                return
+            budget.hand_on(self, self._held_bytes())
+        self._phase = _Phase.HANDLED
+        self._wake(None)
+
+    def _held_bytes(self) -> int:
+        return HEAD_COST * self._head_bytes + len(self._body) + len(self._held)
+
+    def _charge(self) -> None:
+        """Counts what this connection holds; the budget may refuse it, or others."""
+        budget = self._guard.budget
+        budget.read(self, self._held_bytes())
+        while (reader := budget.overdrawn()) is not None:
+            reader.refuse(Refusal.NO_MEMORY)
+
+    def _hold(self, data: bytes) -> None:
+        """Keeps data that follows a request until that is answered, and reads no more."""
+        self._held += data
+        budget = self._guard.budget
+        budget.hand_on(self, self._held_bytes())
+        while (reader := budget.overdrawn()) is not None:
+            reader.refuse(Refusal.NO_MEMORY)
+        if budget.is_exceeded:
+            # Closes the connection after the response.
+            self._guard.count(Refusal.NO_MEMORY)
+            self._held = b""
+            self._close = True
+            budget.hand_on(self, self._held_bytes())
+        self._pause_transport_reading()
+
+    def _finish(self) -> None:
+        """Makes the connection ready for its next request, which may have arrived."""
+        self._phase = _Phase.IDLE
+        self._entry = None
+        self._body = self._head_tail = b""
+        self._head_bytes = 0
+        rest, self._rest = self._rest, b""
+        held, self._held = self._held, b""
+        self._guard.budget.finish(self)
+        if self._close or self._force_close or self._parser is None:
+            return
+        if rest:
+            self._feed_head(b"", rest)
+        else:
+            # What follows a chunked body in its last piece is not known here.
+            super().data_received(b"")
+            if self._messages:
+                self._begin_body(b"")
+        if held:
+            self._resume_transport_reading()
+            self.data_received(held)
+
+    async def _wait_for_reader(self) -> None:
+        """Waits until the caller has read its responses, and gives it up if it doesn't."""
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await self._drain_helper()
+        except TimeoutError:
+            self._abort()
+        except ConnectionError:
+            # The connection is closed, which its task notices.
+            self._close = True
+
+    def _drop(self, count: int) -> None:
+        """Counts data of a refused connection, which is not kept."""
+        self._dropped_bytes += count
+        if self._dropped_bytes > LINGER_BYTES:
+            self._abort()
+
+    def _discard(self) -> None:
+        """Gives up the request that is being read; from now on data is dropped."""
+        self._stop_timer()
+        self._phase = _Phase.REFUSED
+        self._body = self._held = b""
+        self._guard.budget.refuse(self)
+
+    def _evict(self) -> None:
+        """Closes the connection for another one's sake; no request of it is being handled."""
+        self._guard.count(Refusal.NO_CONNECTION)
+        self._stop_timer()
+        self._phase = _Phase.REFUSED
+        self._body = self._held = b""
+        self._refusal = Refusal.NO_CONNECTION
+        self._wake(None)
+        self._abort()
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _wake(self, error: Exception | None) -> None:
+        waiter = self._body_waiter
+        if waiter is None or waiter.done():
+            return
+        if error is None:
+            waiter.set_result(None)
+        else:
+            waiter.set_exception(error)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _declared_bytes(message: RawRequestMessage) -> int:
+    """Returns the size that a request's head gives for its body; 0 if it gives none."""
+    try:
+        return int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
+    except ValueError:
+        return 0
+
+
+class GuardedRequest(web.BaseRequest):
+    """A request whose body its connection has gathered."""
+
+    async def read(self) -> bytes:
+        """Returns the body. Raises `RequestRefusedError`, and ``OSError`` if the connection ends
+        before."""
+        connection = self.protocol
+        assert isinstance(connection, GuardedConnection)
+        return await connection.read_body()
+
+
+class GuardedServer(web.Server):
+    """A server whose connections share a guard. It has no access log.
+
+    ``keepalive_timeout`` returns the time for which a new connection may be idle.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Any],
+        guard: Guard,
+        keepalive_timeout: Callable[[], timedelta],
+    ) -> None:
+        super().__init__(handler, request_factory=self._request)
+        self._guard = guard
+        self._keepalive_timeout = keepalive_timeout
+
+    def __call__(self) -> GuardedConnection:
+        return GuardedConnection(
+            self,
+            self._guard,
+            loop=self._loop,
+            keepalive_timeout=self._keepalive_timeout().total_seconds(),
+            access_log=None,
+        )
+
+    def _request(self, message, payload, protocol, writer, task) -> GuardedRequest:
+        return GuardedRequest(message, payload, protocol, writer, task, self._loop)
--- /dev/null
+++ b/hornbeamramp/platform/read_budget.py
@@ -0,0 +1,160 @@
+"""Which connections stay open, and which unfinished requests are given up for want of memory."""
+
+from typing import Generic, TypeVar
+
+import msgspec
+
+from hornbeamramp.platform.settings import LimitSettings
+
+__all__ = ["PROBE_BOUNDS", "ListenerBounds", "ReadBudget", "caller_bounds", "peer_connections"]
+
+MIB = 1024 * 1024
+# Descriptors that the platform keeps for files; sockets share the others.
+FILE_DESCRIPTORS = 200
+# Parts of the process's sockets and memory. The rest of the sockets leads to workers, the store and
+# other VMs, and the rest of the memory holds the interpreter, jobs and connections.
+CALLER_SOCKET_SHARE = 1 / 2
+PEER_PORT_SOCKET_SHARE = 1 / 8
+REQUEST_MEMORY_SHARE = 1 / 8
+CONNECTION_MEMORY_SHARE = 1 / 8
+# Memory of a connection and of the handler that waits for its body, without the body.
+CONNECTION_BYTES = 16 * 1024
+# For processes whose settings have no memory or no descriptors.
+DEFAULT_REQUEST_BYTES = 64 * MIB
+DEFAULT_CONNECTIONS = 4096
+# Below these, ordinary callers would be refused in calm.
+MIN_REQUEST_BYTES = 2 * MIB
+MIN_CONNECTIONS = 32
+MIN_PEER_CONNECTIONS = 32
+
+Reader = TypeVar("Reader")
+
+
+class ListenerBounds(msgspec.Struct, frozen=True):
+    """Bounds of one listener: its open connections, and the bytes of all requests it holds."""
+
+    connections: int
+    request_bytes: int
+
+
+# Readiness and metrics are read by a few programs, with heads of a few hundred bytes.
+PROBE_BOUNDS = ListenerBounds(32, MIB // 2)
+
+
+def caller_bounds(limits: LimitSettings) -> ListenerBounds:
+    """Returns the bounds of the callers' listener under the settings of its process."""
+    connections = DEFAULT_CONNECTIONS
+    request_bytes = DEFAULT_REQUEST_BYTES
+    if limits.max_fds:
+        connections = min(connections, int(_sockets(limits) * CALLER_SOCKET_SHARE))
+    if limits.memory_mb:
+        memory = limits.memory_mb * MIB
+        connections = min(connections, int(memory * CONNECTION_MEMORY_SHARE) // CONNECTION_BYTES)
+        request_bytes = int(memory * REQUEST_MEMORY_SHARE)
+    return ListenerBounds(max(connections, MIN_CONNECTIONS), max(request_bytes, MIN_REQUEST_BYTES))
+
+
+def peer_connections(limits: LimitSettings) -> int | None:
+    """Returns the bound on connections at each port for other VMs, ``None`` if there is none."""
+    if not limits.max_fds:
+        return None
+    return max(int(_sockets(limits) * PEER_PORT_SOCKET_SHARE), MIN_PEER_CONNECTIONS)
+
+
+def _sockets(limits: LimitSettings) -> int:
+    return max(limits.max_fds - FILE_DESCRIPTORS, 0)
+
+
+class ReadBudget(Generic[Reader]):
+    """Open connections of a listener, and the bytes that each holds of its request.
+
+    A connection is refused (it is being closed), reads a request, has handed one on, or is idle.
+    Where connections are too many, the one refused first, else the reader that has been stalled the
+    longest, else the one that has been idle the longest is closed; requests that were handed on
+    keep their connections. Where the bytes are too many, the reader that has been stalled the
+    longest is refused, of those that hold half the mean of all readers or more: a crowd that holds
+    much doesn't displace callers that send little.
+
+    `used`
+        Bytes held by all connections.
+    """
+
+    def __init__(self, bounds: ListenerBounds) -> None:
+        self._bounds = bounds
+        # Each in the order of the latest change, the earliest first.
+        self._refused: dict[Reader, None] = {}
+        self._held_by_reader: dict[Reader, int] = {}
+        self._held_by_handled: dict[Reader, int] = {}
+        self._idle: dict[Reader, None] = {}
+        self._reading = 0
+        self.used = 0
+
+    def __len__(self) -> int:
+        tables = (self._refused, self._held_by_reader, self._held_by_handled, self._idle)
+        return sum(len(table) for table in tables)
+
+    def open(self, reader: Reader) -> Reader | None:
+        """Adds a connection. Returns the one to close for it, which may be itself, or ``None``."""
+        evicted = None
+        if len(self) >= self._bounds.connections:
+            for table in (self._refused, self._held_by_reader, self._idle):
+                if table:
+                    evicted = next(iter(table))
+                    break
+            else:
+                return reader
+            self.close(evicted)
+        self._idle[reader] = None
+        return evicted
+
+    def close(self, reader: Reader) -> None:
+        """Removes a connection, if it is there."""
+        self._remove(reader)
+
+    def read(self, reader: Reader, held: int) -> None:
+        """Notes that bytes of a request have arrived, and how many the connection holds now."""
+        self._remove(reader)
+        self._held_by_reader[reader] = held
+        self._reading += held
+        self.used += held
+
+    def hand_on(self, reader: Reader, held: int) -> None:
+        """Notes that a whole request is being handled."""
+        self._remove(reader)
+        self._held_by_handled[reader] = held
+        self.used += held
+
+    def finish(self, reader: Reader) -> None:
+        """Notes that a request was answered and its connection can take the next."""
+        self._remove(reader)
+        self._idle[reader] = None
+
+    def refuse(self, reader: Reader) -> None:
+        """Notes that a connection holds nothing any more and is being closed."""
+        self._remove(reader)
+        self._refused[reader] = None
+
+    @property
+    def is_exceeded(self) -> bool:
+        return self.used > self._bounds.request_bytes
+
+    def overdrawn(self) -> Reader | None:
+        """Returns the reader to refuse for the bytes of the others, or ``None``.
+
+        A request that nothing else competes with is never refused.
+        """
+        readers = self._held_by_reader
+        if not self.is_exceeded or not readers or len(readers) + len(self._held_by_handled) == 1:
+            return None
+        half_mean = self._reading / len(readers) / 2
+        return next(reader for reader, held in readers.items() if held >= half_mean)
+
+    def _remove(self, reader: Reader) -> None:
+        held = self._held_by_reader.pop(reader, None)
+        if held is not None:
+            self._reading -= held
+            self.used -= held
+            return
+        self.used -= self._held_by_handled.pop(reader, 0)
+        self._idle.pop(reader, None)
+        self._refused.pop(reader, None)
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -103,7 +103,7 @@
     peers = PeerClient(vm, data_centre, None, REPLY_TYPE_BY_REQUEST_TYPE)
     server = PeerServer(address, vm, data_centre, ports=ports)
     node = Node(identity, adapter, clock, peers, server)
-    callers = CallerServer(node, CallerService(node))
+    callers = CallerServer(node, CallerService(node), settings.limits)
     stopped_at = note_sigterm(clock)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, lambda: _on_reload(file, settings))
--- a/tests/platform/test_caller_log_lines.py
+++ b/tests/platform/test_caller_log_lines.py
@@ -9,13 +9,15 @@
 from hornbeamramp.clock import SystemClock
 from hornbeamramp.platform.callers import CallerServer
 from hornbeamramp.vm import CancelResult
-from hornbeamramp.workload import RouteMatch
+from hornbeamramp.workload import RequestLimits, RouteMatch
 from tests.model.cell import queue
 
 JOB = "0123456789abcdef"
 
 
 class StubConfig:
+    request_limits = RequestLimits()
+
     def match(self, host, path):
         return RouteMatch(queue("gate"), path.rpartition("/")[2])
 
--- /dev/null
+++ b/tests/platform/test_connections.py
@@ -0,0 +1,329 @@
+"""Requests on loopback connections with limits, whole, in pieces and in sequence."""
+
+import asyncio
+import contextlib
+import random
+from datetime import timedelta
+
+import pytest
+from aiohttp import web
+
+from hornbeamramp.platform.connections import (
+    Guard,
+    GuardedServer,
+    RequestRefusedError,
+    refusal_response,
+)
+from hornbeamramp.platform.read_budget import ListenerBounds
+from hornbeamramp.workload import RequestLimits
+
+LIMITS = RequestLimits(
+    max_header_bytes=400, max_body_bytes=2000, header_timeout=timedelta(milliseconds=300)
+)
+BOUNDS = ListenerBounds(8, 10_000)
+TIMEOUT_S = 20.0
+
+
+class Server:
+    """Answers each request with its method and the length of its body.
+
+    `requests`
+        Method and body of each request that was handed on.
+    `all_handed_on`
+        Set once as many were as there may be connections.
+    `released`
+        Handlers answer only while it is set.
+    """
+
+    def __init__(self, bounds):
+        self.requests = []
+        self.all_handed_on = asyncio.Event()
+        self.released = asyncio.Event()
+        self.released.set()
+        self.guard = Guard("test", bounds, lambda: LIMITS)
+        self.port = 0
+
+    async def handle(self, request):
+        try:
+            body = await request.read()
+        except RequestRefusedError as error:
+            return refusal_response(error.refusal)
+        self.requests.append((request.method, body))
+        if len(self.requests) == BOUNDS.connections:
+            self.all_handed_on.set()
+        await self.released.wait()
+        return web.Response(text=f"{request.method} {len(body)}")
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+
+@pytest.fixture
+def serve():
+    """Runs a scenario with a server."""
+
+    def run(scenario, bounds=BOUNDS):
+        async def main():
+            server = Server(bounds)
+            http = GuardedServer(server.handle, server.guard, lambda: timedelta(seconds=75))
+            runner = web.ServerRunner(http, shutdown_timeout=0.1)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            server.port = runner.addresses[0][1]
+            try:
+                async with asyncio.timeout(TIMEOUT_S):
+                    await scenario(server)
+            finally:
+                server.released.set()
+                await runner.cleanup()
+
+        asyncio.run(main())
+
+    return run
+
+
+def post(body, *lines):
+    head = ("POST / HTTP/1.1", "Host: a", f"Content-Length: {len(body)}", *lines, "", "")
+    return "\r\n".join(head).encode() + body
+
+
+def post_chunked(body, size):
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    parts = [body[start : start + size] for start in range(0, len(body), size)]
+    return head + b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n"
+
+
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+async def read_response(reader):
+    """Returns status, header lines and body of a response."""
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().lower().split("\r\n")
+    header_by_name = dict(line.split(": ", 1) for line in lines if line)
+    body = await reader.readexactly(int(header_by_name["content-length"]))
+    return int(first.split()[1]), header_by_name, body
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_sequence_of_requests_in_any_pieces(serve, seed):
+    """Guards against bytes lost or counted twice between requests that share a piece."""
+    rng = random.Random(seed)
+    bodies = [rng.randbytes(rng.choice((0, 1, 50, 2000))) for _ in range(8)]
+    wire = b""
+    for body in bodies:
+        kind = rng.randrange(3)
+        wire += rng.choice((b"", b"\r\n", b"\r\n\r\n"))
+        wire += post(body) if kind else post_chunked(body, rng.choice((1, 7, 5000)))
+
+    async def scenario(server):
+        reader, writer = await server.connect()
+        start = 0
+        while start < len(wire):
+            size = rng.choice((1, 2, 3, 20, 500, 100_000))
+            writer.write(wire[start : start + size])
+            start += size
+            await asyncio.sleep(0)
+        for body in bodies:
+            assert (await read_response(reader))[::2] == (200, b"POST %d" % len(body))
+        assert server.requests == [("POST", body) for body in bodies]
+        assert server.guard.budget.used == 0
+        writer.close()
+
+    # Enough for all that is sent ahead.
+    serve(scenario, ListenerBounds(1, 4 * len(wire)))
+
+
+def test_head_of_the_largest_size_is_served(serve):
+    async def scenario(server):
+        reader, writer = await server.connect()
+        for _ in range(2):
+            fill = LIMITS.max_header_bytes - len(post(b"", "X: "))
+            writer.write(post(b"", "X: " + "x" * fill))
+            assert (await read_response(reader))[0] == 200
+        writer.close()
+
+    serve(scenario)
+
+
+@pytest.mark.parametrize("end", [b"", b"\r\n\r\n"], ids=["without end", "with end"])
+@pytest.mark.parametrize("first", [b"", GET], ids=["first request", "second request"])
+def test_head_over_the_limit_is_refused(serve, first, end):
+    async def scenario(server):
+        reader, writer = await server.connect()
+        writer.write(first + GET[:-2] + b"X: " + b"x" * LIMITS.max_header_bytes + end)
+        if first:
+            assert (await read_response(reader))[0] == 200
+        status, header_by_name, _ = await read_response(reader)
+        assert (status, header_by_name["connection"]) == (431, "close")
+        assert await reader.read() == b""
+        assert len(server.requests) == bool(first)
+        writer.close()
+
+    serve(scenario)
+
+
+@pytest.mark.parametrize("first", [b"", GET], ids=["first request", "second request"])
+def test_head_that_takes_too_long_is_refused(serve, first):
+    async def scenario(server):
+        reader, writer = await server.connect()
+        writer.write(first + GET[:10])
+        if first:
+            assert (await read_response(reader))[0] == 200
+        assert (await read_response(reader))[0] == 408
+        assert await reader.read() == b""
+        writer.close()
+
+    serve(scenario)
+
+
+def test_connection_may_be_idle_for_longer_than_a_head_may_take(serve):
+    """Guards against a time-out of heads that also ends idle connections."""
+
+    async def scenario(server):
+        reader, writer = await server.connect()
+        for _ in range(2):
+            await asyncio.sleep(1.5 * LIMITS.header_timeout.total_seconds())
+            writer.write(post(b"body"))
+            assert (await read_response(reader))[0] == 200
+        writer.close()
+
+    serve(scenario)
+
+
+@pytest.mark.parametrize("wire", [post(bytes(2001))[:200], post_chunked(bytes(2001), 1)])
+def test_body_over_the_limit_is_refused(serve, wire):
+    async def scenario(server):
+        reader, writer = await server.connect()
+        writer.write(wire)
+        assert (await read_response(reader))[0] == 413
+        assert await reader.read() == b""
+        assert server.requests == []
+        writer.close()
+
+    serve(scenario)
+
+
+@pytest.mark.parametrize("later", [False, True])
+def test_malformed_chunk_is_refused_at_once(serve, later):
+    """Guards against a handler that waits for the rest of a body that can't be parsed."""
+
+    async def scenario(server):
+        reader, writer = await server.connect()
+        wire = post_chunked(b"body", 4)
+        writer.write(wire[:-5])
+        await asyncio.sleep(0.05 if later else 0)
+        writer.write(b"zz\r\n")
+        assert (await read_response(reader))[0] == 400
+        assert server.requests == []
+        writer.close()
+
+    serve(scenario)
+
+
+def test_malformed_head_is_refused_and_logged_once(serve, log_records, caplog):
+    """Guards against logs that grow with what strangers send."""
+
+    async def scenario(server):
+        for _ in range(5):
+            reader, writer = await server.connect()
+            writer.write(b"nonsense\r\n\r\n")
+            assert (await read_response(reader))[0] == 400
+            writer.close()
+
+    serve(scenario)
+    assert len(log_records) == 1
+    assert caplog.records == []
+
+
+def test_stalled_bodies_give_way(serve):
+    """Guards against a crowd of bodies without end that keeps ordinary callers out."""
+
+    async def scenario(server):
+        stalled = [await server.connect() for _ in range(6)]
+        for _, writer in stalled:
+            writer.write(post(bytes(2000))[:-1])
+        for _ in range(3):
+            reader, writer = await server.connect()
+            writer.write(post(bytes(2000)))
+            assert (await read_response(reader))[::2] == (200, b"POST 2000")
+            writer.close()
+        status, header_by_name, body = await read_response(stalled[0][0])
+        assert (status, header_by_name["retry-after"]) == (503, "1")
+        assert b"not run" in body
+        assert server.guard.budget.used <= BOUNDS.request_bytes
+        assert len(server.requests) == 3
+        for _, writer in stalled:
+            writer.close()
+
+    serve(scenario)
+
+
+def test_requests_sent_ahead_wait_until_there_is_an_answer(serve):
+    """Guards against requests that are gathered behind one that takes long."""
+
+    async def scenario(server):
+        server.released.clear()
+        reader, writer = await server.connect()
+        writer.write(GET * 100)
+        await asyncio.sleep(0.1)
+        assert len(server.requests) == 1
+        assert server.guard.budget.used < 3 * len(GET) * 100
+        server.released.set()
+        for _ in range(100):
+            assert (await read_response(reader))[0] == 200
+        assert server.guard.budget.used == 0
+        writer.close()
+
+    serve(scenario)
+
+
+def test_data_sent_ahead_beyond_the_budget_ends_the_connection_after_its_answer(serve):
+    async def scenario(server):
+        server.released.clear()
+        reader, writer = await server.connect()
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.write(bytes(BOUNDS.request_bytes + 1))
+        await asyncio.sleep(0.05)
+        assert server.guard.budget.used < BOUNDS.request_bytes
+        server.released.set()
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+    serve(scenario)
+
+
+def test_new_connections_displace_idle_ones(serve):
+    async def scenario(server):
+        connections = [await server.connect() for _ in range(BOUNDS.connections + 3)]
+        reader, writer = connections[-1]
+        writer.write(GET)
+        assert (await read_response(reader))[0] == 200
+        assert await connections[0][0].read() == b""
+        assert len(server.guard.budget) == BOUNDS.connections
+        for _, writer in connections:
+            writer.close()
+
+    serve(scenario)
+
+
+def test_connections_with_a_request_in_hand_are_kept(serve):
+    """Guards against an answer that is lost for the sake of a new connection."""
+
+    async def scenario(server):
+        server.released.clear()
+        connections = [await server.connect() for _ in range(BOUNDS.connections)]
+        for _, writer in connections:
+            writer.write(GET)
+        await server.all_handed_on.wait()
+        late_reader, late_writer = await server.connect()
+        with contextlib.suppress(ConnectionResetError):
+            assert await late_reader.read() == b""
+        server.released.set()
+        for reader, writer in connections:
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+        late_writer.close()
+
+    serve(scenario)
