Hold nothing for callers that have left, and document the limits of callers

Cause: a connection that ended while its request was handled came back into the budget with the answer and stayed there, so the bound on connections would have filled over time. A handler that started after the end of its connection could have taken the part of a body for the whole. Found on reading, before any merge.

Change: a lost connection stays out of the budget, and its body is not handed on. A head counts without the body that came with it.

--- a/hornbeamramp/platform/connections.py
+++ b/hornbeamramp/platform/connections.py
@@ -146,7 +146,7 @@
 class GuardedConnection(web.RequestHandler):
     """One connection, which reads one request at a time.
 
-    Nothing after a request is parsed before it is answered. Its body is gathered as it arrives, so
+    Nothing after a request is parsed before that is answered. A body is gathered as it arrives, so
     that it takes no more memory in small chunks than in one.
     """
 
@@ -237,6 +237,8 @@
         """Returns the request's body. Raises `RequestRefusedError`, and ``OSError`` if the
         connection ends before."""
         if self._phase is _Phase.BODY:
+            if self.transport is None:
+                raise ConnectionResetError("connection lost")
             self._body_waiter = self._loop.create_future()
             try:
                 await self._body_waiter
@@ -351,8 +353,9 @@
         if (self._body_bytes or 0) > limit or (message.chunked and not limit):
             self.refuse(Refusal.BODY_TOO_LARGE)
             return
+        body_start = head.find(HEAD_END) + len(HEAD_END)
+        self._head_bytes = max(self._head_bytes - len(head) + body_start, 0)
         if self._body_bytes is not None and payload.is_eof():
-            body_start = head.find(HEAD_END) + len(HEAD_END)
             self._rest = head[body_start + self._body_bytes :]
         self._gather()
 
@@ -391,7 +394,8 @@
         self._wake(None)
 
     def _held_bytes(self) -> int:
-        return HEAD_COST * self._head_bytes + len(self._body) + len(self._held)
+        sent_ahead = len(self._rest) + len(self._held)
+        return HEAD_COST * self._head_bytes + len(self._body) + sent_ahead
 
     def _charge(self) -> None:
         """Counts what this connection holds; the budget may refuse it, or others."""
@@ -417,6 +421,9 @@
 
     def _finish(self) -> None:
         """Makes the connection ready for its next request, which may have arrived."""
+        if self.transport is None:
+            # The budget has no connection that is lost.
+            return
         self._phase = _Phase.IDLE
         self._entry = None
         self._body = self._head_tail = b""
@@ -443,10 +450,10 @@
             async with asyncio.timeout(WRITE_TIMEOUT_S):
                 await self._drain_helper()
         except TimeoutError:
+            _log.info("connection closed: its caller reads no responses")
             self._abort()
-        except ConnectionError:
-            # The connection is closed, which its task notices.
-            self._close = True
+        except ConnectionError as error:
+            _log.debug("caller left before it read its responses: {}", error)
 
     def _drop(self, count: int) -> None:
         """Counts data of a refused connection, which is not kept."""
@@ -459,7 +466,8 @@
         self._stop_timer()
         self._phase = _Phase.REFUSED
         self._body = self._held = b""
-        self._guard.budget.refuse(self)
+        if self.transport is not None:
+            self._guard.budget.refuse(self)
 
     def _evict(self) -> None:
         """Closes the connection for another one's sake; no request of it is being handled."""
--- a/hornbeamramp/settings_docs.py
+++ b/hornbeamramp/settings_docs.py
@@ -17,6 +17,9 @@
 One YAML file for each entry process, named by `hornbeamramp serve --config FILE`. Generated from
 hornbeamramp/settings.py by `hornbeamramp docs configuration`. An unknown field is an error;
 `hornbeamramp check FILE` checks a file and the key files it names.
+
+The process on the users' platform has the platform's settings file instead. Its limits of callers'
+requests and connections, each with its default, are in OPERATIONS.md.
 """
 FIELD_LINE = re.compile(r"`\w+`(, `\w+`)*")
 
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -294,6 +294,44 @@
     serve(scenario)
 
 
+@pytest.mark.parametrize("wire", [b"", GET[:10], post(bytes(100))[:-1], post(bytes(100))])
+def test_callers_that_leave_hold_nothing(serve, wire):
+    """Guards against a budget and a bound on connections that fill with callers long gone."""
+
+    async def scenario(server):
+        server.released.clear()
+        for _ in range(2 * BOUNDS.connections):
+            _, writer = await server.connect()
+            writer.write(wire)
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+        server.released.set()
+        await asyncio.sleep(0.1)
+        assert (len(server.guard.budget), server.guard.budget.used) == (0, 0)
+        if wire != post(bytes(100)):
+            assert server.requests == []
+
+    serve(scenario)
+
+
+def test_body_of_a_caller_that_left_is_not_handed_on(serve):
+    """Guards against a handler that starts after the end of its connection and takes the part of
+    the body that has arrived for the whole."""
+
+    async def scenario(server):
+        for _ in range(20):
+            _, writer = await server.connect()
+            writer.write(post(bytes(100))[:-1])
+            writer.write_eof()
+            writer.close()
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        assert server.requests == []
+        assert (len(server.guard.budget), server.guard.budget.used) == (0, 0)
+
+    serve(scenario)
+
+
 def test_new_connections_displace_idle_ones(serve):
     async def scenario(server):
         connections = [await server.connect() for _ in range(BOUNDS.connections + 3)]
