Spare ordinary requests most of the bookkeeping of their connections

Cause: each request fed the parser once more at its end, and looked its connection up in four tables twice.

Change: only connections that had a chunked body ask the parser for what it has kept; the tables are tried in the order of ordinary requests.

--- a/hornbeamramp/platform/connections.py
+++ b/hornbeamramp/platform/connections.py
@@ -159,6 +159,7 @@
         "_head_tail",
         "_body_bytes",
         "_max_body_bytes",
+        "_had_chunks",
         "_rest",
         "_held",
         "_dropped_bytes",
@@ -195,6 +196,8 @@
         # Size of the body by its head; ``None`` for a chunked one.
         self._body_bytes: int | None = 0
         self._max_body_bytes = 0
+        # Whether a body was chunked; from then on only the parser knows what it has kept.
+        self._had_chunks = False
         # What the parser has kept of the piece in which a request ended.
         self._rest = b""
         # Data that arrived while a request was handled.
@@ -348,14 +351,18 @@
             return
         self._phase = _Phase.BODY
         limit = self._max_body_bytes = self._guard.limits().max_body_bytes
-        self._body_bytes = None if message.chunked else _declared_bytes(message)
+        if message.chunked:
+            self._body_bytes = None
+            self._had_chunks = True
+        else:
+            self._body_bytes = _declared_bytes(message)
         # Where no body is allowed, the end of an empty one isn't awaited.
         if (self._body_bytes or 0) > limit or (message.chunked and not limit):
             self.refuse(Refusal.BODY_TOO_LARGE)
             return
         body_start = head.find(HEAD_END) + len(HEAD_END)
         self._head_bytes = max(self._head_bytes - len(head) + body_start, 0)
-        if self._body_bytes is not None and payload.is_eof():
+        if not self._had_chunks and payload.is_eof():
             self._rest = head[body_start + self._body_bytes :]
         self._gather()
 
@@ -435,8 +442,7 @@
             return
         if rest:
             self._feed_head(b"", rest)
-        else:
-            # What follows a chunked body in its last piece is not known here.
+        elif self._had_chunks:
             super().data_received(b"")
             if self._messages:
                 self._begin_body(b"")
--- a/hornbeamramp/platform/read_budget.py
+++ b/hornbeamramp/platform/read_budget.py
@@ -150,11 +150,14 @@
         return next(reader for reader, held in readers.items() if held >= half_mean)
 
     def _remove(self, reader: Reader) -> None:
-        held = self._held_by_reader.pop(reader, None)
-        if held is not None:
+        # Most requests arrive in one piece: their connections are idle or handled.
+        if reader in self._idle:
+            del self._idle[reader]
+        elif reader in self._held_by_handled:
+            self.used -= self._held_by_handled.pop(reader)
+        elif reader in self._held_by_reader:
+            held = self._held_by_reader.pop(reader)
             self._reading -= held
             self.used -= held
-            return
-        self.used -= self._held_by_handled.pop(reader, 0)
-        self._idle.pop(reader, None)
-        self._refused.pop(reader, None)
+        else:
+            self._refused.pop(reader, None)
