Merge branch 'part-crowds' into integration

# Conflicts: # docs/operations.md # hornbeamramp/instruments.py # hornbeamramp/platform/callers.py # tests/platform/test_caller_log_lines.py # tests/soak/cell.py

--- a/tests/platform/test_caller_log_lines.py
+++ b/tests/platform/test_caller_log_lines.py
@@ -9,7 +9,7 @@
 from hornbeamramp.clock import SystemClock
 from hornbeamramp.platform.callers import CallerServer
 from hornbeamramp.vm import CancelResult
-from hornbeamramp.workload import RouteMatch
+from hornbeamramp.workload import RequestLimits, RouteMatch
 from tests.model.cell import queue
 
 JOB = "0123456789abcdef"
@@ -17,6 +17,7 @@
 
 class StubConfig:
     account_by_id = {}
+    request_limits = RequestLimits()
 
     def match(self, host, path):
         return RouteMatch(queue("gate"), path.rpartition("/")[2])
--- a/tests/soak/cell.py
+++ b/tests/soak/cell.py
@@ -71,6 +71,7 @@
         self.is_stopping = False
         self._folder = cell.folder
         self._bounds = cell.extra_bounds
+        self._more_settings = cell.more_settings
         self._log_event = cell.log_event
         self._process: asyncio.subprocess.Process | None = None
         # Start time of the process, shifted by the time for which it was paused.
@@ -116,8 +117,15 @@
 hold-max-ms = 10000
 grace-s = {GRACE_S}
 {self._bounds}
+{self._more_settings}
 """
 
+    @property
+    def pid(self) -> int:
+        """Id of the latest process."""
+        assert self._process is not None
+        return self._process.pid
+
     def send_signal(self, signal: Signals) -> None:
         """Sends a signal to the process, unless it has ended."""
         if self._process is not None and self._process.returncode is None:
@@ -181,6 +189,8 @@
     `key_by_account`, `revoked_at_by_key`
         The key of each account that is in force, and the boot times at which the store acknowledged
         the removal of others.
+    `more_settings`
+        Tables added to the settings of each VM.
     """
 
     def __init__(
@@ -191,8 +201,10 @@
         workers: int = 5,
         moves: bool = False,
         accounts: bool = False,
+        more_settings: str = "",
     ) -> None:
         self.folder = folder
+        self.more_settings = more_settings
         self.clock = SystemClock()
         self.store = ModelStore(self.clock)
         self.fleet = ModelFleet(self.clock)
