Look at the workers once per account and pass for units out of quota

With hundreds of steps that wait for one account's quota, each pass looked at all workers for each of them, to tell whether they could start at once; and the allotments were reviewed after each pass. Now one answer per account serves a pass, and reviews are at least 10 ms apart.

tests/poolowner/test_quota_placement.py fails with the look per step, with preemption for tasks that have no room, and without the precedence of a unit that waits; it passes now, and so do tests/accounts and tests/vm/test_quotas.py.

--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -217,8 +217,11 @@
         """
         if self._quotas is None or self._startable(step):
             return False
-        capacity = current.capacity
-        has_capacity = any(capacity.fits(s, step.size) for s in current.with_capacity())
+
+        def has_capacity() -> bool:
+            fits = current.capacity.fits
+            return any(fits(session, step.size) for session in current.with_capacity())
+
         self._quotas.note_short(step, has_capacity)
         step.plan = None
         return True
--- a/hornbeamramp/poolowner/quota_keeper.py
+++ b/hornbeamramp/poolowner/quota_keeper.py
@@ -33,6 +33,9 @@
 
 # Minimum time between two writes of the record, which has the changes of all accounts.
 WRITE_INTERVAL = timedelta(milliseconds=50)
+# Minimum time between two reviews of the allotments: passes that leave units without room may come
+# every few milliseconds.
+REVIEW_INTERVAL = timedelta(milliseconds=10)
 # Period in which allotments are reviewed without an event, so that idle ones are given back.
 REVIEW_PERIOD = timedelta(milliseconds=200)
 # Period of the lines about accounts that wait, and most of them at a time.
@@ -115,6 +118,7 @@
         self._orphan_usage = AccountUsage()
         self._needed_by_account: dict[AccountId, Amounts] = {}
         self._next_by_account: dict[AccountId, Amounts] = {}
+        self._may_start_by_account: dict[AccountId, bool] = {}
         self._short_by_account: dict[AccountId, set[int]] = {}
         # Tasks of jobs that a former owner ended, which may run on, until a boot time, on workers
         # that have not listed their runs yet; and the capacity of these.
@@ -213,17 +217,21 @@
         """Notes that a unit of a step is placed."""
         self._allotments.note_start(step.job.record.account)
 
-    def note_short(self, step: StepRun, has_capacity: bool) -> None:
+    def note_short(self, step: StepRun, has_capacity: Callable[[], bool]) -> None:
         """Notes that a step has no room for its next unit.
 
         `has_capacity`
-            Whether workers have room for one, so that it and the others may start at once.
+            Returns whether workers have room for one, so that it and the others may start at once.
+            It is asked once for each account in a pass, as it looks at all workers.
         """
         account = step.job.record.account
         size, tasks = _size(step), len(step.waiting[0].tasks)
         unit = self._allotments.counted(account, size, tasks)
-        count = len(step.waiting) if has_capacity else 1
-        before = self._needed_by_account.get(account, NOTHING)
+        before = self._needed_by_account.get(account)
+        if before is None:
+            before = NOTHING
+            self._may_start_by_account[account] = has_capacity()
+        count = len(step.waiting) if self._may_start_by_account[account] else 1
         self._needed_by_account[account] = (
             before[0] + count * unit[0],
             before[1] + count * unit[1],
@@ -329,6 +337,8 @@
             if record is not None:
                 await self._write(record)
                 await self._clock.sleep(WRITE_INTERVAL)
+            else:
+                await self._clock.sleep(REVIEW_INTERVAL)
 
     def _report_waits(self) -> None:
         """Tells operators which accounts wait for their quota, once a second."""
