Limit reviews of allotments to a twentieth of the processor

With 180 accounts a review took 2.4 ms of processor time on this machine beside load, and passes could ask for one every 10 ms.

--- a/hornbeamramp/poolowner/quota_keeper.py
+++ b/hornbeamramp/poolowner/quota_keeper.py
@@ -33,9 +33,10 @@
 
 # Minimum time between two writes of the record, which has the changes of all accounts.
 WRITE_INTERVAL = timedelta(milliseconds=50)
-# Minimum time between two reviews of the allotments: passes that leave units without room may come
-# every few milliseconds.
+# Minimum time between two reviews of the allotments, also as a multiple of their duration: passes
+# that leave units without room may come every few milliseconds, and a review looks at all accounts.
 REVIEW_INTERVAL = timedelta(milliseconds=10)
+REVIEW_INTERVAL_FACTOR = 20
 # Period in which allotments are reviewed without an event, so that idle ones are given back.
 REVIEW_PERIOD = timedelta(milliseconds=200)
 # Period of the lines about accounts that wait, and most of them at a time.
@@ -333,12 +334,14 @@
                 continue
             self._report_waits()
             await self._delete_removed()
-            record = self._allotments.decide(self._demands(), self._clock.boot_time())
+            started_at = self._clock.boot_time()
+            record = self._allotments.decide(self._demands(), started_at)
+            elapsed = self._clock.boot_time() - started_at
             if record is not None:
                 await self._write(record)
                 await self._clock.sleep(WRITE_INTERVAL)
             else:
-                await self._clock.sleep(REVIEW_INTERVAL)
+                await self._clock.sleep(max(REVIEW_INTERVAL, REVIEW_INTERVAL_FACTOR * elapsed))
 
     def _report_waits(self) -> None:
         """Tells operators which accounts wait for their quota, once a second."""
