Wait until a removed pool has had no owner for the longest lease

The record of a pool that is no longer configured was deleted a lease's time after an attempt that its owner's key had refused. Its owner may end right after that attempt, and its runs go on for that long, so their room could be given to others. The time now counts from when the owner's key is first seen gone. Also, accounts were reported as waiting after their quotas had been taken out of the configuration.

The test of removed pools, whose owner now goes on for 11 s first, fails before and passes; so do the others of tests/vm/test_quotas.py, tests/accounts and tests/poolowner/test_quota_placement.py.

--- a/hornbeamramp/poolowner/quota_keeper.py
+++ b/hornbeamramp/poolowner/quota_keeper.py
@@ -39,6 +39,8 @@
 REVIEW_INTERVAL_FACTOR = 20
 # Period in which allotments are reviewed without an event, so that idle ones are given back.
 REVIEW_PERIOD = timedelta(milliseconds=200)
+# Period in which the owners of pools are looked up that are no longer configured.
+REMOVED_POOL_PERIOD = timedelta(seconds=2)
 # Period of the lines about accounts that wait, and most of them at a time.
 REPORT_PERIOD = timedelta(seconds=1)
 MAX_REPORTED_ACCOUNTS = 5
@@ -126,7 +128,9 @@
         self._left_by_former_owner = AccountUsage()
         self._left_until = timedelta(0)
         self._silent_capacity = NOTHING
-        self._absent_since_by_pool: dict[PoolName, timedelta] = {}
+        # Since when pools that are no longer configured have been seen without an owner.
+        self._unowned_since_by_pool: dict[PoolName, timedelta] = {}
+        self._removed_checked_at = timedelta(0)
         self._reported_at = timedelta(0)
 
     # Start
@@ -188,12 +192,11 @@
     def begin_pass(self) -> None:
         """Begins a scheduling pass."""
         self._apply_config()
-        if not self.has_quotas:
-            return
         self._needed_by_account.clear()
         self._next_by_account.clear()
         self._short_by_account.clear()
-        self._count_unordered()
+        if self.has_quotas:
+            self._count_unordered()
 
     def end_pass(self) -> None:
         """Ends a scheduling pass; what lacked room in it is asked for."""
@@ -454,22 +457,33 @@
         for so long that nothing runs there."""
         now = self._clock.boot_time()
         removed = self._allotments.removed_pools - {self._owner.pool}
-        for pool in list(self._absent_since_by_pool):
-            if pool not in removed:
-                del self._absent_since_by_pool[pool]
+        if not removed or now - self._removed_checked_at < REMOVED_POOL_PERIOD:
+            return
+        self._removed_checked_at = now
         for pool in sorted(removed):
-            since = self._absent_since_by_pool.setdefault(pool, now)
-            item = self._item_by_key.get(quota_key(pool))
-            if item is None or now - since < self._longest_lease:
-                continue
-            self._absent_since_by_pool[pool] = now
-            required = {owner_key(pool): 0, quota_key(pool): item.revision}
             try:
-                await self._store.commit(Txn(required, deletes=(quota_key(pool),)))
-                _log.info("{}: allotments of the removed pool deleted", pool)
+                await self._delete_unowned(pool)
             except (StoreUnavailableError, TxnConflictError) as error:
                 _log.info("{}: allotments not deleted yet: {!r}", pool, error)
 
+    async def _delete_unowned(self, pool: PoolName) -> None:
+        """Deletes the record of a pool that has had no owner for long enough.
+
+        Raises `StoreUnavailableError` and `TxnConflictError`.
+        """
+        key = quota_key(pool)
+        item = self._item_by_key.get(key)
+        if item is None or await self._store.get(owner_key(pool)) is not None:
+            self._unowned_since_by_pool.pop(pool, None)
+            return
+        now = self._clock.boot_time()
+        since = self._unowned_since_by_pool.setdefault(pool, now)
+        if now - since >= self._longest_lease:
+            required = {owner_key(pool): 0, key: item.revision}
+            await self._store.commit(Txn(required, deletes=(key,)))
+            del self._unowned_since_by_pool[pool]
+            _log.info("{}: allotments of the removed pool deleted", pool)
+
 
 def _size(step: StepRun) -> Amounts:
     return (step.size.processors_milli, step.size.memory_mib, step.size.accelerators)
--- a/tests/vm/test_quotas.py
+++ b/tests/vm/test_quotas.py
@@ -253,6 +253,9 @@
 
 
 def test_record_of_a_removed_pool_is_deleted_once_nothing_can_run_there():
+    """Guards against quota that is lost with a pool, and against room given away while runs of its
+    last owner may go on."""
+
     async def scenario(cell):
         flood = asyncio.create_task(cell.flood(HOT, "art", job(SMALL)))
         await asyncio.sleep(3)
@@ -260,10 +263,12 @@
         cell.pools.remove(OTHER_POOL)
         del cell.queues[RouteName("art")]
         cell.configure()
+        # Its owner goes on until its VM ends.
+        await asyncio.sleep(11)
         await cell.vm_by_name[cell.owner_name(OTHER_POOL)].kill()
-        await asyncio.sleep(8)
+        await asyncio.sleep(10)
         assert quota_key(OTHER_POOL) in cell.store.item_by_key
-        await asyncio.sleep(8)
+        await asyncio.sleep(6)
         assert quota_key(OTHER_POOL) not in cell.store.item_by_key
 
     play(scenario)
