Tell callers whether a job was refused for their own excess

Cause: every refusal of an owner reached callers as 503, so that one for what an account sends beyond its share or its quota would have looked like an outage of the cell.

Change: Refusal, SubmitJobReply and SubmitResult carry a RefusalKind; the adapter answers 429 for BEYOND_SHARE and BEYOND_QUOTA, 503 as before for the rest. Nothing refuses with the new kinds yet.

Result: tests/platform/test_callers.py passes, with one new test for each kind.

--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -14,7 +14,7 @@
 from hornbeamramp.platform.decoding import decode_job
 from hornbeamramp.telemetry import prometheus_text
 from hornbeamramp.vm import CallerService, CancelResult, Node, UnavailableError
-from hornbeamramp.workload import RouteMatch
+from hornbeamramp.workload import RefusalKind, RouteMatch
 
 __all__ = ["CallerServer"]
 
@@ -35,6 +35,12 @@
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
 # Time for which connections may stay open after the last response was due.
 CLOSE_TIMEOUT = timedelta(milliseconds=100)
+# The account sent too much; every other refusal is a failure on this side.
+STATUS_BY_REFUSAL_KIND = {
+    RefusalKind.UNAVAILABLE: 503,
+    RefusalKind.BEYOND_SHARE: 429,
+    RefusalKind.BEYOND_QUOTA: 429,
+}
 # Iterations of the event loop from the arrival of a request until its handler runs.
 HANDLER_START_ITERATIONS = 3
 
@@ -279,7 +285,8 @@
         submitted = await self._service.submit(route_match.queue, job_id, job.ok_value, timeout)
         if submitted.refusal:
             _log.info("{} refused: {}", job_id, submitted.refusal)
-            return _unavailable(submitted.refusal, submitted.retry_after)
+            status = STATUS_BY_REFUSAL_KIND[submitted.kind]
+            return _refused(status, submitted.refusal, submitted.retry_after)
         return _json(200, {})
 
 
@@ -330,6 +337,10 @@
 
 
 def _unavailable(error: str, retry_after: timedelta) -> web.Response:
-    response = _json(503, {"error": error})
+    return _refused(503, error, retry_after)
+
+
+def _refused(status: int, error: str, retry_after: timedelta) -> web.Response:
+    response = _json(status, {"error": error})
     response.headers["Retry-After"] = str(max(round(retry_after.total_seconds()), 1))
     return response
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -57,7 +57,7 @@
     PoolClaim,
     StateStore,
 )
-from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue
+from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue, RefusalKind
 
 __all__ = ["OwnerContext", "PoolOwner", "Refusal"]
 
@@ -95,6 +95,7 @@
 
     reason: str
     retry_after: timedelta
+    kind: RefusalKind = RefusalKind.UNAVAILABLE
 
 
 class OwnerContext(msgspec.Struct, frozen=True):
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -28,7 +28,7 @@
     SubmitJobRequest,
 )
 from hornbeamramp.vm.node import Node
-from hornbeamramp.workload import JobPhase, JobSpec, Queue
+from hornbeamramp.workload import JobPhase, JobSpec, Queue, RefusalKind
 
 __all__ = ["CallerService", "CancelResult", "SubmitResult", "UnavailableError"]
 
@@ -80,6 +80,7 @@
 
     refusal: str = ""
     retry_after: timedelta = timedelta(0)
+    kind: RefusalKind = RefusalKind.UNAVAILABLE
 
 
 class CancelResult(Enum):
@@ -173,7 +174,8 @@
             if not reply.has_moved:
                 if reply.refusal and may_have_run:
                     raise UnavailableError(reply.refusal, True)
-                return SubmitResult(reply.refusal, timedelta(milliseconds=reply.retry_after_ms))
+                retry_after = timedelta(milliseconds=reply.retry_after_ms)
+                return SubmitResult(reply.refusal, retry_after, reply.kind)
             try:
                 await self._node.ensure_config_version(version + 1)
             except StoreUnavailableError as error:
@@ -409,7 +411,7 @@
         if refusal is None:
             return SubmitJobReply(True)
         retry_after_ms = to_ms(refusal.retry_after)
-        return SubmitJobReply(True, refusal.reason, retry_after_ms)
+        return SubmitJobReply(True, refusal.reason, retry_after_ms, kind=refusal.kind)
 
     async def _on_phase(self, request: JobPhaseRequest) -> JobPhaseReply:
         owner = self._owner(request.pool)
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -14,7 +14,7 @@
 )
 from hornbeamramp.messages import HelloReply, HelloRequest
 from hornbeamramp.vm.relay import RelayReply, RelayRequest
-from hornbeamramp.workload import JobPhase, JobSpec, StepKey
+from hornbeamramp.workload import JobPhase, JobSpec, RefusalKind, StepKey
 
 __all__ = [
     "REPLY_TYPE_BY_REQUEST_TYPE",
@@ -54,7 +54,7 @@
 
 
 class SubmitJobReply(msgspec.Struct, frozen=True):
-    """``refusal`` is empty if the job is recorded.
+    """``refusal`` is empty if the job is recorded; otherwise ``kind`` counts.
 
     `is_owner`
         False if nothing was done: the VM does not own the pool for certain, or could not read a
@@ -68,6 +68,7 @@
     refusal: str = ""
     retry_after_ms: int = 0
     has_moved: bool = False
+    kind: RefusalKind = RefusalKind.UNAVAILABLE
 
 
 class JobPhaseRequest(msgspec.Struct, frozen=True):
--- a/hornbeamramp/workload/model.py
+++ b/hornbeamramp/workload/model.py
@@ -13,6 +13,7 @@
     "TERMINAL_PHASES",
     "JobPhase",
     "JobSpec",
+    "RefusalKind",
     "StepKey",
     "StepSpec",
     "check_job",
@@ -38,6 +39,14 @@
 TERMINAL_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
+class RefusalKind(Enum):
+    """What a job was refused for."""
+
+    UNAVAILABLE = "unavailable"
+    BEYOND_SHARE = "beyond share"
+    BEYOND_QUOTA = "beyond quota"
+
+
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """One step: ``count`` tasks, each of the given size.
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -12,7 +12,7 @@
 from hornbeamramp.ids import PoolName, RouteName
 from hornbeamramp.platform.callers import CallerServer
 from hornbeamramp.vm.caller_service import SubmitResult
-from hornbeamramp.workload import ClusterConfig, Queue
+from hornbeamramp.workload import ClusterConfig, Queue, RefusalKind
 from tests.model.cell import job
 from tests.soak.callers import encode_job
 from tests.soak.cell import HOST
@@ -44,8 +44,7 @@
         pass
 
     async def submit(self, *arguments):
-        await self._behaviour()
-        return SubmitResult()
+        return await self._behaviour() or SubmitResult()
 
     async def phase(self, *arguments):
         await self._behaviour()
@@ -97,6 +96,33 @@
     await server.close()
 
 
+@pytest.mark.parametrize(
+    ("kind", "status"),
+    [
+        (RefusalKind.UNAVAILABLE, 503),
+        (RefusalKind.BEYOND_SHARE, 429),
+        (RefusalKind.BEYOND_QUOTA, 429),
+    ],
+)
+def test_refusal_tells_whether_the_caller_sent_too_much(kind, status):
+    """Guards against callers that take a refusal for their own excess for an outage of the cell,
+    and against one without the time after which to try again."""
+
+    async def refuse():
+        return SubmitResult("refused", timedelta(seconds=4), kind)
+
+    async def scenario(server, address):
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        head = f"POST {PATH} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {len(BODY)}\r\n\r\n"
+        writer.write(head.encode() + BODY)
+        answer = (await reader.readuntil(b"\r\n\r\n")).decode()
+        assert answer.startswith(f"HTTP/1.1 {status} ")
+        assert "\r\nRetry-After: 4\r\n" in answer
+        writer.close()
+
+    with_server(refuse, scenario)
+
+
 @pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
 @pytest.mark.parametrize("behaviour", [fail, wait_for_cancelled_future])
 def test_request_that_fails_unexpectedly_has_an_unknown_outcome(behaviour, method):
