Count what each client account's runs reserve in an owned pool

Quotas and shares of accounts need what an account has in use, at each placement, without a walk over all runs. Sessions now add a run's size to AccountUsage when they reserve it and remove it when they release it; an Attempt carries the account of its job.

--- a/hornbeamramp/fleet/attempt.py
+++ b/hornbeamramp/fleet/attempt.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from hornbeamramp.fleet.pace import RunPace
+from hornbeamramp.ids import NO_ACCOUNT, AccountId
 from hornbeamramp.resources import Resources
 
 if TYPE_CHECKING:
@@ -31,6 +32,8 @@
 
     `task`
         The owner's task object; opaque to sessions.
+    `account`
+        The client account that the run's capacity is counted for.
     `pace`
         The share of its speed to which the run is limited.
     `resumed`
@@ -49,6 +52,7 @@
     """
 
     __slots__ = (
+        "account",
         "checkpoint",
         "confirmed_at",
         "has_begun",
@@ -71,13 +75,20 @@
     )
 
     def __init__(
-        self, task: Any, name: str, run: int, size: Resources, session: "WorkerSession"
+        self,
+        task: Any,
+        name: str,
+        run: int,
+        size: Resources,
+        session: "WorkerSession",
+        account: AccountId = NO_ACCOUNT,
     ) -> None:
         self.task = task
         self.name = name
         self.run = run
         self.size = size
         self.session = session
+        self.account = account
         self.phase = AttemptPhase.RESERVED
         self.checkpoint = ""
         self.percent = 0.0
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -13,6 +13,7 @@
 import logbook
 
 from hornbeamramp import instruments
+from hornbeamramp.accounts.usage import AccountUsage
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet.attempt import Attempt, AttemptPhase
@@ -84,6 +85,8 @@
         Longest lease that a former owner can have given, counted from now.
     `longest_lease`
         Longest lease that a worker grants, whatever deadline is requested.
+    `usage`
+        Counts what the runs reserve, by account.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         background: BackgroundTasks,
         inherited_lease: timedelta,
         longest_lease: timedelta,
+        usage: AccountUsage | None = None,
     ) -> None:
         self.listing = listing
         self.worker = listing.worker
@@ -105,6 +109,7 @@
         self._longest_lease = longest_lease
         self.attempt_by_key: dict[tuple[str, int], Attempt] = {}
         self.used = [0, 0, 0]
+        self._usage = AccountUsage() if usage is None else usage
         self.orphan_stopped_at_by_key: dict[tuple[str, int], timedelta] = {}
         self.is_listed = True
         self.reachable = False
@@ -181,11 +186,13 @@
         """Reserves capacity for a run until it is released."""
         self.attempt_by_key[attempt.name, attempt.run] = attempt
         self._add_used(attempt.size, 1)
+        self._usage.add(attempt.account, attempt.size)
 
     def release(self, attempt: Attempt) -> None:
         """Releases the capacity reserved for a run."""
         if self.attempt_by_key.pop((attempt.name, attempt.run), None) is not None:
             self._add_used(attempt.size, -1)
+            self._usage.remove(attempt.account, attempt.size)
 
     def _add_used(self, size: Resources, sign: int) -> None:
         self.used[0] += sign * size.processors_milli
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from hornbeamramp import instruments
+from hornbeamramp.accounts.usage import AccountUsage
 from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
 from hornbeamramp.durations import to_ms
@@ -173,6 +174,7 @@
         # Unix times until which jobs are refused that were cancelled before they arrived.
         self._refused_until_ms_by_id: dict[JobId, int] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
+        self.usage = AccountUsage()
         self._placer = Placer(self, self._launcher, context.clock)
         self.lifecycle = JobLifecycle(self, self._placer, self._journal)
         self._checks = RunChecks(self, self._placer, context.clock)
@@ -230,7 +232,9 @@
                 session = self._open_session(
                     listings.get(open_task.worker) or placeholder_listing(open_task.worker)
                 )
-            attempt = Attempt(task, task.name, open_task.run, task.unit.step.size, session)
+            attempt = Attempt(
+                task, task.name, open_task.run, task.unit.step.size, session, job.record.account
+            )
             attempt.phase = AttemptPhase.UNCERTAIN
             attempt.checkpoint = open_task.checkpoint
             attempt.pace = RunPace(None)
@@ -455,6 +459,7 @@
             self._background,
             MAX_FORMER_OWNER_LEASE,
             self._longest_lease,
+            self.usage,
         )
         session.is_listed = bool(listing.address)
         self.session_by_worker[listing.worker] = session
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -611,10 +611,13 @@
 
     @staticmethod
     def _reserve_unit(unit: Unit, workers: list[WorkerSession]) -> None:
-        unit.step.waiting.remove(unit)
+        step = unit.step
+        step.waiting.remove(unit)
         unit.run += 1
         for task, session in zip(unit.tasks, workers, strict=True):
-            task.attempt = Attempt(task, task.name, unit.run, unit.step.size, session)
+            task.attempt = Attempt(
+                task, task.name, unit.run, step.size, session, step.job.record.account
+            )
             task.attempt.checkpoint = unit.checkpoint
             task.attempt.resumed = bool(unit.checkpoint)
             session.reserve(task.attempt)
--- a/tests/poolowner/builders.py
+++ b/tests/poolowner/builders.py
@@ -41,14 +41,14 @@
     )
 
 
-def session(name, rack="r0", capacity=CAPACITY):
+def session(name, rack="r0", capacity=CAPACITY, usage=None):
     """Returns the session of an idle, reachable worker."""
     clock = ManualClock()
     clock.set(timedelta(seconds=100))
     listing = WorkerListing(name, "pool", name, "gebze", False, capacity, ("a", rack))
     background = DiscardedTasks("test", logbook.Logger("test"))
     worker_session = WorkerSession(
-        listing, None, clock, None, background, timedelta(seconds=13), timedelta(seconds=10)
+        listing, None, clock, None, background, timedelta(seconds=13), timedelta(seconds=10), usage
     )
     worker_session.reachable = True
     worker_session.now = clock.boot_time()
