Give token buckets and dominant shares one copy each

Cause: the retry budget and the rate limit of the platform's stand-in each had a token bucket, and the older scheduler a dominant share of its own; client accounts need both.

Change: TokenBucket in a module of its own, dominant_share beside Resources; both users call them.

--- a/hornbeamramp/resources.py
+++ b/hornbeamramp/resources.py
@@ -1,8 +1,10 @@
 """Resource vectors: the capacity of an upstream and the request of a task."""
 
+from collections.abc import Sequence
+
 import msgspec
 
-__all__ = ["ZERO", "Resources"]
+__all__ = ["ZERO", "Resources", "dominant_share"]
 
 
 class Resources(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -58,3 +60,17 @@
 
 
 ZERO = Resources(0, 0, 0, 0, 0)
+
+
+def dominant_share(used: Sequence[int], capacity: Sequence[int]) -> float:
+    """Returns the largest share of the capacity that is used of any kind of resource.
+
+    A kind that is used without any capacity counts as 1.
+    """
+    share = 0.0
+    for amount, whole in zip(used, capacity, strict=True):
+        if amount:
+            part = amount / whole if whole else 1.0
+            if part > share:
+                share = part
+    return share
--- a/hornbeamramp/retries.py
+++ b/hornbeamramp/retries.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from hornbeamramp.task_table import JobState
+from hornbeamramp.token_bucket import TokenBucket
 
 __all__ = ["DelayedRetries", "RetryBudget"]
 
@@ -26,25 +27,15 @@
         self, tokens_per_start: float = 0.2, tokens_per_second: float = 1.0, burst: float = 100.0
     ) -> None:
         self._tokens_per_start = tokens_per_start
-        self._tokens_per_second = tokens_per_second
-        self._burst = burst
-        self._tokens = burst
-        self._updated = 0.0
+        self._bucket = TokenBucket(tokens_per_second, burst)
 
     def earn(self) -> None:
         """Adds the tokens of a first attempt."""
-        self._tokens = min(self._tokens + self._tokens_per_start, self._burst)
+        self._bucket.add(self._tokens_per_start)
 
     def take(self, now: float) -> bool:
         """Takes a token for one retry; false if there is none. ``now`` is in seconds."""
-        self._tokens = min(
-            self._tokens + (now - self._updated) * self._tokens_per_second, self._burst
-        )
-        self._updated = now
-        if self._tokens < 1.0 - 1e-9:
-            return False
-        self._tokens -= 1.0
-        return True
+        return self._bucket.take(now)
 
 
 class DelayedRetries:
--- a/hornbeamramp/shares.py
+++ b/hornbeamramp/shares.py
@@ -19,7 +19,7 @@
 )
 from hornbeamramp.ids import RouteName, TeamId
 from hornbeamramp.ledger import Vector
-from hornbeamramp.resources import Resources
+from hornbeamramp.resources import Resources, dominant_share
 from hornbeamramp.states import Band
 
 __all__ = ["FairShares"]
@@ -64,7 +64,7 @@
         self.total = total
         self._share_by_amount.clear()
         for account in self.account_by_key.values():
-            account.share = self._share(account.used)
+            account.share = dominant_share(account.used, self.total)
         for flow in self.flow_by_key.values():
             self._set_shares(flow)
         self._recompute_sums()
@@ -75,7 +75,7 @@
         if share is None:
             if len(self._share_by_amount) > 10_000:
                 self._share_by_amount.clear()
-            share = self._share_by_amount[amount] = self._share(amount)
+            share = self._share_by_amount[amount] = dominant_share(amount, self.total)
         return share
 
     def flow(
@@ -273,7 +273,7 @@
             used[2] += sign * amount[2]
             used[3] += sign * amount[3]
             used[4] += sign * amount[4]
-        account.share = self._share(account.used)
+        account.share = dominant_share(account.used, self.total)
         self._set_shares(flow)
         self._host_demand.update_capped(flow.host)
         self._update_excess(flow.account.band, flow.route_use)
@@ -325,13 +325,3 @@
                 if part > share:
                     share = part
         return share
-
-    def _share(self, used: Vector | list[int]) -> float:
-        capacity = self.total
-        share = 0.0
-        for i in (0, 1, 2, 3, 4):
-            if used[i]:
-                part = used[i] / capacity[i] if capacity[i] else 1.0
-                if part > share:
-                    share = part
-        return share
--- a/hornbeamramp/standins/platform.py
+++ b/hornbeamramp/standins/platform.py
@@ -35,6 +35,7 @@
     run_until_signal,
 )
 from hornbeamramp.states import Step
+from hornbeamramp.token_bucket import TokenBucket
 
 __all__ = ["PlatformCalls", "PlatformFaults", "PlatformServer", "RateLimit"]
 
@@ -86,23 +87,17 @@
     """
 
     def __init__(self, rate: float | None, clock: Clock) -> None:
-        self._rate = rate
         self._clock = clock
-        self._tokens = max(rate or 0.0, 1.0)
-        self._filled_at = clock.boot_time()
+        self._bucket = None
+        if rate is not None:
+            now = clock.boot_time().total_seconds()
+            self._bucket = TokenBucket(rate, max(rate, 1.0), now)
 
     def take(self) -> bool:
         """Takes the token of one call; false if the rate is exceeded."""
-        if self._rate is None:
+        if self._bucket is None:
             return True
-        now = self._clock.boot_time()
-        refill = (now - self._filled_at).total_seconds() * self._rate
-        self._tokens = min(self._tokens + refill, max(self._rate, 1.0))
-        self._filled_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+        return self._bucket.take(self._clock.boot_time().total_seconds())
 
 
 class PlatformServer:
