Keep a flood of one client account from making the others late

Cause: jobs were placed, asked for advice and preempted others by lateness and priority only. An account that sends six times its usual for seven seconds filled the pool, and the batch work and urgent jobs of all others waited behind its own or ran on slow workers.

Change: an accepted job that its account's weight doesn't allow is marked in its record. It comes after all useful work within shares, asks for advice later, and preempts nothing of it. Accounts that use more than their part of a full pool come after the others by doublings of it, and above 1.25 times leave a fifth of the fast workers to urgent tasks of others. A job beyond its share that can't be on time by what waits is refused at once with 429 and a time to return of its own. Marks and buckets survive a takeover. Without client accounts the order is by the same key as before. The model of the advice service serves requests in the product's order now, instead of arrival.

Callers of the other accounts notice little of the flood, since what is beyond a share only gets room that they don't want, and urgent tasks find fast workers.

--- a/hornbeamramp/accounts/shares.py
+++ b/hornbeamramp/accounts/shares.py
@@ -27,8 +27,8 @@
 LEVEL_PERIOD = timedelta(milliseconds=250)
 # Level of accounts without any share; others reach it with 64 times theirs.
 MAX_LEVEL = 6
-# One wide job may take a small account over its share; only more than that makes it leave headroom.
-HEADROOM_FACTOR = 2.0
+# Use goes up and down by a task or two around a share; beyond that, an account leaves headroom.
+HEADROOM_FACTOR = 1.25
 
 
 class AccountShares:
@@ -143,6 +143,11 @@
         accounts that want room; 0 for those within it."""
         return self._level_by_account.get(account, 0)
 
+    def above_share(self, most: int) -> dict[AccountId, int]:
+        """Returns the levels of the accounts furthest above their shares, at most so many."""
+        above = [(level, account) for account, level in self._level_by_account.items() if level]
+        return {account: level for level, account in sorted(above, reverse=True)[:most]}
+
     def leaves_headroom(self, account: AccountId) -> bool:
         """Returns whether an account has to leave room for the urgent jobs of others: it uses more
         than `HEADROOM_FACTOR` times its share right now."""
--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -8,6 +8,7 @@
     "connection_checks",
     "first_start_time",
     "jobs_accepted",
+    "jobs_beyond_share",
     "jobs_ended",
     "jobs_open",
     "jobs_recovered",
@@ -51,6 +52,11 @@
 jobs_accepted = _meter.create_counter(
     "hornbeamramp.jobs.accepted", "1", "Jobs recorded by this VM as an owner, by queue"
 )
+jobs_beyond_share = _meter.create_counter(
+    "hornbeamramp.jobs.beyond_share",
+    "1",
+    "Jobs of accounts that sent more than their shares, by queue, and whether they were accepted",
+)
 jobs_ended = _meter.create_counter(
     "hornbeamramp.jobs.ended", "1", "Jobs ended by this VM as an owner, by phase"
 )
--- a/hornbeamramp/poolowner/capacity.py
+++ b/hornbeamramp/poolowner/capacity.py
@@ -1,12 +1,13 @@
 """Free capacity of workers within one scheduling pass, less what is kept for waiting gangs."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
 from hornbeamramp.fleet import WorkerSession
 from hornbeamramp.resources import Resources
 
-__all__ = ["Capacity", "FreeResources"]
+__all__ = ["Capacity", "FreeResources", "total_capacity"]
 
 # Thousandths of a core, MiB, accelerators.
 FreeResources = tuple[int, int, int]
@@ -69,7 +70,7 @@
 
     def _holds_nothing(self, worker: str) -> bool:
         return worker not in self._holds_by_worker and (
-            self._other is None or worker not in self._other._holds_by_worker
+            self._other is None or self._other._holds_nothing(worker)
         )
 
     def total(self, session: WorkerSession) -> FreeResources:
@@ -100,3 +101,14 @@
             and size.memory_mib <= free[1]
             and size.accelerators <= free[2]
         )
+
+
+def total_capacity(sessions: Iterable[WorkerSession]) -> FreeResources:
+    """Returns the capacity of some workers together."""
+    processors = memory = accelerators = 0
+    for session in sessions:
+        capacity = session.listing.capacity
+        processors += capacity.processors_milli
+        memory += capacity.memory_mib
+        accelerators += capacity.accelerators
+    return processors, memory, accelerators
--- a/hornbeamramp/poolowner/gangs.py
+++ b/hornbeamramp/poolowner/gangs.py
@@ -127,7 +127,7 @@
     preemptions = []
     victims: list[Attempt] = []
     before = max(count_tasks(step, available), 0)
-    for candidate in runs.preemptible(session, step.job.record.priority):
+    for candidate in runs.preemptible(session, step.job.record):
         victims.append(candidate)
         available = add_sizes(available, [candidate])
         count = count_tasks(step, available)
@@ -156,14 +156,14 @@
     unit: Unit, sessions: list[WorkerSession], capacity: Capacity, runs: PoolRuns
 ) -> GangPlan | None:
     step, expected_ends = unit.step, runs.expected_ends
-    priority = step.job.record.priority
+    job = step.job.record
     # Boot time, worker, and number of further members that fit from then on.
     releases: list[tuple[timedelta, str, int]] = []
     for session in sessions:
         ends: list[tuple[timedelta, Attempt]] = []
         available = capacity.free(session)
         for attempt in session.attempt_by_key.values():
-            if is_preemptible(attempt, priority, expected_ends.now):
+            if is_preemptible(attempt, job, expected_ends.now):
                 available = add_sizes(available, [attempt])
             else:
                 ends.append((max(expected_ends.end(attempt), expected_ends.now), attempt))
--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -56,6 +56,10 @@
 # take about half a second.
 PREFETCH_DEFERRAL = timedelta(milliseconds=500)
 TOO_LATE_DEFERRAL = timedelta(seconds=2)
+# Requests of jobs beyond their accounts' shares rank behind those that were made within this time
+# after them. It bounds their wait, as no job within a share waits longer for advice if there is
+# any to be had.
+BEYOND_SHARE_DEFERRAL = timedelta(seconds=2)
 # Requests for a long-running task that has to start again rank as if they had arrived earlier: it
 # has to be at work within 3 s, whatever else waits.
 RESTART_PRECEDENCE = timedelta(seconds=5)
@@ -93,11 +97,15 @@
     def may_ask(self, step: StepRun) -> bool:
         """Returns whether an advice request for the step would be sent soon.
 
-        While there is a backlog, only urgent and long-running steps may ask. Others wait in the
-        placer, so that their requests are made for the capacity that is free by then.
+        While there is a backlog, only urgent and long-running steps may ask, and no others beyond
+        their accounts' shares. Others wait in the placer, so that their requests are made for the
+        capacity that is free by then.
         """
+        job = step.job.record
         return (
-            self._advice.backlog < 1 or step.job.record.priority == URGENT or step.spec.long_running
+            self._advice.backlog < 1
+            or (job.priority == URGENT and not job.is_beyond_share)
+            or step.spec.long_running
         )
 
     def request_advice(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
@@ -378,7 +386,8 @@
         return -RESTART_PRECEDENCE
     if step.lateness.level is LatenessLevel.TOO_LATE:
         return TOO_LATE_DEFERRAL
-    return timedelta(0) if has_capacity else PREFETCH_DEFERRAL
+    deferral = timedelta(0) if has_capacity else PREFETCH_DEFERRAL
+    return deferral + BEYOND_SHARE_DEFERRAL if step.job.record.is_beyond_share else deferral
 
 
 def _is_restart(step: StepRun) -> bool:
--- a/hornbeamramp/poolowner/monitor.py
+++ b/hornbeamramp/poolowner/monitor.py
@@ -26,6 +26,8 @@
 MIN_LOGGED_WAIT = timedelta(seconds=1)
 # Most waits logged in one period, the first in the order of placement.
 MAX_LOGGED_WAITS = 20
+# Most accounts named in the line with the state of the pool, those furthest above their shares.
+MAX_LOGGED_ACCOUNTS = 5
 
 _log = logbook.Logger("owner")
 
@@ -64,6 +66,15 @@
             "longest_ms": to_ms(counts.longest),
             "waiting": counts.waiting,
         }
+        if self._owner.shares.is_used:
+            fields["accounts"] = {
+                "above_share": self._owner.shares.above_share(MAX_LOGGED_ACCOUNTS),
+                "waiting_beyond_share": sum(
+                    sum(len(unit.tasks) for unit in step.waiting)
+                    for step in waiting
+                    if step.job.record.is_beyond_share
+                ),
+            }
         _log.info(
             "pool {}: {} of {} cores free on {} workers, {} steps wait",
             self._owner.pool,
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
 from typing import Any
@@ -16,6 +17,7 @@
 import msgspec
 
 from hornbeamramp import instruments
+from hornbeamramp.accounts.shares import MAX_RETURN_DELAY, AccountShares
 from hornbeamramp.accounts.usage import AccountUsage
 from hornbeamramp.background import BackgroundTasks, run_until_done
 from hornbeamramp.clock import Clock
@@ -58,7 +60,14 @@
     PoolClaim,
     StateStore,
 )
-from hornbeamramp.workload import ClusterConfig, JobPhase, JobSpec, Queue, RefusalKind
+from hornbeamramp.workload import (
+    ClientAccount,
+    ClusterConfig,
+    JobPhase,
+    JobSpec,
+    Queue,
+    RefusalKind,
+)
 
 __all__ = ["OwnerContext", "PoolOwner", "Refusal"]
 
@@ -175,7 +184,8 @@
         self._refused_until_ms_by_id: dict[JobId, int] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
         self.usage = AccountUsage()
-        self._placer = Placer(self, self._launcher, context.clock)
+        self.shares = AccountShares(self._accounts, self.usage)
+        self._placer = Placer(self, self._launcher, context.clock, self.shares)
         self.lifecycle = JobLifecycle(self, self._placer, self._journal)
         self._checks = RunChecks(self, self._placer, context.clock)
         self._wake = asyncio.Event()
@@ -203,6 +213,7 @@
             self._restore(job, stored.progress, listings)
             if stored.group:
                 group_by_job[job] = stored.group
+        self._restore_shares()
         self._journal.adopt_groups(records.groups, group_by_job)
         self._refused_until_ms_by_id = dict(records.refused_until_ms_by_id)
         self.set_workers(listings)
@@ -242,6 +253,17 @@
             task.attempt = attempt
         self.lifecycle.open_due(job)
 
+    def _restore_shares(self) -> None:
+        """Counts what former owners accepted within the accounts' shares."""
+        if not self.shares.is_used:
+            return
+        now, now_ms = self._clock.boot_time(), self.now_ms()
+        records = [job.record for job in self.job_by_id.values()]
+        for record in sorted(records, key=lambda record: record.accepted_ms):
+            if not record.is_beyond_share:
+                age = timedelta(milliseconds=max(now_ms - record.accepted_ms, 0))
+                self.shares.restore(record.account, now - age)
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         """Runs a coroutine in the background; it is cancelled when the pool is released."""
         self._background.spawn(coroutine)
@@ -360,6 +382,9 @@
                 return Refusal("the store does not answer", retry_delay(queue, spec))
             if self._journal.insert_queue_time() > MAX_INSERT_QUEUE_TIME:
                 return Refusal("too many jobs wait to be recorded", retry_delay(queue, spec))
+        if self._journal.is_inserting(job_id):
+            await self._journal.wait_inserted(job_id)
+            return None
         record = JobRecord(
             job_id=job_id,
             queue=queue.name,
@@ -370,15 +395,48 @@
             target_ms=to_ms(queue.target),
             spec=spec,
             account=account,
+            is_beyond_share=not self.shares.take(account, self._clock.boot_time()),
         )
-        if not self._journal.is_inserting(job_id):
-            job = Job(record, data_centre)
-            self._journal.insert(job, queue.address)
-            # Scheduled at once: the placement is committed together with the job or after it.
-            self.lifecycle.open_due(job)
+        job = Job(record, data_centre)
+        if record.is_beyond_share:
+            refusal = self._refuse_beyond_share(job)
+            if refusal is not None:
+                return refusal
+        self._journal.insert(job, queue.address)
+        # Scheduled at once: the placement is committed together with the job or after it.
+        self.lifecycle.open_due(job)
         await self._journal.wait_inserted(job_id)
         return None
 
+    def _refuse_beyond_share(self, job: Job) -> Refusal | None:
+        """Refuses a job beyond its account's share that can't be on time behind those that wait.
+
+        Its room would go to waste if it was accepted: it is late in any case.
+        """
+        account = job.record.account
+        job.open_occurrence(0)
+        excess = self._placer.excess_wait(job)
+        outcome = "refused" if excess else "accepted"
+        instruments.jobs_beyond_share.add(1, {"queue": job.record.queue, "outcome": outcome})
+        if not excess:
+            return None
+        delay = max(self.shares.return_delay(account, self._clock.boot_time()), excess)
+        # Callers are told whole seconds.
+        retry_after = timedelta(seconds=math.ceil(min(delay, MAX_RETURN_DELAY).total_seconds()))
+        _log.info(
+            "{}: job {} of account {} is beyond its share, and room for it comes {} too late",
+            self.pool,
+            job.record.job_id,
+            account,
+            excess,
+            extra={"event": "beyond_share", "pool": self.pool, "account": account},
+        )
+        reason = "the account has sent more than its share, and there is no room for it in time"
+        return Refusal(reason, retry_after, RefusalKind.BEYOND_SHARE)
+
+    def _accounts(self) -> dict[AccountId, ClientAccount]:
+        return {} if self.config is None else self.config.account_by_id
+
     def is_known(self, job_id: JobId) -> bool:
         """Returns whether a job is recorded here, or may be soon."""
         return job_id in self.job_by_id or self._journal.is_inserting(job_id)
@@ -500,6 +558,7 @@
             if until_ms <= now_ms:
                 del self._refused_until_ms_by_id[job_id]
                 self._journal.purge_refusal(job_id)
+        self.shares.forget_unconfigured()
         try:
             self._checks.run()
         except Exception:
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -10,12 +10,13 @@
 
 from hornbeamramp.fleet import Attempt, WorkerSession
 from hornbeamramp.ids import UpstreamId
-from hornbeamramp.poolowner.capacity import Capacity, FreeResources
+from hornbeamramp.poolowner.capacity import Capacity, FreeResources, total_capacity
 from hornbeamramp.poolowner.expected_ends import ExpectedEnds
 from hornbeamramp.poolowner.jobs import StepRun
 from hornbeamramp.poolowner.preemption import is_preemptible
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.resources import Resources
+from hornbeamramp.statestore import JobRecord
 
 __all__ = ["SOON", "PoolRuns", "SchedulingPass"]
 
@@ -26,6 +27,10 @@
 # than expected by this factor.
 BACKFILL_DURATION_FACTOR = 1.3
 
+# From this share of its capacity in use on, a pool has too little room for all that may come within
+# seconds. Up to here, each task that there is room for has to start.
+SHORT_SHARE = 0.5
+
 
 class PoolRuns:
     """What the runs of each worker free, and when, as of one moment.
@@ -37,7 +42,7 @@
     def __init__(self, expected_ends: ExpectedEnds) -> None:
         self.expected_ends = expected_ends
         self._freed_soon_by_worker: dict[str, FreeResources] = {}
-        self._preemptible_by_key: dict[tuple[str, int], list[Attempt]] = {}
+        self._preemptible_by_key: dict[tuple[str, int, bool], list[Attempt]] = {}
 
     @property
     def soon(self) -> timedelta:
@@ -58,17 +63,17 @@
             self._freed_soon_by_worker[session.worker] = freed
         return freed
 
-    def preemptible(self, session: WorkerSession, priority: int) -> list[Attempt]:
-        """Returns a worker's runs that may be preempted for a priority and would not end soon
-        anyway, those with the least progress first."""
-        key = (session.worker, priority)
+    def preemptible(self, session: WorkerSession, job: JobRecord) -> list[Attempt]:
+        """Returns a worker's runs that may be preempted for a job and would not end soon anyway,
+        those with the least progress first."""
+        key = (session.worker, job.priority, job.is_beyond_share)
         attempts = self._preemptible_by_key.get(key)
         if attempts is None:
             now = self.expected_ends.now
             attempts = [
                 attempt
                 for attempt in session.attempt_by_key.values()
-                if is_preemptible(attempt, priority, now)
+                if is_preemptible(attempt, job, now)
                 and not self.expected_ends.ends_within(attempt, SOON)
             ]
             attempts.sort(key=lambda attempt: attempt.percent)
@@ -89,6 +94,8 @@
     `spare`
         The same less what gangs kept in the pass before, so that more urgent steps, which come
         first, use other capacity where there is some.
+    `headroom`
+        What accounts above their shares may use; ``None`` until one places a step.
     `drainable_processors_milli`
         Processors that may be kept for gangs that wait for runs to end.
     """
@@ -106,6 +113,8 @@
         self.runs = PoolRuns(ExpectedEnds(speeds, now))
         self.capacity = Capacity()
         self.spare = capacity_before.limited_by(self.capacity)
+        self.headroom: Capacity | None = None
+        self._is_short: bool | None = None
         self._speeds = speeds
         self._smallest = _smallest(sizes)
         self._is_changed = False
@@ -118,6 +127,18 @@
     def now(self) -> timedelta:
         return self.runs.expected_ends.now
 
+    @property
+    def is_short(self) -> bool:
+        """Whether more than `SHORT_SHARE` of the pool's capacity is in use, of any kind."""
+        if self._is_short is None:
+            whole = total_capacity(self.usable_by_id.values())
+            free = [session.free() for session in self.usable_by_id.values()]
+            self._is_short = any(
+                sum(amounts[kind] for amounts in free) < (1 - SHORT_SHARE) * total
+                for kind, total in enumerate(whole)
+            )
+        return self._is_short
+
     def capacities_for(self, step: StepRun) -> tuple[Capacity, Capacity]:
         """Returns `capacity` and `spare` as runs of the step may use them, which depends on their
         duration."""
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -5,15 +5,18 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
+from enum import IntEnum
 from typing import TYPE_CHECKING
 
 import logbook
 
 from hornbeamramp import instruments
+from hornbeamramp.accounts.shares import AccountShares
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import Attempt, RunOutcome, WorkerSession
 from hornbeamramp.ids import UpstreamId
-from hornbeamramp.poolowner.capacity import Capacity
+from hornbeamramp.poolowner.backlog import Backlog
+from hornbeamramp.poolowner.capacity import Capacity, total_capacity
 from hornbeamramp.poolowner.choice import (
     MIN_GANG_SPEED,
     choose_each,
@@ -24,7 +27,7 @@
 )
 from hornbeamramp.poolowner.gangs import GangPlan, plan_drain, plan_gang
 from hornbeamramp.poolowner.health import WorkerHealth
-from hornbeamramp.poolowner.jobs import StepRun, Unit
+from hornbeamramp.poolowner.jobs import Job, StepRun, Unit
 from hornbeamramp.poolowner.lateness import LatenessLevel, estimate_lateness
 from hornbeamramp.poolowner.launch import Launcher
 from hornbeamramp.poolowner.passes import SOON, SchedulingPass
@@ -36,6 +39,7 @@
 )
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
+from hornbeamramp.resources import Resources
 from hornbeamramp.workload import URGENT, AdviceTiming, Queue
 
 if TYPE_CHECKING:
@@ -81,6 +85,14 @@
 RESTART_LEAD = timedelta(seconds=1.5)
 # Candidates beyond this number are of no use: no advice request names more workers.
 MAX_UNASKED = 180
+# Period in which what waits for room is added up anew for the admission of jobs.
+BACKLOG_PERIOD = timedelta(milliseconds=50)
+# A job is refused if its wait is longer than its slack by this factor: submitters' estimates are
+# rough, and to refuse a job that would have been on time is worse than to accept one that is late.
+SURE_FACTOR = 1.5
+# Share of a fast worker's processors that accounts above their shares leave free for urgent
+# tasks of others, which are short and narrow.
+HEADROOM_SHARE = 0.2
 # Nothing is kept for gangs.
 EMPTY = Capacity()
 
@@ -90,8 +102,15 @@
 class Placer:
     """Keeps the steps with waiting units, and speed and health of workers from ended runs."""
 
-    def __init__(self, owner: "PoolOwner", launcher: Launcher, clock: Clock) -> None:
+    def __init__(
+        self,
+        owner: "PoolOwner",
+        launcher: Launcher,
+        clock: Clock,
+        shares: AccountShares | None = None,
+    ) -> None:
         self._owner = owner
+        self._shares = AccountShares() if shares is None else shares
         self._launcher = launcher
         self._clock = clock
         self._open_steps: list[StepRun] = []
@@ -101,6 +120,7 @@
         # By whether steps are gangs, and by their priority.
         self._searches: Counter[tuple[bool, int]] = Counter()
         self._is_searching = False
+        self._backlog: Backlog | None = None
         self.speeds = WorkerSpeeds()
         self.health = WorkerHealth()
 
@@ -137,6 +157,7 @@
     def schedule(self) -> None:
         """Places the units that fit: first those of steps that can still finish on time, then those
         that come late, then those that are too late for their caller, each in order of priority.
+        What is beyond its account's share comes after all that is useful and within one.
 
         While capacity is short, a late step that came before others of a lower priority would make
         them late, too.
@@ -159,7 +180,7 @@
             except Exception:
                 # It keeps its last estimate; the order of the others must not depend on it.
                 _log.exception("{}: lateness can't be estimated", step.key)
-        self._open_steps.sort(key=_sort_key)
+        self._sort(now)
         self._is_searching = self._searched_at is None or now - self._searched_at >= SEARCH_INTERVAL
         if self._is_searching:
             self._searched_at = now
@@ -189,6 +210,37 @@
             prefetches_left_by_long_running[step.spec.long_running] -= is_feasible
             step.wait.set(reason if is_feasible else WaitReason.WORKER, now)
 
+    def _sort(self, now: timedelta) -> None:
+        """Puts the open steps into the order of placement."""
+        if not self._shares.is_used:
+            self._open_steps.sort(key=_sort_key)
+            return
+        if self._shares.is_comparison_due(now):
+            waiting = {step.job.record.account for step in self._open_steps}
+            self._shares.compare(waiting, total_capacity(self._usable(now).values()), now)
+        self._open_steps.sort(key=lambda step: _shared_sort_key(step, self._shares))
+
+    def excess_wait(self, job: Job) -> timedelta:
+        """Returns by how much the room for a new job beyond its account's share comes too late for
+        it to be on time, or 0 if that isn't sure."""
+        spec = job.record.spec
+        if spec.repetitions or any(step.long_running for step in spec.steps):
+            return timedelta(0)
+        now = self._clock.boot_time()
+        if self._backlog is None or now - self._backlog.as_of >= BACKLOG_PERIOD:
+            sessions = self._usable(now).values()
+            self._backlog = Backlog(self._open_steps, sessions, self.speeds, now)
+        excess = timedelta(0)
+        for step in job.steps_by_occurrence[0]:
+            if not step.spec.after:
+                self._estimate_lateness(step, now)
+                wait = self._backlog.wait_beyond_share(step.size, job.record.priority)
+                slack_ms = step.lateness.latest_start_ms - self._owner.now_ms()
+                slack = timedelta(milliseconds=max(slack_ms, 0.0))
+                if step.lateness.level is LatenessLevel.ON_TIME and wait > SURE_FACTOR * slack:
+                    excess = max(excess, wait - slack)
+        return excess
+
     def _prepare_restarts(self, current: SchedulingPass) -> None:
         """Renews tickets for long-running tasks on unreachable workers before their leases lapse.
 
@@ -223,12 +275,16 @@
             with_room += self._unasked(step, current, True)
         return with_room or granted
 
-    def _begin_pass(self, now: timedelta) -> SchedulingPass:
-        usable_by_id = {
+    def _usable(self, now: timedelta) -> dict[UpstreamId, WorkerSession]:
+        """Returns the workers on which runs may be placed, in order of their ids."""
+        return {
             worker: session
             for worker, session in sorted(self._owner.session_by_worker.items())
             if session.usable and not self.health.is_quarantined(worker, now)
         }
+
+    def _begin_pass(self, now: timedelta) -> SchedulingPass:
+        usable_by_id = self._usable(now)
         sizes = [step.size for step in self._open_steps]
         current = SchedulingPass(
             usable_by_id, sizes, self.speeds, now, self._capacity, MAX_DRAINED_SHARE
@@ -318,11 +374,11 @@
         granted = current.granted(step)
         if advice.base <= SOON:
             return granted
-        priority = step.job.record.priority
+        job = step.job.record
 
         def can_have_room(session: WorkerSession) -> bool:
             attempts = session.attempt_by_key.values()
-            ending = [a for a in attempts if is_preemptible(a, priority, current.now)]
+            ending = [a for a in attempts if is_preemptible(a, job, current.now)]
             return count_tasks(step, add_sizes(session.free(), ending)) > 0
 
         with_room = [s for s in granted if could_ever_run(step, s) and can_have_room(s)]
@@ -418,7 +474,8 @@
                 if advice is not None and advice.base > SOON:
                     # Room freed before tickets arrive would be idle, or used by other steps.
                     sessions = _with_tickets(step, sessions, current.now)
-                self._preempt(step, sessions, current.now)
+                if not self._leaves_headroom(step, current):
+                    self._preempt(step, sessions, current.now)
         elif step.planned_at is not None and current.now - step.planned_at > MAX_PLAN_AGE:
             step.plan = None
         if step.plan is None:
@@ -461,6 +518,8 @@
         that the gang doesn't fit when they do.
         """
         capacity, _ = current.capacities_for(unit.step)
+        if self._leaves_headroom(unit.step, current):
+            return None
         ready = sessions
         if needs_tickets:
             ready = _with_tickets(unit.step, sessions, current.now)
@@ -584,6 +643,9 @@
             # What a gang kept in the pass before is its own.
             yield sessions, capacity
             return
+        if self._leaves_headroom(step, current):
+            headroom = self._headroom(current)
+            capacity, spare = headroom.limited_by(capacity), headroom.limited_by(spare)
         if step.job.record.priority == URGENT and not step.is_gang:
             # On a slow worker an urgent task is late, so it rather uses what is kept for gangs.
             fast = [session for session in sessions if not self._is_slow(session)]
@@ -593,6 +655,32 @@
         yield sessions, spare
         yield sessions, capacity
 
+    def _leaves_headroom(self, step: StepRun, current: SchedulingPass) -> bool:
+        """Returns whether a step has to leave room for the urgent tasks of other accounts. It
+        preempts nothing then, and keeps no room for itself."""
+        job = step.job.record
+        return (
+            job.priority != URGENT
+            and not step.spec.long_running
+            and self._shares.leaves_headroom(job.account)
+            and current.is_short
+        )
+
+    def _headroom(self, current: SchedulingPass) -> Capacity:
+        """Returns the capacity without what is kept on fast workers for urgent tasks.
+
+        If one account fills all of these, the urgent tasks of others run on slow ones, and are
+        late.
+        """
+        if current.headroom is None:
+            current.headroom = Capacity()
+            for session in current.usable_by_id.values():
+                if not self._is_slow(session):
+                    processors = session.listing.capacity.processors_milli
+                    size = Resources(int(HEADROOM_SHARE * processors), 0, 0)
+                    current.headroom.hold(session.worker, size, 1, current.now)
+        return current.headroom
+
     def _choose(
         self,
         step: StepRun,
@@ -646,5 +734,36 @@
     return list(attempts_by_step.items())
 
 
+class _Turn(IntEnum):
+    """Order of the steps of a pool whose jobs belong to client accounts."""
+
+    ON_TIME = 0
+    LATE = 1
+    ON_TIME_BEYOND_SHARE = 2
+    LATE_BEYOND_SHARE = 3
+    TOO_LATE = 4
+    TOO_LATE_BEYOND_SHARE = 5
+
+
+def _turn(step: StepRun) -> _Turn:
+    is_beyond_share = step.job.record.is_beyond_share
+    if step.lateness.level is LatenessLevel.TOO_LATE:
+        return _Turn.TOO_LATE_BEYOND_SHARE if is_beyond_share else _Turn.TOO_LATE
+    if is_beyond_share:
+        return _Turn(step.lateness.level + _Turn.ON_TIME_BEYOND_SHARE)
+    return _Turn(step.lateness.level)
+
+
+def _shared_sort_key(step: StepRun, shares: AccountShares) -> tuple[float, ...]:
+    """Returns the key by which a step is placed while there are client accounts.
+
+    Those of accounts within their shares of the pool come in the order in which they have to start,
+    the others behind them by how much more they use.
+    """
+    record = step.job.record
+    level = shares.level(record.account)
+    return (_turn(step), record.priority, level, step.lateness.latest_start_ms)
+
+
 def _sort_key(step: StepRun) -> tuple[float, ...]:
     return (step.lateness.level, step.job.record.priority, step.lateness.latest_start_ms)
--- a/hornbeamramp/poolowner/preemption.py
+++ b/hornbeamramp/poolowner/preemption.py
@@ -7,6 +7,7 @@
 from hornbeamramp.poolowner.capacity import FreeResources
 from hornbeamramp.poolowner.choice import could_ever_run, count_tasks
 from hornbeamramp.poolowner.jobs import StepRun
+from hornbeamramp.statestore import JobRecord
 
 __all__ = ["add_sizes", "choose_victims", "expected_slots", "is_preemptible"]
 
@@ -16,8 +17,8 @@
 MAX_VICTIM_PERCENT = 90.0
 
 
-def is_preemptible(attempt: Attempt, priority: int, now: timedelta) -> bool:
-    """Returns whether a run may be preempted for a task of this priority."""
+def is_preemptible(attempt: Attempt, job: JobRecord, now: timedelta) -> bool:
+    """Returns whether a run may be preempted for a task of this job."""
     victim_step = attempt.task.unit.step
     return (
         attempt.phase is AttemptPhase.RUNNING
@@ -25,13 +26,21 @@
         and victim_step.spec.checkpointing
         and not victim_step.spec.long_running
         and not victim_step.spec.gang
-        and victim_step.job.record.priority > priority
+        and _takes_precedence(job, victim_step.job.record)
         and attempt.started_at is not None
         and now - attempt.started_at > MIN_RUN_TIME
         and attempt.percent < MAX_VICTIM_PERCENT
     )
 
 
+def _takes_precedence(job: JobRecord, victim: JobRecord) -> bool:
+    """Returns whether a job may have runs of another one stopped. Nothing within a share is stopped
+    for what is beyond one; the other way, the same priority suffices."""
+    if job.is_beyond_share != victim.is_beyond_share:
+        return victim.is_beyond_share and job.priority <= victim.priority
+    return job.priority < victim.priority
+
+
 def expected_slots(step: StepRun, sessions: Iterable[WorkerSession]) -> int:
     """Returns how many tasks of the step fit once the runs being stopped have ended."""
     total = 0
@@ -66,13 +75,11 @@
     """
     victims: list[Attempt] = []
     options = []
-    priority = step.job.record.priority
+    job = step.job.record
     for session in sessions:
         if not could_ever_run(step, session):
             continue
-        candidates = [
-            a for a in session.attempt_by_key.values() if is_preemptible(a, priority, now)
-        ]
+        candidates = [a for a in session.attempt_by_key.values() if is_preemptible(a, job, now)]
         candidates.sort(key=lambda a: a.percent)
         stopping = [a for a in session.attempt_by_key.values() if a.stop_wanted]
         chosen = _fewest_victims(step, session, candidates, stopping)
--- a/hornbeamramp/poolowner/summaries.py
+++ b/hornbeamramp/poolowner/summaries.py
@@ -10,7 +10,7 @@
 
 from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet import Attempt, AttemptPhase, RunOutcome, WorkerSession
-from hornbeamramp.ids import PoolName
+from hornbeamramp.ids import NO_ACCOUNT, PoolName
 from hornbeamramp.poolowner.jobs import Job, StepRun
 from hornbeamramp.poolowner.lateness import TOO_LATE_FACTOR, on_time_limit_ms
 from hornbeamramp.workload import JobPhase, Queue
@@ -37,22 +37,28 @@
     """Returns what is known of a job when it is accepted.
 
     ``work`` is in core-seconds by the submitter's estimates, ``width`` the tasks of its widest
-    step, ``long_running`` the number of tasks that don't end by themselves.
+    step, ``long_running`` the number of tasks that don't end by themselves. A job of a client
+    account has its ``account``, and whether it ``is_beyond_share``.
     """
-    spec = job.record.spec
+    record = job.record
+    spec = record.spec
+    account: dict[str, Any] = {}
+    if record.account != NO_ACCOUNT:
+        account = {"account": record.account, "is_beyond_share": record.is_beyond_share}
     work = sum(
         step.count * _cores(step.processors_milli, step.accelerators) * step.estimate_ms / 1000
         for step in spec.steps
     )
     return {
         "event": "job_accepted",
-        "job": job.record.job_id,
-        "queue": job.record.queue,
+        "job": record.job_id,
+        "queue": record.queue,
         "data_centre": job.data_centre,
         "work": round(work, 1),
         "width": max(step.count for step in spec.steps),
         "is_gang": any(step.gang for step in spec.steps),
         "long_running": sum(step.count for step in spec.steps if step.long_running),
+        **account,
     }
 
 
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -72,7 +72,8 @@
 
 class JobRecord(msgspec.Struct, frozen=True):
     """A job as accepted. ``accepted_ms`` is Unix time; the limits are those of its queue at that
-    time. ``account`` is the client account whose key its caller sent."""
+    time. ``account`` is the client account whose key its caller sent; ``is_beyond_share`` tells
+    whether the account had sent more jobs than its weight allows."""
 
     job_id: JobId
     queue: RouteName
@@ -83,6 +84,7 @@
     target_ms: int
     spec: JobSpec
     account: AccountId = NO_ACCOUNT
+    is_beyond_share: bool = False
 
 
 class OpenTask(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/accounts/test_shares.py
+++ b/tests/accounts/test_shares.py
@@ -139,6 +139,15 @@
     assert accounts.shares.level(SCHOOL) == 0
 
 
+def test_accounts_furthest_above_their_shares_are_listed():
+    accounts = Accounts(studio=1.0, school=1.0, library=6.0)
+    accounts.usage.add(STUDIO, Resources(4_000, 0, 0))
+    accounts.usage.add(SCHOOL, Resources(9_000, 0, 0))
+    accounts.shares.compare([AccountId("library")], POOL, at(0))
+    assert accounts.shares.above_share(5) == {SCHOOL: 3, STUDIO: 1}
+    assert accounts.shares.above_share(1) == {SCHOOL: 3}
+
+
 def test_scarcest_resource_counts():
     accounts = Accounts(studio=1.0, school=1.0)
     accounts.usage.add(STUDIO, Resources(1000, 1000, 6))
@@ -155,11 +164,11 @@
     assert not accounts.shares.leaves_headroom(STUDIO)
 
 
-def test_accounts_far_above_their_share_leave_headroom_at_once():
+def test_accounts_above_their_share_leave_headroom_at_once():
     """Guards against an account that fills the pool between two comparisons."""
     accounts = Accounts(studio=1.0, school=3.0)
     accounts.shares.compare([STUDIO, SCHOOL], POOL, at(0))
-    accounts.usage.add(STUDIO, Resources(8_000, 0, 0))
+    accounts.usage.add(STUDIO, Resources(5_000, 0, 0))
     assert not accounts.shares.leaves_headroom(STUDIO)
     accounts.usage.add(STUDIO, Resources(1_000, 0, 0))
     assert accounts.shares.leaves_headroom(STUDIO)
--- a/tests/model/load.py
+++ b/tests/model/load.py
@@ -4,21 +4,35 @@
 """
 
 import asyncio
+import heapq
+import itertools
 import math
 import random
 from collections import Counter
+from collections.abc import Iterable
 from datetime import timedelta
 
 import msgspec
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.fleet import RunOutcome, StartOrder, WorkerListing
-from hornbeamramp.ids import DataCentreId, JobId, PoolName, RouteName, UpstreamId, VmId
+from hornbeamramp.ids import (
+    NO_ACCOUNT,
+    AccountId,
+    DataCentreId,
+    JobId,
+    PoolName,
+    RouteName,
+    UpstreamId,
+    VmId,
+)
 from hornbeamramp.poolowner import AddressRecords, Advice, AdviceSource, OwnerContext, PoolOwner
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import OwnerRecord, PoolClaim
+from hornbeamramp.vm.advice_queue import DELAY_PER_PRIORITY_LEVEL
 from hornbeamramp.workload import (
     AdviceTiming,
+    ClientAccount,
     ClusterConfig,
     JobPhase,
     JobSpec,
@@ -60,6 +74,10 @@
         Mean number of tasks of a job, their size, and the time that each works.
     `advice_ms`, `advice_ms_per_worker`, `granted`
         Time of an advice request, and the share of the workers that it grants.
+    `account`
+        The client account that sends them.
+    `from_s`, `until_s`
+        When they arrive, in seconds of the play.
     """
 
     name: str
@@ -77,6 +95,9 @@
     is_gang: bool = False
     is_checkpointing: bool = False
     failed_share: float = 0.02
+    account: AccountId = NO_ACCOUNT
+    from_s: float = 0.0
+    until_s: float = math.inf
 
     def queue(self) -> Queue:
         timing = AdviceTiming(
@@ -115,10 +136,11 @@
 
 
 class KindResult(msgspec.Struct):
-    """Numbers of jobs of one kind: all, and those that ended on time."""
+    """Numbers of jobs of one kind: all, those that ended on time, and those that were refused."""
 
     jobs: int = 0
     on_time: int = 0
+    refused: int = 0
 
     @property
     def on_time_share(self) -> float:
@@ -224,8 +246,10 @@
     def __init__(self, fleet: _LoadFleet, vms: int) -> None:
         self._fleet = fleet
         self._vms = vms
-        self._free = asyncio.Semaphore(vms)
-        self._backlog = 0
+        self._free = vms
+        # Heap of requests that wait for a free VM.
+        self._waiting: list[tuple[timedelta, int, asyncio.Future[None]]] = []
+        self._sequence = itertools.count()
 
     @property
     def parallelism(self) -> int:
@@ -233,7 +257,7 @@
 
     @property
     def backlog(self) -> int:
-        return self._backlog
+        return len(self._waiting)
 
     async def ask(
         self,
@@ -243,15 +267,24 @@
         priority: int,
         deferral: timedelta,
     ) -> Advice:
-        self._backlog += 1
-        async with self._free:
-            self._backlog -= 1
-            duration = timing.base + len(workers) * timing.per_worker
-            await asyncio.sleep(duration.total_seconds())
+        rank = self._fleet.clock.boot_time() + priority * DELAY_PER_PRIORITY_LEVEL + deferral
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (rank, next(self._sequence), turn))
+        self._assign()
+        await turn
+        duration = timing.base + len(workers) * timing.per_worker
+        await asyncio.sleep(duration.total_seconds())
+        self._free += 1
+        self._assign()
         share = self._fleet.kind_by_job[step.job_id].granted
         granted = [w for w in workers if random.Random(f"{step} {w}").random() < share]
         return Advice(dict.fromkeys(granted, "ticket"), TICKET_VALIDITY)
 
+    def _assign(self) -> None:
+        while self._free and self._waiting:
+            self._free -= 1
+            heapq.heappop(self._waiting)[2].set_result(None)
+
 
 class _Arrival(msgspec.Struct, frozen=True):
     at_s: float
@@ -264,8 +297,8 @@
     arrivals = []
     for number, kind in enumerate(kinds):
         rng = random.Random(f"{seed} {kind.name}")
-        at_s = rng.expovariate(kind.per_s)
-        while at_s < length_s:
+        at_s = kind.from_s + rng.expovariate(kind.per_s)
+        while at_s < min(length_s, kind.until_s):
             job_id = JobId(f"{len(arrivals):015x}{number:x}")
             arrivals.append(_Arrival(at_s, kind, job_id, kind.step(rng)))
             at_s += rng.expovariate(kind.per_s)
@@ -273,19 +306,30 @@
 
 
 def play(
-    kinds: list[JobKind], workers: int, vms: int, length_s: float, seed: int
+    kinds: list[JobKind],
+    workers: int,
+    vms: int,
+    length_s: float,
+    seed: int,
+    accounts: Iterable[ClientAccount] = (),
 ) -> dict[str, KindResult]:
     """Plays ``length_s`` seconds of arrivals and returns how many jobs were on time, by kind."""
-    return run_in_virtual_time(_play(kinds, workers, vms, length_s, seed))
+    account_by_id = {account.id: account for account in accounts}
+    return run_in_virtual_time(_play(kinds, workers, vms, length_s, seed, account_by_id))
 
 
 async def _play(
-    kinds: list[JobKind], workers: int, vms: int, length_s: float, seed: int
+    kinds: list[JobKind],
+    workers: int,
+    vms: int,
+    length_s: float,
+    seed: int,
+    account_by_id: dict[AccountId, ClientAccount],
 ) -> dict[str, KindResult]:
     clock = LoopClock()
     store = ModelStore(clock)
     fleet = _LoadFleet(clock, workers, seed)
-    owner = await _start_owner(kinds, fleet, store, vms)
+    owner = await _start_owner(kinds, fleet, store, vms, account_by_id)
     await asyncio.sleep(START_UP.total_seconds())
     arrivals = _arrivals(kinds, length_s, seed)
     started_s = clock.boot_time().total_seconds()
@@ -295,16 +339,22 @@
         spec = JobSpec("payload", (arrival.step,))
         fleet.spec_by_job[arrival.job_id] = spec
         fleet.kind_by_job[arrival.job_id] = arrival.kind
-        accepting = owner.accept(arrival.job_id, arrival.kind.queue(), spec)
+        queue, account = arrival.kind.queue(), arrival.kind.account
+        accepting = owner.accept(arrival.job_id, queue, spec, account=account)
         accepted.append(asyncio.ensure_future(accepting))
-    await asyncio.gather(*accepted)
+    refusals = await asyncio.gather(*accepted)
+    pairs = zip(arrivals, refusals, strict=True)
+    refused = {arrival.job_id for arrival, refusal in pairs if refusal is not None}
     await asyncio.sleep(max(a.kind.limit_s(a.step) for a in arrivals))
     assert fleet.violations == []
     results = {kind.name: KindResult() for kind in kinds}
     for arrival in arrivals:
-        job = owner.job_by_id[arrival.job_id]
         result = results[arrival.kind.name]
         result.jobs += 1
+        if arrival.job_id in refused:
+            result.refused += 1
+            continue
+        job = owner.job_by_id[arrival.job_id]
         elapsed_s = (job.ended_ms - job.record.accepted_ms) / 1000
         is_done = job.phase is JobPhase.COMPLETED
         result.on_time += is_done and elapsed_s <= arrival.kind.limit_s(arrival.step)
@@ -313,7 +363,11 @@
 
 
 async def _start_owner(
-    kinds: list[JobKind], fleet: _LoadFleet, store: ModelStore, vms: int
+    kinds: list[JobKind],
+    fleet: _LoadFleet,
+    store: ModelStore,
+    vms: int,
+    account_by_id: dict[AccountId, ClientAccount],
 ) -> PoolOwner:
     clock = fleet.clock
     view = StoreView(store, "vm0")
@@ -337,7 +391,7 @@
     )
     owner = PoolOwner(POOL, claim, context, lambda: timedelta(days=1))
     queues = {kind.queue().name: kind.queue() for kind in kinds}
-    owner.config = ClusterConfig(1, queues, {POOL: Pool(POOL)})
+    owner.config = ClusterConfig(1, queues, {POOL: Pool(POOL)}, account_by_id=account_by_id)
     listings = {
         UpstreamId(name): WorkerListing(
             worker=UpstreamId(name),
--- a/tests/poolowner/builders.py
+++ b/tests/poolowner/builders.py
@@ -8,6 +8,7 @@
 from hornbeamramp.background import BackgroundTasks
 from hornbeamramp.clock import ManualClock
 from hornbeamramp.fleet import Attempt, AttemptPhase, WorkerListing, WorkerSession
+from hornbeamramp.ids import NO_ACCOUNT
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import JobRecord
@@ -27,7 +28,17 @@
         coroutine.close()
 
 
-def record(*steps, priority=0, queue="gate", accepted_ms=0, stretch=2.0, target_ms=1000, **fields):
+def record(
+    *steps,
+    priority=0,
+    queue="gate",
+    accepted_ms=0,
+    stretch=2.0,
+    target_ms=1000,
+    account=NO_ACCOUNT,
+    is_beyond_share=False,
+    **fields,
+):
     """Returns the record of a job with the given steps."""
     return JobRecord(
         job_id=f"{next(_job_numbers):016x}",
@@ -38,6 +49,8 @@
         stretch=stretch,
         target_ms=target_ms,
         spec=job(*steps, **fields),
+        account=account,
+        is_beyond_share=is_beyond_share,
     )
 
 
--- a/tests/poolowner/test_pass_cost.py
+++ b/tests/poolowner/test_pass_cost.py
@@ -12,13 +12,15 @@
 import pytest
 
 from hornbeamramp.fleet import WorkerSession
+from hornbeamramp.ids import AccountId
 from hornbeamramp.poolowner.capacity import Capacity
 from hornbeamramp.poolowner.choice import choose_each, choose_workers
 from hornbeamramp.poolowner.owner import _pause_after_pass
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
-from hornbeamramp.workload import StepSpec
+from hornbeamramp.workload import ClientAccount, StepSpec
 from tests.model.cell import queue
 from tests.poolowner.builders import running, session
+from tests.poolowner.test_account_order import SharedOwner
 from tests.poolowner.test_choice import unit
 from tests.poolowner.test_placer import Owner
 
@@ -55,6 +57,21 @@
     return count
 
 
+def full_pool_of_accounts(workers, steps):
+    """Returns the owner of a full pool in which steps of 20 client accounts wait, of which one uses
+    all of it."""
+    accounts = {AccountId(f"a{n}"): ClientAccount(AccountId(f"a{n}"), 1.0) for n in range(20)}
+    owner = SharedOwner(*(f"w{number:03}" for number in range(workers)), accounts=accounts)
+    owner.launcher.may_ask = lambda step: False
+    for worker in owner.session_by_worker.values():
+        running(worker, WHOLE, priority=0)
+        owner.usage.add(AccountId("a0"), worker.listing.capacity)
+    for number in range(steps):
+        spec = GANG if number % 4 == 0 else LOOKUP
+        owner.submit(spec, account=AccountId(f"a{number % 20}"), is_beyond_share=number % 3 == 0)
+    return owner
+
+
 def looks_in_a_pass(looks, owner):
     owner.placer.schedule()
     looks.clear()
@@ -67,6 +84,13 @@
     assert looks_in_a_pass(looks, full_pool(200, 300)) <= 2 * 200
 
 
+def test_accounts_add_one_look_at_each_worker_to_a_pass(looks):
+    """Guards against a comparison of accounts that looks at the workers for each step."""
+    without = looks_in_a_pass(looks, full_pool_of_accounts(200, 0))
+    for steps in (300, 1200):
+        assert looks_in_a_pass(looks, full_pool_of_accounts(200, steps)) <= without + 2 * 200
+
+
 def test_searches_for_room_in_one_pass_are_bounded(looks):
     """The searches of a pass look at all workers; their number must not grow with the queue."""
     few, many = full_pool(100, 200), full_pool(100, 800)
