Bound the wait for advice of urgent jobs beyond their account's share

Cause: urgent steps beyond a share asked for advice only while no other request waited. With an advice service that is always busy, such a job could have started nothing for longer than 3 s though the pool had room.

Change: from one second after its acceptance it may ask like other urgent ones, and its request ranks one second later than theirs, instead of two.

Result: tests/poolowner/test_account_order.py passes; its new test fails on the commit before, by reading: may_ask looked at the mark only (not run there).

--- a/hornbeamramp/poolowner/launch.py
+++ b/hornbeamramp/poolowner/launch.py
@@ -56,10 +56,10 @@
 # take about half a second.
 PREFETCH_DEFERRAL = timedelta(milliseconds=500)
 TOO_LATE_DEFERRAL = timedelta(seconds=2)
-# Requests of jobs beyond their accounts' shares rank behind those that were made within this time
-# after them. It bounds their wait, as no job within a share waits longer for advice if there is
-# any to be had.
-BEYOND_SHARE_DEFERRAL = timedelta(seconds=2)
+# Requests of jobs beyond their accounts' shares rank behind those that are made within this time
+# after them. Urgent ones are not even made before the job has this age, while others wait. Together
+# that is less than the 3 s within which a job has to start while there is room.
+BEYOND_SHARE_DEFERRAL = timedelta(seconds=1)
 # Requests for a long-running task that has to start again rank as if they had arrived earlier: it
 # has to be at work within 3 s, whatever else waits.
 RESTART_PRECEDENCE = timedelta(seconds=5)
@@ -97,16 +97,17 @@
     def may_ask(self, step: StepRun) -> bool:
         """Returns whether an advice request for the step would be sent soon.
 
-        While there is a backlog, only urgent and long-running steps may ask, and no others beyond
-        their accounts' shares. Others wait in the placer, so that their requests are made for the
-        capacity that is free by then.
+        While there is a backlog, only urgent and long-running steps may ask, those beyond their
+        accounts' shares after a while. Others wait in the placer, so that their requests are made
+        for the capacity that is free by then.
         """
+        if self._advice.backlog < 1 or step.spec.long_running:
+            return True
         job = step.job.record
-        return (
-            self._advice.backlog < 1
-            or (job.priority == URGENT and not job.is_beyond_share)
-            or step.spec.long_running
-        )
+        if job.priority != URGENT:
+            return False
+        age = timedelta(milliseconds=self._owner.now_ms() - job.accepted_ms)
+        return not job.is_beyond_share or age >= BEYOND_SHARE_DEFERRAL
 
     def request_advice(self, step: StepRun, queue: Queue, sessions: list[WorkerSession]) -> None:
         """Requests advice on which of the first of these workers may run the step.
--- a/tests/poolowner/test_account_order.py
+++ b/tests/poolowner/test_account_order.py
@@ -202,6 +202,13 @@
     assert launcher.may_ask(step) is may_ask
 
 
+def test_urgent_jobs_beyond_a_share_may_ask_after_a_while(owner):
+    """Guards against a job that starts nothing for over 3 s on an idle pool, as the advice service
+    is always busy for others."""
+    launcher = launch.Launcher(owner, Backlogged(), owner.clock, None)
+    assert launcher.may_ask(owner.submit(SMALL, priority=0, is_beyond_share=True, age_s=1.0))
+
+
 def test_advice_beyond_a_share_is_asked_later_by_a_bounded_time(owner):
     within, beyond = owner.submit(SMALL), owner.submit(SMALL, is_beyond_share=True)
     for has_capacity in (True, False):
