--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -23,17 +23,15 @@
 from hornbeamramp.platform.key_checks import KeyChecks
 from hornbeamramp.platform.read_budget import PROBE_BOUNDS, caller_bounds
 from hornbeamramp.platform.settings import LimitSettings
-from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.telemetry import prometheus_text
 from hornbeamramp.vm import (
     AccessDeniedError,
     CallerService,
     CancelResult,
     Node,
-    SubmitResult,
     UnavailableError,
 )
-from hornbeamramp.workload import ClusterConfig, RequestLimits, RouteMatch
+from hornbeamramp.workload import ClusterConfig, RefusalKind, RequestLimits, RouteMatch
 
 __all__ = ["CallerServer"]
 
@@ -53,7 +51,6 @@
 # Requests to the readiness probe and for metrics, which have no bodies.
 PROBE_LIMITS = RequestLimits(max_header_bytes=8192, max_body_bytes=0)
 DEFAULT_LIMITS = RequestLimits()
-STATUS_BY_REFUSAL = {RefusalKind.UNAVAILABLE: 503, RefusalKind.QUOTA: 429}
 METRICS_PATH = "/metrics"
 # Period at which a draining server checks whether callers are still connected.
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=100)
@@ -62,6 +59,12 @@
 # Delay after which a caller whose key could not be checked should come back: the configuration has
 # been read again by then, or the VM reports itself as not ready.
 KEY_CHECK_RETRY_AFTER = timedelta(seconds=1)
+# The account sent too much; every other refusal is a failure on this side.
+STATUS_BY_REFUSAL_KIND = {
+    RefusalKind.UNAVAILABLE: 503,
+    RefusalKind.BEYOND_SHARE: 429,
+    RefusalKind.BEYOND_QUOTA: 429,
+}
 # Iterations of the event loop from the arrival of a request until its handler runs.
 HANDLER_START_ITERATIONS = 3
 
@@ -352,7 +355,8 @@
         )
         if submitted.refusal:
             _log.info("{} refused: {}", job_id, submitted.refusal)
-            return _refused(submitted)
+            status = STATUS_BY_REFUSAL_KIND[submitted.kind]
+            return _refused(status, submitted.refusal, submitted.retry_after)
         return _json(200, {})
 
 
@@ -420,12 +424,11 @@
     )
 
 
-def _refused(submitted: SubmitResult) -> web.Response:
-    status = STATUS_BY_REFUSAL[submitted.kind]
-    return _unavailable(submitted.refusal, submitted.retry_after, status)
+def _unavailable(error: str, retry_after: timedelta) -> web.Response:
+    return _refused(503, error, retry_after)
 
 
-def _unavailable(error: str, retry_after: timedelta, status: int = 503) -> web.Response:
+def _refused(status: int, error: str, retry_after: timedelta) -> web.Response:
     response = _json(status, {"error": error})
     response.headers["Retry-After"] = str(max(round(retry_after.total_seconds()), 1))
     return response
--- a/hornbeamramp/poolowner/__init__.py
+++ b/hornbeamramp/poolowner/__init__.py
@@ -3,8 +3,7 @@
 from hornbeamramp.poolowner.address_pools import AddressRecords
 from hornbeamramp.poolowner.advice import Advice, AdviceSource, AdviceUnavailableError
 from hornbeamramp.poolowner.lateness import retry_delay
-from hornbeamramp.poolowner.owner import OwnerContext, PoolOwner
-from hornbeamramp.poolowner.refusals import Refusal, RefusalKind
+from hornbeamramp.poolowner.owner import OwnerContext, PoolOwner, Refusal
 
 __all__ = [
     "AddressRecords",
@@ -14,6 +13,5 @@
     "OwnerContext",
     "PoolOwner",
     "Refusal",
-    "RefusalKind",
     "retry_delay",
 ]
--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -13,7 +13,7 @@
 from hornbeamramp.durations import to_ms
 from hornbeamramp.errors import SchedulerError, StoreUnavailableError, UnreachableError
 from hornbeamramp.ids import NO_ACCOUNT, AccountId, JobId, PoolName
-from hornbeamramp.poolowner import PoolOwner, RefusalKind, retry_delay
+from hornbeamramp.poolowner import PoolOwner, retry_delay
 from hornbeamramp.rpc import PeerServer
 from hornbeamramp.states import Step
 from hornbeamramp.statestore import (
@@ -36,7 +36,7 @@
     SubmitJobRequest,
 )
 from hornbeamramp.vm.node import Node
-from hornbeamramp.workload import JobPhase, JobSpec, Queue
+from hornbeamramp.workload import JobPhase, JobSpec, Queue, RefusalKind
 
 __all__ = [
     "AccessDeniedError",
--- a/hornbeamramp/vm/messages.py
+++ b/hornbeamramp/vm/messages.py
@@ -14,9 +14,8 @@
     UpstreamId,
 )
 from hornbeamramp.messages import HelloReply, HelloRequest
-from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.vm.relay import RelayReply, RelayRequest
-from hornbeamramp.workload import JobPhase, JobSpec, StepKey
+from hornbeamramp.workload import JobPhase, JobSpec, RefusalKind, StepKey
 
 __all__ = [
     "REPLY_TYPE_BY_REQUEST_TYPE",
@@ -56,7 +55,7 @@
 
 
 class SubmitJobReply(msgspec.Struct, frozen=True):
-    """``refusal`` is empty if the job is recorded.
+    """``refusal`` is empty if the job is recorded; otherwise ``kind`` counts.
 
     `is_owner`
         False if nothing was done: the VM does not own the pool for certain, or could not read a
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -11,9 +11,8 @@
 from hornbeamramp.clock import SystemClock
 from hornbeamramp.ids import PoolName, RouteName
 from hornbeamramp.platform.callers import CallerServer
-from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.vm.caller_service import SubmitResult
-from hornbeamramp.workload import ClusterConfig, Queue
+from hornbeamramp.workload import ClusterConfig, Queue, RefusalKind
 from tests.model.cell import job
 from tests.soak.callers import encode_job
 from tests.soak.cell import HOST
@@ -98,19 +97,28 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "status"), [(RefusalKind.UNAVAILABLE, 503), (RefusalKind.QUOTA, 429)]
+    ("kind", "status"),
+    [
+        (RefusalKind.UNAVAILABLE, 503),
+        (RefusalKind.BEYOND_SHARE, 429),
+        (RefusalKind.BEYOND_QUOTA, 429),
+    ],
 )
-def test_status_tells_whether_a_refused_job_may_be_accepted_later(kind, status):
-    """Guards against 503 for a job that can't run within its account's quota: its caller would send
-    it again and again."""
+def test_refusal_tells_whether_the_caller_sent_too_much(kind, status):
+    """Guards against callers that take a refusal for their own excess for an outage of the cell,
+    and against one without the time after which to try again."""
 
     async def refuse():
-        return SubmitResult("the account's quota is smaller", timedelta(seconds=60), kind)
+        return SubmitResult("refused", timedelta(seconds=4), kind)
 
     async def scenario(server, address):
-        connection = await Connection.open(address)
-        assert (await connection.request("POST", PATH, 3.0, BODY)).status == status
-        connection.close()
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        head = f"POST {PATH} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {len(BODY)}\r\n\r\n"
+        writer.write(head.encode() + BODY)
+        answer = (await reader.readuntil(b"\r\n\r\n")).decode()
+        assert answer.startswith(f"HTTP/1.1 {status} ")
+        assert "\r\nRetry-After: 4\r\n" in answer
+        writer.close()
 
     with_server(refuse, scenario)
 
--- a/tests/poolowner/test_quota_placement.py
+++ b/tests/poolowner/test_quota_placement.py
@@ -70,7 +70,7 @@
             self.clock,
             timedelta(seconds=10),
         )
-        self.placer = Placer(self, self.launcher, self.clock, self.keeper)
+        self.placer = Placer(self, self.launcher, self.clock, quotas=self.keeper)
         asyncio.run(self.keeper.load())
 
     def wake(self):
--- a/tests/vm/test_quotas.py
+++ b/tests/vm/test_quotas.py
@@ -11,9 +11,8 @@
 import pytest
 
 from hornbeamramp.ids import AccountId, PoolName, RouteName
-from hornbeamramp.poolowner import RefusalKind
 from hornbeamramp.statestore.records import quota_key, quota_prefix
-from hornbeamramp.workload import AccountQuota, ClientAccount, JobPhase, StepSpec
+from hornbeamramp.workload import AccountQuota, ClientAccount, JobPhase, RefusalKind, StepSpec
 from tests.model.cell import POOL, REQUEST_TIMEOUT, ModelCell, job, queue
 from tests.model.store import StoreView
 from tests.model.virtual_time import run_in_virtual_time
@@ -245,7 +244,7 @@
         specs = (StepSpec(1, 16_001), StepSpec(17, 1000, gang=True), StepSpec(1, 1000, 100, 5))
         for number, step in enumerate(specs):
             result = await cell.submit(f"{number:016x}", job(step), "batch", account=HOT)
-            assert result.kind is RefusalKind.QUOTA
+            assert result.kind is RefusalKind.BEYOND_QUOTA
             assert "quota" in result.refusal
         assert not (await cell.submit("f" * 16, job(StepSpec(17, 1000)), account=HOT)).refusal
 
