Let the soak revoke keys that no VM sees revoked

Change: a fault that replaces a key while the store is silent to all VMs for longer than the bound, and calls to each VM with the newest revoked keys all the while.

--- a/tests/soak/accounts.py
+++ b/tests/soak/accounts.py
@@ -10,6 +10,7 @@
 from tests.soak.callers import Callers
 from tests.soak.cell import SoakCell
 from tests.soak.faults import Faults
+from tests.soak.proxy import LinkState
 
 __all__ = ["KeyedCallers", "ReplacedKeys"]
 
@@ -17,19 +18,34 @@
 REVOKED_SHARE = 0.25
 UNKNOWN_SHARE = 0.1
 UNKNOWN_KEY = "never-configured"
+# Time for which no VM sees the revocation of a key, longer than the bound.
+UNSEEN_S = 5.5
+# Period of the calls to each VM with the newest revoked keys.
+PROBE_PERIOD_S = 0.25
+PROBED_KEYS = 2
 # Time in which each VM refuses all revoked keys with 401 after the faults.
 RECOVERY_S = 20.0
 
 
 class ReplacedKeys(Faults):
-    """The faults of the soak, and an account's key replaced more often."""
+    """The faults of the soak, and keys that are replaced, some while no VM reaches the store."""
 
     def _choices(self) -> list[Callable[[], Awaitable[None]]]:
-        return super()._choices() + 8 * [self._replace_key]
+        return super()._choices() + 8 * [self._replace_key] + 4 * [self._replace_unseen_key]
 
     async def _replace_key(self) -> None:
         self._cell.replace_key(self._rng.choice(sorted(self._cell.key_by_account)))
 
+    async def _replace_unseen_key(self) -> None:
+        links = [vm.store_link for vm in self._cell.vm_by_name.values()]
+        for link in links:
+            link.set(LinkState.SILENT)
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        await self._replace_key()
+        await asyncio.sleep(UNSEEN_S)
+        for link in links:
+            link.set(LinkState.OPEN)
+
 
 class KeyedCallers(Callers):
     """Each job belongs to an account. No request sent later than the bound after the revocation of
@@ -63,6 +79,29 @@
             self.problems.append(f"{method} {job_id} is refused as a job of another account")
         return status, content
 
+    async def run(self, seconds: float) -> None:
+        probes = asyncio.create_task(self._probe_revoked_keys())
+        try:
+            await super().run(seconds)
+        finally:
+            probes.cancel()
+
+    async def _probe_revoked_keys(self) -> None:
+        """Asks each VM again and again for the state of a job, with keys just revoked."""
+        async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as group:
+            while True:
+                keys = list(self._cell.revoked_at_by_key)[-PROBED_KEYS:]
+                accepted = sorted(self.accepted)
+                for vm in self._cell.vm_by_name.values() if keys and accepted else ():
+                    key = self._rng.choice(keys)
+                    own = [j for j in accepted if key.startswith(f"{self._account_by_job[j]}-")]
+                    if own:
+                        job_id = self._rng.choice(own)
+                        group.create_task(
+                            self._request(session, vm.frontend, "GET", job_id, None, key)
+                        )
+                await asyncio.sleep(PROBE_PERIOD_S)
+
     def _choose_key(self, method: str, job_id: str) -> str:
         cell = self._cell
         account = self._account_by_job.setdefault(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,7 +28,7 @@
 PACING_SECONDS = 12.0
 # With client accounts whose keys are replaced, and callers that go on sending the revoked ones.
 ACCOUNT_SEEDS = (8001, 8002)
-ACCOUNT_SECONDS = 12.0
+ACCOUNT_SECONDS = 20.0
 # Seeds that failed once, with the duration of the failed run in seconds and the cause.
 FAILED_SEEDS: dict[int, tuple[float, str]] = {
     6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
