List an unsteady test of the VMs' own port as known red

Cause: heads without end at that port took 123 MiB of 112 in one of 13 runs (61 to 100 in the others), beside load of other work. What gRPC holds of them is not bounded, as the test of longer ones shows, so how much it is depends on the pace of its threads. The list expected each of its tests to fail in each run.

Change: a listed test may be marked as unsteady. Test, crowd and bound are unchanged.

--- a/tests/hostile/test_crowds.py
+++ b/tests/hostile/test_crowds.py
@@ -170,6 +170,7 @@
     hold_out(lambda crowd: crowd.send(CONNECTIONS, [PREFACE[:4]]), "peers")
 
 
+@pytest.mark.known_red(unsteady=True)
 def test_heads_without_end_at_the_port_of_the_vms(hold_out):
     """Guards against heads of calls between VMs that are read to their end."""
     hold_out(lambda crowd: crowd.send(HEADS, endless_head(HEAD_BYTES)), "peers")
