Learn durations of runs with their uncertainty, and pass them on in a takeover

An owner knew one ratio of duration to estimate for each image, moved by each run: a step of a hundred tasks with one wrong estimate outweighed all steps before it, speeds of workers followed the estimates of the last jobs, nothing was known of the spread, and all of it was lost with the owner.

poolowner/learned_durations.py models the logarithm of duration over estimate as terms of queue, kind of task, magnitude of the estimate, client account, step and worker, with the variance between steps and among the tasks of one. All tasks of a step count as one step; ended tasks tell of the others of their step; speeds are corrected as far as a run is accurate. Runs stopped midway count by their progress, failed ones only if they took longer than expected, gangs not for their workers. speeds.py keeps the term of the worker.

It is read beside the other records of a takeover, for which it is never waited more than 100 ms. Unreadable or of another version, it is ignored with a log line. Processes of an earlier build neither read nor delete it.

Backfill uses the 90% quantile instead of a factor of 1.3. A run that is overdue is expected to go on, by what is left of its distribution.

--- a/hornbeamramp/poolowner/expected_ends.py
+++ b/hornbeamramp/poolowner/expected_ends.py
@@ -5,7 +5,7 @@
 from hornbeamramp.fleet import Attempt, AttemptPhase
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.jobs import Unit
-from hornbeamramp.poolowner.speeds import WorkerSpeeds
+from hornbeamramp.poolowner.learned_durations import LearnedDurations
 
 __all__ = ["NEVER", "ExpectedEnds"]
 
@@ -22,9 +22,9 @@
         Boot time of that moment.
     """
 
-    def __init__(self, speeds: WorkerSpeeds, now: timedelta) -> None:
+    def __init__(self, durations: LearnedDurations, now: timedelta) -> None:
         self.now = now
-        self._speeds = speeds
+        self._durations = durations
         self._end_by_gang: dict[Unit, timedelta] = {}
         self._end_by_attempt: dict[Attempt, timedelta] = {}
 
@@ -67,4 +67,7 @@
             )
         step = attempt.task.unit.step
         worker = UpstreamId(attempt.session.worker)
-        return attempt.started_at + self._speeds.expected_duration(step, worker)
+        elapsed = self.now - attempt.started_at
+        if attempt.resumed:
+            return attempt.started_at + self._durations.duration(step, worker)
+        return attempt.started_at + self._durations.duration_of_running(step, worker, elapsed)
--- a/hornbeamramp/poolowner/journal.py
+++ b/hornbeamramp/poolowner/journal.py
@@ -17,6 +17,7 @@
 from hornbeamramp.ids import JobId, PoolName, QueueAddress
 from hornbeamramp.poolowner.address_pools import AddressRecords, InsertConditions
 from hornbeamramp.poolowner.jobs import Job
+from hornbeamramp.poolowner.learned_record import LearnedRecorder
 from hornbeamramp.statestore import (
     ClaimLostError,
     KeysChangedError,
@@ -49,6 +50,9 @@
 # A new owner reads all of them.
 MAX_GROUPS = 64
 
+# Advisory records wait while commits take longer, so that they don't delay those behind them.
+MAX_COMMIT_WITH_ADVISORY = timedelta(milliseconds=100)
+
 # Transaction entries of a new job, and of the address of the jobs in a commit.
 ENTRIES_PER_INSERT = 2
 ENTRIES_PER_ADDRESS = 1
@@ -110,6 +114,7 @@
         on_insert: Callable[[Job], None],
         may_group: Callable[[], bool],
         addresses: AddressRecords,
+        learned: LearnedRecorder | None = None,
     ) -> None:
         self._pool = pool
         self._clock = clock
@@ -117,6 +122,7 @@
         self._claim = claim
         self._may_group = may_group
         self._addresses = addresses
+        self._learned = learned
         self._commit_number = 0
         # Keys of the groups in the store, in order of age, with the jobs whose progress they hold.
         self._jobs_by_group: dict[str, set[Job]] = {}
@@ -316,6 +322,9 @@
         purged = self._purged[: free // 2]
         written = {put.key for put in puts}
         deletes = [key for keys in purged for key in keys if key not in written]
+        learned = self._learned_put(free - len(deletes))
+        if learned is not None:
+            puts.append(learned)
         self._in_flight = batch.sequence_by_job
         started = self._clock.boot_time()
         try:
@@ -335,6 +344,8 @@
         finally:
             self._in_flight = {}
         conditions.on_committed(revision)
+        if self._learned is not None and learned is not None:
+            self._learned.mark_written()
         elapsed = self._clock.boot_time() - started
         self._last_commit = elapsed
         instruments.commit_time.record(elapsed.total_seconds())
@@ -362,6 +373,13 @@
         self._purged = self._purged[len(purged) :]
         self._resolve_waiters()
 
+    def _learned_put(self, free: int) -> Put | None:
+        """Returns the record of learned durations if it is due and a commit with ``free`` entries
+        has room for it."""
+        if self._learned is None or free <= 0 or self._last_commit > MAX_COMMIT_WITH_ADVISORY:
+            return None
+        return self._learned.due()
+
     def _take_inserts(self) -> tuple[dict[JobId, _Insert], InsertConditions]:
         """Returns the first new jobs whose records fit into a commit, and what it depends on."""
         conditions = InsertConditions(self._pool, self._addresses)
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -45,10 +45,13 @@
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.lateness import retry_delay
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.learned_durations import LearnedDurations
+from hornbeamramp.poolowner.learned_record import LearnedRecorder
 from hornbeamramp.poolowner.lifecycle import JobLifecycle
 from hornbeamramp.poolowner.monitor import PoolMonitor
 from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.recovery import placeholder_listing, read_jobs
+from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.summaries import accepted_fields, takeover_fields
 from hornbeamramp.statestore import (
     ClaimLostError,
@@ -108,6 +111,8 @@
         Returns whether all VMs can read progress groups.
     `addresses`
         The pools that record the jobs of each address.
+    `learns_durations`
+        Whether expected durations are learned from runs; otherwise the submitters' estimates count.
     """
 
     store: StateStore
@@ -118,6 +123,7 @@
     longest_lease: timedelta
     may_group_records: Callable[[], bool]
     addresses: AddressRecords
+    learns_durations: bool = True
 
 
 def _pause_after_pass(elapsed: timedelta) -> timedelta:
@@ -158,6 +164,7 @@
         self._longest_lease = context.longest_lease
         self._claim_valid_until = claim_valid_until
         self._background = BackgroundTasks(f"pool {pool}", _log)
+        self.durations = LearnedDurations(WorkerSpeeds(), context.learns_durations)
         self._journal = Journal(
             pool,
             claim,
@@ -166,13 +173,14 @@
             self._on_recorded,
             context.may_group_records,
             context.addresses,
+            LearnedRecorder(pool, self.durations, context.clock),
         )
         self._launcher = Launcher(self, context.advice, context.clock, self._journal)
         self.job_by_id: dict[JobId, Job] = {}
         # Unix times until which jobs are refused that were cancelled before they arrived.
         self._refused_until_ms_by_id: dict[JobId, int] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
-        self._placer = Placer(self, self._launcher, context.clock)
+        self._placer = Placer(self, self._launcher, context.clock, self.durations)
         self.lifecycle = JobLifecycle(self, self._placer, self._journal)
         self._checks = RunChecks(self, self._placer, context.clock)
         self._wake = asyncio.Event()
@@ -202,6 +210,8 @@
                 group_by_job[job] = stored.group
         self._journal.adopt_groups(records.groups, group_by_job)
         self._refused_until_ms_by_id = dict(records.refused_until_ms_by_id)
+        if records.learned is not None:
+            self.durations.restore(records.learned)
         self.set_workers(listings)
         self.spawn(self._run_journal())
         scheduler = f"scheduler of pool {self.pool}"
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -13,8 +13,8 @@
 from hornbeamramp.poolowner.capacity import Capacity, FreeResources
 from hornbeamramp.poolowner.expected_ends import ExpectedEnds
 from hornbeamramp.poolowner.jobs import StepRun
+from hornbeamramp.poolowner.learned_durations import LearnedDurations
 from hornbeamramp.poolowner.preemption import is_preemptible
-from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.resources import Resources
 
 __all__ = ["SOON", "PoolRuns", "SchedulingPass"]
@@ -22,9 +22,8 @@
 # Runs that are expected to end within this time count as free in a plan. Stopped runs end in a
 # similar time; a gang that waits longer for other runs keeps idle what it has found.
 SOON = timedelta(milliseconds=300)
-# Runs may use capacity kept for a gang if they would end before its start even if they took longer
-# than expected by this factor.
-BACKFILL_DURATION_FACTOR = 1.3
+# Runs may use capacity kept for a gang if they end before its start with this probability.
+BACKFILL_QUANTILE = 0.9
 
 
 class PoolRuns:
@@ -97,16 +96,16 @@
         self,
         usable_by_id: dict[UpstreamId, WorkerSession],
         sizes: Iterable[Resources],
-        speeds: WorkerSpeeds,
+        durations: LearnedDurations,
         now: timedelta,
         capacity_before: Capacity,
         drained_share: float,
     ) -> None:
         self.usable_by_id = usable_by_id
-        self.runs = PoolRuns(ExpectedEnds(speeds, now))
+        self.runs = PoolRuns(ExpectedEnds(durations, now))
         self.capacity = Capacity()
         self.spare = capacity_before.limited_by(self.capacity)
-        self._speeds = speeds
+        self._durations = durations
         self._smallest = _smallest(sizes)
         self._is_changed = False
         self._open = [s for s in usable_by_id.values() if s.fits(self._smallest)]
@@ -123,8 +122,7 @@
         duration."""
         if step.spec.long_running:
             return self.capacity, self.spare
-        duration = timedelta(milliseconds=step.spec.estimate_ms) * self._speeds.duration_ratio(step)
-        end = self.now + BACKFILL_DURATION_FACTOR * duration
+        end = self.now + self._durations.duration(step, quantile=BACKFILL_QUANTILE)
         return self.capacity.for_runs_until(end), self.spare.for_runs_until(end)
 
     def with_capacity(self) -> list[WorkerSession]:
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -27,6 +27,7 @@
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.lateness import LatenessLevel, estimate_lateness
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.learned_durations import MIN_FRACTION, LearnedDurations
 from hornbeamramp.poolowner.passes import SOON, SchedulingPass
 from hornbeamramp.poolowner.preemption import (
     add_sizes,
@@ -88,9 +89,19 @@
 
 
 class Placer:
-    """Keeps the steps with waiting units, and speed and health of workers from ended runs."""
+    """Keeps the steps with waiting units, and the health of workers from ended runs.
 
-    def __init__(self, owner: "PoolOwner", launcher: Launcher, clock: Clock) -> None:
+    `durations`
+        Expected durations, which the runs that end correct.
+    """
+
+    def __init__(
+        self,
+        owner: "PoolOwner",
+        launcher: Launcher,
+        clock: Clock,
+        durations: LearnedDurations | None = None,
+    ) -> None:
         self._owner = owner
         self._launcher = launcher
         self._clock = clock
@@ -101,7 +112,8 @@
         # By whether steps are gangs, and by their priority.
         self._searches: Counter[tuple[bool, int]] = Counter()
         self._is_searching = False
-        self.speeds = WorkerSpeeds()
+        self.durations = durations or LearnedDurations(WorkerSpeeds())
+        self.speeds = self.durations.speeds
         self.health = WorkerHealth()
 
     def add(self, steps: Iterable[StepRun]) -> bool:
@@ -124,10 +136,26 @@
         self.health.record_end(attempt, outcome, now)
         if self.health.is_quarantined(worker, now) and not was_quarantined:
             _log.warning("worker {} quarantined: tasks of several jobs failed in a row", worker)
-        # The members of a gang end with the slowest, so their duration is not that of a worker.
-        is_measure = not attempt.resumed and not attempt.task.unit.step.is_gang
-        if outcome is RunOutcome.DONE and attempt.started_at is not None and is_measure:
-            self.speeds.record_run(attempt, (now - attempt.started_at).total_seconds(), 1.0)
+        self._record_duration(attempt, outcome, now)
+
+    def _record_duration(self, attempt: Attempt, outcome: RunOutcome, now: timedelta) -> None:
+        """Learns from a run that ended.
+
+        A resumed run does an unknown share of its work, and best-effort work may be paced. A run
+        that is stopped tells its duration by its progress, one that fails or is lost early only
+        that it would have taken longer.
+        """
+        spec = attempt.task.unit.step.spec
+        if attempt.started_at is None or attempt.resumed or spec.fills or spec.long_running:
+            return
+        elapsed_s = (now - attempt.started_at).total_seconds()
+        if outcome is RunOutcome.DONE:
+            self.durations.record_run(attempt, elapsed_s, 1.0)
+        elif attempt.progress_at is not None and attempt.percent >= 100 * MIN_FRACTION:
+            elapsed_s = (attempt.progress_at - attempt.started_at).total_seconds()
+            self.durations.record_run(attempt, elapsed_s, attempt.percent / 100)
+        else:
+            self.durations.record_unfinished(attempt, elapsed_s)
 
     def forget(self, worker: UpstreamId) -> None:
         """Drops the health and speed of a worker that has left."""
@@ -231,7 +259,7 @@
         }
         sizes = [step.size for step in self._open_steps]
         current = SchedulingPass(
-            usable_by_id, sizes, self.speeds, now, self._capacity, MAX_DRAINED_SHARE
+            usable_by_id, sizes, self.durations, now, self._capacity, MAX_DRAINED_SHARE
         )
         self._capacity = current.capacity
         return current
@@ -252,7 +280,7 @@
             step=step.key.step,
             since_ms=max(job.record.accepted_ms, job.record.spec.due_ms(step.key.occurrence)),
             now_ms=now_ms,
-            duration_ratio=self.speeds.duration_ratio(step),
+            duration_ratio=self.durations.ratio(step),
             timing=None if queue is None else queue.advice,
         )
         step.lateness_at = now
--- a/hornbeamramp/poolowner/recovery.py
+++ b/hornbeamramp/poolowner/recovery.py
@@ -4,18 +4,22 @@
 """
 
 import asyncio
+from datetime import timedelta
 
 import logbook
 import msgspec
 from result import Err
 
+from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.fleet import WorkerListing
 from hornbeamramp.ids import DataCentreId, JobId, PoolName, UpstreamId
+from hornbeamramp.poolowner.learned_record import decode_item
 from hornbeamramp.resources import ZERO
 from hornbeamramp.statestore import (
     Item,
     JobProgress,
     JobRecord,
+    LearnedRecord,
     StateStore,
     decode_group,
     decode_progress,
@@ -27,6 +31,7 @@
     decode_refused,
     group_prefix,
     group_token,
+    learned_key,
     progress_prefix,
     refused_prefix,
 )
@@ -36,6 +41,8 @@
 
 # Highest run number and number of failures in a record: run numbers count the starts of one task.
 MAX_COUNT = 2**31
+# Most that a takeover is prolonged by the read of learned durations, after the other records.
+MAX_LEARNED_WAIT = timedelta(milliseconds=100)
 
 _log = logbook.Logger("recovery")
 
@@ -50,11 +57,16 @@
 
 class PoolRecords(msgspec.Struct, frozen=True):
     """The jobs of a pool, the keys of all its progress groups, and its refused ids, with the Unix
-    times until which they are."""
+    times until which they are.
+
+    `learned`
+        What former owners have learned of durations; ``None`` if nothing is known.
+    """
 
     jobs: list[StoredJob]
     groups: list[str]
     refused_until_ms_by_id: dict[JobId, int]
+    learned: LearnedRecord | None = None
 
 
 class _StoredProgress(msgspec.Struct, frozen=True):
@@ -72,14 +84,19 @@
     run again. Records that no owner can have written are ignored. Raises `StoreUnavailableError`.
     """
     # Concurrently, as each call to a slow store prolongs the takeover.
-    (progress_items, _), (group_items, _), (job_items, _), (refused_items, _) = (
-        await asyncio.gather(
-            store.range(progress_prefix(pool)),
-            store.range(group_prefix(pool)),
-            store.range(job_prefix(pool)),
-            store.range(refused_prefix(pool)),
+    reading_learned = asyncio.ensure_future(store.get(learned_key(pool)))
+    try:
+        (progress_items, _), (group_items, _), (job_items, _), (refused_items, _) = (
+            await asyncio.gather(
+                store.range(progress_prefix(pool)),
+                store.range(group_prefix(pool)),
+                store.range(job_prefix(pool)),
+                store.range(refused_prefix(pool)),
+            )
         )
-    )
+        learned = await _learned(pool, reading_learned)
+    finally:
+        reading_learned.cancel()
     progress_by_id = {
         _job_id(item): _StoredProgress(item.value, item.revision) for item in progress_items
     }
@@ -120,9 +137,22 @@
         jobs,
         [item.key for item in groups if item.key not in undecodable],
         {_job_id(item): _refused_until_ms(item) for item in refused_items},
+        learned,
     )
 
 
+async def _learned(pool: PoolName, reading: "asyncio.Future[Item | None]") -> LearnedRecord | None:
+    """Returns what was learned for a pool, ``None`` if it can't be read in time: it is advice, for
+    which a takeover doesn't wait."""
+    try:
+        async with asyncio.timeout(MAX_LEARNED_WAIT.total_seconds()):
+            item = await reading
+    except (TimeoutError, StoreUnavailableError) as error:
+        _log.warning("{}: learned durations can't be read, starting without: {!r}", pool, error)
+        return None
+    return None if item is None else decode_item(item)
+
+
 def _refused_until_ms(item: Item) -> int:
     """Returns until when an id is refused; 0 if that can't be decoded, so that the record goes."""
     try:
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -35,12 +35,16 @@
     "JobProgress",
     "GROUPED_FORMAT",
     "JobRecord",
+    "LEARNED_VERSION",
+    "LearnedRecord",
+    "LearnedTerm",
     "OpenTask",
     "ProgressGroup",
     "RefusedId",
     "StepGrants",
     "decode_address_pools",
     "decode_group",
+    "decode_learned",
     "decode_progress",
     "decode_record",
     "decode_refused",
@@ -50,6 +54,7 @@
     "group_token",
     "job_key",
     "job_prefix",
+    "learned_key",
     "owner_key",
     "owner_prefix",
     "progress_key",
@@ -65,6 +70,8 @@
 # Version of the records from which on processes read progress groups. Earlier ones would start the
 # tasks of these jobs again, so groups are written only while no such process is alive.
 GROUPED_FORMAT = 2
+# Version of the records of learned durations. Others are ignored.
+LEARNED_VERSION = 1
 # Prefix of the owner, VM and address records, which every process watches. Keys that change with
 # each commit have other prefixes, so that the watch does not report them.
 CELL_PREFIX = f"{ROOT}cell/"
@@ -129,6 +136,24 @@
     until_ms: int
 
 
+class LearnedTerm(msgspec.Struct, frozen=True, array_like=True):
+    """A term of the expected durations, in thousandths. ``task_variance`` is -1 if not known."""
+
+    mean: int
+    steps: int
+    variance: int
+    task_variance: int
+
+
+class LearnedRecord(msgspec.Struct, frozen=True):
+    """What an owner has learned of durations, by the digest of what a term is about, and of the
+    speeds of workers, as logarithms in thousandths. It is advice: a job never depends on it."""
+
+    term_by_key: dict[int, LearnedTerm]
+    log_speed_by_worker: dict[UpstreamId, int]
+    version: int = LEARNED_VERSION
+
+
 class AddressPools(msgspec.Struct, frozen=True):
     """The pools whose owners have recorded jobs that callers sent to an address."""
 
@@ -155,6 +180,7 @@
 encode = msgspec.msgpack.encode
 decode_address_pools = _decoder(AddressPools)
 decode_group = _decoder(ProgressGroup)
+decode_learned = _decoder(LearnedRecord)
 decode_record = _decoder(JobRecord)
 decode_progress = _decoder(JobProgress)
 decode_refused = _decoder(RefusedId)
@@ -213,6 +239,10 @@
     return None if match is None else int(match[1])
 
 
+def learned_key(pool: PoolName) -> str:
+    return f"{ROOT}learned/{pool}"
+
+
 def progress_prefix(pool: PoolName) -> str:
     return f"{ROOT}progress/{pool}/"
 
--- a/tests/poolowner/test_choice.py
+++ b/tests/poolowner/test_choice.py
@@ -8,6 +8,7 @@
 from hornbeamramp.poolowner.capacity import Capacity
 from hornbeamramp.poolowner.choice import choose_workers
 from hornbeamramp.poolowner.jobs import Job
+from hornbeamramp.poolowner.learned_durations import LearnedDurations
 from hornbeamramp.poolowner.preemption import choose_victims
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.workload import StepSpec
@@ -36,14 +37,14 @@
 def speeds_of(**speed_by_worker):
     """Returns speeds learned from many runs of one image."""
     speeds = WorkerSpeeds()
-    step = SimpleNamespace(
-        spec=StepSpec(1, estimate_ms=1000, image="i"), job=SimpleNamespace(record=None)
-    )
-    task = SimpleNamespace(unit=SimpleNamespace(step=step))
+    durations = LearnedDurations(speeds)
+    step = unit(StepSpec(1, estimate_ms=1000, image="i")).step
     for _ in range(60):
         for worker, speed in speed_by_worker.items():
-            attempt = SimpleNamespace(task=task, session=SimpleNamespace(worker=worker))
-            speeds.record_run(attempt, 1.0 / speed, 1.0)
+            attempt = SimpleNamespace(
+                task=step.units[0].tasks[0], session=SimpleNamespace(worker=worker)
+            )
+            durations.record_run(attempt, 1.0 / speed, 1.0)
     return speeds
 
 
--- a/tests/poolowner/test_recovery.py
+++ b/tests/poolowner/test_recovery.py
@@ -39,6 +39,9 @@
         progress = {job: encode(JobProgress(phase)) for job, phase in phase_by_job.items()}
         self.put(group_key(POOL, 1, number), encode(ProgressGroup(progress)))
 
+    async def get(self, key):
+        return next((item for item in self.items if item.key == key), None)
+
     async def range(self, prefix):
         return [item for item in self.items if item.key.startswith(prefix)], 0
 
--- a/tests/poolowner/test_wide_gangs.py
+++ b/tests/poolowner/test_wide_gangs.py
@@ -58,7 +58,7 @@
         for name, worker in owner.session_by_worker.items():
             elapsed_s = 1.0 if name in workers else 0.4
             attempt = running(worker, SHORT)
-            owner.placer.speeds.record_run(attempt, elapsed_s, fraction=1.0)
+            owner.placer.durations.record_run(attempt, elapsed_s, fraction=1.0)
             end(attempt)
 
 
