Keep room for waves of short urgent steps, and tell refused callers when to return

Interactive steps with half a second of work are due within about a second. While batch work fills every gap, a wave of them waits for runs to end or to be stopped, which takes as long as they have.

Learned durations now tell the slack of a step: its estimate was up to ten times off.

retry_delay scales with the expected instead of the submitted duration of a job, and is no shorter than the time for which the owner's queue of records stays too long.

Both can be switched off by HORNBEAMRAMP_LEARNED_DURATIONS and HORNBEAMRAMP_HEADROOM, for comparisons.

--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -32,6 +32,9 @@
 __all__ = ["SETTINGS_VARIABLE", "note_sigterm", "serve"]
 
 SETTINGS_VARIABLE = "HORNBEAMRAMP_CONFIG"
+# Each is on unless it is set to "off".
+LEARNING_VARIABLE = "HORNBEAMRAMP_LEARNED_DURATIONS"
+HEADROOM_VARIABLE = "HORNBEAMRAMP_HEADROOM"
 # Times before the platform's kill, at most; a shorter grace period has shares of it instead. Idle
 # connections are closed first. Requests get their response half a second later. The rest is for a
 # busy processor, on which SIGTERM and each timer may take effect up to a second late.
@@ -66,6 +69,8 @@
         self.job_retention = settings.job_retention
         self.longest_lease = settings.longest_lease
         self.revocation_bound = settings.revocation_bound
+        self.learns_durations = _is_on(LEARNING_VARIABLE)
+        self.keeps_headroom = _is_on(HEADROOM_VARIABLE)
 
     def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
         return decoding.decode_config(item)
@@ -79,6 +84,13 @@
         await self.advice.close()
 
 
+def _is_on(variable: str) -> bool:
+    value = os.environ.get(variable, "on")
+    if value not in ("on", "off"):
+        _log.warning("{}: {!r} is neither on nor off, taken as on", variable, value)
+    return value != "off"
+
+
 async def serve(logs: NonBlockingHandler) -> int:
     """Serves until SIGTERM and returns the exit status. Log lines carry the VM name from the
     settings."""
--- a/hornbeamramp/poolowner/capacity.py
+++ b/hornbeamramp/poolowner/capacity.py
@@ -69,7 +69,7 @@
 
     def _holds_nothing(self, worker: str) -> bool:
         return worker not in self._holds_by_worker and (
-            self._other is None or worker not in self._other._holds_by_worker
+            self._other is None or self._other._holds_nothing(worker)
         )
 
     def total(self, session: WorkerSession) -> FreeResources:
--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -10,6 +10,7 @@
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.pacing import is_latency_sensitive
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
+from hornbeamramp.resources import Resources
 from hornbeamramp.workload import MAX_TASKS, URGENT
 
 __all__ = [
@@ -19,6 +20,7 @@
     "could_all_run",
     "could_ever_run",
     "count_tasks",
+    "count_tasks_of_size",
     "gang_groups",
 ]
 
@@ -54,7 +56,11 @@
 
 def count_tasks(step: StepRun, available: FreeResources) -> int:
     """Returns how many tasks of the step fit into these resources of a worker that runs none."""
-    size = step.size
+    return count_tasks_of_size(step.size, available, step.spec.max_per_worker or MAX_TASKS)
+
+
+def count_tasks_of_size(size: Resources, available: FreeResources, limit: int = MAX_TASKS) -> int:
+    """Returns how many tasks of a size, at most ``limit``, fit into these resources."""
     counts = [
         have // need
         for have, need in zip(
@@ -62,7 +68,6 @@
         )
         if need
     ]
-    limit = step.spec.max_per_worker or MAX_TASKS
     return max(min(*counts, limit) if counts else limit, 0)
 
 
--- a/hornbeamramp/poolowner/lateness.py
+++ b/hornbeamramp/poolowner/lateness.py
@@ -83,13 +83,24 @@
         return cls(tuple(remaining))
 
 
-def retry_delay(queue: Queue, spec: JobSpec) -> timedelta:
-    """Returns the delay after which a caller refused during a store outage should retry."""
+def retry_delay(
+    queue: Queue,
+    spec: JobSpec,
+    duration_ratio: float = 1.0,
+    busy_for: timedelta = timedelta(0),
+) -> timedelta:
+    """Returns the delay after which a refused caller should retry.
+
+    `duration_ratio`
+        Expected duration of the job's work divided by its estimate.
+    `busy_for`
+        Time for which the job would certainly be refused again.
+    """
     if any(step.long_running for step in spec.steps):
-        return MIN_RETRY_DELAY
+        return min(max(MIN_RETRY_DELAY, busy_for), MAX_RETRY_DELAY)
     work = timedelta(milliseconds=CriticalPath.of(spec.steps).longest.work_ms)
-    on_time_limit = queue.stretch * work + queue.target
-    return min(max(RETRY_SHARE * on_time_limit, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
+    on_time_limit = queue.stretch * duration_ratio * work + queue.target
+    return min(max(RETRY_SHARE * on_time_limit, MIN_RETRY_DELAY, busy_for), MAX_RETRY_DELAY)
 
 
 def on_time_limit_ms(
--- a/hornbeamramp/poolowner/learned_durations.py
+++ b/hornbeamramp/poolowner/learned_durations.py
@@ -10,9 +10,9 @@
 
 import hashlib
 import math
+import statistics
 from datetime import timedelta
 from functools import lru_cache
-from statistics import NormalDist
 from typing import TYPE_CHECKING
 from weakref import WeakKeyDictionary
 
@@ -22,7 +22,7 @@
 from hornbeamramp.ids import NO_ACCOUNT, AccountId, RouteName, UpstreamId
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.statestore import LearnedRecord, LearnedTerm
-from hornbeamramp.workload import StepSpec
+from hornbeamramp.workload import JobSpec, StepSpec
 
 if TYPE_CHECKING:
     from hornbeamramp.poolowner.jobs import StepRun
@@ -50,6 +50,11 @@
 MAX_LOG_RATIO = math.log(10.0)
 # Limit of what all terms together make expected.
 MAX_EXPECTED_LOG_RATIO = 2 * MAX_LOG_RATIO
+# Least limit of what one run tells of its worker, so that one that turned slow is noticed however
+# alike the runs were before.
+MIN_WORKER_LIMIT = 0.7
+# Runs of a step after which it is learned from, where it has more tasks.
+MAX_RUNS_OF_STEP = 256
 # Terms and workers kept, the most recently used. A record of them has at most 20 KiB.
 MAX_TERMS = 256
 MAX_WORKERS = 512
@@ -58,29 +63,42 @@
 # Resolution of recorded numbers.
 PER_UNIT = 1000
 
-_NORMAL = NormalDist()
+_NORMAL = statistics.NormalDist()
 
 
 class _Term(msgspec.Struct):
     """Mean of what a term adds to the logarithm, and the number of steps that told of it.
 
-    `variance`
-        Variance of the first runs of steps around their expectation.
+    `step_variance`
+        Variance of steps around their expectation.
     `task_variance`
         Variance among the runs of one step; ``None`` before one had two.
     """
 
     mean: float = 0.0
     steps: float = 0.0
-    variance: float = PRIOR_DEVIATION**2
+    step_variance: float = PRIOR_DEVIATION**2
     task_variance: float | None = None
 
 
-class _StepRuns(msgspec.Struct):
-    """Number of ended runs of one step, and the mean of their logarithms on a usual worker."""
+class _StepRuns:
+    """Ended runs of one step: their number, and the mean of their logarithms at the usual speed.
 
-    runs: int = 0
-    mean: float = 0.0
+    `unused`
+        Worker and logarithm of the runs from which nothing has been learned for other steps.
+    """
+
+    __slots__ = ("__weakref__", "mean", "runs", "unused")
+
+    def __init__(self) -> None:
+        self.runs = 0
+        self.mean = 0.0
+        self.unused: list[tuple[UpstreamId | None, float]] = []
+
+    def add(self, worker: UpstreamId | None, log_ratio: float) -> None:
+        self.runs += 1
+        self.mean += (log_ratio - self.mean) / self.runs
+        self.unused.append((worker, log_ratio))
 
 
 class _Expectation(msgspec.Struct, frozen=True):
@@ -125,11 +143,15 @@
         expected = self._expect(step)
         return math.exp(expected.mean + _NORMAL.inv_cdf(quantile) * expected.deviation)
 
-    def submitted_ratio(
-        self, queue: RouteName, number: int, spec: StepSpec, account: AccountId
-    ) -> float:
-        """Returns the median ratio of a step of a job that may not have been accepted."""
-        return math.exp(self._known_mean(_term_keys(queue, number, spec, account)))
+    def job_ratio(self, queue: RouteName, spec: JobSpec, account: AccountId) -> float:
+        """Returns the expected duration of the work of a job, which may not have been accepted,
+        divided by its estimate."""
+        estimate_ms = expected_ms = 0.0
+        for number, step in enumerate(spec.steps):
+            ratio = math.exp(self._known_mean(_term_keys(queue, number, step, account)))
+            estimate_ms += step.estimate_ms
+            expected_ms += step.estimate_ms * ratio
+        return expected_ms / estimate_ms if estimate_ms else 1.0
 
     def duration(
         self, step: "StepRun", worker: UpstreamId | None = None, quantile: float = MEDIAN
@@ -162,22 +184,16 @@
         return max(usual * math.exp(expected.mean + middle * expected.deviation), elapsed)
 
     def _is_known(self, step: "StepRun") -> bool:
-        """Returns whether a run of the step's kind has ended."""
-        record = step.job.record
-        keys = _term_keys(record.queue, step.key.step, step.spec, record.account)
-        return keys[1] in self._term_by_key
+        """Returns whether runs of the step's kind have ended."""
+        return _keys_of_step(step)[1] in self._term_by_key
 
     def _expect(self, step: "StepRun") -> _Expectation:
-        record = step.job.record
-        keys = _term_keys(record.queue, step.key.step, step.spec, record.account)
+        keys = _keys_of_step(step)
         mean = self._known_mean(keys)
         kind = self._term_by_key.get(keys[1]) or _Term()
-        if kind.task_variance is None:
-            return _Expectation(mean, 0.0, kind.variance)
-        task_variance = max(kind.task_variance, MIN_DEVIATION**2)
-        step_variance = max(kind.variance - task_variance, 0.0)
+        step_variance, task_variance = kind.step_variance, kind.task_variance or 0.0
         ended = self._runs_by_step.get(step)
-        if ended is not None and step_variance > 0.0:
+        if ended is not None and kind.task_variance is not None:
             weight = step_variance / (step_variance + task_variance / ended.runs)
             mean += weight * (ended.mean - mean)
             step_variance *= 1.0 - weight
@@ -223,7 +239,9 @@
             self._learn(step, None, log_ratio)
 
     def _learn(self, step: "StepRun", worker: UpstreamId | None, log_ratio: float) -> None:
-        """Learns from one run.
+        """Notes one run, and learns from its step once as many runs as it has tasks have ended.
+
+        Runs on fast workers and short ones end first, so the first of a step tell less than all.
 
         `worker`
             Worker whose speed the run tells, if any.
@@ -231,52 +249,64 @@
             Logarithm of the run's duration at the usual speed, divided by the estimate.
         """
         self.runs += 1
-        expected = self._expect(step)
         ended = self._runs_by_step.get(step)
         if ended is None:
             ended = self._runs_by_step[step] = _StepRuns()
-        record = step.job.record
-        keys = _term_keys(record.queue, step.key.step, step.spec, record.account)
+        ended.add(worker, log_ratio)
+        # The members of a gang end together.
+        if len(ended.unused) >= (1 if step.is_gang else min(step.spec.count, MAX_RUNS_OF_STEP)):
+            unused, ended.unused = ended.unused, []
+            self._learn_step(step, unused)
+
+    def _learn_step(self, step: "StepRun", runs: list[tuple[UpstreamId | None, float]]) -> None:
+        keys = _keys_of_step(step)
+        known = self._known_mean(keys)
         kind = self._use(keys[1])
-        if worker is not None:
-            error = _clip(log_ratio - expected.mean, MAX_DEVIATIONS * expected.deviation)
-            accuracy = expected.task_variance / (expected.task_variance + expected.step_variance)
-            # The first runs of a kind tell what the kind takes.
-            accuracy *= kind.steps / (kind.steps + 1.0)
-            self.speeds.correct(worker, -error, accuracy)
-        # All runs of a step together count as one step.
-        part = 1.0 / step.spec.count
-        self._learn_variance(kind, ended, log_ratio, log_ratio - expected.mean, part)
-        limit = MAX_LOG_RATIO
-        if kind.steps >= 1.0:
-            limit = MAX_DEVIATIONS * math.sqrt(kind.variance)
-        left = _clip(log_ratio - self._known_mean(keys), limit) + self._known_mean(keys)
+        mean = statistics.fmean(log_ratio for _, log_ratio in runs)
+        step_variance, task_variance = kind.step_variance, kind.task_variance
+        expected, accuracy = known, kind.steps / (kind.steps + 1.0)
+        if task_variance is not None:
+            # How far the mean of these runs tells what the step takes, rather than the workers.
+            unexplained = task_variance / len(runs)
+            expected += step_variance / (step_variance + unexplained) * (mean - known)
+            unknown = step_variance * unexplained / (step_variance + unexplained)
+            accuracy *= task_variance / (task_variance + unknown)
+        deviation = math.sqrt(step_variance if task_variance is None else task_variance)
+        limit = max(MAX_DEVIATIONS * deviation, MIN_WORKER_LIMIT)
+        self.speeds.correct(
+            (worker, accuracy * _clip(log_ratio - expected, limit))
+            for worker, log_ratio in runs
+            if worker is not None
+        )
+        self._learn_terms(keys, kind, mean, known)
+        self._learn_variances(kind, [log_ratio for _, log_ratio in runs], mean - known)
+
+    def _learn_terms(self, keys: tuple[int, ...], kind: _Term, mean: float, known: float) -> None:
+        limit = MAX_DEVIATIONS * math.sqrt(kind.step_variance) if kind.steps else MAX_LOG_RATIO
+        left = known + _clip(mean - known, limit)
         for key, prior_steps in zip(keys, PRIOR_STEPS, strict=False):
             term = self._use(key)
-            weight = max(
-                part / (term.steps + prior_steps + part), 1.0 - (1.0 - MIN_STEP_WEIGHT) ** part
+            term.mean += max(1.0 / (term.steps + prior_steps + 1.0), MIN_STEP_WEIGHT) * (
+                left - term.mean
             )
-            term.mean += weight * (left - term.mean)
-            term.steps += part
+            term.steps += 1.0
             left -= term.mean
-        ended.runs += 1
-        ended.mean += (log_ratio - ended.mean) / ended.runs
 
     @staticmethod
-    def _learn_variance(
-        kind: _Term, ended: _StepRuns, log_ratio: float, error: float, part: float
-    ) -> None:
-        weight = max(1.0 / (kind.steps + 2.0), MIN_STEP_WEIGHT)
-        if ended.runs == 0:
-            error = _clip(error, MAX_DEVIATIONS * math.sqrt(kind.variance))
-            kind.variance += weight * (error * error - kind.variance)
-            kind.variance = max(kind.variance, MIN_DEVIATION**2)
-            return
-        before = kind.variance if kind.task_variance is None else kind.task_variance
-        difference = _clip(log_ratio - ended.mean, MAX_DEVIATIONS * math.sqrt(before))
-        sample = difference * difference * ended.runs / (ended.runs + 1)
-        before += (1.0 - (1.0 - weight) ** (2 * part)) * (sample - before)
-        kind.task_variance = max(before, MIN_DEVIATION**2)
+    def _learn_variances(kind: _Term, log_ratios: list[float], error: float) -> None:
+        weight = max(1.0 / (kind.steps + 1.0), MIN_STEP_WEIGHT)
+        task_variance = 0.0
+        if len(log_ratios) > 1:
+            before = kind.task_variance
+            task_variance = statistics.variance(log_ratios)
+            if before is not None:
+                task_variance = min(task_variance, MAX_DEVIATIONS**2 * before)
+                task_variance = before + weight * (task_variance - before)
+            kind.task_variance = max(task_variance, MIN_DEVIATION**2)
+        error = _clip(error, MAX_DEVIATIONS * math.sqrt(kind.step_variance))
+        sample = max(error * error - task_variance / len(log_ratios), 0.0)
+        kind.step_variance += weight * (sample - kind.step_variance)
+        kind.step_variance = max(kind.step_variance, MIN_DEVIATION**2)
 
     def _use(self, key: int) -> _Term:
         """Returns the term of a key as the most recently used, and drops the oldest beyond the
@@ -295,7 +325,7 @@
             key: LearnedTerm(
                 round(PER_UNIT * term.mean),
                 round(PER_UNIT * term.steps),
-                round(PER_UNIT * term.variance),
+                round(PER_UNIT * term.step_variance),
                 -1 if term.task_variance is None else round(PER_UNIT * term.task_variance),
             )
             for key, term in self._term_by_key.items()
@@ -318,12 +348,12 @@
             self._term_by_key[key] = _Term(
                 _within(term.mean, -MAX_EXPECTED_LOG_RATIO, MAX_EXPECTED_LOG_RATIO),
                 _within(term.steps, 0.0, 1 / MIN_STEP_WEIGHT),
-                _within(term.variance, MIN_DEVIATION**2, MAX_LOG_RATIO**2),
+                _within(term.step_variance, MIN_DEVIATION**2, MAX_LOG_RATIO**2),
                 task_variance,
             )
         for worker, log_speed in list(record.log_speed_by_worker.items())[-MAX_WORKERS:]:
             limited = _within(log_speed, -MAX_LOG_RATIO, MAX_LOG_RATIO)
-            self.speeds.log_speed_by_worker[worker] = limited
+            self.speeds.restore(worker, limited)
 
 
 def _clip(value: float, limit: float) -> float:
@@ -347,6 +377,11 @@
     return int.from_bytes(digest.digest())
 
 
+def _keys_of_step(step: "StepRun") -> tuple[int, ...]:
+    record = step.job.record
+    return _term_keys(record.queue, step.key.step, step.spec, record.account)
+
+
 def _term_keys(
     queue: RouteName, number: int, spec: StepSpec, account: AccountId
 ) -> tuple[int, ...]:
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -41,6 +41,7 @@
 from hornbeamramp.poolowner.address_pools import AddressRecords
 from hornbeamramp.poolowner.advice import AdviceSource
 from hornbeamramp.poolowner.checks import RunChecks
+from hornbeamramp.poolowner.headroom import Headroom
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.lateness import retry_delay
@@ -113,6 +114,8 @@
         The pools that record the jobs of each address.
     `learns_durations`
         Whether expected durations are learned from runs; otherwise the submitters' estimates count.
+    `keeps_headroom`
+        Whether batch work leaves room for short urgent steps.
     """
 
     store: StateStore
@@ -124,6 +127,7 @@
     may_group_records: Callable[[], bool]
     addresses: AddressRecords
     learns_durations: bool = True
+    keeps_headroom: bool = True
 
 
 def _pause_after_pass(elapsed: timedelta) -> timedelta:
@@ -180,7 +184,13 @@
         # Unix times until which jobs are refused that were cancelled before they arrived.
         self._refused_until_ms_by_id: dict[JobId, int] = {}
         self.session_by_worker: dict[UpstreamId, WorkerSession] = {}
-        self._placer = Placer(self, self._launcher, context.clock, self.durations)
+        self._placer = Placer(
+            self,
+            self._launcher,
+            context.clock,
+            self.durations,
+            Headroom(context.keeps_headroom),
+        )
         self.lifecycle = JobLifecycle(self, self._placer, self._journal)
         self._checks = RunChecks(self, self._placer, context.clock)
         self._wake = asyncio.Event()
@@ -361,10 +371,14 @@
         # While an earlier call for this id is pending, its record may still be written, and a
         # refusal could turn out wrong.
         if not self._journal.is_inserting(job_id):
+            ratio = self.durations.job_ratio(queue.name, spec, account)
             if is_store_down:
-                return Refusal("the store does not answer", retry_delay(queue, spec))
-            if self._journal.insert_queue_time() > MAX_INSERT_QUEUE_TIME:
-                return Refusal("too many jobs wait to be recorded", retry_delay(queue, spec))
+                return Refusal("the store does not answer", retry_delay(queue, spec, ratio))
+            queue_time = self._journal.insert_queue_time()
+            if queue_time > MAX_INSERT_QUEUE_TIME:
+                busy_for = queue_time - MAX_INSERT_QUEUE_TIME
+                retry_after = retry_delay(queue, spec, ratio, busy_for)
+                return Refusal("too many jobs wait to be recorded", retry_after)
         record = JobRecord(
             job_id=job_id,
             queue=queue.name,
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -5,7 +5,7 @@
 as they are filled, and what depends only on the runs of a worker is computed once.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from hornbeamramp.fleet import Attempt, WorkerSession
@@ -23,7 +23,7 @@
 # similar time; a gang that waits longer for other runs keeps idle what it has found.
 SOON = timedelta(milliseconds=300)
 # Runs may use capacity kept for a gang if they end before its start with this probability.
-BACKFILL_QUANTILE = 0.9
+BACKFILL_QUANTILE = 0.8
 
 
 class PoolRuns:
@@ -90,6 +90,8 @@
         first, use other capacity where there is some.
     `drainable_processors_milli`
         Processors that may be kept for gangs that wait for runs to end.
+    `headroom_for`
+        Returns what a step has to leave for short urgent ones, ``None`` if nothing.
     """
 
     def __init__(
@@ -100,12 +102,14 @@
         now: timedelta,
         capacity_before: Capacity,
         drained_share: float,
+        headroom_for: Callable[[StepRun], Capacity | None] = lambda step: None,
     ) -> None:
         self.usable_by_id = usable_by_id
         self.runs = PoolRuns(ExpectedEnds(durations, now))
         self.capacity = Capacity()
         self.spare = capacity_before.limited_by(self.capacity)
         self._durations = durations
+        self._headroom_for = headroom_for
         self._smallest = _smallest(sizes)
         self._is_changed = False
         self._open = [s for s in usable_by_id.values() if s.fits(self._smallest)]
@@ -119,11 +123,15 @@
 
     def capacities_for(self, step: StepRun) -> tuple[Capacity, Capacity]:
         """Returns `capacity` and `spare` as runs of the step may use them, which depends on their
-        duration."""
+        duration and on whether it leaves the headroom."""
         if step.spec.long_running:
             return self.capacity, self.spare
+        capacity, spare = self.capacity, self.spare
+        headroom = self._headroom_for(step)
+        if headroom is not None:
+            capacity, spare = headroom.limited_by(capacity), headroom.limited_by(spare)
         end = self.now + self._durations.duration(step, quantile=BACKFILL_QUANTILE)
-        return self.capacity.for_runs_until(end), self.spare.for_runs_until(end)
+        return capacity.for_runs_until(end), spare.for_runs_until(end)
 
     def with_capacity(self) -> list[WorkerSession]:
         """Returns the usable workers with free capacity for the smallest waiting size in each
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -23,6 +23,7 @@
     count_tasks,
 )
 from hornbeamramp.poolowner.gangs import GangPlan, plan_drain, plan_gang
+from hornbeamramp.poolowner.headroom import Headroom
 from hornbeamramp.poolowner.health import WorkerHealth
 from hornbeamramp.poolowner.jobs import StepRun, Unit
 from hornbeamramp.poolowner.lateness import LatenessLevel, estimate_lateness
@@ -93,6 +94,8 @@
 
     `durations`
         Expected durations, which the runs that end correct.
+    `headroom`
+        Room that batch work leaves for short urgent steps.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         launcher: Launcher,
         clock: Clock,
         durations: LearnedDurations | None = None,
+        headroom: Headroom | None = None,
     ) -> None:
         self._owner = owner
         self._launcher = launcher
@@ -108,6 +112,8 @@
         self._open_steps: list[StepRun] = []
         # Of the latest scheduling pass.
         self._capacity = Capacity()
+        self._current: SchedulingPass | None = None
+        self._headroom_held: Capacity | None = None
         self._searched_at: timedelta | None = None
         # By whether steps are gangs, and by their priority.
         self._searches: Counter[tuple[bool, int]] = Counter()
@@ -115,6 +121,7 @@
         self.durations = durations or LearnedDurations(WorkerSpeeds())
         self.speeds = self.durations.speeds
         self.health = WorkerHealth()
+        self.headroom = headroom or Headroom()
 
     def add(self, steps: Iterable[StepRun]) -> bool:
         """Adds steps whose predecessors are done; returns whether there were any."""
@@ -188,6 +195,7 @@
                 # It keeps its last estimate; the order of the others must not depend on it.
                 _log.exception("{}: lateness can't be estimated", step.key)
         self._open_steps.sort(key=_sort_key)
+        self.headroom.update(self._open_steps, now, self._owner.now_ms())
         self._is_searching = self._searched_at is None or now - self._searched_at >= SEARCH_INTERVAL
         if self._is_searching:
             self._searched_at = now
@@ -259,11 +267,32 @@
         }
         sizes = [step.size for step in self._open_steps]
         current = SchedulingPass(
-            usable_by_id, sizes, self.durations, now, self._capacity, MAX_DRAINED_SHARE
+            usable_by_id,
+            sizes,
+            self.durations,
+            now,
+            self._capacity,
+            MAX_DRAINED_SHARE,
+            self._headroom_for,
         )
+        self._headroom_held = None
+        self._current = current
         self._capacity = current.capacity
         return current
 
+    def _headroom_for(self, step: StepRun) -> Capacity | None:
+        """Returns what a step leaves for short urgent ones. It is chosen in each pass once the
+        urgent steps, which come first, have been placed."""
+        if not self.headroom.is_to_be_left(step, self._owner.now_ms()):
+            return None
+        if self._headroom_held is None and self._current is not None:
+            current = self._current
+            sessions = current.usable_by_id.values()
+            self._headroom_held = self.headroom.hold(
+                current.capacity, sessions, self._is_slow, current.now
+            )
+        return self._headroom_held
+
     def _estimate_lateness(self, step: StepRun, now: timedelta) -> None:
         now_ms = self._owner.now_ms()
         if (
--- a/hornbeamramp/statestore/records.py
+++ b/hornbeamramp/statestore/records.py
@@ -141,7 +141,7 @@
 
     mean: int
     steps: int
-    variance: int
+    step_variance: int
     task_variance: int
 
 
--- a/hornbeamramp/vm/adapter.py
+++ b/hornbeamramp/vm/adapter.py
@@ -50,6 +50,8 @@
     `revocation_bound`
         Time after the operator's change within which a revoked key is refused on every VM, in touch
         with the store or not; ``None`` if there is no such bound.
+    `learns_durations`, `keeps_headroom`
+        Whether pool owners learn durations from runs, and keep room for short urgent steps.
     """
 
     store: StateStore
@@ -61,6 +63,8 @@
     job_retention: timedelta
     longest_lease: timedelta
     revocation_bound: timedelta | None = None
+    learns_durations: bool = True
+    keeps_headroom: bool = True
 
     @abstractmethod
     def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -128,6 +128,8 @@
             adapter.longest_lease,
             self._may_group_records,
             self.addresses,
+            adapter.learns_durations,
+            adapter.keeps_headroom,
         )
         self.isolation = IsolationDetector(
             peers, clock, lambda: self.store.last_answer_at, self._ping_targets
--- a/tests/model/load.py
+++ b/tests/model/load.py
@@ -31,7 +31,7 @@
 from tests.model.store import ModelStore, StoreView
 from tests.model.virtual_time import LoopClock, run_in_virtual_time
 
-__all__ = ["JobKind", "KindResult", "play"]
+__all__ = ["Features", "JobKind", "KindResult", "play"]
 
 POOL = PoolName("tickets")
 CAPACITY = Resources(64_000, 262_144, 0, 0, 0)
@@ -49,6 +49,7 @@
 # Time to resume from a checkpoint.
 RESTORE_S = 0.25
 START_UP = timedelta(seconds=1)
+WAVE_S = 8.0
 
 
 class JobKind(msgspec.Struct, frozen=True):
@@ -60,6 +61,10 @@
         Mean number of tasks of a job, their size, and the time that each works.
     `advice_ms`, `advice_ms_per_worker`, `granted`
         Time of an advice request, and the share of the workers that it grants.
+    `estimate_error`
+        Standard deviation of the logarithm of estimate over work, which the tasks of a job share.
+    `wave`
+        Share by which the arrivals rise and fall, with a period of `WAVE_S`.
     """
 
     name: str
@@ -77,6 +82,8 @@
     is_gang: bool = False
     is_checkpointing: bool = False
     failed_share: float = 0.02
+    estimate_error: float = 0.0
+    wave: float = 0.0
 
     def queue(self) -> Queue:
         timing = AdviceTiming(
@@ -108,10 +115,10 @@
             checkpointing=self.is_checkpointing,
         )
 
-    def limit_s(self, step: StepSpec) -> float:
+    def limit_s(self, work_ms: float) -> float:
         """Returns the time after its arrival within which a job is on time, in seconds."""
         advice_ms = self.advice_ms + WORKERS_IN_LIMIT * self.advice_ms_per_worker
-        return self.stretch * (step.estimate_ms + advice_ms) / 1000 + self.target_s
+        return self.stretch * (work_ms + advice_ms) / 1000 + self.target_s
 
 
 class KindResult(msgspec.Struct):
@@ -175,6 +182,7 @@
         super().__init__(clock)
         self._seed = seed
         self.kind_by_job: dict[JobId, JobKind] = {}
+        self.work_ms_by_job: dict[JobId, float] = {}
         self.speed_by_worker: dict[str, float] = {}
         self.done_share_by_task: dict[str, float] = {}
         self._finished_members: Counter[tuple[str, int]] = Counter()
@@ -186,7 +194,7 @@
 
     def work_s(self, task: str) -> float:
         spread = random.Random(f"{self._seed} {task}").uniform(1 - UNEVEN_SHARE, 1 + UNEVEN_SHARE)
-        return spread * self.step_of(task).estimate_ms / 1000
+        return spread * self.work_ms_by_job[JobId(task.split(".")[0])] / 1000
 
     def _fails(self, worker: str, order: StartOrder) -> bool:
         kind = self.kind_by_job[JobId(order.task.split(".")[0])]
@@ -258,34 +266,57 @@
     kind: JobKind
     job_id: JobId
     step: StepSpec
+    work_ms: float
 
 
 def _arrivals(kinds: list[JobKind], length_s: float, seed: int) -> list[_Arrival]:
     arrivals = []
     for number, kind in enumerate(kinds):
         rng = random.Random(f"{seed} {kind.name}")
-        at_s = rng.expovariate(kind.per_s)
+        peak_per_s = kind.per_s * (1 + kind.wave)
+        at_s = rng.expovariate(peak_per_s)
         while at_s < length_s:
+            rate = 1 + kind.wave * math.sin(2 * math.pi * at_s / WAVE_S)
+            if kind.wave and rng.random() * (1 + kind.wave) > rate:
+                at_s += rng.expovariate(peak_per_s)
+                continue
             job_id = JobId(f"{len(arrivals):015x}{number:x}")
-            arrivals.append(_Arrival(at_s, kind, job_id, kind.step(rng)))
-            at_s += rng.expovariate(kind.per_s)
+            step = kind.step(rng)
+            work_ms = float(step.estimate_ms)
+            if kind.estimate_error:
+                estimate_ms = round(work_ms * rng.lognormvariate(0.0, kind.estimate_error))
+                step = msgspec.structs.replace(step, estimate_ms=max(estimate_ms, 1))
+            arrivals.append(_Arrival(at_s, kind, job_id, step, work_ms))
+            at_s += rng.expovariate(peak_per_s)
     return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
 
+class Features(msgspec.Struct, frozen=True):
+    """What the owner is told to do: see `OwnerContext`."""
+
+    learns_durations: bool = True
+    keeps_headroom: bool = True
+
+
 def play(
-    kinds: list[JobKind], workers: int, vms: int, length_s: float, seed: int
+    kinds: list[JobKind],
+    workers: int,
+    vms: int,
+    length_s: float,
+    seed: int,
+    features: Features | None = None,
 ) -> dict[str, KindResult]:
     """Plays ``length_s`` seconds of arrivals and returns how many jobs were on time, by kind."""
-    return run_in_virtual_time(_play(kinds, workers, vms, length_s, seed))
+    return run_in_virtual_time(_play(kinds, workers, vms, length_s, seed, features or Features()))
 
 
 async def _play(
-    kinds: list[JobKind], workers: int, vms: int, length_s: float, seed: int
+    kinds: list[JobKind], workers: int, vms: int, length_s: float, seed: int, features: Features
 ) -> dict[str, KindResult]:
     clock = LoopClock()
     store = ModelStore(clock)
     fleet = _LoadFleet(clock, workers, seed)
-    owner = await _start_owner(kinds, fleet, store, vms)
+    owner = await _start_owner(kinds, fleet, store, vms, features)
     await asyncio.sleep(START_UP.total_seconds())
     arrivals = _arrivals(kinds, length_s, seed)
     started_s = clock.boot_time().total_seconds()
@@ -295,10 +326,11 @@
         spec = JobSpec("payload", (arrival.step,))
         fleet.spec_by_job[arrival.job_id] = spec
         fleet.kind_by_job[arrival.job_id] = arrival.kind
+        fleet.work_ms_by_job[arrival.job_id] = arrival.work_ms
         accepting = owner.accept(arrival.job_id, arrival.kind.queue(), spec)
         accepted.append(asyncio.ensure_future(accepting))
     await asyncio.gather(*accepted)
-    await asyncio.sleep(max(a.kind.limit_s(a.step) for a in arrivals))
+    await asyncio.sleep(max(a.kind.limit_s(a.work_ms) for a in arrivals))
     assert fleet.violations == []
     results = {kind.name: KindResult() for kind in kinds}
     for arrival in arrivals:
@@ -307,13 +339,13 @@
         result.jobs += 1
         elapsed_s = (job.ended_ms - job.record.accepted_ms) / 1000
         is_done = job.phase is JobPhase.COMPLETED
-        result.on_time += is_done and elapsed_s <= arrival.kind.limit_s(arrival.step)
+        result.on_time += is_done and elapsed_s <= arrival.kind.limit_s(arrival.work_ms)
     await owner.close()
     return results
 
 
 async def _start_owner(
-    kinds: list[JobKind], fleet: _LoadFleet, store: ModelStore, vms: int
+    kinds: list[JobKind], fleet: _LoadFleet, store: ModelStore, vms: int, features: Features
 ) -> PoolOwner:
     clock = fleet.clock
     view = StoreView(store, "vm0")
@@ -334,6 +366,8 @@
         timedelta(seconds=10),
         lambda: True,
         AddressRecords(lambda key: None),
+        features.learns_durations,
+        features.keeps_headroom,
     )
     owner = PoolOwner(POOL, claim, context, lambda: timedelta(days=1))
     queues = {kind.queue().name: kind.queue() for kind in kinds}
