--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -6,7 +6,9 @@
     "advice_time",
     "commit_time",
     "connection_checks",
+    "duration_error",
     "first_start_time",
+    "headroom",
     "jobs_accepted",
     "jobs_ended",
     "jobs_open",
@@ -70,6 +72,12 @@
 runs_given_up = _meter.create_counter(
     "hornbeamramp.run.given_up", "1", "Runs that count as ended without a report, by proof"
 )
+duration_error = _meter.create_histogram(
+    "hornbeamramp.run.duration_error", "1", "Measured over expected duration of finished runs"
+)
+headroom = _meter.create_gauge(
+    "hornbeamramp.headroom.tasks", "1", "Tasks of short steps for which room is kept, by pool"
+)
 preemptions = _meter.create_counter("hornbeamramp.preemptions", "1", "Runs stopped for others")
 first_start_time = _meter.create_histogram(
     "hornbeamramp.job.first_start", "s", "Time from acceptance to the first start, by queue"
--- a/hornbeamramp/poolowner/learned_durations.py
+++ b/hornbeamramp/poolowner/learned_durations.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from hornbeamramp import instruments
 from hornbeamramp.fleet import Attempt
 from hornbeamramp.ids import NO_ACCOUNT, AccountId, RouteName, UpstreamId
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
@@ -135,6 +136,11 @@
         # Number of runs learned from.
         self.runs = 0
 
+    @property
+    def terms(self) -> int:
+        """Number of terms known."""
+        return len(self._term_by_key)
+
     # Expectations
 
     def ratio(self, step: "StepRun", quantile: float = MEDIAN) -> float:
@@ -224,6 +230,7 @@
         is_by_worker = not step.is_gang and is_local
         if is_by_worker:
             log_ratio += self.speeds.log_speed(worker)
+        instruments.duration_error.record(math.exp(log_ratio - self._expect(step).mean))
         self._learn(step, worker if is_by_worker else None, log_ratio)
 
     def record_unfinished(self, attempt: Attempt, elapsed_s: float) -> None:
--- a/hornbeamramp/poolowner/monitor.py
+++ b/hornbeamramp/poolowner/monitor.py
@@ -64,6 +64,10 @@
             "longest_ms": to_ms(counts.longest),
             "waiting": counts.waiting,
         }
+        durations, headroom = self._placer.durations, self._placer.headroom
+        fields["durations"] = {"runs": durations.runs, "terms": durations.terms}
+        fields["headroom"] = headroom.kept_tasks
+        instruments.headroom.set(headroom.kept_tasks, {"pool": self._owner.pool})
         _log.info(
             "pool {}: {} of {} cores free on {} workers, {} steps wait",
             self._owner.pool,
--- a/tests/poolowner/test_learned_durations.py
+++ b/tests/poolowner/test_learned_durations.py
@@ -257,7 +257,8 @@
     for number in range(3000):
         runs.speed_by_worker = {f"{number:032x}": 0.5}
         runs.end_step(2.0, tasks=1, queue=f"queue{number}", account=f"account{number}")
-    assert len(runs.durations._term_by_key) == MAX_TERMS
+        runs.speeds.restore(f"{number:032x}", -0.7)
+    assert runs.durations.terms == MAX_TERMS
     assert len(encode(runs.durations.to_record())) <= 32 * 1024
 
 
