Learn speeds from the first step on, bound the record, and leave gangs out

Speeds of early workers were learned only from the second step of a kind on, and each member of a gang counted as a step. The record took the speeds that were first seen rather than those that differ most, and a successor kept speeds of workers that had left, which moved the usual speed.

A step with several runs now tells of its workers by itself. Gangs tell nothing: they end with their slowest member, and a gang that is late would count as one that has longer. Expectations are computed once between two ends. Backfill uses the 70% quantile.

--- a/hornbeamramp/poolowner/learned_durations.py
+++ b/hornbeamramp/poolowner/learned_durations.py
@@ -9,8 +9,10 @@
 """
 
 import hashlib
+import heapq
 import math
 import statistics
+from collections.abc import Container
 from datetime import timedelta
 from functools import lru_cache
 from typing import TYPE_CHECKING
@@ -133,6 +135,8 @@
         # By the digest of what it is about, the most recently used last.
         self._term_by_key: dict[int, _Term] = {}
         self._runs_by_step: WeakKeyDictionary[StepRun, _StepRuns] = WeakKeyDictionary()
+        # Until the next run ends. A pass asks about each run of a step.
+        self._expectation_by_step: WeakKeyDictionary[StepRun, _Expectation] = WeakKeyDictionary()
         # Number of runs learned from.
         self.runs = 0
 
@@ -194,6 +198,12 @@
         return _keys_of_step(step)[1] in self._term_by_key
 
     def _expect(self, step: "StepRun") -> _Expectation:
+        expected = self._expectation_by_step.get(step)
+        if expected is None:
+            expected = self._expectation_by_step[step] = self._compute_expectation(step)
+        return expected
+
+    def _compute_expectation(self, step: "StepRun") -> _Expectation:
         keys = _keys_of_step(step)
         mean = self._known_mean(keys)
         kind = self._term_by_key.get(keys[1]) or _Term()
@@ -225,13 +235,12 @@
             return
         worker = UpstreamId(attempt.session.worker)
         log_ratio = math.log(elapsed_s / (estimate_s * fraction))
-        # The members of a gang end with the slowest, and tasks away from their data are slower.
+        # Tasks away from their data are slower.
         is_local = not step.spec.data_rack or step.spec.data_rack in attempt.session.listing.labels
-        is_by_worker = not step.is_gang and is_local
-        if is_by_worker:
+        if is_local:
             log_ratio += self.speeds.log_speed(worker)
         instruments.duration_error.record(math.exp(log_ratio - self._expect(step).mean))
-        self._learn(step, worker if is_by_worker else None, log_ratio)
+        self._learn(step, worker if is_local else None, log_ratio)
 
     def record_unfinished(self, attempt: Attempt, elapsed_s: float) -> None:
         """Records that a run ended before its work was done, after ``elapsed_s`` seconds. It tells
@@ -256,12 +265,12 @@
             Logarithm of the run's duration at the usual speed, divided by the estimate.
         """
         self.runs += 1
+        self._expectation_by_step.clear()
         ended = self._runs_by_step.get(step)
         if ended is None:
             ended = self._runs_by_step[step] = _StepRuns()
         ended.add(worker, log_ratio)
-        # The members of a gang end together.
-        if len(ended.unused) >= (1 if step.is_gang else min(step.spec.count, MAX_RUNS_OF_STEP)):
+        if len(ended.unused) >= min(step.spec.count, MAX_RUNS_OF_STEP):
             unused, ended.unused = ended.unused, []
             self._learn_step(step, unused)
 
@@ -270,14 +279,16 @@
         known = self._known_mean(keys)
         kind = self._use(keys[1])
         mean = statistics.fmean(log_ratio for _, log_ratio in runs)
+        self._learn_variances(kind, [log_ratio for _, log_ratio in runs], mean - known)
         step_variance, task_variance = kind.step_variance, kind.task_variance
+        # Without others of its step, the first runs of a kind tell nothing of their workers.
         expected, accuracy = known, kind.steps / (kind.steps + 1.0)
         if task_variance is not None:
             # How far the mean of these runs tells what the step takes, rather than the workers.
             unexplained = task_variance / len(runs)
             expected += step_variance / (step_variance + unexplained) * (mean - known)
             unknown = step_variance * unexplained / (step_variance + unexplained)
-            accuracy *= task_variance / (task_variance + unknown)
+            accuracy = task_variance / (task_variance + unknown)
         deviation = math.sqrt(step_variance if task_variance is None else task_variance)
         limit = max(MAX_DEVIATIONS * deviation, MIN_WORKER_LIMIT)
         self.speeds.correct(
@@ -286,7 +297,6 @@
             if worker is not None
         )
         self._learn_terms(keys, kind, mean, known)
-        self._learn_variances(kind, [log_ratio for _, log_ratio in runs], mean - known)
 
     def _learn_terms(self, keys: tuple[int, ...], kind: _Term, mean: float, known: float) -> None:
         limit = MAX_DEVIATIONS * math.sqrt(kind.step_variance) if kind.steps else MAX_LOG_RATIO
@@ -337,15 +347,22 @@
             )
             for key, term in self._term_by_key.items()
         }
+        differing = heapq.nlargest(
+            MAX_WORKERS, self.speeds.log_speed_by_worker.items(), key=lambda item: abs(item[1])
+        )
         speeds = {
             worker: round(PER_UNIT * log_speed)
-            for worker, log_speed in list(self.speeds.log_speed_by_worker.items())[-MAX_WORKERS:]
+            for worker, log_speed in differing
             if abs(log_speed) > MIN_RECORDED_LOG_SPEED
         }
         return LearnedRecord(terms, speeds)
 
-    def restore(self, record: LearnedRecord) -> None:
-        """Takes over what a former owner has learned. Numbers out of range count as the limit."""
+    def restore(self, record: LearnedRecord, workers: Container[UpstreamId]) -> None:
+        """Takes over what a former owner has learned. Numbers out of range count as the limit.
+
+        `workers`
+            The workers that are listed. The speeds of others are of no use.
+        """
         if not self._is_enabled:
             return
         for key, term in list(record.term_by_key.items())[-MAX_TERMS:]:
@@ -359,8 +376,9 @@
                 task_variance,
             )
         for worker, log_speed in list(record.log_speed_by_worker.items())[-MAX_WORKERS:]:
-            limited = _within(log_speed, -MAX_LOG_RATIO, MAX_LOG_RATIO)
-            self.speeds.restore(worker, limited)
+            if worker in workers:
+                limited = _within(log_speed, -MAX_LOG_RATIO, MAX_LOG_RATIO)
+                self.speeds.restore(worker, limited)
 
 
 def _clip(value: float, limit: float) -> float:
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -221,7 +221,7 @@
         self._journal.adopt_groups(records.groups, group_by_job)
         self._refused_until_ms_by_id = dict(records.refused_until_ms_by_id)
         if records.learned is not None:
-            self.durations.restore(records.learned)
+            self.durations.restore(records.learned, listings)
         self.set_workers(listings)
         self.spawn(self._run_journal())
         scheduler = f"scheduler of pool {self.pool}"
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -23,7 +23,7 @@
 # similar time; a gang that waits longer for other runs keeps idle what it has found.
 SOON = timedelta(milliseconds=300)
 # Runs may use capacity kept for a gang if they end before its start with this probability.
-BACKFILL_QUANTILE = 0.8
+BACKFILL_QUANTILE = 0.7
 
 
 class PoolRuns:
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -148,12 +148,15 @@
     def _record_duration(self, attempt: Attempt, outcome: RunOutcome, now: timedelta) -> None:
         """Learns from a run that ended.
 
-        A resumed run does an unknown share of its work, and best-effort work may be paced. A run
+        A resumed run does an unknown share of its work, best-effort work may be paced, and the
+        members of a gang end with the slowest, which is more than what they have to do. A run
         that is stopped tells its duration by its progress, one that fails or is lost early only
         that it would have taken longer.
         """
-        spec = attempt.task.unit.step.spec
-        if attempt.started_at is None or attempt.resumed or spec.fills or spec.long_running:
+        step = attempt.task.unit.step
+        if attempt.started_at is None or attempt.resumed or step.is_gang:
+            return
+        if step.spec.fills or step.spec.long_running:
             return
         elapsed_s = (now - attempt.started_at).total_seconds()
         if outcome is RunOutcome.DONE:
--- a/tests/poolowner/test_learned_durations.py
+++ b/tests/poolowner/test_learned_durations.py
@@ -9,7 +9,8 @@
 import pytest
 
 from hornbeamramp.poolowner.jobs import Job
-from hornbeamramp.poolowner.learned_durations import MAX_TERMS, LearnedDurations
+from hornbeamramp.poolowner.learned_durations import MAX_TERMS, MAX_WORKERS, LearnedDurations
+from hornbeamramp.poolowner.learned_record import MAX_RECORD_BYTES
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.statestore import JobRecord
 from hornbeamramp.statestore.records import encode
@@ -176,13 +177,17 @@
     assert not any(runs.speeds.is_suspect(f"w{number}") for number in range(1, 10))
 
 
-def test_gang_and_data_far_away_tell_nothing_of_a_worker(runs):
-    """Guards against a worker that counts as slow for the slowest member of a gang."""
-    step = step_of(StepSpec(4, 1000, 100, estimate_ms=1000, gang=True))
+def test_task_away_from_its_data_tells_nothing_of_its_worker(runs):
+    """Guards against a worker that counts as slow for work that any worker there does slowly."""
+    spec = StepSpec(4, 1000, 100, estimate_ms=1000, data_rack="far")
     for _ in range(20):
-        runs.durations.record_run(attempt_of(step), 5.0, 1.0)
+        step = step_of(spec)
+        for index in range(4):
+            attempt = attempt_of(step, index=index)
+            attempt.session.listing = SimpleNamespace(labels=("near",))
+            runs.durations.record_run(attempt, 5.0, 1.0)
     assert runs.speeds.speed(USUAL) == 1.0
-    assert runs.durations.ratio(step) > 2.0
+    assert runs.durations.ratio(step_of(spec)) > 2.0
 
 
 def test_run_stopped_midway_tells_by_its_progress(runs):
@@ -226,7 +231,7 @@
     runs = Runs(is_enabled=False, speed_by_worker={"slow": 0.5})
     for _ in range(20):
         runs.end_step(4.0)
-    runs.durations.restore(learned_record())
+    runs.durations.restore(learned_record(), {"slow"})
     assert runs.ratio() == 1.0
     assert runs.speeds.speed("slow") == 1.0
     assert runs.durations.runs == 0
@@ -245,10 +250,11 @@
     for _ in range(60):
         before.end_step(3.0, spread=0.3, uneven=0.2)
     after = Runs()
-    after.durations.restore(before.durations.to_record())
+    after.durations.restore(before.durations.to_record(), {"slow", "other"})
     for quantile in (0.1, 0.5, 0.9):
         assert after.ratio(quantile) == pytest.approx(before.ratio(quantile), rel=0.02)
     assert after.speeds.speed("slow") == pytest.approx(before.speeds.speed("slow"), rel=0.01)
+    assert "fast" not in after.speeds.log_speed_by_worker
 
 
 def test_what_is_kept_is_bounded(runs):
@@ -259,7 +265,9 @@
         runs.end_step(2.0, tasks=1, queue=f"queue{number}", account=f"account{number}")
         runs.speeds.restore(f"{number:032x}", -0.7)
     assert runs.durations.terms == MAX_TERMS
-    assert len(encode(runs.durations.to_record())) <= 32 * 1024
+    learned = runs.durations.to_record()
+    assert len(learned.log_speed_by_worker) == MAX_WORKERS
+    assert len(encode(learned)) <= MAX_RECORD_BYTES
 
 
 def test_oldest_kinds_are_dropped_first(runs):
--- a/tests/poolowner/test_learned_record.py
+++ b/tests/poolowner/test_learned_record.py
@@ -17,7 +17,7 @@
 from tests.model.cell import POOL as CELL_POOL
 from tests.model.cell import ModelCell, job
 from tests.model.virtual_time import run_in_virtual_time
-from tests.poolowner.test_learned_durations import attempt_of, step_of
+from tests.poolowner.test_learned_durations import USUAL, attempt_of, step_of
 from tests.poolowner.test_recovery import POOL, Store
 
 RECORD = LearnedRecord({17: LearnedTerm(700, 12_000, 90, 40)}, {"w1": -500})
@@ -75,7 +75,7 @@
     store = Store()
     store.put(put.key, put.value)
     successor = LearnedDurations(WorkerSpeeds())
-    successor.restore(read_learned(store))
+    successor.restore(read_learned(store), {USUAL})
     step = step_of(StepSpec(1, 1000, 100, estimate_ms=1000))
     assert successor.ratio(step) == pytest.approx(durations.ratio(step), rel=0.02)
 
@@ -110,7 +110,7 @@
     durations = LearnedDurations(WorkerSpeeds())
     end_run(durations)
     keys = list(durations.to_record().term_by_key)
-    durations.restore(LearnedRecord(dict.fromkeys(keys, term), {"w1": -(10**15)}))
+    durations.restore(LearnedRecord(dict.fromkeys(keys, term), {"w1": -(10**15)}), {"w1"})
     assert timedelta(0) < durations.duration(step, "w1", 0.9) < timedelta(days=365)
 
 
