--- a/hornbeamramp/poolowner/backlog.py
+++ b/hornbeamramp/poolowner/backlog.py
@@ -12,7 +12,7 @@
 from hornbeamramp.poolowner.capacity import total_capacity
 from hornbeamramp.poolowner.jobs import StepRun
 from hornbeamramp.poolowner.lateness import LatenessLevel
-from hornbeamramp.poolowner.speeds import WorkerSpeeds
+from hornbeamramp.poolowner.learned_durations import LearnedDurations
 from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.resources import Resources
 
@@ -51,7 +51,7 @@
         self,
         steps: Iterable[StepRun],
         sessions: Collection[WorkerSession],
-        speeds: WorkerSpeeds,
+        durations: LearnedDurations,
         as_of: timedelta,
     ) -> None:
         self.as_of = as_of
@@ -62,9 +62,9 @@
                 self._free[kind] += max(free, 0)
         self._waiting_by_class: dict[tuple[bool, int], list[_Waiting]] = {}
         for step in steps:
-            self._add(step, speeds)
+            self._add(step, durations)
 
-    def _add(self, step: StepRun, speeds: WorkerSpeeds) -> None:
+    def _add(self, step: StepRun, durations: LearnedDurations) -> None:
         # Steps that only some workers may run don't tell how full the others are.
         if (
             step.wait.reason not in (WaitReason.CAPACITY, WaitReason.GANG)
@@ -81,7 +81,7 @@
         key = (record.is_beyond_share, record.priority)
         sums = self._waiting_by_class.setdefault(key, [_Waiting() for _ in KINDS])[kind]
         sums.amount += tasks * size[kind]
-        seconds = speeds.duration_ratio(step) * step.spec.estimate_ms / 1000
+        seconds = durations.duration(step).total_seconds()
         sums.work_s += tasks * size[kind] * seconds
 
     def wait_beyond_share(self, size: Resources, priority: int) -> timedelta:
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -45,15 +45,19 @@
 from hornbeamramp.poolowner.address_pools import AddressRecords
 from hornbeamramp.poolowner.advice import AdviceSource
 from hornbeamramp.poolowner.checks import RunChecks
+from hornbeamramp.poolowner.headroom import Headroom
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.lateness import retry_delay
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.learned_durations import LearnedDurations
+from hornbeamramp.poolowner.learned_record import LearnedRecorder
 from hornbeamramp.poolowner.lifecycle import JobLifecycle
 from hornbeamramp.poolowner.monitor import PoolMonitor
 from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.quota_keeper import CachedPrefix, QuotaKeeper
 from hornbeamramp.poolowner.recovery import placeholder_listing, read_jobs
+from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.summaries import accepted_fields, takeover_fields
 from hornbeamramp.statestore import (
     ClaimLostError,
@@ -125,6 +129,10 @@
         The pools that record the jobs of each address.
     `open_prefix`
         Returns a copy of a prefix of the store, which calls back with the keys that have changed.
+    `learns_durations`
+        Whether expected durations are learned from runs; otherwise the submitters' estimates count.
+    `keeps_headroom`
+        Whether batch work leaves room for short urgent steps.
     """
 
     store: StateStore
@@ -136,6 +144,8 @@
     may_group_records: Callable[[], bool]
     addresses: AddressRecords
     open_prefix: Callable[[str, Callable[[set[str]], None]], CachedPrefix]
+    learns_durations: bool = True
+    keeps_headroom: bool = True
 
 
 def _pause_after_pass(elapsed: timedelta) -> timedelta:
@@ -176,6 +186,7 @@
         self._longest_lease = context.longest_lease
         self._claim_valid_until = claim_valid_until
         self._background = BackgroundTasks(f"pool {pool}", _log)
+        self.durations = LearnedDurations(WorkerSpeeds(), context.learns_durations)
         self._journal = Journal(
             pool,
             claim,
@@ -184,6 +195,7 @@
             self._on_recorded,
             context.may_group_records,
             context.addresses,
+            LearnedRecorder(pool, self.durations, context.clock),
         )
         self._launcher = Launcher(self, context.advice, context.clock, self._journal)
         self.job_by_id: dict[JobId, Job] = {}
@@ -200,7 +212,15 @@
             MAX_FORMER_OWNER_LEASE,
         )
         self.shares = AccountShares(self._accounts, self.usage)
-        self._placer = Placer(self, self._launcher, context.clock, self.shares, self._quotas)
+        self._placer = Placer(
+            self,
+            self._launcher,
+            context.clock,
+            self.shares,
+            self._quotas,
+            self.durations,
+            Headroom(context.keeps_headroom),
+        )
         self.lifecycle = JobLifecycle(self, self._placer, self._journal)
         self._checks = RunChecks(self, self._placer, context.clock)
         self._wake = asyncio.Event()
@@ -233,6 +253,8 @@
         self._restore_shares()
         self._journal.adopt_groups(records.groups, group_by_job)
         self._refused_until_ms_by_id = dict(records.refused_until_ms_by_id)
+        if records.learned is not None:
+            self.durations.restore(records.learned, listings)
         self.set_workers(listings)
         self._quotas.take_over(self.job_by_id.values())
         self.spawn(self._run_journal())
@@ -396,10 +418,14 @@
         # While an earlier call for this id is pending, its record may still be written, and a
         # refusal could turn out wrong.
         if not self._journal.is_inserting(job_id):
+            ratio = self.durations.job_ratio(queue.name, spec, account)
             if is_store_down:
-                return Refusal("the store does not answer", retry_delay(queue, spec))
-            if self._journal.insert_queue_time() > MAX_INSERT_QUEUE_TIME:
-                return Refusal("too many jobs wait to be recorded", retry_delay(queue, spec))
+                return Refusal("the store does not answer", retry_delay(queue, spec, ratio))
+            queue_time = self._journal.insert_queue_time()
+            if queue_time > MAX_INSERT_QUEUE_TIME:
+                busy_for = queue_time - MAX_INSERT_QUEUE_TIME
+                retry_after = retry_delay(queue, spec, ratio, busy_for)
+                return Refusal("too many jobs wait to be recorded", retry_after)
             problem = self._quota_problem(spec, account)
             if problem:
                 return Refusal(problem, QUOTA_RETRY_AFTER, RefusalKind.BEYOND_QUOTA)
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -5,7 +5,7 @@
 as they are filled, and what depends only on the runs of a worker is computed once.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from hornbeamramp.fleet import Attempt, WorkerSession
@@ -13,8 +13,8 @@
 from hornbeamramp.poolowner.capacity import Capacity, FreeResources, total_capacity
 from hornbeamramp.poolowner.expected_ends import ExpectedEnds
 from hornbeamramp.poolowner.jobs import StepRun
+from hornbeamramp.poolowner.learned_durations import LearnedDurations
 from hornbeamramp.poolowner.preemption import is_preemptible
-from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import JobRecord
 
@@ -23,9 +23,8 @@
 # Runs that are expected to end within this time count as free in a plan. Stopped runs end in a
 # similar time; a gang that waits longer for other runs keeps idle what it has found.
 SOON = timedelta(milliseconds=300)
-# Runs may use capacity kept for a gang if they would end before its start even if they took longer
-# than expected by this factor.
-BACKFILL_DURATION_FACTOR = 1.3
+# Runs may use capacity kept for a gang if they end before its start with this probability.
+BACKFILL_QUANTILE = 0.7
 
 # From this share of its capacity in use on, a pool has too little room for all that may come within
 # seconds. Up to here, each task that there is room for has to start.
@@ -94,28 +93,32 @@
     `spare`
         The same less what gangs kept in the pass before, so that more urgent steps, which come
         first, use other capacity where there is some.
-    `headroom`
+    `account_headroom`
         What accounts above their shares may use; ``None`` until one places a step.
     `drainable_processors_milli`
         Processors that may be kept for gangs that wait for runs to end.
+    `headroom_for`
+        Returns what a step has to leave for short urgent ones, ``None`` if nothing.
     """
 
     def __init__(
         self,
         usable_by_id: dict[UpstreamId, WorkerSession],
         sizes: Iterable[Resources],
-        speeds: WorkerSpeeds,
+        durations: LearnedDurations,
         now: timedelta,
         capacity_before: Capacity,
         drained_share: float,
+        headroom_for: Callable[[StepRun], Capacity | None] = lambda step: None,
     ) -> None:
         self.usable_by_id = usable_by_id
-        self.runs = PoolRuns(ExpectedEnds(speeds, now))
+        self.runs = PoolRuns(ExpectedEnds(durations, now))
         self.capacity = Capacity()
         self.spare = capacity_before.limited_by(self.capacity)
-        self.headroom: Capacity | None = None
+        self.account_headroom: Capacity | None = None
         self._is_short: bool | None = None
-        self._speeds = speeds
+        self._durations = durations
+        self._headroom_for = headroom_for
         self._smallest = _smallest(sizes)
         self._is_changed = False
         self._open = [s for s in usable_by_id.values() if s.fits(self._smallest)]
@@ -141,12 +144,15 @@
 
     def capacities_for(self, step: StepRun) -> tuple[Capacity, Capacity]:
         """Returns `capacity` and `spare` as runs of the step may use them, which depends on their
-        duration."""
+        duration and on whether it leaves the headroom."""
         if step.spec.long_running:
             return self.capacity, self.spare
-        duration = timedelta(milliseconds=step.spec.estimate_ms) * self._speeds.duration_ratio(step)
-        end = self.now + BACKFILL_DURATION_FACTOR * duration
-        return self.capacity.for_runs_until(end), self.spare.for_runs_until(end)
+        capacity, spare = self.capacity, self.spare
+        headroom = self._headroom_for(step)
+        if headroom is not None:
+            capacity, spare = headroom.limited_by(capacity), headroom.limited_by(spare)
+        end = self.now + self._durations.duration(step, quantile=BACKFILL_QUANTILE)
+        return capacity.for_runs_until(end), spare.for_runs_until(end)
 
     def with_capacity(self) -> list[WorkerSession]:
         """Returns the usable workers with free capacity for the smallest waiting size in each
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -26,10 +26,12 @@
     count_tasks,
 )
 from hornbeamramp.poolowner.gangs import GangPlan, plan_drain, plan_gang
+from hornbeamramp.poolowner.headroom import Headroom
 from hornbeamramp.poolowner.health import WorkerHealth
 from hornbeamramp.poolowner.jobs import Job, StepRun, Unit
 from hornbeamramp.poolowner.lateness import LatenessLevel, estimate_lateness
 from hornbeamramp.poolowner.launch import Launcher
+from hornbeamramp.poolowner.learned_durations import MIN_FRACTION, LearnedDurations
 from hornbeamramp.poolowner.passes import SOON, SchedulingPass
 from hornbeamramp.poolowner.preemption import (
     add_sizes,
@@ -101,12 +103,16 @@
 
 
 class Placer:
-    """Keeps the steps with waiting units, and speed and health of workers from ended runs.
+    """Keeps the steps with waiting units, and the health of workers from ended runs.
 
     `shares`
         The order of client accounts that compete for room.
     `quotas`
         What may start of each client account; ``None`` if nothing is limited.
+    `durations`
+        Expected durations, which the runs that end correct.
+    `headroom`
+        Room that batch work leaves for short urgent steps.
     """
 
     def __init__(
@@ -116,6 +122,8 @@
         clock: Clock,
         shares: AccountShares | None = None,
         quotas: QuotaKeeper | None = None,
+        durations: LearnedDurations | None = None,
+        headroom: Headroom | None = None,
     ) -> None:
         self._owner = owner
         self._quotas = quotas
@@ -125,13 +133,17 @@
         self._open_steps: list[StepRun] = []
         # Of the latest scheduling pass.
         self._capacity = Capacity()
+        self._current: SchedulingPass | None = None
+        self._headroom_held: Capacity | None = None
         self._searched_at: timedelta | None = None
         # By whether steps are gangs, and by their priority.
         self._searches: Counter[tuple[bool, int]] = Counter()
         self._is_searching = False
         self._backlog: Backlog | None = None
-        self.speeds = WorkerSpeeds()
+        self.durations = durations or LearnedDurations(WorkerSpeeds())
+        self.speeds = self.durations.speeds
         self.health = WorkerHealth()
+        self.headroom = headroom or Headroom()
 
     def add(self, steps: Iterable[StepRun]) -> bool:
         """Adds steps whose predecessors are done; returns whether there were any."""
@@ -153,10 +165,29 @@
         self.health.record_end(attempt, outcome, now)
         if self.health.is_quarantined(worker, now) and not was_quarantined:
             _log.warning("worker {} quarantined: tasks of several jobs failed in a row", worker)
-        # The members of a gang end with the slowest, so their duration is not that of a worker.
-        is_measure = not attempt.resumed and not attempt.task.unit.step.is_gang
-        if outcome is RunOutcome.DONE and attempt.started_at is not None and is_measure:
-            self.speeds.record_run(attempt, (now - attempt.started_at).total_seconds(), 1.0)
+        self._record_duration(attempt, outcome, now)
+
+    def _record_duration(self, attempt: Attempt, outcome: RunOutcome, now: timedelta) -> None:
+        """Learns from a run that ended.
+
+        A resumed run does an unknown share of its work, best-effort work may be paced, and the
+        members of a gang end with the slowest, which is more than what they have to do. A run
+        that is stopped tells its duration by its progress, one that fails or is lost early only
+        that it would have taken longer.
+        """
+        step = attempt.task.unit.step
+        if attempt.started_at is None or attempt.resumed or step.is_gang:
+            return
+        if step.spec.fills or step.spec.long_running:
+            return
+        elapsed_s = (now - attempt.started_at).total_seconds()
+        if outcome is RunOutcome.DONE:
+            self.durations.record_run(attempt, elapsed_s, 1.0)
+        elif attempt.progress_at is not None and attempt.percent >= 100 * MIN_FRACTION:
+            elapsed_s = (attempt.progress_at - attempt.started_at).total_seconds()
+            self.durations.record_run(attempt, elapsed_s, attempt.percent / 100)
+        else:
+            self.durations.record_unfinished(attempt, elapsed_s)
 
     def forget(self, worker: UpstreamId) -> None:
         """Drops the health and speed of a worker that has left."""
@@ -190,6 +221,7 @@
                 # It keeps its last estimate; the order of the others must not depend on it.
                 _log.exception("{}: lateness can't be estimated", step.key)
         self._sort(now)
+        self.headroom.update(self._open_steps, now, self._owner.now_ms())
         self._is_searching = self._searched_at is None or now - self._searched_at >= SEARCH_INTERVAL
         if self._is_searching:
             self._searched_at = now
@@ -263,7 +295,7 @@
         now = self._clock.boot_time()
         if self._backlog is None or now - self._backlog.as_of >= BACKLOG_PERIOD:
             sessions = self._usable(now).values()
-            self._backlog = Backlog(self._open_steps, sessions, self.speeds, now)
+            self._backlog = Backlog(self._open_steps, sessions, self.durations, now)
         excess = timedelta(0)
         for step in job.steps_by_occurrence[0]:
             if not step.spec.after:
@@ -321,11 +353,32 @@
         usable_by_id = self._usable(now)
         sizes = [step.size for step in self._open_steps]
         current = SchedulingPass(
-            usable_by_id, sizes, self.speeds, now, self._capacity, MAX_DRAINED_SHARE
+            usable_by_id,
+            sizes,
+            self.durations,
+            now,
+            self._capacity,
+            MAX_DRAINED_SHARE,
+            self._headroom_for,
         )
+        self._headroom_held = None
+        self._current = current
         self._capacity = current.capacity
         return current
 
+    def _headroom_for(self, step: StepRun) -> Capacity | None:
+        """Returns what a step leaves for short urgent ones. It is chosen in each pass once the
+        urgent steps, which come first, have been placed."""
+        if not self.headroom.is_to_be_left(step, self._owner.now_ms()):
+            return None
+        if self._headroom_held is None and self._current is not None:
+            current = self._current
+            sessions = current.usable_by_id.values()
+            self._headroom_held = self.headroom.hold(
+                current.capacity, sessions, self._is_slow, current.now
+            )
+        return self._headroom_held
+
     def _estimate_lateness(self, step: StepRun, now: timedelta) -> None:
         now_ms = self._owner.now_ms()
         if (
@@ -342,7 +395,7 @@
             step=step.key.step,
             since_ms=max(job.record.accepted_ms, job.record.spec.due_ms(step.key.occurrence)),
             now_ms=now_ms,
-            duration_ratio=self.speeds.duration_ratio(step),
+            duration_ratio=self.durations.ratio(step),
             timing=None if queue is None else queue.advice,
         )
         step.lateness_at = now
@@ -690,7 +743,7 @@
             yield sessions, capacity
             return
         if self._leaves_headroom(step, current):
-            headroom = self._headroom(current)
+            headroom = self._account_headroom(current)
             capacity, spare = headroom.limited_by(capacity), headroom.limited_by(spare)
         if step.job.record.priority == URGENT and not step.is_gang:
             # On a slow worker an urgent task is late, so it rather uses what is kept for gangs.
@@ -712,20 +765,20 @@
             and current.is_short
         )
 
-    def _headroom(self, current: SchedulingPass) -> Capacity:
+    def _account_headroom(self, current: SchedulingPass) -> Capacity:
         """Returns the capacity without what is kept on fast workers for urgent tasks.
 
         If one account fills all of these, the urgent tasks of others run on slow ones, and are
         late.
         """
-        if current.headroom is None:
-            current.headroom = Capacity()
+        if current.account_headroom is None:
+            current.account_headroom = Capacity()
             for session in current.usable_by_id.values():
                 if not self._is_slow(session):
                     processors = session.listing.capacity.processors_milli
                     size = Resources(int(HEADROOM_SHARE * processors), 0, 0)
-                    current.headroom.hold(session.worker, size, 1, current.now)
-        return current.headroom
+                    current.account_headroom.hold(session.worker, size, 1, current.now)
+        return current.account_headroom
 
     def _choose(
         self,
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -142,6 +142,8 @@
             lambda prefix, on_change: PrefixCache(
                 self.store, clock, prefix, on_change, RECORD_WATCH_PAUSE
             ),
+            adapter.learns_durations,
+            adapter.keeps_headroom,
         )
         self.isolation = IsolationDetector(
             peers, clock, lambda: self.store.last_answer_at, self._ping_targets
