Refuse to show a job whose progress can't be decoded, also with client accounts

Cause: where a job's account is checked, its stored progress was decoded after the handling of errors. A record that can't be decoded was an unexpected error, and its caller was answered 504 instead of 503.

Change: it is decoded where both paths handle the error.

Result: the new test fails without the change and passes with it.

--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -346,14 +346,14 @@
                 )
                 if not may_access:
                     raise AccessDeniedError(job_id)
+                if progress is not None:
+                    return decode_progress(progress.value).phase
         except TimeoutError as error:
             raise UnavailableError("the store did not answer in time", False) from error
         except StoreUnavailableError as error:
             raise UnavailableError(str(error), False) from error
         except msgspec.MsgspecError as error:
             raise UnavailableError(f"the job's record can't be decoded: {error}", False) from error
-        if progress is not None:
-            return decode_progress(progress.value).phase
         return None if record is None else JobPhase.QUEUED
 
     def _submit_access(self, queue: Queue, account: AccountId) -> Access | None:
--- a/tests/vm/test_client_account_keys.py
+++ b/tests/vm/test_client_account_keys.py
@@ -11,8 +11,8 @@
 from hornbeamramp.accounts import Access
 from hornbeamramp.ids import AccountId, ApiKey, JobId, PoolName, RouteName
 from hornbeamramp.platform.callers import CallerServer
-from hornbeamramp.statestore import job_key
-from hornbeamramp.vm import AccessDeniedError, CancelResult
+from hornbeamramp.statestore import job_key, progress_key
+from hornbeamramp.vm import AccessDeniedError, CancelResult, UnavailableError
 from hornbeamramp.workload import ClientAccount, JobPhase, StepSpec
 from tests.model.cell import CONFIG_KEY, POOL, REQUEST_TIMEOUT, ModelCell, job
 from tests.model.virtual_time import START_TIME, run_in_virtual_time
@@ -435,6 +435,20 @@
     in_cell(scenario)
 
 
+def test_undecodable_progress_of_an_accounts_job_makes_its_phase_unavailable(in_cell):
+    """Guards against an unexpected error, answered 504 although nothing is unknown."""
+
+    async def scenario(cell):
+        assert not (await cell.submit(JOB, job(), account=STUDIO.id)).refusal
+        await cell.wait_for_phase(JOB, JobPhase.COMPLETED)
+        other = await cell.lose_owner()
+        cell.store.put(progress_key(POOL, JobId(JOB)), b"odd")
+        with pytest.raises(UnavailableError, match="can't be decoded"):
+            await cell.phase_for(STUDIO, other)
+
+    in_cell(scenario)
+
+
 def test_job_of_another_account_is_out_of_reach_after_a_takeover(in_cell):
     """Guards against a successor that doesn't read the account from the job's record."""
 
