--- a/hornbeamramp/accounts/quotas.py
+++ b/hornbeamramp/accounts/quotas.py
@@ -159,7 +159,7 @@
 def quota_problem(quota: AccountQuota, steps: Iterable[StepSpec]) -> str:
     """Returns why tasks or gangs of these steps can't ever run within a quota; empty if they
     can."""
-    limits = amounts_of(quota)
+    limits = _amounts_of(quota)
     for number, step in enumerate(steps):
         size = (0 if step.fills else step.processors_milli, step.memory_mib, step.accelerators)
         tasks = step.count if step.gang else 1
@@ -175,7 +175,7 @@
     return ""
 
 
-def amounts_of(quota: AccountQuota) -> Amounts:
+def _amounts_of(quota: AccountQuota) -> Amounts:
     return (quota.processors_milli, quota.memory_mib, quota.accelerators)
 
 
@@ -274,9 +274,9 @@
         """Sets the quotas and pools of a configuration."""
         is_first = self.version == 0
         quotas = {
-            account: amounts_of(quota)
+            account: _amounts_of(quota)
             for account, quota in quota_by_account.items()
-            if amounts_of(quota) != NOTHING
+            if _amounts_of(quota) != NOTHING
         }
         for account, quota in quotas.items():
             before = self.quota_by_account.get(account, NOTHING)
