Keep no headroom for short steps that can't run

Poisoned urgent jobs that no worker may run counted as demand until their callers cancelled them, so up to a tenth of the pool would lie idle.

--- a/hornbeamramp/poolowner/headroom.py
+++ b/hornbeamramp/poolowner/headroom.py
@@ -68,7 +68,7 @@
         if self._sampled_at is not None and now - self._sampled_at < SAMPLE_INTERVAL:
             return
         self._sampled_at = now
-        self._short = [step for step in self._short if not (step.job.is_ended or step.is_done)]
+        self._short = [step for step in self._short if _wants_room(step)]
         wanted = placed = 0
         for step in self._short:
             for unit in step.units:
@@ -132,6 +132,16 @@
     )
 
 
+def _wants_room(step: StepRun) -> bool:
+    """Returns whether a short step still wants room and can make use of it."""
+    return (
+        not step.job.is_ended
+        and not step.is_done
+        and step.is_feasible
+        and step.lateness.level is not LatenessLevel.TOO_LATE
+    )
+
+
 def _mean_size(steps: Iterable[StepRun]) -> Resources:
     processors = memory = accelerators = tasks = 0
     for step in steps:
--- a/tests/poolowner/test_headroom.py
+++ b/tests/poolowner/test_headroom.py
@@ -119,6 +119,17 @@
     assert len(placed_on(batch)) == PLACES - int(MAX_SHARE * PLACES)
 
 
+def test_no_room_is_kept_for_steps_that_can_not_run(owner):
+    """Guards against poisoned jobs, which no worker may run, for which a part of the pool lies idle
+    until their callers cancel them."""
+    for _ in range(10):
+        step = owner.submit(SHORT, **{**URGENT_FIELDS, "name": "gate"})
+        owner.grant(step)
+    for _ in range(SAMPLES + 1):
+        pass_time(owner)
+    assert owner.placer.headroom.kept_tasks == 0
+
+
 def test_switch_keeps_no_room(owner):
     """Guards against a switch that leaves a part on, so that a comparison shows nothing."""
     owner.placer.headroom._is_enabled = False
