Preempt an account's own batch runs for its urgent tasks that lack quota

Cause: with quotas, short urgent jobs wait behind the long batch runs of their own account.

Change: after 200 ms without a larger allotment, the owner stops checkpointing runs of lower priority of the same account, the least advanced first, and only if that lets a task start.

Result: three tests in tests/poolowner/test_quota_placement.py; the first fails without the change.

--- a/hornbeamramp/accounts/quotas.py
+++ b/hornbeamramp/accounts/quotas.py
@@ -22,6 +22,7 @@
     "Claim",
     "Demand",
     "QuotaRecord",
+    "UNLIMITED",
     "divide",
     "fair_part",
     "has_precedence",
@@ -48,6 +49,9 @@
 # room that a gang waits for.
 PRECEDENCE_PERIOD = timedelta(seconds=4)
 
+# More than any pool has of a resource.
+UNLIMITED = 2**62
+
 RESOURCES = range(3)
 # Resources as users see them in reasons of refusals.
 RESOURCE_NAMES = ("cores", "MiB", "accelerators")
@@ -382,6 +386,16 @@
                 fitting = min(fitting, max((limits[resource] - used[resource]) // amount, 1))
         return fitting
 
+    def room(self, account: AccountId, used: Amounts) -> Amounts:
+        """Returns up to what an account's use may still grow in this pool; negative if it is above.
+
+        A resource without a limit has `UNLIMITED`.
+        """
+        quota = self.quota_by_account.get(account, NOTHING)
+        limits = self._limits(account, quota)
+        room = [limits[r] - used[r] if quota[r] else UNLIMITED for r in RESOURCES]
+        return (room[0], room[1], room[2])
+
     def _limits(self, account: AccountId, quota: Amounts) -> Amounts:
         """Returns up to what an account's use may grow in this pool."""
         allotted = self.allotted(account)
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -40,6 +40,7 @@
     is_preemptible,
 )
 from hornbeamramp.poolowner.quota_keeper import QuotaKeeper
+from hornbeamramp.poolowner.quota_preemption import choose_own_victims
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.resources import Resources
@@ -58,6 +59,9 @@
 MAX_TASKS_PER_PREEMPTION = 16
 # Minimum time between two searches for victims for one step; stopped runs end within 200 ms.
 PREEMPTION_INTERVAL = timedelta(milliseconds=100)
+# Time within which an allotment is raised if other pools need none of it: two writes to the store,
+# one of them of another owner, and the watch that reports it.
+ALLOTMENT_TIME = timedelta(milliseconds=200)
 
 # Room on granted workers to aim for, as a multiple of what a gang needs: other gangs use most of
 # it, and only what small tasks use can be freed at once.
@@ -274,8 +278,39 @@
 
         self._quotas.note_short(step, has_capacity)
         step.plan = None
+        self._preempt_own(step, current.now)
         return True
 
+    def _preempt_own(self, step: StepRun, now: timedelta) -> None:
+        """Preempts less urgent runs of a step's own account, whose quota they use up.
+
+        A larger allotment would come earlier, so they are only stopped once it should have.
+        """
+        assert self._quotas is not None
+        if (
+            step.is_gang
+            or step.lateness.level is LatenessLevel.TOO_LATE
+            or step.wait.reason is not WaitReason.QUOTA
+            or now - step.wait.since < ALLOTMENT_TIME
+            or not self._may_search(step, now)
+        ):
+            return
+        step.preemption_checked_at = now
+        job = step.job.record
+        own = [
+            attempt
+            for session in self._owner.session_by_worker.values()
+            for attempt in session.attempt_by_key.values()
+            if attempt.account == job.account
+        ]
+        stopping = add_sizes((0, 0, 0), (attempt for attempt in own if attempt.stop_wanted))
+        candidates = [attempt for attempt in own if is_preemptible(attempt, job, now)]
+        candidates.sort(key=lambda attempt: attempt.percent)
+        tasks = min(len(step.waiting), MAX_TASKS_PER_PREEMPTION)
+        room = self._quotas.room(job.account)
+        victims = choose_own_victims(step.size, tasks, room, candidates, stopping)
+        self._stop_victims(step, victims)
+
     def _sort(self, now: timedelta) -> None:
         """Puts the open steps into the order of placement."""
         if not self._shares.is_used:
--- a/hornbeamramp/poolowner/quota_keeper.py
+++ b/hornbeamramp/poolowner/quota_keeper.py
@@ -217,6 +217,13 @@
         used = self._used(account)
         return self._allotments.count_fitting(account, used, size, tasks, len(step.waiting))
 
+    def room(self, account: AccountId) -> Amounts:
+        """Returns what an account may still use in this pool, negative if it uses more than it may.
+
+        A resource without a limit has `UNLIMITED`.
+        """
+        return self._allotments.room(account, self._used(account))
+
     def note_start(self, step: StepRun) -> None:
         """Notes that a unit of a step is placed."""
         self._allotments.note_start(step.job.record.account)
--- a/tests/poolowner/builders.py
+++ b/tests/poolowner/builders.py
@@ -68,13 +68,13 @@
     return worker_session
 
 
-def running(worker, step, priority=0, percent=10.0, age_s=5.0):
+def running(worker, step, priority=0, percent=10.0, age_s=5.0, account=NO_ACCOUNT):
     """Adds a running task of a new job to a worker's session and returns its attempt."""
     owner_job = Job(record(step, priority=priority))
     owner_job.open_occurrence(0)
     step_run = owner_job.steps_by_occurrence[0][0]
     task = step_run.units[0].tasks[0]
-    attempt = Attempt(task, task.name, 1, step_run.size, worker)
+    attempt = Attempt(task, task.name, 1, step_run.size, worker, account)
     attempt.phase = AttemptPhase.RUNNING
     attempt.percent = percent
     attempt.started_at = worker.now - timedelta(seconds=age_s)
--- a/tests/poolowner/test_quota_placement.py
+++ b/tests/poolowner/test_quota_placement.py
@@ -13,7 +13,7 @@
 from hornbeamramp.fleet import WorkerSession
 from hornbeamramp.ids import AccountId, PoolName
 from hornbeamramp.poolowner.jobs import Job
-from hornbeamramp.poolowner.placer import Placer
+from hornbeamramp.poolowner.placer import ALLOTMENT_TIME, Placer
 from hornbeamramp.poolowner.quota_keeper import QuotaKeeper
 from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.statestore import Item
@@ -179,3 +179,48 @@
     monkeypatch.setattr(WorkerSession, "free", counting)
     owner.placer.schedule()
     assert looks["workers"] < 3 * len(owner.session_by_worker)
+
+
+def batch_run(worker, account, percent=10.0):
+    """Adds a checkpointing batch run of an account."""
+    step = StepSpec(1, 2000, 100, checkpointing=True)
+    return running(worker, step, priority=2, percent=percent, account=account)
+
+
+def wait_for_allotment(owner):
+    """Schedules until an allotment would have been raised."""
+    owner.placer.schedule()
+    asyncio.run(owner.clock.advance(ALLOTMENT_TIME))
+    owner.placer.schedule()
+
+
+def test_batch_runs_of_an_account_give_way_to_its_own_urgent_tasks():
+    """Load: an account's batch runs use up its quota while there is room on the workers. Its short
+    jobs were late, as they waited for seconds until a run ended."""
+    owner = LimitedOwner(3)
+    first, second, third = owner.session_by_worker.values()
+    half_done, begun = batch_run(first, HOT, 50.0), batch_run(second, HOT, 10.0)
+    other = batch_run(third, STEADY)
+    step = owner.send(HOT, StepSpec(1, 1000, 100, estimate_ms=500), priority=0)
+    owner.placer.schedule()
+    assert not begun.stop_wanted
+    wait_for_allotment(owner)
+    assert step.wait.reason is WaitReason.QUOTA
+    assert [run.stop_wanted for run in (half_done, begun, other)] == [False, True, False]
+
+
+def test_runs_of_equal_priority_are_not_stopped_for_one_another():
+    owner = LimitedOwner(2)
+    runs = [batch_run(worker, HOT) for worker in owner.session_by_worker.values()]
+    owner.send(HOT, StepSpec(1, 1000, 100, estimate_ms=500), priority=2)
+    wait_for_allotment(owner)
+    assert not any(run.stop_wanted for run in runs)
+
+
+def test_no_run_is_stopped_where_the_quota_would_still_be_too_small():
+    """Guards against work that is thrown away for a task that can't start."""
+    owner = LimitedOwner(2)
+    runs = [batch_run(worker, HOT) for worker in owner.session_by_worker.values()]
+    owner.send(HOT, StepSpec(1, 5000, 100, estimate_ms=500), priority=0)
+    wait_for_allotment(owner)
+    assert not any(run.stop_wanted for run in runs)
