Let tasks fit beside an overcommitted resource that they don't ask for

Cause: the index leaves out a resource of which a task asks nothing, the ledger compared all five. Where such a resource is overcommitted (a run of an unknown owner after a recovery), `Dispatcher._start_all` released a gang again and again within one call of `decide`, at full processor use and with growing memory.

Change: the ledger compares the resources that are asked for.

The bound by design and the look at `poolowner/` and `fleet/` that the issue asks for are not done.

--- a/hornbeamramp/ledger.py
+++ b/hornbeamramp/ledger.py
@@ -132,12 +132,14 @@
             return Err(f"negative amount: {amount}")
         c, t, a = allocation.capacity, allocation.total, amount
         total = (t[0] + a[0], t[1] + a[1], t[2] + a[2], t[3] + a[3], t[4] + a[4])
+        # A resource of which nothing is asked fits, also where it is overcommitted. The index
+        # leaves it out as well; a task that fits by the index alone would be tried again without end.
         if (
-            total[0] > c[0]
-            or total[1] > c[1]
-            or total[2] > c[2]
-            or total[3] > c[3]
-            or total[4] > c[4]
+            (a[0] and total[0] > c[0])
+            or (a[1] and total[1] > c[1])
+            or (a[2] and total[2] > c[2])
+            or (a[3] and total[3] > c[3])
+            or (a[4] and total[4] > c[4])
         ):
             return Err(f"no room on {upstream_id}")
         allocation.total = total
--- a/tests/test_scheduler_properties.py
+++ b/tests/test_scheduler_properties.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from random import Random
 
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from result import Ok
@@ -281,6 +282,40 @@
         model.check()
 
 
+# Attempts that one call may make: each job of the test has five tasks at most.
+MAX_ATTEMPTS_IN_A_CALL = 1000
+
+
+@pytest.mark.parametrize("policy", ["default", "fifo_first_fit", "random"])
+@pytest.mark.parametrize("tasks", [3, 5])
+@pytest.mark.parametrize("memory_mib", [0, 64])
+def test_gang_beside_an_overcommitted_upstream_is_tried_a_bounded_number_of_times(
+    policy, tasks, memory_mib, monkeypatch
+):
+    """The index counted the room of an upstream with more accelerators in use than it has, of which
+    the gang asks none, and the ledger refused it: one call of `decide` never ended."""
+    model = Model(policy)
+    next_attempt_id = model.scheduler._tasks.next_attempt_id
+    calls = 0
+
+    def counted(state, task):
+        nonlocal calls
+        calls += 1
+        assert calls <= MAX_ATTEMPTS_IN_A_CALL
+        return next_attempt_id(state, task)
+
+    monkeypatch.setattr(model.scheduler._tasks, "next_attempt_id", counted)
+    overcommitting = Resources(0, 0, 1, 1, 1)
+    size = Resources(0, memory_mib, 0, 1, 1)
+    steps = [
+        ("unknown", 0, overcommitting, 20.0),
+        ("submit", GangJob, size, tasks, Band.URGENT, "b", True, None),
+        ("decide", 50),
+    ]
+    run_steps(model, steps)
+    assert len(model.start_by_attempt) == tasks
+
+
 @settings(max_examples=150, deadline=None)
 @given(STEPS)
 def test_random_calls_never_allocate_more_than_a_machine_has(steps):
