--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,13 @@
 	$(BIN)/python -m pytest -n $(TEST_PROCESSES) -m "not alone"; status=$$?; \
 	$(BIN)/python -m pytest -m alone && exit $$status
 
-# Fresh seeds of the fault soak; the logs of seeds that fail stay in build/soak.
+# Fresh examples of the property tests and fresh seeds of the fault soak; the logs of seeds that fail
+# stay in build/soak.
 SOAK_SEEDS ?= 10
+PROPERTY_TESTS = $(shell grep -l "^from hypothesis" -r tests --include=test_*.py)
 SOAK_FIRST ?= $(shell date +%s)
 soak: $(STAMP)
+	HYPOTHESIS_PROFILE=fresh $(BIN)/python -m pytest -n $(TEST_PROCESSES) $(PROPERTY_TESTS)
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST)
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --moves
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --restarts
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,12 @@
 """Fixtures shared by all tests."""
 
 import asyncio
+import os
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
+import hypothesis
 import logbook
 import pytest
 
@@ -12,6 +14,11 @@
 from hornbeamramp.platforms.memory import MemoryPlatform
 from tests.cell import Cell
 
+# Property tests play the same examples in each run of CI; `make soak` plays fresh ones.
+hypothesis.settings.register_profile("fixed", derandomize=True)
+hypothesis.settings.register_profile("fresh", derandomize=False)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
+
 
 @pytest.fixture
 def clock() -> ManualClock:
