--- a/hornbeamramp/ledger.py
+++ b/hornbeamramp/ledger.py
@@ -133,7 +133,7 @@
         c, t, a = allocation.capacity, allocation.total, amount
         total = (t[0] + a[0], t[1] + a[1], t[2] + a[2], t[3] + a[3], t[4] + a[4])
         # A resource of which nothing is asked fits, also where it is overcommitted. The
-        # index leaves it out, too: a task that fits by the index alone would be tried again without end.
+        # index leaves it out: a task that fits by the index alone would be tried again without end.
         if (
             (a[0] and total[0] > c[0])
             or (a[1] and total[1] > c[1])
