--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -267,7 +267,8 @@
     def _is_out_of_quota(self, step: StepRun, current: SchedulingPass) -> bool:
         """Returns whether the account has no room for a step's next unit, which is asked for then.
 
-        Such a step keeps no capacity, preempts nothing and makes no advice requests.
+        Such a step keeps no capacity, makes no advice requests, and preempts only runs of its own
+        account.
         """
         if self._quotas is None or self._startable(step):
             return False
