Parse what callers send in turns, a piece of each connection at a time

What callers saw: 700 connections with bodies in chunks of one byte kept all others out. Beside them no ordinary POST was answered, and after all were closed the next was answered 20 s later. The lease, the orders to workers and the readiness stood still as well.

Cause: all that one read of a connection brings, up to 256 KiB, was parsed before the event loop did anything else. In chunks of one byte that takes a thousand times as long as in one chunk. A connection's end is noticed only behind its data, so what had arrived was parsed also after the caller had left.

Change: the connections of a listener parse in turns, with 2 ms in each iteration of the event loop. The one that has used the least time for its request is next. Data that waits counts as held, and its connection isn't read. Before a piece of a connection that waited, the state of its socket tells whether the caller has left; the rest is then dropped.

Why this works: an iteration ends after 2 ms and one piece, whatever has arrived, so all else has its turn; a short request comes before what a crowd has left to parse.

Tests: test_flood_of_small_chunks (both) failed before: no ordinary request was answered in three tries. Two of test_connections.py failed before as well (order of requests; data of a caller that left).

--- a/hornbeamramp/platform/connections.py
+++ b/hornbeamramp/platform/connections.py
@@ -1,6 +1,8 @@
 """HTTP connections of programs that aren't ours, read within limits of size, time and memory."""
 
 import asyncio
+import socket
+import time
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
@@ -14,14 +16,19 @@
 from aiohttp.http_exceptions import LineTooLong
 
 from hornbeamramp import instruments
+from hornbeamramp.platform.parse_turns import ParseTurns
 from hornbeamramp.platform.read_budget import ListenerBounds, ReadBudget
 from hornbeamramp.workload import RequestLimits
 
 __all__ = ["Guard", "GuardedServer", "Refusal", "RequestRefusedError", "refusal_response"]
 
-# Bytes of a body that are parsed before what they added is counted. In chunks of one byte, they
-# take eight times as much for a moment.
+# Bytes of a body of known size that are parsed before what they added is counted.
 PIECE_BYTES = 32 * 1024
+# Bytes of heads and of chunked bodies that are parsed at once. In lines or chunks of a byte, they
+# take a thousand times as long as the same bytes of a body of known size.
+SMALL_PIECE_BYTES = 2 * 1024
+# State of a socket in the kernel, the first byte of its TCP_INFO.
+TCP_ESTABLISHED = 1
 HEAD_END = b"\r\n\r\n"
 # A head is held as bytes, and again as the names and values of its fields.
 HEAD_COST = 3
@@ -110,10 +117,30 @@
     ) -> None:
         self.limits = limits
         self.budget: ReadBudget[GuardedConnection] = ReadBudget(bounds)
+        self.turns: ParseTurns[GuardedConnection] = ParseTurns(time.perf_counter)
         self._name = name
+        self._is_iteration_noted = False
         self._logged_at: dict[Refusal, float] = {}
         self._count_by_refusal: dict[Refusal, int] = {}
 
+    def parse(self, connection: "GuardedConnection") -> None:
+        """Has the data of a connection parsed, now or in turn with that of others."""
+        self.turns.add(connection)
+        self._parse_in_turn()
+
+    def _parse_in_turn(self) -> None:
+        while (connection := self.turns.take()) is not None:
+            self.turns.parse(connection, connection.parse_piece)
+        if not self._is_iteration_noted:
+            self._is_iteration_noted = True
+            asyncio.get_running_loop().call_soon(self._begin_iteration)
+
+    def _begin_iteration(self) -> None:
+        self._is_iteration_noted = False
+        self.turns.begin_iteration()
+        if self.turns:
+            self._parse_in_turn()
+
     def count(self, refusal: Refusal) -> None:
         """Counts a refusal, and logs at most one line a reason in each period."""
         instruments.refused_requests.add(1, {"listener": self._name, "reason": refusal.value})
@@ -146,8 +173,9 @@
 class GuardedConnection(web.RequestHandler):
     """One connection, which reads one request at a time.
 
-    Nothing after a request is parsed before that is answered. A body is gathered as it arrives, so
-    that it takes no more memory in small chunks than in one.
+    What arrives is parsed in pieces, in turn with the other connections of the listener, and no
+    more is read until that is done. Nothing after a request is parsed before that is answered. A
+    body is gathered as it arrives, so that it takes no more memory in small chunks than in one.
     """
 
     __slots__ = (
@@ -162,6 +190,9 @@
         "_had_chunks",
         "_rest",
         "_held",
+        "_unparsed",
+        "_unparsed_start",
+        "_is_reading_paused",
         "_dropped_bytes",
         "_refusal",
         "_body_waiter",
@@ -202,6 +233,10 @@
         self._rest = b""
         # Data that arrived while a request was handled.
         self._held = b""
+        # Data that waits for its turn to be parsed, and where that which is not parsed begins.
+        self._unparsed = b""
+        self._unparsed_start = 0
+        self._is_reading_paused = False
         self._dropped_bytes = 0
         self._refusal: Refusal | None = None
         self._body_waiter: asyncio.Future[None] | None = None
@@ -221,6 +256,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self._guard.budget.close(self)
+        self._guard.turns.forget(self)
+        self._unparsed = b""
         self._stop_timer()
         self._wake(ConnectionResetError("connection lost"))
         super().connection_lost(exc)
@@ -233,8 +270,66 @@
             self._drop(len(data))
         elif self._phase is _Phase.HANDLED:
             self._hold(data)
+        elif self._unparsed:
+            self._unparsed = self._unparsed[self._unparsed_start :] + data
+            self._unparsed_start = 0
+            self._charge()
         else:
-            self._feed(data)
+            self._unparsed = data
+            self._unparsed_start = 0
+            self._guard.parse(self)
+            if self._unparsed:
+                self._await_turn()
+
+    def parse_piece(self) -> bool:
+        """Parses the next piece of what has arrived. Tells whether more of it is to be parsed."""
+        if self._is_reading_paused and self._has_peer_left():
+            # The kernel may hold much more that was sent before.
+            self._abort()
+            return False
+        start = self._unparsed_start
+        if self._phase is _Phase.BODY:
+            piece = self._unparsed[start : start + self._body_room()]
+        else:
+            room = self._guard.limits().max_header_bytes - self._head_bytes
+            piece = self._unparsed[start : start + min(max(room, 1), SMALL_PIECE_BYTES)]
+        self._unparsed_start += len(piece)
+        is_last = self._unparsed_start == len(self._unparsed)
+        if is_last:
+            self._unparsed = b""
+        if self._phase is _Phase.BODY:
+            self._feed_body(piece)
+        else:
+            self._feed_head(piece, piece)
+        if self._phase is _Phase.HANDLED:
+            self._guard.turns.forget(self)
+            if not is_last:
+                rest, self._unparsed = self._unparsed[self._unparsed_start :], b""
+                self._hold(rest)
+            return False
+        if is_last or self._phase is _Phase.REFUSED:
+            self._resume()
+            return False
+        return True
+
+    def _await_turn(self) -> None:
+        """Counts the data that waits, and reads no more until it is parsed."""
+        self._is_reading_paused = True
+        self._pause_transport_reading()
+        self._charge()
+
+    def _resume(self) -> None:
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._resume_transport_reading()
+
+    def _has_peer_left(self) -> bool:
+        """Tells whether the peer has closed the connection, also while nothing is read from it."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        sock = self.transport.get_extra_info("socket")
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state[0] != TCP_ESTABLISHED
 
     async def read_body(self) -> bytes:
         """Returns the request's body. Raises `RequestRefusedError`, and ``OSError`` if the
@@ -294,30 +389,11 @@
         self._guard.count(refusal)
         return refusal_response(refusal)
 
-    def _feed(self, data: bytes) -> None:
-        """Parses data up to the end of a request, and counts what is held after each piece."""
-        start = 0
-        while start < len(data):
-            if self._phase is _Phase.HANDLED:
-                self._hold(data[start:])
-                return
-            if self._phase is _Phase.REFUSED:
-                self._drop(len(data) - start)
-                return
-            if self._phase is _Phase.BODY:
-                piece = data[start : start + self._body_room()]
-                self._feed_body(piece)
-            else:
-                room = self._guard.limits().max_header_bytes - self._head_bytes
-                piece = data[start : start + max(room, 1)]
-                self._feed_head(piece, piece)
-            start += len(piece)
-
     def _body_room(self) -> int:
         """Returns how much may be parsed at once; never more than the rest of a body of a known
         size."""
         if self._body_bytes is None:
-            return PIECE_BYTES
+            return SMALL_PIECE_BYTES
         _, payload = self._entry
         return max(min(self._body_bytes - payload.total_bytes, PIECE_BYTES), 1)
 
@@ -401,8 +477,8 @@
         self._wake(None)
 
     def _held_bytes(self) -> int:
-        sent_ahead = len(self._rest) + len(self._held)
-        return HEAD_COST * self._head_bytes + len(self._body) + sent_ahead
+        waiting = len(self._rest) + len(self._held) + len(self._unparsed)
+        return HEAD_COST * self._head_bytes + len(self._body) + waiting
 
     def _charge(self) -> None:
         """Counts what this connection holds; the budget may refuse it, or others."""
@@ -424,6 +500,7 @@
             self._held = b""
             self._close = True
             budget.hand_on(self, self._held_bytes())
+        self._is_reading_paused = True
         self._pause_transport_reading()
 
     def _finish(self) -> None:
@@ -446,8 +523,8 @@
             super().data_received(b"")
             if self._messages:
                 self._begin_body(b"")
+        self._resume()
         if held:
-            self._resume_transport_reading()
             self.data_received(held)
 
     async def _wait_for_reader(self) -> None:
@@ -471,7 +548,9 @@
         """Gives up the request that is being read; from now on data is dropped."""
         self._stop_timer()
         self._phase = _Phase.REFUSED
-        self._body = self._held = b""
+        self._body = self._held = self._unparsed = b""
+        self._guard.turns.forget(self)
+        self._resume()
         if self.transport is not None:
             self._guard.budget.refuse(self)
 
@@ -480,7 +559,8 @@
         self._guard.count(Refusal.NO_CONNECTION)
         self._stop_timer()
         self._phase = _Phase.REFUSED
-        self._body = self._held = b""
+        self._body = self._held = self._unparsed = b""
+        self._guard.turns.forget(self)
         self._refusal = Refusal.NO_CONNECTION
         self._wake(None)
         self._abort()
--- a/tests/hostile/crowd.py
+++ b/tests/hostile/crowd.py
@@ -14,7 +14,7 @@
 from tests.soak.cell import HOST, SoakCell, SoakVm
 from tests.soak.kept_connections import Connection
 
-__all__ = ["MAX_FDS", "MEMORY_MB", "Crowd", "Gauge", "HostileCell", "head"]
+__all__ = ["MAX_FDS", "MEMORY_MB", "PROMPT_ATTEMPTS", "Crowd", "Gauge", "HostileCell", "head"]
 
 # Settings of the VM's process, and with them the bounds of all tests here.
 MEMORY_MB = 112
@@ -23,8 +23,10 @@
 SEND_TIMEOUT_S = 20.0
 # Deadline that keeps a request open beyond the end of a test.
 LONG_DEADLINE_MS = 60_000
-# Requests of an ordinary caller until one is answered.
+# Requests of an ordinary caller until one is answered: many beside a crowd that is to be refused or
+# waited for, a few where the crowd must not hold up others at all.
 ORDINARY_ATTEMPTS = 40
+PROMPT_ATTEMPTS = 3
 ORDINARY_PAUSE_S = 0.5
 ORDINARY_DEADLINE_S = 3.0
 DESCRIPTOR_PERIOD_S = 0.01
@@ -132,10 +134,10 @@
     def vm(self) -> SoakVm:
         return self.vm_by_name["vm0"]
 
-    async def is_ordinary_request_answered(self) -> bool:
+    async def is_ordinary_request_answered(self, attempts: int = ORDINARY_ATTEMPTS) -> bool:
         """Tells whether a job is accepted from an ordinary caller, which repeats its request."""
         body = msgspec.json.encode(encode_job(job()))
-        for number in range(ORDINARY_ATTEMPTS):
+        for number in range(attempts):
             with contextlib.suppress(OSError, EOFError):
                 connection = await Connection.open(self.vm.frontend)
                 try:
--- a/tests/hostile/test_crowds.py
+++ b/tests/hostile/test_crowds.py
@@ -10,7 +10,15 @@
 import pytest
 
 from hornbeamramp.platform.serve import METRICS_PORT
-from tests.hostile.crowd import MAX_FDS, MEMORY_MB, Crowd, Gauge, HostileCell, head
+from tests.hostile.crowd import (
+    MAX_FDS,
+    MEMORY_MB,
+    PROMPT_ATTEMPTS,
+    Crowd,
+    Gauge,
+    HostileCell,
+    head,
+)
 from tests.hostile.http2 import PREFACE, endless_head, send_messages
 from tests.model.cell import job
 
@@ -27,6 +35,8 @@
 # the crowd's processor time to seconds.
 TINY_CHUNK_BODIES = 160
 TINY_CHUNK_BODY_BYTES = 65_536
+# Bodies of legal size in chunks of one byte: minutes of a processor, if all are parsed.
+TINY_CHUNK_FLOOD = 200
 HEADS = 80
 # Header lines of a head, each within the limit of a line of usual servers.
 FIELD_BYTES = 8_000
@@ -46,7 +56,7 @@
 def hold_out(tmp_path):
     """Runs an attack, a coroutine function of a cell and a crowd, and checks what must hold."""
 
-    def start(attack, listener="frontend"):
+    def start(attack, listener="frontend", **ordinary):
         async def main():
             async with HostileCell(tmp_path) as cell:
                 cell.fleet.spec_by_job = collections.defaultdict(job)
@@ -62,7 +72,7 @@
                 with Gauge(vm.pid) as gauge:
                     try:
                         await attack(crowd)
-                        assert await cell.is_ordinary_request_answered()
+                        assert await cell.is_ordinary_request_answered(**ordinary)
                         for name, path in (("ready", "/"), ("metrics", "/metrics")):
                             assert await cell.is_answered(address_by_listener[name], path)
                         assert gauge.is_running
@@ -147,6 +157,21 @@
     hold_out(lambda crowd: send_bodies(crowd, request_head, body, piece_bytes, count))
 
 
+@pytest.mark.parametrize("stays", [True, False], ids=["beside", "after"])
+def test_flood_of_small_chunks(hold_out, stays):
+    """Guards against a process that parses all that a crowd has sent before it serves others, also
+    after the crowd is gone."""
+    request_head = head("POST", f"/batch/{'c' * 16}", "Transfer-Encoding: chunked")
+    body = chunked(BODY_BYTES, 1)
+
+    async def attack(crowd):
+        await send_bodies(crowd, request_head, body, PIECE_BYTES, TINY_CHUNK_FLOOD)
+        if not stays:
+            await crowd.close()
+
+    hold_out(attack, attempts=PROMPT_ATTEMPTS)
+
+
 @pytest.mark.parametrize("listener", ["ready", "metrics"])
 def test_bodies_to_listeners_without_bodies(hold_out, listener):
     """Guards against bodies that are held by listeners that need none."""
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -365,3 +365,52 @@
         late_writer.close()
 
     serve(scenario)
+
+
+async def until(is_reached):
+    """Returns in the iteration of the event loop in which a condition is reached."""
+    for _ in range(1_000_000):
+        if is_reached():
+            return
+        await asyncio.sleep(0)
+    raise AssertionError("the condition is not reached")
+
+
+@pytest.fixture
+def one_small_piece(monkeypatch):
+    """Leaves time for one small piece in each iteration of the event loop, on any machine."""
+    monkeypatch.setattr("hornbeamramp.platform.parse_turns.ITERATION_S", 1e-9)
+    monkeypatch.setattr("hornbeamramp.platform.connections.SMALL_PIECE_BYTES", 20)
+
+
+def test_long_parsing_of_one_connection_holds_up_no_other(serve, one_small_piece):
+    """Guards against bytes of one connection that are all parsed before any other has its turn."""
+
+    async def scenario(server):
+        reader, writer = await server.connect()
+        writer.write(post_chunked(bytes(2000), 1))
+        other_reader, other_writer = await server.connect()
+        other_writer.write(post_chunked(bytes(3), 3))
+        assert (await read_response(other_reader))[::2] == (200, b"POST 3")
+        assert (await read_response(reader))[::2] == (200, b"POST 2000")
+        assert [len(body) for _, body in server.requests] == [3, 2000]
+        writer.close()
+        other_writer.close()
+
+    serve(scenario, ListenerBounds(8, 100_000))
+
+
+def test_data_of_a_caller_that_left_is_not_parsed(serve, one_small_piece):
+    """Guards against parsing that outlasts its connection: the end of a connection that isn't read
+    arrives only behind all its data."""
+
+    async def scenario(server):
+        _, writer = await server.connect()
+        writer.write(post_chunked(bytes(2000), 1))
+        await until(lambda: server.guard.turns)
+        writer.close()
+        await until(lambda: not len(server.guard.budget))
+        assert server.requests == []
+        assert (server.guard.budget.used, len(server.guard.turns)) == (0, 0)
+
+    serve(scenario, ListenerBounds(8, 100_000))
