Bound the trailers and chunk extensions of a body

What callers saw: with 320 connections that send a chunked body with trailers of 120 lines of 8,000 bytes and no end, the process grew to 443 MiB of 112. The platform kills such a process.

Cause: the parser keeps trailers as it keeps a head, up to 128 lines of 16 KiB each, and they counted neither as head nor as body. Extensions of a chunk were dropped, but read without a limit.

Change: the bytes of a chunked body since its last data have the limit of a head, `max-header-bytes`, are refused with 431 beyond it, and count in the budget as a head does.

Why this works: what the parser keeps of a body beside its data is at most this much for each connection, and part of the sum that is bounded.

--- a/hornbeamramp/platform/connections.py
+++ b/hornbeamramp/platform/connections.py
@@ -188,6 +188,7 @@
         "_body_bytes",
         "_max_body_bytes",
         "_had_chunks",
+        "_framing_bytes",
         "_rest",
         "_held",
         "_unparsed",
@@ -229,6 +230,9 @@
         self._max_body_bytes = 0
         # Whether a body was chunked; from then on only the parser knows what it has kept.
         self._had_chunks = False
+        # Bytes of a chunked body since the last of its data: extensions of a chunk, and trailers,
+        # which the parser keeps.
+        self._framing_bytes = 0
         # What the parser has kept of the piece in which a request ended.
         self._rest = b""
         # Data that arrived while a request was handled.
@@ -384,8 +388,7 @@
     ) -> web.StreamResponse:
         if status != HTTPStatus.BAD_REQUEST:
             return super().handle_error(request, status, exc, message)
-        is_large = isinstance(exc, LineTooLong)
-        refusal = Refusal.HEAD_TOO_LARGE if is_large else Refusal.MALFORMED
+        refusal = _refusal_for(exc)
         self._guard.count(refusal)
         return refusal_response(refusal)
 
@@ -430,6 +433,7 @@
         if message.chunked:
             self._body_bytes = None
             self._had_chunks = True
+            self._framing_bytes = 0
         else:
             self._body_bytes = _declared_bytes(message)
         # Where no body is allowed, the end of an empty one isn't awaited.
@@ -445,9 +449,17 @@
     def _feed_body(self, piece: bytes) -> None:
         super().data_received(piece)
         if self._messages and self._messages[-1] is not self._entry:
-            self.refuse(Refusal.MALFORMED)
-        else:
-            self._gather()
+            error, _ = self._messages[-1]
+            self.refuse(_refusal_for(getattr(error, "exc", None)))
+            return
+        if self._body_bytes is None:
+            _, payload = self._entry
+            had_data = payload.total_bytes > len(self._body)
+            self._framing_bytes = 0 if had_data else self._framing_bytes + len(piece)
+            if self._framing_bytes > self._guard.limits().max_header_bytes:
+                self.refuse(Refusal.HEAD_TOO_LARGE)
+                return
+        self._gather()
 
     def _gather(self) -> None:
         """Takes what has arrived of the body, and hands the request on once it is whole."""
@@ -478,7 +490,8 @@
 
     def _held_bytes(self) -> int:
         waiting = len(self._rest) + len(self._held) + len(self._unparsed)
-        return HEAD_COST * self._head_bytes + len(self._body) + waiting
+        fields = self._head_bytes + self._framing_bytes
+        return HEAD_COST * fields + len(self._body) + waiting
 
     def _charge(self) -> None:
         """Counts what this connection holds; the budget may refuse it, or others."""
@@ -511,7 +524,7 @@
         self._phase = _Phase.IDLE
         self._entry = None
         self._body = self._head_tail = b""
-        self._head_bytes = 0
+        self._head_bytes = self._framing_bytes = 0
         rest, self._rest = self._rest, b""
         held, self._held = self._held, b""
         self._guard.budget.finish(self)
@@ -584,6 +597,11 @@
             self._timer = None
 
 
+def _refusal_for(error: BaseException | None) -> Refusal:
+    """Returns the reason to refuse a request that the parser rejects."""
+    return Refusal.HEAD_TOO_LARGE if isinstance(error, LineTooLong) else Refusal.MALFORMED
+
+
 def _declared_bytes(message: RawRequestMessage) -> int:
     """Returns the size that a request's head gives for its body; 0 if it gives none."""
     try:
--- a/tests/hostile/test_crowds.py
+++ b/tests/hostile/test_crowds.py
@@ -42,6 +42,7 @@
 FIELD_BYTES = 8_000
 FIELDS = 120
 EMPTY_LINES_BYTES = 4_194_304
+EXTENSION_BYTES = 4_194_304
 CONNECTIONS = 800
 HEAD_BYTES = FIELD_BYTES * FIELDS
 LONG_HEAD_BYTES = 8 * HEAD_BYTES
@@ -172,6 +173,21 @@
     hold_out(attack, attempts=PROMPT_ATTEMPTS)
 
 
+def test_trailers_that_stop_short(hold_out):
+    """Guards against fields behind a chunked body, which are held without being counted."""
+    request_head = head("POST", f"/batch/{'c' * 16}", "Transfer-Encoding: chunked")
+    fields = b"".join(b"X-%d: %s\r\n" % (n, b"x" * FIELD_BYTES) for n in range(FIELDS))
+    pieces = split(request_head + b"1\r\nx\r\n0\r\n" + fields, PIECE_BYTES)
+    hold_out(lambda crowd: crowd.send(BODIES, pieces))
+
+
+def test_chunk_extensions_without_end(hold_out):
+    """Guards against bytes of a body that are read without a limit, as they are no part of it."""
+    request_head = head("POST", f"/batch/{'c' * 16}", "Transfer-Encoding: chunked")
+    pieces = [request_head + b"1;", *split(b"x" * EXTENSION_BYTES, PIECE_BYTES)]
+    hold_out(lambda crowd: crowd.send(HEADS, pieces))
+
+
 @pytest.mark.parametrize("listener", ["ready", "metrics"])
 def test_bodies_to_listeners_without_bodies(hold_out, listener):
     """Guards against bodies that are held by listeners that need none."""
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from hornbeamramp.platform.connections import (
+    SMALL_PIECE_BYTES,
     Guard,
     GuardedServer,
     RequestRefusedError,
@@ -204,6 +205,39 @@
     serve(scenario)
 
 
+CHUNK = b"1\r\nx\r\n"
+# What shares a piece with data of the body isn't told from it.
+OVER_THE_LIMIT = LIMITS.max_header_bytes + 2 * SMALL_PIECE_BYTES
+
+
+@pytest.mark.parametrize("in_pieces", [False, True])
+@pytest.mark.parametrize(
+    ("wire", "status"),
+    [
+        (CHUNK * 3 + b"0\r\nX: " + b"x" * (LIMITS.max_header_bytes - 30) + b"\r\n\r\n", 200),
+        (b"1;" + b"x" * (LIMITS.max_header_bytes - 30) + b"\r\nx\r\n0\r\n\r\n", 200),
+        (CHUNK + b"0\r\nX: " + b"x" * OVER_THE_LIMIT, 431),
+        (b"1;" + b"x" * OVER_THE_LIMIT, 431),
+        ((b"1;" + b"x" * (LIMITS.max_header_bytes - 30) + b"\r\nx\r\n") * 3 + b"0\r\n\r\n", 200),
+    ],
+    ids=["trailer", "extension", "long trailer", "long extension", "extensions"],
+)
+def test_fields_within_a_chunked_body_have_the_limit_of_a_head(serve, wire, status, in_pieces):
+    """Guards against bytes that are no part of a body and are read, or kept, without a limit."""
+
+    async def scenario(server):
+        reader, writer = await server.connect()
+        data = post_chunked(b"", 1).removesuffix(b"0\r\n\r\n") + wire
+        for start in range(0, len(data), 50) if in_pieces else [0]:
+            writer.write(data[start : start + 50] if in_pieces else data)
+            await asyncio.sleep(0)
+        assert (await read_response(reader))[0] == status
+        assert len(server.requests) == (status == 200)
+        writer.close()
+
+    serve(scenario)
+
+
 @pytest.mark.parametrize("later", [False, True])
 def test_malformed_chunk_is_refused_at_once(serve, later):
     """Guards against a handler that waits for the rest of a body that can't be parsed."""
