Move the guarded HTTP connections out of the adapter

Change: they are a package of their own, guarded_http; what derives their bounds from the platform's settings stays in platform/listener_bounds.py. Tests move along.

--- a/hornbeamramp/platform/connections.py
+++ b/hornbeamramp/guarded_http/connections.py
@@ -16,8 +16,8 @@
 from aiohttp.http_exceptions import LineTooLong
 
 from hornbeamramp import instruments
-from hornbeamramp.platform.parse_turns import ParseTurns
-from hornbeamramp.platform.read_budget import ListenerBounds, ReadBudget
+from hornbeamramp.guarded_http.parse_turns import ParseTurns
+from hornbeamramp.guarded_http.read_budget import ListenerBounds, ReadBudget
 from hornbeamramp.workload import RequestLimits
 
 __all__ = ["Guard", "GuardedServer", "Refusal", "RequestRefusedError", "refusal_response"]
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -12,16 +12,11 @@
 
 from hornbeamramp import instruments
 from hornbeamramp.accounts import Access, AccessProblem
+from hornbeamramp.guarded_http import Guard, GuardedServer, RequestRefusedError, refusal_response
 from hornbeamramp.ids import NO_ACCOUNT, JobId
-from hornbeamramp.platform.connections import (
-    Guard,
-    GuardedServer,
-    RequestRefusedError,
-    refusal_response,
-)
 from hornbeamramp.platform.decoding import decode_job
 from hornbeamramp.platform.key_checks import KeyChecks
-from hornbeamramp.platform.read_budget import PROBE_BOUNDS, caller_bounds
+from hornbeamramp.platform.listener_bounds import PROBE_BOUNDS, caller_bounds
 from hornbeamramp.platform.settings import LimitSettings
 from hornbeamramp.telemetry import prometheus_text
 from hornbeamramp.vm import (
--- /dev/null
+++ b/hornbeamramp/platform/listener_bounds.py
@@ -0,0 +1,52 @@
+"""Bounds of a process's listeners, from the memory and the descriptors in its settings."""
+
+from hornbeamramp.guarded_http import ListenerBounds
+from hornbeamramp.platform.settings import LimitSettings
+
+__all__ = ["PROBE_BOUNDS", "caller_bounds", "peer_connections"]
+
+MIB = 1024 * 1024
+# Descriptors that the platform keeps for files; sockets share the others.
+FILE_DESCRIPTORS = 200
+# Parts of the process's sockets and memory. The rest of the sockets leads to workers, the store and
+# other VMs, and the rest of the memory holds the interpreter, jobs and connections.
+CALLER_SOCKET_SHARE = 1 / 2
+PEER_PORT_SOCKET_SHARE = 1 / 8
+REQUEST_MEMORY_SHARE = 1 / 8
+CONNECTION_MEMORY_SHARE = 1 / 8
+# Memory of a connection and of the handler that waits for its body, without the body.
+CONNECTION_BYTES = 16 * 1024
+# For processes whose settings have no memory or no descriptors.
+DEFAULT_REQUEST_BYTES = 64 * MIB
+DEFAULT_CONNECTIONS = 4096
+# Below these, ordinary callers would be refused in calm.
+MIN_REQUEST_BYTES = 2 * MIB
+MIN_CONNECTIONS = 32
+MIN_PEER_CONNECTIONS = 32
+
+# Readiness and metrics are read by a few programs, with heads of a few hundred bytes.
+PROBE_BOUNDS = ListenerBounds(32, MIB // 2)
+
+
+def caller_bounds(limits: LimitSettings) -> ListenerBounds:
+    """Returns the bounds of the callers' listener under the settings of its process."""
+    connections = DEFAULT_CONNECTIONS
+    request_bytes = DEFAULT_REQUEST_BYTES
+    if limits.max_fds:
+        connections = min(connections, int(_sockets(limits) * CALLER_SOCKET_SHARE))
+    if limits.memory_mb:
+        memory = limits.memory_mb * MIB
+        connections = min(connections, int(memory * CONNECTION_MEMORY_SHARE) // CONNECTION_BYTES)
+        request_bytes = int(memory * REQUEST_MEMORY_SHARE)
+    return ListenerBounds(max(connections, MIN_CONNECTIONS), max(request_bytes, MIN_REQUEST_BYTES))
+
+
+def peer_connections(limits: LimitSettings) -> int | None:
+    """Returns the bound on connections at each port for other VMs, ``None`` if there is none."""
+    if not limits.max_fds:
+        return None
+    return max(int(_sockets(limits) * PEER_PORT_SOCKET_SHARE), MIN_PEER_CONNECTIONS)
+
+
+def _sockets(limits: LimitSettings) -> int:
+    return max(limits.max_fds - FILE_DESCRIPTORS, 0)
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -19,7 +19,7 @@
 from hornbeamramp.platform import decoding
 from hornbeamramp.platform.advice import PlatformAdvice
 from hornbeamramp.platform.callers import CallerServer
-from hornbeamramp.platform.read_budget import peer_connections
+from hornbeamramp.platform.listener_bounds import peer_connections
 from hornbeamramp.platform.settings import PlatformSettings, read_settings
 from hornbeamramp.platform.store import PlatformStore
 from hornbeamramp.platform.workers import PlatformWorkers
--- a/tests/platform/test_connections.py
+++ b/tests/guarded_http/test_connections.py
@@ -8,14 +8,14 @@
 import pytest
 from aiohttp import web
 
-from hornbeamramp.platform.connections import (
+from hornbeamramp.guarded_http.connections import (
     SMALL_PIECE_BYTES,
     Guard,
     GuardedServer,
     RequestRefusedError,
     refusal_response,
 )
-from hornbeamramp.platform.read_budget import ListenerBounds
+from hornbeamramp.guarded_http.read_budget import ListenerBounds
 from hornbeamramp.workload import RequestLimits
 
 LIMITS = RequestLimits(
@@ -413,8 +413,8 @@
 @pytest.fixture
 def one_small_piece(monkeypatch):
     """Leaves time for one small piece in each iteration of the event loop, on any machine."""
-    monkeypatch.setattr("hornbeamramp.platform.parse_turns.ITERATION_S", 1e-9)
-    monkeypatch.setattr("hornbeamramp.platform.connections.SMALL_PIECE_BYTES", 20)
+    monkeypatch.setattr("hornbeamramp.guarded_http.parse_turns.ITERATION_S", 1e-9)
+    monkeypatch.setattr("hornbeamramp.guarded_http.connections.SMALL_PIECE_BYTES", 20)
 
 
 def test_long_parsing_of_one_connection_holds_up_no_other(serve, one_small_piece):
--- a/tests/platform/test_parse_turns.py
+++ b/tests/guarded_http/test_parse_turns.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hornbeamramp.platform.parse_turns import ITERATION_S, ParseTurns
+from hornbeamramp.guarded_http.parse_turns import ITERATION_S, ParseTurns
 
 PIECE_S = ITERATION_S / 4
 
--- a/tests/platform/test_read_budget.py
+++ b/tests/guarded_http/test_read_budget.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from hornbeamramp.platform.read_budget import ListenerBounds, ReadBudget, caller_bounds
+from hornbeamramp.guarded_http.read_budget import ListenerBounds, ReadBudget
+from hornbeamramp.platform.listener_bounds import caller_bounds
 from hornbeamramp.platform.settings import LimitSettings
 from hornbeamramp.workload import RequestLimits
 
