Serve heads of any number of lines within their limit

What callers saw: a request with more than 128 header lines got 400, although its head was a tenth of `max-header-bytes`, and the status line said HTTP/1.0.

Cause: the parser of aiohttp has a bound of its own on the number of lines, 128. Its requests that can't be parsed count as HTTP/1.0.

Change: the bound on lines follows from that on the head's size. As a line takes several objects, it counts 384 bytes in the budget, beside three times its own. The answer to what can't be parsed says HTTP/1.1.

--- a/hornbeamramp/guarded_http/connections.py
+++ b/hornbeamramp/guarded_http/connections.py
@@ -12,7 +12,7 @@
 import logbook
 import msgspec
 from aiohttp import hdrs, web
-from aiohttp.http import HttpRequestParser, RawRequestMessage
+from aiohttp.http import HttpRequestParser, HttpVersion11, RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 
 from hornbeamramp import instruments
@@ -30,8 +30,12 @@
 # State of a socket in the kernel, the first byte of its TCP_INFO.
 TCP_ESTABLISHED = 1
 HEAD_END = b"\r\n\r\n"
-# A head is held as bytes, and again as the names and values of its fields.
+# A head is held as bytes, and again as the names and values of its fields, for each of which there
+# are several objects.
 HEAD_COST = 3
+LINE_COST_BYTES = 384
+# The shortest line of a head: a name of one letter, a colon and the end of the line.
+MIN_LINE_BYTES = 4
 # Time and bytes for which a refused caller's data is read and dropped: a connection that is closed
 # with unread data is reset, and the caller may lose its answer.
 LINGER_S = 1.0
@@ -184,6 +188,7 @@
         "_entry",
         "_body",
         "_head_bytes",
+        "_head_lines",
         "_head_tail",
         "_body_bytes",
         "_max_body_bytes",
@@ -202,8 +207,15 @@
 
     def __init__(self, manager: web.Server, guard: Guard, **options: Any) -> None:
         limit = guard.limits().max_header_bytes
+        # The size of a head bounds the number of its lines.
+        max_headers = limit // MIN_LINE_BYTES
         super().__init__(
-            manager, lingering_time=LINGER_S, max_line_size=limit, max_field_size=limit, **options
+            manager,
+            lingering_time=LINGER_S,
+            max_line_size=limit,
+            max_headers=max_headers,
+            max_field_size=limit,
+            **options,
         )
         # Stops after each request, and leaves bodies as they are on the wire.
         self._parser = HttpRequestParser(
@@ -212,7 +224,7 @@
             self._read_bufsize,
             max_line_size=limit,
             max_field_size=limit,
-            max_headers=self.max_headers,
+            max_headers=max_headers,
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
             max_msg_queue_size=1,
@@ -223,6 +235,8 @@
         self._entry: Any = None
         self._body: bytes | bytearray = b""
         self._head_bytes = 0
+        # Lines of the head so far, and of trailers.
+        self._head_lines = 0
         # The last bytes of the head so far, in which its end may begin.
         self._head_tail = b""
         # Size of the body by its head; ``None`` for a chunked one.
@@ -388,6 +402,8 @@
     ) -> web.StreamResponse:
         if status != HTTPStatus.BAD_REQUEST:
             return super().handle_error(request, status, exc, message)
+        # What can't be parsed is taken for a request of HTTP/1.0.
+        request._version = HttpVersion11
         refusal = _refusal_for(exc)
         self._guard.count(refusal)
         return refusal_response(refusal)
@@ -404,6 +420,7 @@
         """Parses data. ``piece`` is what that adds to the head, also where the parser has it."""
         self._phase = _Phase.HEAD
         self._head_bytes += len(piece)
+        self._head_lines += piece.count(b"\n")
         # Empty lines before a request aren't its end.
         head = self._head_tail + piece if self._head_tail else piece.lstrip(b"\r\n")
         super().data_received(data)
@@ -429,6 +446,8 @@
             self._discard()
             return
         self._phase = _Phase.BODY
+        # Not those of a body that shares a piece with the head.
+        self._head_lines = len(message.raw_headers)
         limit = self._max_body_bytes = self._guard.limits().max_body_bytes
         if message.chunked:
             self._body_bytes = None
@@ -455,7 +474,11 @@
         if self._body_bytes is None:
             _, payload = self._entry
             had_data = payload.total_bytes > len(self._body)
-            self._framing_bytes = 0 if had_data else self._framing_bytes + len(piece)
+            if had_data:
+                self._framing_bytes = 0
+            else:
+                self._framing_bytes += len(piece)
+                self._head_lines += piece.count(b"\n")
             if self._framing_bytes > self._guard.limits().max_header_bytes:
                 self.refuse(Refusal.HEAD_TOO_LARGE)
                 return
@@ -491,7 +514,8 @@
     def _held_bytes(self) -> int:
         waiting = len(self._rest) + len(self._held) + len(self._unparsed)
         fields = self._head_bytes + self._framing_bytes
-        return HEAD_COST * fields + len(self._body) + waiting
+        lines = LINE_COST_BYTES * self._head_lines
+        return HEAD_COST * fields + lines + len(self._body) + waiting
 
     def _charge(self) -> None:
         """Counts what this connection holds; the budget may refuse it, or others."""
@@ -524,7 +548,7 @@
         self._phase = _Phase.IDLE
         self._entry = None
         self._body = self._head_tail = b""
-        self._head_bytes = self._framing_bytes = 0
+        self._head_bytes = self._head_lines = self._framing_bytes = 0
         rest, self._rest = self._rest, b""
         held, self._held = self._held, b""
         self._guard.budget.finish(self)
--- a/tests/guarded_http/test_connections.py
+++ b/tests/guarded_http/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from datetime import timedelta
 
@@ -36,12 +37,12 @@
         Handlers answer only while it is set.
     """
 
-    def __init__(self, bounds):
+    def __init__(self, bounds, limits):
         self.requests = []
         self.all_handed_on = asyncio.Event()
         self.released = asyncio.Event()
         self.released.set()
-        self.guard = Guard("test", bounds, lambda: LIMITS)
+        self.guard = Guard("test", bounds, lambda: limits)
         self.port = 0
 
     async def handle(self, request):
@@ -63,9 +64,9 @@
 def serve():
     """Runs a scenario with a server."""
 
-    def run(scenario, bounds=BOUNDS):
+    def run(scenario, bounds=BOUNDS, limits=LIMITS):
         async def main():
-            server = Server(bounds)
+            server = Server(bounds, limits)
             http = GuardedServer(server.handle, server.guard, lambda: timedelta(seconds=75))
             runner = web.ServerRunner(http, shutdown_timeout=0.1)
             await runner.setup()
@@ -147,6 +148,40 @@
     serve(scenario)
 
 
+@pytest.mark.parametrize("lines", [100, 140, 400, 1500, 3200])
+def test_head_of_many_lines_is_served(serve, lines):
+    """Guards against the parser's own bound on lines, which a head within the limit met."""
+    limits = RequestLimits()
+    names = ["".join(each) for each in itertools.product("abcdefghijklmno", repeat=3)]
+    wire = post(b"body", *(f"{name}:" for name in names[: min(lines, 2300)]))
+    wire += post(b"body", *("a:" for _ in range(lines)))
+    assert len(wire) < 2 * limits.max_header_bytes
+
+    async def scenario(server):
+        reader, writer = await server.connect()
+        writer.write(wire)
+        for _ in range(2):
+            assert (await read_response(reader))[0] == 200
+        assert server.guard.budget.used == 0
+        writer.close()
+
+    serve(scenario, ListenerBounds(8, 10_000_000), limits)
+
+
+def test_lines_of_a_head_count_as_what_they_take(serve):
+    """Guards against heads of a few bytes a line, which take fifty times their size."""
+    limits = RequestLimits()
+    wire = post(b"body", *(f"{number}:" for number in range(1000)))[:-1]
+
+    async def scenario(server):
+        _, writer = await server.connect()
+        writer.write(wire)
+        await until(lambda: server.guard.budget.used > 300_000)
+        writer.close()
+
+    serve(scenario, ListenerBounds(8, 10_000_000), limits)
+
+
 @pytest.mark.parametrize("end", [b"", b"\r\n\r\n"], ids=["without end", "with end"])
 @pytest.mark.parametrize("first", [b"", GET], ids=["first request", "second request"])
 def test_head_over_the_limit_is_refused(serve, first, end):
@@ -217,10 +252,11 @@
         (CHUNK * 3 + b"0\r\nX: " + b"x" * (LIMITS.max_header_bytes - 30) + b"\r\n\r\n", 200),
         (b"1;" + b"x" * (LIMITS.max_header_bytes - 30) + b"\r\nx\r\n0\r\n\r\n", 200),
         (CHUNK + b"0\r\nX: " + b"x" * OVER_THE_LIMIT, 431),
+        (CHUNK + b"0\r\n" + (b"X: " + b"x" * 40 + b"\r\n") * (OVER_THE_LIMIT // 45), 431),
         (b"1;" + b"x" * OVER_THE_LIMIT, 431),
         ((b"1;" + b"x" * (LIMITS.max_header_bytes - 30) + b"\r\nx\r\n") * 3 + b"0\r\n\r\n", 200),
     ],
-    ids=["trailer", "extension", "long trailer", "long extension", "extensions"],
+    ids=["trailer", "extension", "long trailer", "many trailers", "long extension", "extensions"],
 )
 def test_fields_within_a_chunked_body_have_the_limit_of_a_head(serve, wire, status, in_pieces):
     """Guards against bytes that are no part of a body and are read, or kept, without a limit."""
@@ -262,7 +298,8 @@
         for _ in range(5):
             reader, writer = await server.connect()
             writer.write(b"nonsense\r\n\r\n")
-            assert (await read_response(reader))[0] == 400
+            assert (await reader.readline()).startswith(b"HTTP/1.1 400 ")
+            assert b"not run" in await reader.read()
             writer.close()
 
     serve(scenario)
--- a/tests/hostile/test_crowds.py
+++ b/tests/hostile/test_crowds.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import itertools
 
 import pytest
 
@@ -43,6 +44,8 @@
 # Header lines of a head, each within the limit of a line of usual servers.
 FIELD_BYTES = 8_000
 FIELDS = 120
+# Lines of a few bytes, so that a head is within 16 KiB.
+SHORT_LINES = 2500
 EMPTY_LINES_BYTES = 4_194_304
 EXTENSION_BYTES = 4_194_304
 CONNECTIONS = 800
@@ -133,6 +136,15 @@
     hold_out(lambda crowd: crowd.send(HEADS, split(data, PIECE_BYTES)), listener)
 
 
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_heads_of_many_lines(hold_out, listener):
+    """Guards against legal heads whose lines take many times the memory of their bytes."""
+    lines = ["".join(x) + ":" for x in itertools.product("abcdefghijklmno", repeat=3)]
+    fields = (*lines[:SHORT_LINES], "Content-Length: 100")
+    data = head("POST", f"/batch/{'c' * 16}", *fields) + b"x" * 99
+    hold_out(lambda crowd: crowd.send(BODIES, split(data, PIECE_BYTES)), listener)
+
+
 @pytest.mark.parametrize("listener", LISTENERS)
 def test_empty_lines_before_a_request(hold_out, listener):
     """Guards against bytes that are no part of a request and are read without a limit."""
