Serve the requests of `hornbeamramp serve` over guarded connections

What callers saw: a newcomer's first process grew to 344 MiB of 160 under 200 bodies in chunks of one byte, to 168 and 169 under 400 bodies of legal size that stop short, and had 824 descriptors open of 600 at each of its three ports under 800 connections.

Cause: Sanic bounds each request, but neither the connections nor the sum of bodies, and holds a body in chunks as a list of them. Nothing told the process how much memory and how many descriptors it has.

Change: the listeners for callers and operators are guarded connections with a router of aiohttp. Two settings, `limits.memory_mb` and `limits.max_fds`, bound them and the port for other VMs as on the users' platform; without them there are defaults that no client inside the limits meets (64 MiB and 4,096 connections of callers, 16 MiB and 64 of operators, 32 MiB and 1,024 of VMs). Operators' tokens are checked before the body is read. Refusals are problem documents as before.

Why this works: it is the reader, the budget and the turns of parsing of the other program.

--- a/hornbeamramp/admin_api.py
+++ b/hornbeamramp/admin_api.py
@@ -2,6 +2,7 @@
 
 import hmac
 import re
+import uuid
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
@@ -9,10 +10,7 @@
 
 import logbook
 import msgspec
-from sanic import HTTPResponse, Request, Sanic
-from sanic import json as json_response
-from sanic import raw as raw_response
-from sanic.exceptions import SanicException
+from aiohttp import hdrs, web
 
 from hornbeamramp.configuration import (
     ConfigurationStore,
@@ -22,9 +20,9 @@
     StoreOutage,
     VersionConflict,
 )
-from hornbeamramp.http_server import new_app
+from hornbeamramp.http_server import HttpApp
 from hornbeamramp.ids import ChangeId, Revision
-from hornbeamramp.problems import http_problem, problem
+from hornbeamramp.problems import json_response, problem
 from hornbeamramp.settings import Settings
 from hornbeamramp.tables import Change, Pool, Route, Tables
 from hornbeamramp.telemetry import prometheus_text
@@ -43,7 +41,7 @@
     configuration: ConfigurationStore,
     status: Callable[[], Awaitable[dict[str, Any]]],
     wait_applied: Callable[[Revision, timedelta], Awaitable[dict[str, bool]]],
-) -> Sanic:
+) -> HttpApp:
     """Returns the application that the listener for operators serves.
 
     `status`
@@ -52,35 +50,33 @@
         Waits up to the given time until all reachable members have applied a revision; tells for
         each data centre whether they have.
     """
-    app = new_app(f"operators-{settings.vm}", settings.limits)
+    app = HttpApp(settings.limits, _on_exception, _TokenCheck(token))
     api = _AdminApi(configuration, status, wait_applied)
     for table in ROW_TYPE_BY_TABLE:
         _add_table_routes(app, api, table)
     app.add_route(api.status, "/v1/status")
     app.add_route(api.metrics, "/metrics")
-    app.register_middleware(_TokenCheck(token), "request")
-    app.error_handler.add(Exception, _on_exception)
     return app
 
 
-def _add_table_routes(app: Sanic, api: "_AdminApi", table: str) -> None:
-    async def list_rows(request: Request) -> HTTPResponse:
+def _add_table_routes(app: HttpApp, api: "_AdminApi", table: str) -> None:
+    async def list_rows(request: web.BaseRequest) -> web.Response:
         return api.list_rows(table)
 
-    async def get_row(request: Request, name: str) -> HTTPResponse:
+    async def get_row(request: web.BaseRequest, name: str) -> web.Response:
         return api.get_row(table, name)
 
-    async def put_row(request: Request, name: str) -> HTTPResponse:
+    async def put_row(request: web.BaseRequest, name: str) -> web.Response:
         return await api.put_row(request, table, name)
 
-    async def delete_row(request: Request, name: str) -> HTTPResponse:
+    async def delete_row(request: web.BaseRequest, name: str) -> web.Response:
         return await api.delete_row(request, table, name)
 
-    row_path = f"/v1/{table}/<name:str>"
-    app.add_route(list_rows, f"/v1/{table}", name=f"list_{table}")
-    app.add_route(get_row, row_path, name=f"get_{table}")
-    app.add_route(put_row, row_path, methods=["PUT"], name=f"put_{table}")
-    app.add_route(delete_row, row_path, methods=["DELETE"], name=f"delete_{table}")
+    row_path = f"/v1/{table}/{{name}}"
+    app.add_route(list_rows, f"/v1/{table}")
+    app.add_route(get_row, row_path)
+    app.add_route(put_row, row_path, hdrs.METH_PUT)
+    app.add_route(delete_row, row_path, hdrs.METH_DELETE)
 
 
 class _TokenCheck:
@@ -89,8 +85,8 @@
     def __init__(self, token: str) -> None:
         self._expected = f"Bearer {token}".encode()
 
-    async def __call__(self, request: Request) -> HTTPResponse | None:
-        # Sanic decodes bytes that are not UTF-8 to surrogate escapes.
+    async def __call__(self, request: web.BaseRequest) -> web.Response | None:
+        # Bytes that are not UTF-8 are decoded to surrogate escapes.
         received = request.headers.get("authorization", "").encode(errors="surrogateescape")
         if hmac.compare_digest(received, self._expected):
             return None
@@ -110,30 +106,30 @@
         self._status = status
         self._wait_applied = wait_applied
 
-    def list_rows(self, table: str) -> HTTPResponse:
+    def list_rows(self, table: str) -> web.Response:
         tables = self._configuration.tables
         rows, versions = _rows_and_versions(tables, table)
         items = [_row_body(rows[name], versions[name]) for name in sorted(rows)]
         return json_response({"revision": tables.revision, table: items})
 
-    def get_row(self, table: str, name: str) -> HTTPResponse:
+    def get_row(self, table: str, name: str) -> web.Response:
         rows, versions = _rows_and_versions(self._configuration.tables, table)
         if name not in rows:
             return problem(HTTPStatus.NOT_FOUND, f"no row {name!r} in {table}")
         headers = {"ETag": _etag(versions[name])}
         return json_response(_row_body(rows[name], versions[name]), headers=headers)
 
-    async def put_row(self, request: Request, table: str, name: str) -> HTTPResponse:
+    async def put_row(self, request: web.BaseRequest, table: str, name: str) -> web.Response:
         try:
             if_match = _expected_version(request)
-            row = _decode_row(request.body, table, name)
+            row = _decode_row(await request.read(), table, name)
         except (ValueError, msgspec.MsgspecError) as error:
             return problem(HTTPStatus.BAD_REQUEST, str(error), outcome="not_run")
         except LookupError as error:
             return problem(HTTPStatus.PRECONDITION_REQUIRED, str(error.args[0]), outcome="not_run")
         return await self._propose(request, table, name, row, if_match)
 
-    async def delete_row(self, request: Request, table: str, name: str) -> HTTPResponse:
+    async def delete_row(self, request: web.BaseRequest, table: str, name: str) -> web.Response:
         try:
             if_match = _expected_version(request)
         except ValueError as error:
@@ -142,22 +138,22 @@
             return problem(HTTPStatus.PRECONDITION_REQUIRED, str(error.args[0]), outcome="not_run")
         return await self._propose(request, table, name, None, if_match)
 
-    async def status(self, request: Request) -> HTTPResponse:
+    async def status(self, request: web.BaseRequest) -> web.Response:
         return json_response(await self._status())
 
-    async def metrics(self, request: Request) -> HTTPResponse:
-        return raw_response(prometheus_text(), content_type="text/plain; version=0.0.4")
+    async def metrics(self, request: web.BaseRequest) -> web.Response:
+        headers = {hdrs.CONTENT_TYPE: "text/plain; version=0.0.4"}
+        return web.Response(body=prometheus_text(), headers=headers)
 
     async def _propose(
         self,
-        request: Request,
+        request: web.BaseRequest,
         table: str,
         name: str,
         row: Route | Pool | None,
         if_match: Revision | None,
-    ) -> HTTPResponse:
-        change_id = ChangeId(request.headers.get(CHANGE_ID_HEADER) or str(request.id))
-        request.ctx.proposed = True
+    ) -> web.Response:
+        change_id = ChangeId(request.headers.get(CHANGE_ID_HEADER) or str(uuid.uuid4()))
         result = await self._configuration.propose(table, name, row, if_match, change_id)
         if result.is_err():
             return _proposal_problem(result.err_value)
@@ -186,7 +182,7 @@
     return f'"{version}"'
 
 
-def _expected_version(request: Request) -> Revision | None:
+def _expected_version(request: web.BaseRequest) -> Revision | None:
     """Returns the expected row version, ``None`` if the row must not exist.
 
     Raises ``LookupError`` if the request has no precondition, ``ValueError`` if it is malformed.
@@ -202,7 +198,7 @@
     return Revision(int(digits))
 
 
-def _preferred_wait(request: Request) -> timedelta:
+def _preferred_wait(request: web.BaseRequest) -> timedelta:
     """Returns how long the caller waits for all members to apply the change, at most 60 s."""
     match = re.search(r"\bwait=(\d{1,3})\b", request.headers.get("prefer", ""))
     return timedelta(seconds=min(int(match.group(1)), 60) if match else 0)
@@ -220,7 +216,7 @@
     return msgspec.convert(fields, ROW_TYPE_BY_TABLE[table])
 
 
-def _proposal_problem(error: ProposalError) -> HTTPResponse:
+def _proposal_problem(error: ProposalError) -> web.Response:
     if isinstance(error, VersionConflict):
         headers = None if error.version is None else {"ETag": _etag(error.version)}
         row = None
@@ -245,9 +241,6 @@
     return problem(HTTPStatus.BAD_REQUEST, error.message, outcome="not_run")
 
 
-def _on_exception(request: Request, error: Exception) -> HTTPResponse:
-    if isinstance(error, SanicException):
-        outcome = "unknown" if getattr(request.ctx, "proposed", False) else "not_run"
-        return http_problem(error, outcome)
+def _on_exception(request: web.BaseRequest, error: Exception) -> web.Response:
     _log.error("admin API request failed: {!r}", error)
     return problem(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error", outcome="unknown")
--- a/hornbeamramp/bench/footprint.py
+++ b/hornbeamramp/bench/footprint.py
@@ -21,7 +21,6 @@
     "opentelemetry.sdk.metrics",
     "opentelemetry.sdk.trace",
     "opentelemetry.exporter.prometheus",
-    "sanic",
     "cyclopts",
 )
 
--- a/hornbeamramp/caller_api.py
+++ b/hornbeamramp/caller_api.py
@@ -8,15 +8,13 @@
 
 import logbook
 import msgspec
+from aiohttp import hdrs, web
 from opentelemetry import propagate, trace
-from sanic import HTTPResponse, Request, Sanic
-from sanic import json as json_response
-from sanic.exceptions import SanicException
 
 from hornbeamramp.clock import Clock
 from hornbeamramp.errors import SchedulerError
 from hornbeamramp.forwarding import Forwarder
-from hornbeamramp.http_server import new_app
+from hornbeamramp.http_server import HttpApp
 from hornbeamramp.ids import JobId, RouteName, TeamId
 from hornbeamramp.job_ids import shard_of
 from hornbeamramp.jobs import (
@@ -30,7 +28,12 @@
     TaskResult,
     Unknown,
 )
-from hornbeamramp.problems import http_problem, not_run_response, problem, unknown_response
+from hornbeamramp.problems import (
+    json_response,
+    not_run_response,
+    problem,
+    unknown_response,
+)
 from hornbeamramp.resources import Resources
 from hornbeamramp.settings import Settings
 from hornbeamramp.states import JobKind, JobState, RefusalReason
@@ -92,7 +95,7 @@
     tables: Callable[[], Tables],
     is_ready: Callable[[], bool],
     is_shutting_down: Callable[[], bool],
-) -> tuple[Sanic, RequestCount]:
+) -> tuple[HttpApp, RequestCount]:
     """Returns the application of the callers' listener and its count of submits in flight.
 
     `is_ready`
@@ -100,14 +103,13 @@
     `is_shutting_down`
         Whether the process is shutting down and rejects new jobs.
     """
-    app = new_app(f"callers-{settings.vm}", settings.limits)
+    app = HttpApp(settings.limits, _on_exception)
     api = _CallerApi(settings, clock, metrics, forwarder, tables, is_ready, is_shutting_down)
-    app.add_route(api.submit, "/v1/jobs", methods=["POST"])
-    app.add_route(api.get, "/v1/jobs/<job_id:str>", methods=["GET"])
-    app.add_route(api.cancel, "/v1/jobs/<job_id:str>", methods=["DELETE"])
+    app.add_route(api.submit, "/v1/jobs", hdrs.METH_POST)
+    app.add_route(api.get, "/v1/jobs/{job_id}")
+    app.add_route(api.cancel, "/v1/jobs/{job_id}", hdrs.METH_DELETE)
     app.add_route(api.live, "/livez")
     app.add_route(api.ready, "/readyz")
-    app.error_handler.add(Exception, _on_exception)
     return app, api.requests
 
 
@@ -131,7 +133,7 @@
         self._is_shutting_down = is_shutting_down
         self.requests = RequestCount()
 
-    async def submit(self, request: Request) -> HTTPResponse:
+    async def submit(self, request: web.BaseRequest) -> web.Response:
         """``POST /v1/jobs``."""
         if self._is_shutting_down():
             return _refusal(RefusalReason.SHUTTING_DOWN, "this VM is shutting down", 1)
@@ -139,7 +141,7 @@
             return _refusal(RefusalReason.OVERLOAD, "too many requests wait on this VM", 1)
         self.requests.count += 1
         started_at = self._clock.boot_time()
-        parent = propagate.extract(dict(request.headers))
+        parent = propagate.extract({k.lower(): v for k, v in request.headers.items()})
         try:
             with _tracer.start_as_current_span("caller request", context=parent) as span:
                 response, label, route = await self._submit(request)
@@ -151,17 +153,17 @@
         self._metrics.request_time.record(elapsed.total_seconds(), {"route": route})
         if self._is_shutting_down():
             # A further request on this connection would be rejected.
-            response.headers["Connection"] = "close"
+            response.force_close()
         return response
 
-    async def get(self, request: Request, job_id: str) -> HTTPResponse:
+    async def get(self, request: web.BaseRequest, job_id: str) -> web.Response:
         """``GET /v1/jobs/{id}``."""
         if shard_of(JobId(job_id)) is None:
             return _job_not_found(job_id)
         reply = await self._forwarder.get_job(JobId(job_id))
         return _job_response(JobId(job_id), reply.state, reply.outcome)
 
-    async def cancel(self, request: Request, job_id: str) -> HTTPResponse:
+    async def cancel(self, request: web.BaseRequest, job_id: str) -> web.Response:
         """``DELETE /v1/jobs/{id}``."""
         if shard_of(JobId(job_id)) is None:
             return _job_not_found(job_id)
@@ -170,20 +172,20 @@
             return _job_not_found(job_id)
         return json_response({"id": job_id, "state": reply.state.value}, status=HTTPStatus.ACCEPTED)
 
-    async def live(self, request: Request) -> HTTPResponse:
+    async def live(self, request: web.BaseRequest) -> web.Response:
         """``GET /livez``."""
         return json_response({"live": True})
 
-    async def ready(self, request: Request) -> HTTPResponse:
+    async def ready(self, request: web.BaseRequest) -> web.Response:
         """``GET /readyz``."""
         ready = self._is_ready()
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         return json_response({"ready": ready}, status=status)
 
-    async def _submit(self, request: Request) -> tuple[HTTPResponse, str, str]:
+    async def _submit(self, request: web.BaseRequest) -> tuple[web.Response, str, str]:
         """Returns the response, and the outcome label and route name for the metrics."""
         try:
-            body = msgspec.json.decode(request.body, type=JobBody)
+            body = msgspec.json.decode(await request.read(), type=JobBody)
         except msgspec.MsgspecError as error:
             return _refusal(RefusalReason.MALFORMED, str(error)), "not_run", ""
         key = request.headers.get("idempotency-key")
@@ -197,7 +199,7 @@
             return _refusal(RefusalReason.UNKNOWN_ROUTE, detail), "not_run", ""
         respond_async = "respond-async" in request.headers.get("prefer", "")
         job = _job_from_body(body, route, key, respond_async)
-        request.ctx.forwarded = True
+        request["forwarded"] = True
         reply = await self._forwarder.submit(job, tables.pool_by_name[route.pool])
         if reply.accepted is not None:
             return _accepted(reply.accepted), "accepted", route.name
@@ -225,7 +227,7 @@
     )
 
 
-def _outcome_response(outcome: Outcome | None, job: Job) -> tuple[HTTPResponse, str]:
+def _outcome_response(outcome: Outcome | None, job: Job) -> tuple[web.Response, str]:
     if isinstance(outcome, NotRun):
         return not_run_response(outcome), "not_run"
     if isinstance(outcome, Completed):
@@ -236,7 +238,7 @@
     return unknown_response(Unknown(job.id, "the owner gave no outcome")), "unknown"
 
 
-def _job_response(job_id: JobId, state: JobState | None, outcome: Outcome | None) -> HTTPResponse:
+def _job_response(job_id: JobId, state: JobState | None, outcome: Outcome | None) -> web.Response:
     if isinstance(outcome, Completed):
         return json_response(_completed_body(outcome))
     if isinstance(outcome, NotRun):
@@ -265,11 +267,11 @@
     return {"upstream": result.upstream_id, **payload}
 
 
-def _job_not_found(job_id: str) -> HTTPResponse:
+def _job_not_found(job_id: str) -> web.Response:
     return problem(HTTPStatus.NOT_FOUND, f"no job {job_id}")
 
 
-def _accepted(job_id: JobId) -> HTTPResponse:
+def _accepted(job_id: JobId) -> web.Response:
     return json_response(
         {"id": job_id, "state": "accepted"},
         status=HTTPStatus.ACCEPTED,
@@ -277,17 +279,15 @@
     )
 
 
-def _refusal(reason: RefusalReason, detail: str, retry_after_s: int | None = None) -> HTTPResponse:
+def _refusal(reason: RefusalReason, detail: str, retry_after_s: int | None = None) -> web.Response:
     retry_after = None if retry_after_s is None else timedelta(seconds=retry_after_s)
     return not_run_response(NotRun(JobId(""), reason, detail, retry_after))
 
 
-def _on_exception(request: Request, error: Exception) -> HTTPResponse:
+def _on_exception(request: web.BaseRequest, error: Exception) -> web.Response:
     # The job cannot have run if it was not yet handed to the forwarder.
-    was_forwarded = getattr(request.ctx, "forwarded", False)
+    was_forwarded = request.get("forwarded", False)
     outcome = "unknown" if was_forwarded else "not_run"
-    if isinstance(error, SanicException):
-        return http_problem(error, outcome)
     extra = {"outcome": outcome} if request.method == "POST" else {}
     if isinstance(error, SchedulerError):
         return problem(HTTPStatus.SERVICE_UNAVAILABLE, str(error), {"Retry-After": "1"}, **extra)
--- a/hornbeamramp/entry.py
+++ b/hornbeamramp/entry.py
@@ -14,6 +14,7 @@
 from hornbeamramp.clock import Clock, SystemClock
 from hornbeamramp.entry_parts import REQUEST_TYPES, EntryParts
 from hornbeamramp.http_server import HttpServer
+from hornbeamramp.listener_bounds import caller_bounds, operator_bounds, peer_bounds
 from hornbeamramp.logs import setup_logs
 from hornbeamramp.platforms import PLATFORMS, Platform
 from hornbeamramp.rpc import PeerClient, PeerServer
@@ -40,7 +41,11 @@
         self.clock = clock or SystemClock()
         self.peer_client = PeerClient(settings.vm, settings.data_centre, settings.tls)
         self.peer_server = PeerServer(
-            settings.peer_address, settings.vm, settings.data_centre, settings.tls
+            settings.peer_address,
+            settings.vm,
+            settings.data_centre,
+            settings.tls,
+            bounds=peer_bounds(settings.limits),
         )
         self._parts_created = asyncio.Event()
 
@@ -115,7 +120,11 @@
             lambda: parts.ready,
             lambda: parts.refuses_jobs,
         )
-        self.caller_server = HttpServer(app, self.settings.caller_address, self.settings.tls)
+        settings = self.settings
+        bounds = caller_bounds(settings.limits)
+        self.caller_server = HttpServer(
+            "callers", app, settings.caller_address, bounds, settings.tls
+        )
         await self.caller_server.start()
         self.admin_server: HttpServer | None = None
         admin = self.settings.admin
@@ -127,7 +136,8 @@
                 parts.cluster_status.document,
                 parts.cluster_status.wait_applied,
             )
-            self.admin_server = HttpServer(app, admin.address, self.settings.tls)
+            bounds = operator_bounds(settings.limits)
+            self.admin_server = HttpServer("operators", app, admin.address, bounds, settings.tls)
             await self.admin_server.start()
         parts.metrics.observe("connections", self._read_connections)
 
--- a/hornbeamramp/guarded_http/connections.py
+++ b/hornbeamramp/guarded_http/connections.py
@@ -58,6 +58,11 @@
     NO_MEMORY = "no_memory"
     NO_CONNECTION = "no_connection"
 
+    @property
+    def status(self) -> HTTPStatus:
+        """Status of the response."""
+        return STATUS_BY_REFUSAL[self]
+
 
 STATUS_BY_REFUSAL = {
     Refusal.HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -69,6 +74,9 @@
 }
 
 
+Description = Callable[[Refusal], tuple[str, bytes]]
+
+
 class RequestRefusedError(Exception):
     """The request is refused and has not been read to its end."""
 
@@ -77,28 +85,29 @@
         self.refusal = refusal
 
 
-def refusal_response(refusal: Refusal) -> web.Response:
+def describe_refusal(refusal: Refusal) -> tuple[str, bytes]:
+    """Returns media type and body of the response to a refused request."""
+    error = f"not run: {refusal.value.replace('_', ' ')}"
+    return "application/json", msgspec.json.encode({"error": error})
+
+
+def refusal_response(refusal: Refusal, describe: Description = describe_refusal) -> web.Response:
     """Returns the response to a refused request, which closes its connection."""
-    status = STATUS_BY_REFUSAL[refusal]
-    response = web.Response(
-        status=status, body=_refusal_body(refusal), content_type="application/json"
-    )
+    status = refusal.status
+    content_type, body = describe(refusal)
+    response = web.Response(status=status, body=body, content_type=content_type)
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
         response.headers[hdrs.RETRY_AFTER] = str(RETRY_AFTER_S)
     response.force_close()
     return response
 
 
-def _refusal_body(refusal: Refusal) -> bytes:
-    return msgspec.json.encode({"error": f"not run: {refusal.value.replace('_', ' ')}"})
-
-
-def _refusal_bytes(refusal: Refusal) -> bytes:
-    status = STATUS_BY_REFUSAL[refusal]
-    body = _refusal_body(refusal)
+def _refusal_bytes(refusal: Refusal, describe: Description) -> bytes:
+    status = refusal.status
+    content_type, body = describe(refusal)
     lines = [
         f"HTTP/1.1 {status.value} {status.phrase}",
-        "Content-Type: application/json",
+        f"Content-Type: {content_type}",
         f"Content-Length: {len(body)}",
         "Connection: close",
     ]
@@ -114,12 +123,19 @@
         Name of the listener in metrics and logs.
     `limits`
         Returns the limits in force, which may change with the configuration.
+    `describe`
+        Returns media type and body of the response to a refused request.
     """
 
     def __init__(
-        self, name: str, bounds: ListenerBounds, limits: Callable[[], RequestLimits]
+        self,
+        name: str,
+        bounds: ListenerBounds,
+        limits: Callable[[], RequestLimits],
+        describe: Description = describe_refusal,
     ) -> None:
         self.limits = limits
+        self.describe = describe
         self.budget: ReadBudget[GuardedConnection] = ReadBudget(bounds)
         self.turns: ParseTurns[GuardedConnection] = ParseTurns(time.perf_counter)
         self._name = name
@@ -375,7 +391,7 @@
             self._wake(None)
             return
         if self.transport is not None:
-            self.transport.write(_refusal_bytes(refusal))
+            self.transport.write(_refusal_bytes(refusal, self._guard.describe))
         self.close()
         self._timer = self._loop.call_later(LINGER_S, self._abort)
 
@@ -406,7 +422,7 @@
         request._version = HttpVersion11
         refusal = _refusal_for(exc)
         self._guard.count(refusal)
-        return refusal_response(refusal)
+        return refusal_response(refusal, self._guard.describe)
 
     def _body_room(self) -> int:
         """Returns how much may be parsed at once; never more than the rest of a body of a known
--- a/hornbeamramp/http_server.py
+++ b/hornbeamramp/http_server.py
@@ -1,17 +1,34 @@
-"""Starts Sanic applications on the running event loop, without Sanic's own process manager."""
+"""HTTP listeners of an entry process: routes, problem details and limits of requests."""
 
 import asyncio
-import contextlib
-import socket
 import ssl
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from http import HTTPStatus
 from typing import Any
 
-from sanic import Request, Sanic
-from sanic.exceptions import RequestTimeout
-
+from aiohttp import hdrs, web
+
+from hornbeamramp.guarded_http import (
+    Guard,
+    GuardedServer,
+    ListenerBounds,
+    Refusal,
+    RequestRefusedError,
+    refusal_response,
+)
+from hornbeamramp.problems import PROBLEM_TYPE, problem, problem_body
 from hornbeamramp.settings import LimitSettings, TlsSettings
+from hornbeamramp.workload import RequestLimits
+
+__all__ = ["HttpApp", "HttpServer", "parse_address"]
+
+KEEPALIVE_TIMEOUT = timedelta(seconds=75)
+TLS_HANDSHAKE_TIMEOUT_S = 3.0
+STOP_TIMEOUT_S = 1.0
 
-__all__ = ["HttpServer", "new_app", "parse_address"]
+Handler = Callable[..., Awaitable[web.Response]]
+Check = Callable[[web.BaseRequest], Awaitable[web.Response | None]]
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -22,97 +39,133 @@
     return host.strip("[]"), int(port)
 
 
-class _BoundedRequest(Request):
-    """Request whose body must arrive within the request timeout.
+class HttpApp:
+    """Handlers by path and method. A handler is called once the whole request is there.
 
-    Sanic's own request timeout covers only the headers.
+    `on_error`
+        Returns the response in place of a handler's that failed.
+    `check`
+        Returns a response in place of the handler's, before the body is read, or ``None``.
     """
 
-    async def receive_body(self) -> None:
+    def __init__(
+        self,
+        limits: LimitSettings,
+        on_error: Callable[[web.BaseRequest, Exception], web.Response],
+        check: Check | None = None,
+    ) -> None:
+        self.limits = limits
+        self._router = web.UrlDispatcher()
+        self._on_error = on_error
+        self._check = check
+
+    def add_route(self, handler: Handler, path: str, method: str = hdrs.METH_GET) -> None:
+        """Adds a handler, which gets the request and the parts of its path by name."""
+        self._router.add_route(method, path, handler)
+
+    async def respond(self, request: web.BaseRequest) -> web.Response:
+        """Returns the response to a request."""
+        refused = None if self._check is None else await self._check(request)
+        if refused is not None:
+            return refused
         try:
-            async with asyncio.timeout(self.app.config.REQUEST_TIMEOUT):
-                await super().receive_body()
-        except TimeoutError as error:
-            # The connection is closed without waiting for the rest of the body.
-            self.stream.request_body = None
-            self.stream.keep_alive = False
-            raise RequestTimeout("the body did not arrive in time") from error
-
-
-def new_app(name: str, limits: LimitSettings) -> Sanic:
-    """Returns an application with the limits of the settings and without Sanic's log setup."""
-    app = Sanic(name, request_class=_BoundedRequest, configure_logging=False)
-    app.config.REQUEST_MAX_SIZE = limits.body_bytes
-    app.config.REQUEST_MAX_HEADER_SIZE = limits.header_bytes
-    app.config.REQUEST_TIMEOUT = limits.request_timeout_ms / 1000
-    # A job may run for hours; its deadline and the owner limit the wait for the response.
-    app.config.RESPONSE_TIMEOUT = 86_400
-    app.config.KEEP_ALIVE_TIMEOUT = 75
-    app.config.GRACEFUL_SHUTDOWN_TIMEOUT = 0.0
-    app.config.FALLBACK_ERROR_FORMAT = "json"
-    # TouchUp rewrites methods process-wide, which fails for a second application.
-    app.config.TOUCHUP = False
-    app.config.MOTD = False
-    app.config.ACCESS_LOG = False
-    return app
+            async with asyncio.timeout(self.limits.request_timeout_ms / 1000):
+                await request.read()
+        except RequestRefusedError as error:
+            return refusal_response(error.refusal, describe_refusal)
+        except TimeoutError:
+            response = _not_run(HTTPStatus.REQUEST_TIMEOUT, "the body did not arrive in time")
+            response.force_close()
+            return response
+        match = await self._router.resolve(request)
+        error = match.http_exception
+        if isinstance(error, web.HTTPMethodNotAllowed):
+            allowed = ", ".join(sorted(error.allowed_methods))
+            detail = f"method {request.method} is not allowed for {request.path}"
+            return _not_run(HTTPStatus.METHOD_NOT_ALLOWED, detail, {hdrs.ALLOW: allowed})
+        if error is not None:
+            return _not_run(HTTPStatus.NOT_FOUND, f"nothing is served at {request.path}")
+        try:
+            return await match.handler(request, **match)
+        except Exception as error:
+            return self._on_error(request, error)
+
+
+def _not_run(
+    status: HTTPStatus, detail: str, headers: dict[str, str] | None = None
+) -> web.Response:
+    return problem(status, detail, headers, outcome="not_run")
+
+
+def describe_refusal(refusal: Refusal) -> tuple[str, bytes]:
+    """Returns media type and body of the response to a refused request."""
+    detail = f"the request is refused: {refusal.value.replace('_', ' ')}"
+    return PROBLEM_TYPE, problem_body(refusal.status, detail, outcome="not_run")
 
 
 class HttpServer:
-    """One Sanic application on one address.
+    """One application on one address.
 
+    `name`
+        Name of the listener in metrics and logs.
     `address`
         ``ip:port`` to listen on; port 0 chooses a free port, see `port`.
     `tls`
         Key files, or ``None`` for plain HTTP.
     """
 
-    def __init__(self, app: Sanic, address: str, tls: TlsSettings | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        app: HttpApp,
+        address: str,
+        bounds: ListenerBounds,
+        tls: TlsSettings | None = None,
+    ) -> None:
+        limits = RequestLimits(
+            max_header_bytes=app.limits.header_bytes,
+            max_body_bytes=app.limits.body_bytes,
+            header_timeout=timedelta(milliseconds=app.limits.request_timeout_ms),
+        )
+        self._guard = Guard(name, bounds, lambda: limits, describe_refusal)
         self._app = app
         self._address = address
         self._tls = tls
-        self._server: Any = None
+        self._http: GuardedServer | None = None
+        self._listener: asyncio.Server | None = None
         self.port = 0
 
     async def start(self) -> None:
         """Binds and starts serving. Raises ``OSError`` if the address can't be bound."""
         host, port = parse_address(self._address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.bind((host, port))
-        sock.setblocking(False)
-        self.port = sock.getsockname()[1]
-        self._server = await self._app.create_server(
-            sock=sock, return_asyncio_server=True, ssl=self._ssl_context()
-        )
-        await self._server.startup()
-        await self._server.start_serving()
+        options: dict[str, Any] = {}
+        if self._tls is not None:
+            options["ssl"] = _ssl_context(self._tls)
+            options["ssl_handshake_timeout"] = TLS_HANDSHAKE_TIMEOUT_S
+        self._http = GuardedServer(self._app.respond, self._guard, lambda: KEEPALIVE_TIMEOUT)
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._http, host, port, **options)
+        self.port = self._listener.sockets[0].getsockname()[1]
 
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return 0 if self._server is None else len(self._server.connections)
+        return 0 if self._http is None else len(self._http.connections)
 
     def stop_listening(self) -> None:
         """Stops accepting connections; open ones stay open."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
 
     async def stop(self) -> None:
-        """Closes the listener and all idle connections."""
-        if self._server is None:
-            return
+        """Closes the listener and all idle connections, and the others after a second."""
         self.stop_listening()
-        for connection in list(self._server.connections):
-            connection.close_if_idle()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._server.wait_closed(), 1.0)
-
-    def _ssl_context(self) -> ssl.SSLContext | None:
-        if self._tls is None:
-            return None
-        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        context.minimum_version = ssl.TLSVersion.TLSv1_2
-        context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
-        return context
+        if self._http is not None:
+            await self._http.shutdown(STOP_TIMEOUT_S)
+
+
+def _ssl_context(tls: TlsSettings) -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    return context
--- a/hornbeamramp/platform/listener_bounds.py
+++ b/hornbeamramp/listener_bounds.py
@@ -1,10 +1,11 @@
 """Bounds of a process's listeners, from the memory and the descriptors in its settings."""
 
+from typing import Protocol
+
 from hornbeamramp.guarded_http import ListenerBounds
-from hornbeamramp.platform.settings import LimitSettings
 from hornbeamramp.rpc import DEFAULT_BOUNDS, MESSAGE_LIMIT_BYTES
 
-__all__ = ["PROBE_BOUNDS", "caller_bounds", "peer_bounds"]
+__all__ = ["PROBE_BOUNDS", "ProcessLimits", "caller_bounds", "operator_bounds", "peer_bounds"]
 
 MIB = 1024 * 1024
 # Descriptors that the platform keeps for files; sockets share the others.
@@ -25,11 +26,24 @@
 MIN_REQUEST_BYTES = 2 * MIB
 MIN_CONNECTIONS = 32
 
+# Operators are few; what they write has the size of a pool's row.
+OPERATOR_CONNECTIONS = 64
+OPERATOR_REQUEST_BYTES = 16 * MIB
 # Readiness and metrics are read by a few programs, with heads of a few hundred bytes.
 PROBE_BOUNDS = ListenerBounds(32, MIB // 2)
 
 
-def caller_bounds(limits: LimitSettings) -> ListenerBounds:
+class ProcessLimits(Protocol):
+    """Memory in MiB and file descriptors of a process; 0 if not known."""
+
+    @property
+    def memory_mb(self) -> int: ...
+
+    @property
+    def max_fds(self) -> int: ...
+
+
+def caller_bounds(limits: ProcessLimits) -> ListenerBounds:
     """Returns the bounds of the callers' listener under the settings of its process."""
     connections = DEFAULT_CONNECTIONS
     request_bytes = DEFAULT_REQUEST_BYTES
@@ -42,7 +56,15 @@
     return ListenerBounds(max(connections, MIN_CONNECTIONS), max(request_bytes, MIN_REQUEST_BYTES))
 
 
-def peer_bounds(limits: LimitSettings) -> ListenerBounds:
+def operator_bounds(limits: ProcessLimits) -> ListenerBounds:
+    """Returns the bounds of the operators' listener."""
+    request_bytes = OPERATOR_REQUEST_BYTES
+    if limits.memory_mb:
+        request_bytes = min(request_bytes, int(limits.memory_mb * MIB * PEER_MEMORY_SHARE))
+    return ListenerBounds(OPERATOR_CONNECTIONS, max(request_bytes, MIN_REQUEST_BYTES))
+
+
+def peer_bounds(limits: ProcessLimits) -> ListenerBounds:
     """Returns the bounds of the ports for other VMs, all together."""
     connections = DEFAULT_BOUNDS.connections
     request_bytes = DEFAULT_BOUNDS.request_bytes
@@ -55,5 +77,5 @@
     )
 
 
-def _sockets(limits: LimitSettings) -> int:
+def _sockets(limits: ProcessLimits) -> int:
     return max(limits.max_fds - FILE_DESCRIPTORS, 0)
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -14,9 +14,9 @@
 from hornbeamramp.accounts import Access, AccessProblem
 from hornbeamramp.guarded_http import Guard, GuardedServer, RequestRefusedError, refusal_response
 from hornbeamramp.ids import NO_ACCOUNT, JobId
+from hornbeamramp.listener_bounds import PROBE_BOUNDS, caller_bounds
 from hornbeamramp.platform.decoding import decode_job
 from hornbeamramp.platform.key_checks import KeyChecks
-from hornbeamramp.platform.listener_bounds import PROBE_BOUNDS, caller_bounds
 from hornbeamramp.platform.settings import LimitSettings
 from hornbeamramp.telemetry import prometheus_text
 from hornbeamramp.vm import (
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -15,11 +15,11 @@
 from hornbeamramp.clock import Clock, SystemClock
 from hornbeamramp.fleet import WorkerListing
 from hornbeamramp.ids import DataCentreId, VmId
+from hornbeamramp.listener_bounds import peer_bounds
 from hornbeamramp.logs import NonBlockingHandler
 from hornbeamramp.platform import decoding
 from hornbeamramp.platform.advice import PlatformAdvice
 from hornbeamramp.platform.callers import CallerServer
-from hornbeamramp.platform.listener_bounds import peer_bounds
 from hornbeamramp.platform.settings import PlatformSettings, read_settings
 from hornbeamramp.platform.store import PlatformStore
 from hornbeamramp.platform.workers import PlatformWorkers
--- a/hornbeamramp/problems.py
+++ b/hornbeamramp/problems.py
@@ -4,16 +4,23 @@
 from http import HTTPStatus
 from typing import Any
 
-from sanic import HTTPResponse
-from sanic import json as json_response
-from sanic.exceptions import PayloadTooLarge, SanicException
+import msgspec
+from aiohttp import web
 
 from hornbeamramp.jobs import NotRun, Unknown
 from hornbeamramp.states import RefusalReason
 
-__all__ = ["http_problem", "not_run_response", "problem", "unknown_response"]
+__all__ = [
+    "PROBLEM_TYPE",
+    "json_response",
+    "not_run_response",
+    "problem",
+    "problem_body",
+    "unknown_response",
+]
 
-CONTENT_TYPE = "application/problem+json"
+JSON_TYPE = "application/json"
+PROBLEM_TYPE = "application/problem+json"
 
 STATUS_BY_REASON = {
     RefusalReason.MALFORMED: HTTPStatus.BAD_REQUEST,
@@ -33,31 +40,43 @@
 }
 
 
+def json_response(
+    document: Any,
+    status: HTTPStatus = HTTPStatus.OK,
+    headers: dict[str, str] | None = None,
+    content_type: str = JSON_TYPE,
+) -> web.Response:
+    """Returns a response with a JSON document."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(document),
+        headers=headers,
+        content_type=content_type,
+    )
+
+
+def problem_body(status: HTTPStatus, detail: str, **extra: Any) -> bytes:
+    """Returns a problem document; ``extra`` holds its additional members."""
+    document = {"type": "about:blank", "title": status.phrase, "status": status, "detail": detail}
+    return msgspec.json.encode({**document, **extra})
+
+
 def problem(
     status: HTTPStatus,
     detail: str,
     headers: dict[str, str] | None = None,
     **extra: Any,
-) -> HTTPResponse:
+) -> web.Response:
     """Returns a response with a problem document; ``extra`` holds its additional members."""
-    body = {"type": "about:blank", "title": status.phrase, "status": status, "detail": detail}
-    body.update(extra)
-    return json_response(body, status=status, headers=headers, content_type=CONTENT_TYPE)
-
-
-def http_problem(error: SanicException, outcome: str) -> HTTPResponse:
-    """Returns the response for an error of the HTTP layer and closes the connection after it.
-
-    Part of the rejected request may still be unread on the connection.
-    """
-    headers = {**(error.headers or {}), "Connection": "close"}
-    status = HTTPStatus(error.status_code)
-    if isinstance(error, PayloadTooLarge) and "header" in str(error):
-        status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-    return problem(status, str(error), headers, outcome=outcome)
+    return web.Response(
+        status=status,
+        body=problem_body(status, detail, **extra),
+        headers=headers,
+        content_type=PROBLEM_TYPE,
+    )
 
 
-def not_run_response(outcome: NotRun) -> HTTPResponse:
+def not_run_response(outcome: NotRun) -> web.Response:
     """Returns the response for a job that did not run."""
     headers = _retry_after_headers(outcome.retry_after)
     return problem(
@@ -70,7 +89,7 @@
     )
 
 
-def unknown_response(outcome: Unknown) -> HTTPResponse:
+def unknown_response(outcome: Unknown) -> web.Response:
     """Returns the response for a job that may or may not have run."""
     return problem(HTTPStatus.BAD_GATEWAY, outcome.detail, outcome="unknown", job=outcome.job_id)
 
--- a/hornbeamramp/settings.py
+++ b/hornbeamramp/settings.py
@@ -92,14 +92,20 @@
     `waiting_requests`
         Maximum number of submits waiting on this VM; further ones are rejected with 429.
     `request_timeout_ms`
-        Maximum time without data while the headers of a request are received, and maximum time
-        for receiving its body.
+        Maximum time for receiving the headers of a request, and for receiving its body.
+    `memory_mb`
+        Memory of the process in MiB, from which the bytes of all requests that are being read or
+        handled are bounded; 0 if not known.
+    `max_fds`
+        File descriptors of the process, from which connections are bounded; 0 if not known.
     """
 
     body_bytes: int = 1_000_000
     header_bytes: int = 8_192
     waiting_requests: int = 10_000
     request_timeout_ms: int = 10_000
+    memory_mb: int = 0
+    max_fds: int = 0
 
 
 class TimingSettings(_Section, frozen=True, kw_only=True):
--- a/tests/guarded_http/test_read_budget.py
+++ b/tests/guarded_http/test_read_budget.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hornbeamramp.guarded_http.read_budget import ListenerBounds, ReadBudget
-from hornbeamramp.platform.listener_bounds import PROBE_BOUNDS, caller_bounds, peer_bounds
+from hornbeamramp.listener_bounds import PROBE_BOUNDS, caller_bounds, peer_bounds
 from hornbeamramp.platform.settings import LimitSettings
 from hornbeamramp.rpc import MESSAGE_LIMIT_BYTES
 from hornbeamramp.workload import RequestLimits
