Keep parsing others after an unexpected error of one connection

What callers saw: nothing yet; found while reading the change. An error that the parser doesn't expect would have left all connections that wait for their turn waiting until other data arrived.

Cause: the callback that parses in turn ended with the error.

Change: the error is logged with its trace, that connection is closed, and the turns go on.

Test: test_unexpected_error_of_one_connection_stops_no_other failed before (time-out) and passes now.

--- a/hornbeamramp/guarded_http/connections.py
+++ b/hornbeamramp/guarded_http/connections.py
@@ -150,7 +150,12 @@
 
     def _parse_in_turn(self) -> None:
         while (connection := self.turns.take()) is not None:
-            self.turns.parse(connection, connection.parse_piece)
+            try:
+                self.turns.parse(connection, connection.parse_piece)
+            except Exception:
+                # The others go on waiting for their turns.
+                _log.exception("connection closed: parsing its data failed unexpectedly")
+                connection.abort()
         if not self._is_iteration_noted:
             self._is_iteration_noted = True
             asyncio.get_running_loop().call_soon(self._begin_iteration)
@@ -319,7 +324,7 @@
         """Parses the next piece of what has arrived. Tells whether more of it is to be parsed."""
         if self._is_reading_paused and self._has_peer_left():
             # The kernel may hold much more that was sent before.
-            self._abort()
+            self.abort()
             return False
         start = self._unparsed_start
         if self._phase is _Phase.BODY:
@@ -393,7 +398,7 @@
         if self.transport is not None:
             self.transport.write(_refusal_bytes(refusal, self._guard.describe))
         self.close()
-        self._timer = self._loop.call_later(LINGER_S, self._abort)
+        self._timer = self._loop.call_later(LINGER_S, self.abort)
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
@@ -587,7 +592,7 @@
                 await self._drain_helper()
         except TimeoutError:
             _log.info("connection closed: its caller reads no responses")
-            self._abort()
+            self.abort()
         except ConnectionError as error:
             _log.debug("caller left before it read its responses: {}", error)
 
@@ -595,7 +600,7 @@
         """Counts data of a refused connection, which is not kept."""
         self._dropped_bytes += count
         if self._dropped_bytes > LINGER_BYTES:
-            self._abort()
+            self.abort()
 
     def _discard(self) -> None:
         """Gives up the request that is being read; from now on data is dropped."""
@@ -616,9 +621,10 @@
         self._guard.turns.forget(self)
         self._refusal = Refusal.NO_CONNECTION
         self._wake(None)
-        self._abort()
+        self.abort()
 
-    def _abort(self) -> None:
+    def abort(self) -> None:
+        """Closes the connection at once, without a response."""
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/guarded_http/test_connections.py
+++ b/tests/guarded_http/test_connections.py
@@ -12,6 +12,7 @@
 from hornbeamramp.guarded_http.connections import (
     SMALL_PIECE_BYTES,
     Guard,
+    GuardedConnection,
     GuardedServer,
     RequestRefusedError,
     refusal_response,
@@ -471,6 +472,30 @@
     serve(scenario, ListenerBounds(8, 100_000))
 
 
+def test_unexpected_error_of_one_connection_stops_no_other(serve, one_small_piece, monkeypatch):
+    """Guards against connections that wait for their turn for good, as the one before failed."""
+    feed_body = GuardedConnection._feed_body
+
+    def fail(connection, piece):
+        if b"y" in piece:
+            raise ValueError("unexpected")
+        feed_body(connection, piece)
+
+    monkeypatch.setattr(GuardedConnection, "_feed_body", fail)
+
+    async def scenario(server):
+        failing, good = await server.connect(), await server.connect()
+        for (_, writer), body in ((good, b"x" * 200), (failing, b"y" * 100)):
+            writer.write(post_chunked(body, 1))
+        assert (await read_response(good[0]))[::2] == (200, b"POST 200")
+        with contextlib.suppress(ConnectionResetError):
+            assert await failing[0].read() == b""
+        assert len(server.guard.budget) == 1
+        good[1].close()
+
+    serve(scenario, ListenerBounds(8, 100_000))
+
+
 def test_data_of_a_caller_that_left_is_not_parsed(serve, one_small_piece):
     """Guards against parsing that outlasts its connection: the end of a connection that isn't read
     arrives only behind all its data."""
