Test crowds of several kinds at all listeners of a VM at once

Change: bodies that stop short, chunks of one byte and heads without end at the callers' listener, messages that stop short at the port for other VMs, heads without end at readiness and metrics, all at the same time.

--- a/tests/hostile/crowd.py
+++ b/tests/hostile/crowd.py
@@ -152,6 +152,15 @@
             self._members.append((reader, writer))
             await behaviour(reader, writer)
 
+    def at(self, port: int) -> str:
+        """Returns the address of another listener of the same process."""
+        return f"{self._host}:{port}"
+
+    def take_over(self, *crowds: "Crowd") -> None:
+        """Has the connections of other crowds closed with those of this one."""
+        for crowd in crowds:
+            self._members.extend(crowd._members)
+
     async def close(self) -> None:
         for _, writer in self._members:
             writer.transport.abort()
--- a/tests/hostile/test_crowds.py
+++ b/tests/hostile/test_crowds.py
@@ -55,6 +55,7 @@
 MESSAGE_BYTES = 4_000_000
 MESSAGE_STREAMS = 4
 MESSAGE_CONNECTIONS = 10
+READY_PORT = 8141
 LISTENERS = ("frontend", "ready", "metrics", "peers")
 
 
@@ -70,7 +71,7 @@
                 vm = cell.vm
                 address_by_listener = {
                     "frontend": vm.frontend,
-                    "ready": f"{vm.ip}:8141",
+                    "ready": f"{vm.ip}:{READY_PORT}",
                     "metrics": f"{vm.ip}:{METRICS_PORT}",
                     "peers": f"{vm.ip}:{PEER_PORT}",
                 }
@@ -208,6 +209,35 @@
     hold_out(lambda crowd: crowd.send(HEADS, pieces))
 
 
+def test_crowds_of_several_kinds_at_once(hold_out):
+    """Guards against bounds that hold for each listener and each kind of crowd, but not in sum."""
+    path = f"/batch/{'c' * 16}"
+    fields = [f"X-{number}: {'x' * FIELD_BYTES}" for number in range(FIELDS)]
+    endless = split(head("GET", path, *fields)[:-2], PIECE_BYTES)
+    chunked_head = head("POST", path, "Transfer-Encoding: chunked")
+    sized_head = head("POST", path, f"Content-Length: {BODY_BYTES}")
+    message_head = head("POST", "/GetJob", f"Content-Length: {MESSAGE_BYTES}")
+
+    async def attack(crowd):
+        peers = Crowd(crowd.at(PEER_PORT))
+        others = [Crowd(crowd.at(port)) for port in (READY_PORT, METRICS_PORT)]
+        body, message = b"x" * BODY_BYTES, b"x" * MESSAGE_BYTES
+        try:
+            await asyncio.gather(
+                send_bodies(crowd, sized_head, body, PIECE_BYTES, BODIES // 2),
+                send_bodies(
+                    crowd, chunked_head, chunked(BODY_BYTES, 1), PIECE_BYTES, TINY_CHUNK_FLOOD // 2
+                ),
+                crowd.send(HEADS, endless),
+                send_bodies(peers, message_head, message, PIECE_BYTES, 4 * MESSAGE_CONNECTIONS),
+                *(other.send(HEADS, endless) for other in others),
+            )
+        finally:
+            crowd.take_over(peers, *others)
+
+    hold_out(attack)
+
+
 @pytest.mark.parametrize("listener", ["ready", "metrics"])
 def test_bodies_to_listeners_without_bodies(hold_out, listener):
     """Guards against bodies that are held by listeners that need none."""
