Count connections with TLS from their beginning

What callers saw: 800 connections to a port of `serve` with TLS that send nothing, or a part of their first message, took up to 824 descriptors of 600, at the callers' port and at that for other VMs.

Cause: the event loop's servers hand a connection over once its handshake has ended, so the bound on connections didn't see those that never do.

Change: a listener of our own accepts, counts each connection and then starts its handshake, which has 3 s. A handshake counts as an idle connection, and gives way like one. Upgrading an accepted connection with start_tls was tried first; uvloop has read part of the handshake by then.

Why this works: no connection is open that isn't counted.

Tests: five of the six cases of test_handshakes_that_stop_short failed before (654 to 824 descriptors of 600; one held with 462). All hold now, with 90 to 225. tests/test_tls.py passes unchanged.

--- a/hornbeamramp/guarded_http/__init__.py
+++ b/hornbeamramp/guarded_http/__init__.py
@@ -2,12 +2,12 @@
 
 from hornbeamramp.guarded_http.connections import (
     Guard,
-    GuardedServer,
     Refusal,
     RequestRefusedError,
     refusal_response,
 )
 from hornbeamramp.guarded_http.read_budget import ListenerBounds
+from hornbeamramp.guarded_http.server import GuardedServer
 
 __all__ = [
     "Guard",
--- a/hornbeamramp/guarded_http/connections.py
+++ b/hornbeamramp/guarded_http/connections.py
@@ -4,10 +4,9 @@
 import socket
 import time
 from collections.abc import Callable
-from datetime import timedelta
 from enum import Enum
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 
 import logbook
 import msgspec
@@ -20,7 +19,13 @@
 from hornbeamramp.guarded_http.read_budget import ListenerBounds, ReadBudget
 from hornbeamramp.workload import RequestLimits
 
-__all__ = ["Guard", "GuardedServer", "Refusal", "RequestRefusedError", "refusal_response"]
+__all__ = [
+    "Guard",
+    "GuardedConnection",
+    "Refusal",
+    "RequestRefusedError",
+    "refusal_response",
+]
 
 # Bytes of a body of known size that are parsed before what they added is counted.
 PIECE_BYTES = 32 * 1024
@@ -77,6 +82,16 @@
 Description = Callable[[Refusal], tuple[str, bytes]]
 
 
+class Connection(Protocol):
+    """An open connection, as the budget of its listener sees it."""
+
+    def evict(self) -> None:
+        """Closes the connection for another one's sake; no request of it is being handled."""
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuses the request that is being read."""
+
+
 class RequestRefusedError(Exception):
     """The request is refused and has not been read to its end."""
 
@@ -136,13 +151,24 @@
     ) -> None:
         self.limits = limits
         self.describe = describe
-        self.budget: ReadBudget[GuardedConnection] = ReadBudget(bounds)
+        self.budget: ReadBudget[Connection] = ReadBudget(bounds)
         self.turns: ParseTurns[GuardedConnection] = ParseTurns(time.perf_counter)
         self._name = name
         self._is_iteration_noted = False
         self._logged_at: dict[Refusal, float] = {}
         self._count_by_refusal: dict[Refusal, int] = {}
 
+    def open(self, connection: "Connection") -> bool:
+        """Counts a new connection, and closes another one if there are too many. Returns false if
+        there is none to close."""
+        evicted = self.budget.open(connection)
+        if evicted is connection:
+            self.count(Refusal.NO_CONNECTION)
+            return False
+        if evicted is not None:
+            evicted.evict()
+        return True
+
     def parse(self, connection: "GuardedConnection") -> None:
         """Has the data of a connection parsed, now or in turn with that of others."""
         self.turns.add(connection)
@@ -205,6 +231,7 @@
 
     __slots__ = (
         "_guard",
+        "_handshake",
         "_phase",
         "_entry",
         "_body",
@@ -226,7 +253,13 @@
         "_timer",
     )
 
-    def __init__(self, manager: web.Server, guard: Guard, **options: Any) -> None:
+    def __init__(
+        self,
+        manager: web.Server,
+        guard: Guard,
+        handshake: Connection | None = None,
+        **options: Any,
+    ) -> None:
         limit = guard.limits().max_header_bytes
         # The size of a head bounds the number of its lines.
         max_headers = limit // MIN_LINE_BYTES
@@ -251,6 +284,8 @@
             max_msg_queue_size=1,
         )
         self._guard = guard
+        # The connection as it was counted until now.
+        self._handshake = handshake
         self._phase = _Phase.IDLE
         # The request that is being read, as the parser returned it.
         self._entry: Any = None
@@ -283,15 +318,14 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        evicted = self._guard.budget.open(self)
-        if evicted is self:
-            self._guard.count(Refusal.NO_CONNECTION)
+        if self._handshake is not None:
+            self._guard.budget.close(self._handshake)
+            self._handshake = None
+        if not self._guard.open(self):
             self._phase = _Phase.REFUSED
             transport.abort()
             return
         super().connection_made(transport)
-        if evicted is not None:
-            evicted._evict()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self._guard.budget.close(self)
@@ -612,7 +646,7 @@
         if self.transport is not None:
             self._guard.budget.refuse(self)
 
-    def _evict(self) -> None:
+    def evict(self) -> None:
         """Closes the connection for another one's sake; no request of it is being handled."""
         self._guard.count(Refusal.NO_CONNECTION)
         self._stop_timer()
@@ -654,47 +688,3 @@
         return int(message.headers.get(hdrs.CONTENT_LENGTH, 0))
     except ValueError:
         return 0
-
-
-class GuardedRequest(web.BaseRequest):
-    """A request whose body its connection has gathered."""
-
-    async def read(self) -> bytes:
-        """Returns the body. Raises `RequestRefusedError`, and ``OSError`` if the connection ends
-        before."""
-        connection = self.protocol
-        assert isinstance(connection, GuardedConnection)
-        return await connection.read_body()
-
-
-class GuardedServer(web.Server):
-    """A server whose connections share a guard. It has no access log.
-
-    ``keepalive_timeout`` returns the time for which a new connection may be idle. With
-    ``handler_cancellation``, a handler ends with its connection.
-    """
-
-    def __init__(
-        self,
-        handler: Callable[[web.BaseRequest], Any],
-        guard: Guard,
-        keepalive_timeout: Callable[[], timedelta],
-        handler_cancellation: bool = False,
-    ) -> None:
-        super().__init__(
-            handler, request_factory=self._request, handler_cancellation=handler_cancellation
-        )
-        self._guard = guard
-        self._keepalive_timeout = keepalive_timeout
-
-    def __call__(self) -> GuardedConnection:
-        return GuardedConnection(
-            self,
-            self._guard,
-            loop=self._loop,
-            keepalive_timeout=self._keepalive_timeout().total_seconds(),
-            access_log=None,
-        )
-
-    def _request(self, message, payload, protocol, writer, task) -> GuardedRequest:
-        return GuardedRequest(message, payload, protocol, writer, task, self._loop)
--- a/hornbeamramp/http_server.py
+++ b/hornbeamramp/http_server.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from http import HTTPStatus
-from typing import Any
 
 from aiohttp import hdrs, web
 
@@ -17,6 +16,7 @@
     RequestRefusedError,
     refusal_response,
 )
+from hornbeamramp.guarded_http.handshakes import TlsListener
 from hornbeamramp.problems import PROBLEM_TYPE, problem, problem_body
 from hornbeamramp.settings import LimitSettings, TlsSettings
 from hornbeamramp.workload import RequestLimits
@@ -24,7 +24,6 @@
 __all__ = ["HttpApp", "HttpServer", "parse_address"]
 
 KEEPALIVE_TIMEOUT = timedelta(seconds=75)
-TLS_HANDSHAKE_TIMEOUT_S = 3.0
 STOP_TIMEOUT_S = 1.0
 
 Handler = Callable[..., Awaitable[web.Response]]
@@ -132,19 +131,15 @@
         self._address = address
         self._tls = tls
         self._http: GuardedServer | None = None
-        self._listener: asyncio.Server | None = None
+        self._listener: asyncio.Server | TlsListener | None = None
         self.port = 0
 
     async def start(self) -> None:
         """Binds and starts serving. Raises ``OSError`` if the address can't be bound."""
         host, port = parse_address(self._address)
-        options: dict[str, Any] = {}
-        if self._tls is not None:
-            options["ssl"] = _ssl_context(self._tls)
-            options["ssl_handshake_timeout"] = TLS_HANDSHAKE_TIMEOUT_S
         self._http = GuardedServer(self._app.respond, self._guard, lambda: KEEPALIVE_TIMEOUT)
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._http, host, port, **options)
+        context = None if self._tls is None else _ssl_context(self._tls)
+        self._listener = await self._http.listen(host, port, context)
         self.port = self._listener.sockets[0].getsockname()[1]
 
     @property
--- a/hornbeamramp/rpc.py
+++ b/hornbeamramp/rpc.py
@@ -23,6 +23,7 @@
     RequestRefusedError,
     refusal_response,
 )
+from hornbeamramp.guarded_http.handshakes import TlsListener
 from hornbeamramp.http_client import TooLargeError, open_socket, read_body
 from hornbeamramp.ids import DataCentreId, VmId
 from hornbeamramp.settings import TlsSettings
@@ -38,7 +39,6 @@
 DEFAULT_BOUNDS = ListenerBounds(1024, 8 * MESSAGE_LIMIT_BYTES)
 # Time for the body of a request, which a VM sends at once.
 BODY_TIMEOUT_S = 10.0
-TLS_HANDSHAKE_TIMEOUT_S = 3.0
 HELLO_TIMEOUT = timedelta(seconds=2)
 # Left for the call itself if the handshake used up its timeout: several round trips between VMs.
 MIN_TIMEOUT = timedelta(milliseconds=50)
@@ -107,7 +107,7 @@
         self._guard = Guard("peers", bounds, lambda: LIMITS)
         self._method_by_name: dict[str, tuple[msgspec.msgpack.Decoder[Any], Handler]] = {}
         self._http: GuardedServer | None = None
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[asyncio.Server | TlsListener] = []
         self.port = 0
         self.handle(messages.HelloRequest, self._on_hello)
 
@@ -128,12 +128,9 @@
             await self._listen(host, self.port + number)
 
     async def _listen(self, host: str, port: int) -> int:
-        options: dict[str, Any] = {}
-        if self._tls is not None:
-            options["ssl"] = _server_context(self._tls)
-            options["ssl_handshake_timeout"] = TLS_HANDSHAKE_TIMEOUT_S
-        loop = asyncio.get_running_loop()
-        listener = await loop.create_server(self._http, host.strip("[]"), port, **options)
+        assert self._http is not None
+        context = None if self._tls is None else _server_context(self._tls)
+        listener = await self._http.listen(host.strip("[]"), port, context)
         self._listeners.append(listener)
         return listener.sockets[0].getsockname()[1]
 
--- a/tests/guarded_http/test_connections.py
+++ b/tests/guarded_http/test_connections.py
@@ -13,11 +13,11 @@
     SMALL_PIECE_BYTES,
     Guard,
     GuardedConnection,
-    GuardedServer,
     RequestRefusedError,
     refusal_response,
 )
 from hornbeamramp.guarded_http.read_budget import ListenerBounds
+from hornbeamramp.guarded_http.server import GuardedServer
 from hornbeamramp.workload import RequestLimits
 
 LIMITS = RequestLimits(
--- a/tests/hostile/test_serve_crowds.py
+++ b/tests/hostile/test_serve_crowds.py
@@ -7,6 +7,7 @@
 import asyncio
 from http import HTTPStatus
 
+import msgspec
 import pytest
 
 from hornbeamramp.errors import UnreachableError
@@ -20,6 +21,7 @@
     send_bodies,
     split,
 )
+from tests.keys import Authority
 from tests.listeners import ROUTE
 
 pytestmark = pytest.mark.alone
@@ -42,7 +44,7 @@
 
 
 @pytest.fixture
-def hold_out():
+def hold_out(tmp_path):
     """Runs an attack, a coroutine function of a crowd, and checks what must hold."""
 
     async def is_answered(request):
@@ -69,10 +71,13 @@
         assert await is_answered(submit)
         assert await is_answered(ask_status)
 
-    def start(attack, listener):
+    def start(attack, listener, tls=False):
         async def main():
             workers = [WorkerSpec("worker-1", "gebze", "tickets")]
-            async with LocalCell(["gebze"], 1, workers, settings={"limits": LIMITS}) as cell:
+            settings = {"limits": LIMITS}
+            if tls:
+                settings["tls"] = msgspec.to_builtins(Authority(tmp_path, "own").issue("vm"))
+            async with LocalCell(["gebze"], 1, workers, settings=settings) as cell:
                 await cell.put_tables([ROUTE])
                 await cell.wait_serving()
                 entry = cell.entries[0]
@@ -142,3 +147,10 @@
 def test_more_connections_than_descriptors(hold_out, listener):
     """Guards against connections that take the descriptors of the process."""
     hold_out(lambda crowd: crowd.send(CONNECTIONS, [b"GET "]), listener)
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+@pytest.mark.parametrize("hello", [b"", b"\x16\x03\x01\x02\x00"], ids=["nothing", "part"])
+def test_handshakes_that_stop_short(hold_out, listener, hello):
+    """Guards against connections that are bounded only once their TLS handshake is over."""
+    hold_out(lambda crowd: crowd.send(CONNECTIONS, [hello]), listener, tls=True)
