Let the soak send crowds to the ports of its VMs

Change: `--crowds` adds crowds to the faults of the soak: up to 80 members with requests of six kinds that stop short, at the callers' port or that for other VMs, on VMs with the limits of the smallest. A VM that uses more than its memory is a problem.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --moves
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --restarts
 	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --pacing
+	$(BIN)/python -m tests.soak --seeds $(SOAK_SEEDS) --first $(SOAK_FIRST) --crowds
 
 lint: $(STAMP)
 	$(BIN)/black --check .
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,5 @@
 """Command line: ``python -m tests.soak [--seeds N] [--first SEED] [--seconds S]
-[--planned] [--moves] [--restarts] [--pacing] [--accounts]``."""
+[--planned] [--moves] [--restarts] [--pacing] [--accounts] [--crowds]``."""
 
 import shutil
 import sys
@@ -23,6 +23,7 @@
     restarts: bool = False,
     pacing: bool = False,
     accounts: bool = False,
+    crowds: bool = False,
 ) -> None:
     """Runs seeds one after another and keeps the logs of those that fail.
 
@@ -46,12 +47,14 @@
         Run best-effort tasks beside tasks that serve, on workers that refuse orders on pace.
     accounts
         Replace keys of client accounts, with callers that go on sending the revoked ones.
+    crowds
+        Send crowds of requests that stop short to the ports of VMs.
     """
     failed = []
     for seed in range(first, first + seeds):
         logs = folder.resolve() / f"seed-{seed}"
         shutil.rmtree(logs, ignore_errors=True)
-        outcome = run_seed(seed, seconds, logs, planned, moves, restarts, pacing, accounts)
+        outcome = run_seed(seed, seconds, logs, planned, moves, restarts, pacing, accounts, crowds)
         print(
             f"seed {seed}: {outcome.accepted} accepted, {outcome.refused} refused, "
             f"{outcome.starts} starts, {outcome.faults} faults, {len(outcome.problems)} problems",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 from tests.soak.accounts import KeyedCallers, ReplacedKeys
 from tests.soak.callers import Callers
 from tests.soak.cell import GRACE_S, SoakCell
+from tests.soak.crowds import CROWD_SETTINGS, Crowds
 from tests.soak.faults import Faults, PlannedWork, WorkerRestarts
 from tests.soak.kept_connections import KeptConnectionCallers
 from tests.soak.moves import ImpatientCallers, MovingQueues
@@ -40,6 +41,7 @@
     restarts: bool = False,
     pacing: bool = False,
     accounts: bool = False,
+    crowds: bool = False,
 ) -> Outcome:
     """Runs a seed with ``seconds`` of faults. The VMs' logs are written to ``folder``.
 
@@ -53,9 +55,13 @@
         Runs best-effort tasks beside tasks that serve, on workers that refuse orders on pace.
     `accounts`
         Replaces keys of client accounts, with callers that go on sending the revoked ones.
+    `crowds`
+        Sends crowds of requests that stop short to the ports of VMs of the smallest size.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(_run_seed(seed, seconds, folder, planned, moves, restarts, pacing, accounts))
+    return asyncio.run(
+        _run_seed(seed, seconds, folder, planned, moves, restarts, pacing, accounts, crowds)
+    )
 
 
 async def _run_seed(
@@ -67,9 +73,13 @@
     restarts: bool,
     pacing: bool,
     accounts: bool,
+    crowds: bool,
 ) -> Outcome:
     rng, fault_rng = random.Random(seed), random.Random(seed + 1)
-    async with SoakCell(folder, seed, moves=moves, accounts=accounts) as cell:
+    settings = CROWD_SETTINGS if crowds else ""
+    async with SoakCell(
+        folder, seed, moves=moves, accounts=accounts, more_settings=settings
+    ) as cell:
         callers: Callers
         faults: Faults
         if planned:
@@ -86,6 +96,8 @@
             callers, faults = PacedCallers(cell, rng), PacingFaults(cell, fault_rng)
         elif accounts:
             callers, faults = KeyedCallers(cell, rng), ReplacedKeys(cell, fault_rng)
+        elif crowds:
+            callers, faults = Callers(cell, rng), Crowds(cell, fault_rng)
         else:
             callers, faults = Callers(cell, rng), Faults(cell, fault_rng)
         await asyncio.gather(callers.run(seconds), faults.run(seconds))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,6 +29,8 @@
 # With client accounts whose keys are replaced, and callers that go on sending the revoked ones.
 ACCOUNT_SEEDS = (8001, 8002)
 ACCOUNT_SECONDS = 20.0
+# With crowds at the ports of the VMs.
+CROWD_SEEDS = (9001, 9002)
 # Seeds that failed once, with the duration of the failed run in seconds and the cause.
 FAILED_SEEDS: dict[int, tuple[float, str]] = {
     6: (15.0, "SIGTERM or SIGHUP during the imports killed the process"),
@@ -93,6 +95,16 @@
     assert outcome.starts > 0
 
 
+@pytest.mark.parametrize("seed", CROWD_SEEDS)
+def test_guarantees_hold_beside_crowds(seed, tmp_path):
+    """Guards against crowds that end a process, and against jobs that are lost or run twice as
+    crowds meet takeovers, restarts and changes of the configuration."""
+    outcome = run_seed(seed, SECONDS, tmp_path, crowds=True)
+    assert outcome.problems == ()
+    assert outcome.accepted > 0
+    assert outcome.starts > 0
+
+
 @pytest.mark.parametrize("seed", RESTARTING_SEEDS)
 def test_tasks_run_once_while_workers_restart(seed, tmp_path):
     """Guards against a task that is started again while its run is at work on a restarted worker,
