Describe the limits of `serve`, and have hostile tests share their checks

Cause: reading the change as a newcomer. The defaults of the new settings were not on their page, two test files had the same five lines of checks, and a name was used for two things in one function.

Change: pages, one method of the tests' gauge, one name.

--- a/hornbeamramp/guarded_http/__init__.py
+++ b/hornbeamramp/guarded_http/__init__.py
@@ -6,6 +6,7 @@
     RequestRefusedError,
     refusal_response,
 )
+from hornbeamramp.guarded_http.handshakes import TlsListener
 from hornbeamramp.guarded_http.read_budget import ListenerBounds
 from hornbeamramp.guarded_http.server import GuardedServer
 
@@ -15,5 +16,6 @@
     "ListenerBounds",
     "Refusal",
     "RequestRefusedError",
+    "TlsListener",
     "refusal_response",
 ]
--- a/hornbeamramp/http_server.py
+++ b/hornbeamramp/http_server.py
@@ -14,9 +14,9 @@
     ListenerBounds,
     Refusal,
     RequestRefusedError,
+    TlsListener,
     refusal_response,
 )
-from hornbeamramp.guarded_http.handshakes import TlsListener
 from hornbeamramp.problems import PROBLEM_TYPE, problem, problem_body
 from hornbeamramp.settings import LimitSettings, TlsSettings
 from hornbeamramp.workload import RequestLimits
@@ -77,12 +77,12 @@
             response.force_close()
             return response
         match = await self._router.resolve(request)
-        error = match.http_exception
-        if isinstance(error, web.HTTPMethodNotAllowed):
-            allowed = ", ".join(sorted(error.allowed_methods))
+        mismatch = match.http_exception
+        if isinstance(mismatch, web.HTTPMethodNotAllowed):
+            allowed = ", ".join(sorted(mismatch.allowed_methods))
             detail = f"method {request.method} is not allowed for {request.path}"
             return _not_run(HTTPStatus.METHOD_NOT_ALLOWED, detail, {hdrs.ALLOW: allowed})
-        if error is not None:
+        if mismatch is not None:
             return _not_run(HTTPStatus.NOT_FOUND, f"nothing is served at {request.path}")
         try:
             return await match.handler(request, **match)
--- a/hornbeamramp/rpc.py
+++ b/hornbeamramp/rpc.py
@@ -21,9 +21,9 @@
     GuardedServer,
     ListenerBounds,
     RequestRefusedError,
+    TlsListener,
     refusal_response,
 )
-from hornbeamramp.guarded_http.handshakes import TlsListener
 from hornbeamramp.http_client import TooLargeError, open_socket, read_body
 from hornbeamramp.ids import DataCentreId, VmId
 from hornbeamramp.settings import TlsSettings
--- a/hornbeamramp/settings.py
+++ b/hornbeamramp/settings.py
@@ -94,10 +94,12 @@
     `request_timeout_ms`
         Maximum time for receiving the headers of a request, and for receiving its body.
     `memory_mb`
-        Memory of the process in MiB, from which the bytes of all requests that are being read or
-        handled are bounded; 0 if not known.
+        Memory of the process in MiB. An eighth of it bounds the bytes of all callers' requests
+        being read or handled, a sixteenth those of operators and of other VMs. If 0, not known:
+        64, 16 and 32 MiB.
     `max_fds`
-        File descriptors of the process, from which connections are bounded; 0 if not known.
+        File descriptors of the process. Less 200, half of them bounds the connections of callers, a
+        quarter those of other VMs; operators have 64. If 0, not known: 4,096 and 1,024.
     """
 
     body_bytes: int = 1_000_000
--- a/tests/hostile/crowd.py
+++ b/tests/hostile/crowd.py
@@ -97,6 +97,16 @@
         lines = (self._process / "status").read_text().splitlines()
         return next(int(x.split()[1]) / 1024 for x in lines if x.startswith("VmHWM:"))
 
+    def check(self, memory_mb: int, max_fds: int) -> None:
+        """Asserts that the process lives and has stayed within its memory and descriptors."""
+        assert self.is_running
+        print(
+            f"peak {self.peak_memory_mb:.0f} MiB of {memory_mb},"
+            f" {self.peak_descriptors} descriptors of {max_fds}"
+        )
+        assert self.peak_memory_mb < memory_mb
+        assert self.peak_descriptors < max_fds
+
     async def wait_until_idle(self) -> None:
         """Returns once the process has dealt with what it was sent, or after a limited time."""
         for _ in range(IDLE_CHECKS):
--- a/tests/hostile/test_crowds.py
+++ b/tests/hostile/test_crowds.py
@@ -86,13 +86,7 @@
                         assert await cell.is_call_answered()
                         for name, path in (("ready", "/"), ("metrics", "/metrics")):
                             assert await cell.is_answered(address_by_listener[name], path)
-                        assert gauge.is_running
-                        print(
-                            f"peak {gauge.peak_memory_mb:.0f} MiB of {MEMORY_MB},"
-                            f" {gauge.peak_descriptors} descriptors of {MAX_FDS}"
-                        )
-                        assert gauge.peak_memory_mb < MEMORY_MB
-                        assert gauge.peak_descriptors < MAX_FDS
+                        gauge.check(MEMORY_MB, MAX_FDS)
                     finally:
                         await crowd.close()
                 assert vm.problems == []
--- a/tests/hostile/test_serve_crowds.py
+++ b/tests/hostile/test_serve_crowds.py
@@ -89,13 +89,7 @@
                         await check_requests(cell, entry)
                         await gauge.wait_until_idle()
                         await check_requests(cell, entry)
-                        assert gauge.is_running
-                        print(
-                            f"peak {gauge.peak_memory_mb:.0f} MiB of {MEMORY_MB},"
-                            f" {gauge.peak_descriptors} descriptors of {MAX_FDS}"
-                        )
-                        assert gauge.peak_memory_mb < MEMORY_MB
-                        assert gauge.peak_descriptors < MAX_FDS
+                        gauge.check(MEMORY_MB, MAX_FDS)
                     finally:
                         await crowd.close()
 
