Tell callers that expect it to send their body

What callers saw: one that sends `Expect: 100-continue`, as curl does with larger bodies, got no interim answer and sent its body after its own time-out, a second for curl. On the users' platform this was always so; in `serve` it came with the guarded connections, as Sanic answers it.

Cause: aiohttp answers the expectation in its application, which the guarded servers don't have.

Change: a connection sends 100 once the head of such a request is read and its body is within the limit.

Tests: test_caller_that_waits_for_its_body_to_be_wanted_is_told_to_go_on failed before (time-out) in both framings; a body over the limit is refused at once, before and now.

--- a/hornbeamramp/guarded_http/connections.py
+++ b/hornbeamramp/guarded_http/connections.py
@@ -35,6 +35,7 @@
 # State of a socket in the kernel, the first byte of its TCP_INFO.
 TCP_ESTABLISHED = 1
 HEAD_END = b"\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # A head is held as bytes, and again as the names and values of its fields, for each of which there
 # are several objects.
 HEAD_COST = 3
@@ -518,8 +519,15 @@
         self._head_bytes = max(self._head_bytes - len(head) + body_start, 0)
         if not self._had_chunks and payload.is_eof():
             self._rest = head[body_start + self._body_bytes :]
+        if message.headers.get(hdrs.EXPECT, "").lower() == "100-continue" and not payload.is_eof():
+            self._write_continue()
         self._gather()
 
+    def _write_continue(self) -> None:
+        """Tells a caller that waits for it to send its body."""
+        if self.transport is not None:
+            self.transport.write(CONTINUE)
+
     def _feed_body(self, piece: bytes) -> None:
         super().data_received(piece)
         if self._messages and self._messages[-1] is not self._entry:
--- a/tests/guarded_http/test_connections.py
+++ b/tests/guarded_http/test_connections.py
@@ -308,6 +308,33 @@
     assert caplog.records == []
 
 
+@pytest.mark.parametrize("framing", ["Content-Length: 4", "Transfer-Encoding: chunked"])
+def test_caller_that_waits_for_its_body_to_be_wanted_is_told_to_go_on(serve, framing):
+    """Guards against callers that send their body only after a second, as curl does."""
+
+    async def scenario(server):
+        reader, writer = await server.connect()
+        for _ in range(2):
+            writer.write(f"POST / HTTP/1.1\r\nHost: a\r\n{framing}\r\n".encode())
+            writer.write(b"Expect: 100-continue\r\n\r\n")
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(b"4\r\nbody\r\n0\r\n\r\n" if "chunked" in framing else b"body")
+            assert (await read_response(reader))[::2] == (200, b"POST 4")
+        writer.close()
+
+    serve(scenario)
+
+
+def test_caller_that_waits_with_a_body_over_the_limit_is_refused(serve):
+    async def scenario(server):
+        reader, writer = await server.connect()
+        writer.write(post(bytes(2001), "Expect: 100-continue")[:-2001])
+        assert (await read_response(reader))[0] == 413
+        writer.close()
+
+    serve(scenario)
+
+
 def test_stalled_bodies_give_way(serve):
     """Guards against a crowd of bodies without end that keeps ordinary callers out."""
 
