Keep calls that wait for the end of a job from holding up others

In `serve`, a job whose caller waits is one call to the owner, for up to an hour. With 32 of them from one VM, its heartbeats, its questions and its further jobs would have waited for a connection.

Change: calls with a time-out above 60 s have a channel of their own without this bound. A process that isn't told its descriptors has 4,096 connections of other VMs instead of 1,024. The program on the users' platform makes no such calls.

Test: test_calls_that_wait_long_hold_up_no_others failed before (time-out) and passes now, with the other tests of calls and of TLS.

--- a/hornbeamramp/rpc.py
+++ b/hornbeamramp/rpc.py
@@ -36,7 +36,7 @@
 # Calls carry a trace's ids at most.
 LIMITS = RequestLimits(max_header_bytes=8192, max_body_bytes=MESSAGE_LIMIT_BYTES)
 # Bounds of a server that is given none: many VMs, and several messages of the largest size.
-DEFAULT_BOUNDS = ListenerBounds(1024, 8 * MESSAGE_LIMIT_BYTES)
+DEFAULT_BOUNDS = ListenerBounds(4096, 8 * MESSAGE_LIMIT_BYTES)
 # Time for the body of a request, which a VM sends at once.
 BODY_TIMEOUT_S = 10.0
 HELLO_TIMEOUT = timedelta(seconds=2)
@@ -45,8 +45,11 @@
 # A connection that was idle for longer isn't used again; the server keeps it open for longer still.
 CHANNEL_IDLE_S = 5.0
 SERVER_IDLE = timedelta(seconds=75)
-# Open connections of one channel; further calls wait for one.
+# Open connections of a channel; further calls wait for one.
 CHANNEL_CONNECTIONS = 32
+# Calls that may take longer, as their callers wait for the end of a job, have a channel of their
+# own, whose connections are as many as the calls.
+LONG_CALL = timedelta(seconds=60)
 # A connection whose peer acknowledges nothing is closed after this time.
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=7)
 CHANNEL_CLOSE_GRACE_S = 5.0
@@ -175,7 +178,8 @@
 
 
 class PeerClient:
-    """Calls other entry VMs. Keeps one channel per address and replaces it after a failure."""
+    """Calls other entry VMs. Keeps one channel per address, and one for calls that take long, and
+    replaces them after a failure."""
 
     def __init__(
         self,
@@ -187,6 +191,7 @@
         self._hello = messages.HelloRequest(messages.PROTOCOL_VERSION, vm, data_centre)
         self._ssl = None if tls is None else _client_context(tls)
         self._channel_by_address: dict[str, aiohttp.ClientSession] = {}
+        self._long_channel_by_address: dict[str, aiohttp.ClientSession] = {}
         self._handshake_by_address: dict[str, asyncio.Task[None]] = {}
         self._compatible_addresses: set[str] = set()
         # Loop time of the latest answer on each channel.
@@ -213,8 +218,8 @@
 
     async def close(self) -> None:
         """Closes all channels. Pending calls fail."""
-        for address in list(self._channel_by_address):
-            self._discard_channel(address)
+        for address in {*self._channel_by_address, *self._long_channel_by_address}:
+            self._discard_channels(address)
         for channel, task in list(self._closing.items()):
             task.cancel()
             await channel.close()
@@ -249,7 +254,7 @@
         self, address: str, request: Any, timeout: timedelta, step: Step, sent: bool
     ) -> Any:
         method = _method_name(type(request))
-        channel = self._channel(address)
+        channel = self._channel(address, timeout)
         began = asyncio.get_running_loop().time()
         with _tracer.start_as_current_span(f"rpc.client {method}") as span:
             span.set_attribute("peer", address)
@@ -274,7 +279,7 @@
                     sent = False
                 message = f"{method}: {type(error).__name__}: {error}"
                 raise UnreachableError(step, address, message, sent) from error
-        if self._channel_by_address.get(address) is channel:
+        if self._is_current(address, channel):
             self._answered_at[channel] = asyncio.get_running_loop().time()
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             raise UnreachableError(step, address, f"{method}: refused", False)
@@ -286,13 +291,15 @@
         except msgspec.MsgspecError as error:
             raise ProtocolError(step, address, f"{method}: {error}") from error
 
-    def _channel(self, address: str) -> aiohttp.ClientSession:
-        channel = self._channel_by_address.get(address)
+    def _channel(self, address: str, timeout: timedelta) -> aiohttp.ClientSession:
+        is_long = timeout > LONG_CALL
+        channel_by_address = self._long_channel_by_address if is_long else self._channel_by_address
+        channel = channel_by_address.get(address)
         if channel is None:
             scheme = "http" if self._ssl is None else "https"
             connector = aiohttp.TCPConnector(
                 limit=0,
-                limit_per_host=CHANNEL_CONNECTIONS,
+                limit_per_host=0 if is_long else CHANNEL_CONNECTIONS,
                 keepalive_timeout=CHANNEL_IDLE_S,
                 ssl=True if self._ssl is None else self._ssl,
                 socket_factory=functools.partial(open_socket, user_timeout=UNACKNOWLEDGED_TIMEOUT),
@@ -305,24 +312,35 @@
                 auto_decompress=False,
                 skip_auto_headers=(hdrs.USER_AGENT, hdrs.ACCEPT, hdrs.ACCEPT_ENCODING),
             )
-            self._channel_by_address[address] = channel
+            channel_by_address[address] = channel
         return channel
 
+    def _is_current(self, address: str, channel: aiohttp.ClientSession) -> bool:
+        return channel in (
+            self._channel_by_address.get(address),
+            self._long_channel_by_address.get(address),
+        )
+
     def _discard_if_current(self, address: str, channel: aiohttp.ClientSession) -> None:
-        if self._channel_by_address.get(address) is channel:
-            self._discard_channel(address)
+        if self._is_current(address, channel):
+            self._discard_channels(address)
 
-    def _discard_channel(self, address: str) -> None:
-        """Has the next call open a new channel. Other calls on this one get time to finish."""
+    def _discard_channels(self, address: str) -> None:
+        """Has the next call open a new channel. Other calls on the old ones get time to finish."""
         self._compatible_addresses.discard(address)
-        channel = self._channel_by_address.pop(address)
-        self._answered_at.pop(channel, None)
-        task = asyncio.get_running_loop().create_task(_close_later(channel))
+        for channel_by_address in (self._channel_by_address, self._long_channel_by_address):
+            channel = channel_by_address.pop(address, None)
+            if channel is not None:
+                self._answered_at.pop(channel, None)
+                self._close_later(channel)
+
+    def _close_later(self, channel: aiohttp.ClientSession) -> None:
+        task = asyncio.get_running_loop().create_task(_close_after_grace(channel))
         self._closing[channel] = task
         task.add_done_callback(lambda _: self._closing.pop(channel, None))
 
 
-async def _close_later(channel: aiohttp.ClientSession) -> None:
+async def _close_after_grace(channel: aiohttp.ClientSession) -> None:
     await asyncio.sleep(CHANNEL_CLOSE_GRACE_S)
     await channel.close()
 
--- a/hornbeamramp/settings.py
+++ b/hornbeamramp/settings.py
@@ -99,7 +99,7 @@
         64, 16 and 32 MiB.
     `max_fds`
         File descriptors of the process. Less 200, half of them bounds the connections of callers, a
-        quarter those of other VMs; operators have 64. If 0, not known: 4,096 and 1,024.
+        quarter those of other VMs; operators have 64. If 0, not known: 4,096 each.
     """
 
     body_bytes: int = 1_000_000
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -316,3 +316,39 @@
         await server.stop(timedelta(0))
 
     run(scenario())
+
+
+def test_calls_that_wait_long_hold_up_no_others(run):
+    """Guards against jobs whose callers wait for their end, which take the connections of
+    heartbeats and of further jobs."""
+
+    async def scenario():
+        waiting = set()
+        release = asyncio.Event()
+
+        async def handler(request):
+            if request.job_id != "short":
+                waiting.add(request.job_id)
+                await release.wait()
+            return messages.GetJobReply(JobState.RUNNING)
+
+        server = await start_server(handler)
+        client = PeerClient("vm-2", "tuzla")
+        address = f"127.0.0.1:{server.port}"
+        count = 2 * CHANNEL_CONNECTIONS
+
+        def ask(name, timeout):
+            request = messages.GetJobRequest("tickets@gebze", name)
+            return client.call(address, request, timeout, Step.ANSWER)
+
+        calls = [asyncio.create_task(ask(str(n), 3600 * SECOND)) for n in range(count)]
+        async with asyncio.timeout(10):
+            while len(waiting) < count:  # noqa: ASYNC110 - there is no event for it
+                await asyncio.sleep(0.01)
+        assert (await ask("short", 5 * SECOND)).state is JobState.RUNNING
+        release.set()
+        assert {reply.state for reply in await asyncio.gather(*calls)} == {JobState.RUNNING}
+        await client.close()
+        await server.stop(timedelta(0))
+
+    run(scenario())
