Log ends of runs that had been given up, and what the oldest jobs do

Change: a line `late_end` and a counter for each listed end without an attempt, and every 5 s a line on the three oldest jobs that end by themselves: done units by step, and the runs with the least progress.

Measured: no behaviour changes; tests of poolowner, fleet and vm pass.

--- a/hornbeamramp/fleet/run_log.py
+++ b/hornbeamramp/fleet/run_log.py
@@ -10,7 +10,7 @@
 from hornbeamramp.fleet.attempt import Attempt
 from hornbeamramp.fleet.base import EndedRun, EndProof, RunOutcome
 
-__all__ = ["given_up_fields", "orphan_end_fields", "orphan_fields"]
+__all__ = ["given_up_fields", "late_end_fields", "orphan_end_fields", "orphan_fields"]
 
 
 def given_up_fields(
@@ -55,3 +55,14 @@
         "event": "orphan_ended",
         "outcome": end.outcome.value,
     }
+
+
+def late_end_fields(worker: str, end: EndedRun) -> dict[str, Any]:
+    """Returns how a run ended of which the owner has no attempt any more."""
+    return {
+        "event": "late_end",
+        "task": end.task,
+        "run": end.run,
+        "worker": worker,
+        "outcome": end.outcome.value,
+    }
--- a/hornbeamramp/fleet/session.py
+++ b/hornbeamramp/fleet/session.py
@@ -31,7 +31,12 @@
     WorkerListing,
     WorkerUnreachableError,
 )
-from hornbeamramp.fleet.run_log import given_up_fields, orphan_end_fields, orphan_fields
+from hornbeamramp.fleet.run_log import (
+    given_up_fields,
+    late_end_fields,
+    orphan_end_fields,
+    orphan_fields,
+)
 from hornbeamramp.resources import Resources
 
 __all__ = ["SessionOwner", "WorkerSession"]
@@ -657,6 +662,16 @@
             attempt = self.attempt_by_key.get((end.task, end.run))
             if attempt is not None:
                 self._end(attempt, end.outcome, end.checkpoint)
+            else:
+                instruments.late_ends.add(1, {"how": end.outcome.value})
+                _log.info(
+                    "{}: {} run {} had been given up, or was ended by a former owner: {}",
+                    self.worker,
+                    end.task,
+                    end.run,
+                    end.outcome.value,
+                    extra=late_end_fields(self.worker, end),
+                )
         self._end_missing(reply, requested_at)
         if had_ends or is_first:
             self._owner.on_capacity_change(self)
--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -14,6 +14,7 @@
     "jobs_ended",
     "jobs_open",
     "jobs_recovered",
+    "late_ends",
     "loop_lag",
     "preemptions",
     "quota_waits",
@@ -96,6 +97,11 @@
 runs_given_up = _meter.create_counter(
     "hornbeamramp.run.given_up", "1", "Runs that count as ended without a report, by proof"
 )
+late_ends = _meter.create_counter(
+    "hornbeamramp.run.late_ends",
+    "1",
+    "Listed ends of runs that had been given up, or ended by a former owner, by how",
+)
 duration_error = _meter.create_histogram(
     "hornbeamramp.run.duration_error", "1", "Measured over expected duration of finished runs"
 )
--- a/hornbeamramp/poolowner/monitor.py
+++ b/hornbeamramp/poolowner/monitor.py
@@ -1,5 +1,7 @@
-"""Logs the state of an owned pool, and the steps that wait long with the reason why."""
+"""Logs the state of an owned pool, the steps that wait long with the reason why, and what the
+oldest jobs do."""
 
+import heapq
 import time
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -9,6 +11,7 @@
 from hornbeamramp import instruments
 from hornbeamramp.clock import Clock
 from hornbeamramp.durations import to_ms
+from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.placer import Placer
 from hornbeamramp.poolowner.summaries import pool_fields
@@ -28,6 +31,11 @@
 MAX_LOGGED_WAITS = 20
 # Most accounts named in the line with the state of the pool, those furthest above their shares.
 MAX_LOGGED_ACCOUNTS = 5
+# Period of the lines on the oldest jobs, and most jobs and runs of a job named in one period. Jobs
+# that last or have times are open for long, and are left out.
+OLD_JOBS_PERIOD = timedelta(seconds=5)
+MAX_OLD_JOBS = 3
+MAX_RUNS_OF_OLD_JOB = 3
 
 _log = logbook.Logger("owner")
 
@@ -40,6 +48,7 @@
         self._placer = placer
         self._journal = journal
         self._clock = clock
+        self._old_jobs_logged_at = clock.boot_time()
 
     async def run(self) -> None:
         """Logs until cancelled."""
@@ -54,6 +63,9 @@
                 longest = max(longest, lag)
             self._log_state(longest, time.process_time() - started_cpu)
             self._log_waits()
+            if self._clock.boot_time() - self._old_jobs_logged_at >= OLD_JOBS_PERIOD:
+                self._old_jobs_logged_at = self._clock.boot_time()
+                self._log_old_jobs()
 
     def _log_state(self, lag: timedelta, cpu_s: float) -> None:
         instruments.jobs_open.set(self._owner.count_open_jobs(), {"pool": self._owner.pool})
@@ -109,3 +121,30 @@
             logged += 1
             if logged == MAX_LOGGED_WAITS:
                 return
+
+    def _log_old_jobs(self) -> None:
+        """Logs what the oldest jobs do: one that waits for its own runs has no waiting step."""
+        open_jobs = (job for job in self._owner.job_by_id.values() if _ends_by_itself(job))
+        for job in heapq.nsmallest(MAX_OLD_JOBS, open_jobs, key=lambda j: j.record.accepted_ms):
+            runs = sorted(job.attempts(), key=lambda attempt: attempt.percent)
+            _log.info(
+                "{} open for {} s; done of its steps: {}; {} runs, the last: {}",
+                job.record.job_id,
+                (self._owner.now_ms() - job.record.accepted_ms) // 1000,
+                [
+                    f"{sum(unit.is_done for unit in step.units)}/{len(step.units)}"
+                    for step in job.steps()
+                ],
+                len(runs),
+                [
+                    f"{run.name} run {run.run} on {run.session.worker} {run.phase.value}"
+                    f" at {run.percent:.0f}%"
+                    for run in runs[:MAX_RUNS_OF_OLD_JOB]
+                ],
+                extra={"event": "job_open", "job": job.record.job_id},
+            )
+
+
+def _ends_by_itself(job: Job) -> bool:
+    spec = job.record.spec
+    return not (job.is_ended or spec.repetitions or any(step.long_running for step in spec.steps))
