Start gangs on several racks where no rack can take them in time

Cause: the choice of workers, plans, drains and the question whether a step could run at all took one rack for a condition. It is a preference: on several racks tasks take far-factor times as long.

Change: rack_spread.py compares what waiting for a rack and the longer work cost the job, with a bounded wait; the gang then starts on as few racks as possible. A gang that fits takes the rack with the least room to spare. Expected ends and backfill count the longer work. A line and a counter show each case.

--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -8,6 +8,7 @@
     "connection_checks",
     "duration_error",
     "first_start_time",
+    "gangs_spread",
     "headroom",
     "jobs_accepted",
     "jobs_beyond_share",
@@ -102,6 +103,9 @@
     "1",
     "Listed ends of runs that had been given up, or ended by a former owner, by how",
 )
+gangs_spread = _meter.create_counter(
+    "hornbeamramp.gang.spread", "1", "Gangs that prefer one rack and started on several, by queue"
+)
 duration_error = _meter.create_histogram(
     "hornbeamramp.run.duration_error", "1", "Measured over expected duration of finished runs"
 )
--- a/hornbeamramp/platform/serve.py
+++ b/hornbeamramp/platform/serve.py
@@ -68,6 +68,7 @@
         self.advice: PlatformAdvice = PlatformAdvice(settings.advice, clock)
         self.job_retention = settings.job_retention
         self.longest_lease = settings.longest_lease
+        self.cross_rack_factor = settings.cross_rack_factor
         self.revocation_bound = settings.revocation_bound
         self.learns_durations = _is_on(LEARNING_VARIABLE)
         self.keeps_headroom = _is_on(HEADROOM_VARIABLE)
--- a/hornbeamramp/platform/settings.py
+++ b/hornbeamramp/platform/settings.py
@@ -48,6 +48,9 @@
     hold_max_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS * 1000)] = msgspec.field(
         default=10_000, name="hold-max-ms"
     )
+    far_factor: Annotated[float, msgspec.Meta(ge=1, le=1000)] = msgspec.field(
+        default=2.0, name="far-factor"
+    )
     grace_s: Seconds = msgspec.field(default=6, name="grace-s")
     strict_revoke: bool = msgspec.field(default=False, name="strict-revoke")
     revoke_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS * 1000)] = msgspec.field(
@@ -96,6 +99,11 @@
         """Longest lease that a worker grants its runs."""
         return timedelta(milliseconds=self.bounds.hold_max_ms)
 
+    @property
+    def cross_rack_factor(self) -> float:
+        """Factor by which gangs that prefer one rack take longer on several."""
+        return self.bounds.far_factor
+
     @property
     def revocation_bound(self) -> timedelta | None:
         """Time after which a revoked key is refused everywhere; ``None`` without such a bound."""
--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -22,6 +22,7 @@
     "count_tasks",
     "count_tasks_of_size",
     "gang_groups",
+    "prefers_one_rack",
 ]
 
 # Relative speed below which a worker is slow for a gang, which is as slow as its slowest member.
@@ -45,8 +46,7 @@
 
 def could_all_run(unit: Unit, sessions: Iterable[WorkerSession]) -> bool:
     """Returns whether these workers could run all tasks of the unit at once if they were empty."""
-    usable = [session for session in sessions if could_ever_run(unit.step, session)]
-    return any(_holds_all(unit, group) for group in _racks(unit, usable))
+    return _holds_all(unit, [s for s in sessions if could_ever_run(unit.step, s)])
 
 
 def _holds_all(unit: Unit, sessions: list[WorkerSession]) -> bool:
@@ -71,10 +71,14 @@
     return max(min(*counts, limit) if counts else limit, 0)
 
 
+def prefers_one_rack(step: StepRun) -> bool:
+    """Returns whether the tasks of a step take longer if they run on more than one rack."""
+    return step.is_gang and step.spec.same_rack
+
+
 def _racks(unit: Unit, sessions: list[WorkerSession]) -> list[list[WorkerSession]]:
-    """Returns the groups of workers of which one has to take all tasks of the unit."""
-    spec = unit.step.spec
-    if not (spec.gang and spec.same_rack and len(unit.tasks) > 1):
+    """Returns the groups of workers of which one is to take all tasks of the unit."""
+    if not prefers_one_rack(unit.step):
         return [sessions]
     by_rack: dict[str, list[WorkerSession]] = {}
     for session in sessions:
@@ -83,21 +87,57 @@
 
 
 def gang_groups(
-    unit: Unit, sessions: Iterable[WorkerSession], speeds: WorkerSpeeds
+    unit: Unit, sessions: Iterable[WorkerSession], speeds: WorkerSpeeds, capacity: Capacity
 ) -> list[list[WorkerSession]]:
     """Returns the groups of workers of which one may take a gang, in the order to try them in.
 
     The best workers of a group come first. Slow workers are used only if the others would be too
     few even when empty: the other members would wait for those on slow workers, with all their
-    capacity.
+    capacity. A gang that prefers one rack has several as its last group, if it may spread.
     """
     usable = [session for session in sessions if could_ever_run(unit.step, session)]
     fast = [s for s in usable if speeds.speed(UpstreamId(s.worker)) >= MIN_GANG_SPEED]
     groups = [group for group in _racks(unit, fast) if _holds_all(unit, group)]
     if not groups and len(fast) < len(usable):
         groups = [group for group in _racks(unit, usable) if _holds_all(unit, group)]
-    scored = [(group, {s.worker: _gang_score(unit, s, speeds) for s in group}) for group in groups]
-    return [sorted(group, key=lambda s: scores[s.worker], reverse=True) for group, scores in scored]
+    ordered = [_best_first(unit, group, speeds) for group in groups]
+    if prefers_one_rack(unit.step) and unit.step.rack_wait.may_spread:
+        candidates = fast if _holds_all(unit, fast) else usable
+        racks = [_best_first(unit, rack, speeds) for rack in _racks(unit, candidates)]
+        ordered.append(_fewest_racks(unit, racks, capacity))
+    return ordered
+
+
+def _room(step: StepRun, sessions: list[WorkerSession], capacity: Capacity) -> int:
+    """Returns how many tasks of the step fit on these workers now."""
+    return sum(count_tasks(step, capacity.free(session)) for session in sessions)
+
+
+def _best_first(
+    unit: Unit, group: list[WorkerSession], speeds: WorkerSpeeds
+) -> list[WorkerSession]:
+    scores = {s.worker: _gang_score(unit, s, speeds) for s in group}
+    return sorted(group, key=lambda s: scores[s.worker], reverse=True)
+
+
+def _fewest_racks(
+    unit: Unit, racks: list[list[WorkerSession]], capacity: Capacity
+) -> list[WorkerSession]:
+    """Returns the workers of all racks, those first that take the unit on the fewest racks.
+
+    The last of these is the one with the least room that suffices, so that the others stay free.
+    """
+    rooms = [_room(unit.step, rack, capacity) for rack in racks]
+    left = sorted(range(len(racks)), key=lambda number: rooms[number], reverse=True)
+    missing = len(unit.tasks)
+    ordered: list[WorkerSession] = []
+    while left:
+        enough = [number for number in left if rooms[number] >= missing > 0]
+        number = enough[-1] if enough else left[0]
+        left.remove(number)
+        ordered += racks[number]
+        missing -= rooms[number]
+    return ordered
 
 
 def _gang_score(unit: Unit, session: WorkerSession, speeds: WorkerSpeeds) -> tuple[float, ...]:
@@ -140,13 +180,21 @@
         # Most gangs that wait don't fit, which this shows with less work than the groups.
         if sum(count_tasks(step, capacity.free(s)) for s in sessions) < len(unit.tasks):
             return None
-        for group in gang_groups(unit, sessions, speeds):
+        groups = gang_groups(unit, sessions, speeds, capacity)
+        if len(groups) > 1:
+            # Racks are filled, so that whole ones stay free for other gangs. Several together have
+            # the most room, and come last.
+            groups.sort(key=lambda group: _room(step, group, capacity))
+        for group in groups:
             chosen = _assign_gang(unit, group, capacity)
             if chosen is not None:
                 return chosen
         return None
     usable = [session for session in sessions if could_ever_run(step, session)]
-    for group in _racks(unit, usable):
+    groups = _racks(unit, usable)
+    if prefers_one_rack(step) and step.rack_wait.may_spread:
+        groups = [*groups, usable]
+    for group in groups:
         chosen = _assign(unit, group, speeds, assigned_by_worker, capacity)
         if chosen is not None:
             return chosen
--- a/hornbeamramp/poolowner/expected_ends.py
+++ b/hornbeamramp/poolowner/expected_ends.py
@@ -4,10 +4,11 @@
 
 from hornbeamramp.fleet import Attempt, AttemptPhase
 from hornbeamramp.ids import UpstreamId
+from hornbeamramp.poolowner.choice import prefers_one_rack
 from hornbeamramp.poolowner.jobs import Unit
 from hornbeamramp.poolowner.learned_durations import LearnedDurations
 
-__all__ = ["NEVER", "ExpectedEnds"]
+__all__ = ["NEVER", "ExpectedEnds", "is_spread"]
 
 NEVER = timedelta.max
 
@@ -68,6 +69,15 @@
         step = attempt.task.unit.step
         worker = UpstreamId(attempt.session.worker)
         elapsed = self.now - attempt.started_at
+        factor = self._durations.cross_rack_factor if is_spread(attempt.task.unit) else 1.0
         if attempt.resumed:
-            return attempt.started_at + self._durations.duration(step, worker)
-        return attempt.started_at + self._durations.duration_of_running(step, worker, elapsed)
+            return attempt.started_at + factor * self._durations.duration(step, worker)
+        duration = self._durations.duration_of_running(step, worker, elapsed / factor)
+        return attempt.started_at + factor * duration
+
+
+def is_spread(unit: Unit) -> bool:
+    """Returns whether a gang that prefers one rack runs on several, where it takes longer."""
+    if not prefers_one_rack(unit.step):
+        return False
+    return len({attempt.session.listing.rack for attempt in unit.attempts()}) > 1
--- a/hornbeamramp/poolowner/gangs.py
+++ b/hornbeamramp/poolowner/gangs.py
@@ -65,7 +65,7 @@
     fewest runs.
     """
     planned = unit.step.plan.count_by_worker if unit.step.plan is not None else {}
-    for group in gang_groups(unit, sessions, speeds):
+    for group in gang_groups(unit, sessions, speeds, capacity):
         group.sort(key=lambda session: session.worker not in planned)
         plan = _plan_on(unit, group, capacity, runs)
         if plan is not None:
@@ -146,7 +146,8 @@
 ) -> GangPlan | None:
     """Returns the plan by which the whole gang fits first once runs have ended that can't be
     preempted, or ``None`` if it never does by what is known of them."""
-    plans = [_drain(unit, group, capacity, runs) for group in gang_groups(unit, sessions, speeds)]
+    groups = gang_groups(unit, sessions, speeds, capacity)
+    plans = [_drain(unit, group, capacity, runs) for group in groups]
     return min(
         (plan for plan in plans if plan is not None), key=lambda plan: plan.starts_at, default=None
     )
--- a/hornbeamramp/poolowner/jobs.py
+++ b/hornbeamramp/poolowner/jobs.py
@@ -8,6 +8,7 @@
 from hornbeamramp.ids import UNKNOWN_DATA_CENTRE, DataCentreId, UpstreamId
 from hornbeamramp.poolowner.advice import Grants
 from hornbeamramp.poolowner.lateness import CriticalPath, Lateness, LatenessLevel
+from hornbeamramp.poolowner.rack_spread import RackWait
 from hornbeamramp.poolowner.waiting import StepWait, WaitTimes
 from hornbeamramp.resources import Resources
 from hornbeamramp.statestore import JobProgress, JobRecord, OpenTask, StepGrants
@@ -93,6 +94,7 @@
         # How a waiting gang is going to start, as of the boot time of the plan.
         self.plan: GangPlan | None = None
         self.planned_at: timedelta | None = None
+        self.rack_wait = RackWait()
         self.wait = StepWait(job.wait_times)
         # As of the boot time of the estimate.
         self.lateness = Lateness(LatenessLevel.ON_TIME, 0.0)
--- a/hornbeamramp/poolowner/learned_durations.py
+++ b/hornbeamramp/poolowner/learned_durations.py
@@ -127,10 +127,15 @@
         Speeds of the workers, which the runs correct.
     `is_enabled`
         Without it nothing is learned: the submitters' estimates count.
+    `cross_rack_factor`
+        Factor by which a gang that prefers one rack takes longer on several.
     """
 
-    def __init__(self, speeds: WorkerSpeeds, is_enabled: bool = True) -> None:
+    def __init__(
+        self, speeds: WorkerSpeeds, is_enabled: bool = True, cross_rack_factor: float = 2.0
+    ) -> None:
         self.speeds = speeds
+        self.cross_rack_factor = cross_rack_factor
         self._is_enabled = is_enabled
         # By the digest of what it is about, the most recently used last.
         self._term_by_key: dict[int, _Term] = {}
--- a/hornbeamramp/poolowner/owner.py
+++ b/hornbeamramp/poolowner/owner.py
@@ -133,6 +133,8 @@
         Whether expected durations are learned from runs; otherwise the submitters' estimates count.
     `keeps_headroom`
         Whether batch work leaves room for short urgent steps.
+    `cross_rack_factor`
+        Factor by which a gang that prefers one rack takes longer on several.
     """
 
     store: StateStore
@@ -146,6 +148,7 @@
     open_prefix: Callable[[str, Callable[[set[str]], None]], CachedPrefix]
     learns_durations: bool = True
     keeps_headroom: bool = True
+    cross_rack_factor: float = 2.0
 
 
 def _pause_after_pass(elapsed: timedelta) -> timedelta:
@@ -186,7 +189,9 @@
         self._longest_lease = context.longest_lease
         self._claim_valid_until = claim_valid_until
         self._background = BackgroundTasks(f"pool {pool}", _log)
-        self.durations = LearnedDurations(WorkerSpeeds(), context.learns_durations)
+        self.durations = LearnedDurations(
+            WorkerSpeeds(), context.learns_durations, context.cross_rack_factor
+        )
         self._journal = Journal(
             pool,
             claim,
--- a/hornbeamramp/poolowner/passes.py
+++ b/hornbeamramp/poolowner/passes.py
@@ -151,7 +151,10 @@
         headroom = self._headroom_for(step)
         if headroom is not None:
             capacity, spare = headroom.limited_by(capacity), headroom.limited_by(spare)
-        end = self.now + self._durations.duration(step, quantile=BACKFILL_QUANTILE)
+        duration = self._durations.duration(step, quantile=BACKFILL_QUANTILE)
+        if step.rack_wait.may_spread:
+            duration *= self._durations.cross_rack_factor
+        end = self.now + duration
         return capacity.for_runs_until(end), spare.for_runs_until(end)
 
     def with_capacity(self) -> list[WorkerSession]:
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -13,6 +13,7 @@
 from hornbeamramp import instruments
 from hornbeamramp.accounts.shares import AccountShares
 from hornbeamramp.clock import Clock
+from hornbeamramp.durations import to_ms
 from hornbeamramp.fleet import Attempt, RunOutcome, WorkerSession
 from hornbeamramp.ids import UpstreamId
 from hornbeamramp.poolowner.backlog import Backlog
@@ -24,7 +25,9 @@
     could_all_run,
     could_ever_run,
     count_tasks,
+    prefers_one_rack,
 )
+from hornbeamramp.poolowner.expected_ends import is_spread
 from hornbeamramp.poolowner.gangs import GangPlan, plan_drain, plan_gang
 from hornbeamramp.poolowner.headroom import Headroom
 from hornbeamramp.poolowner.health import WorkerHealth
@@ -41,6 +44,7 @@
 )
 from hornbeamramp.poolowner.quota_keeper import QuotaKeeper
 from hornbeamramp.poolowner.quota_preemption import choose_own_victims
+from hornbeamramp.poolowner.rack_spread import SpreadInputs, is_spread_due
 from hornbeamramp.poolowner.speeds import WorkerSpeeds
 from hornbeamramp.poolowner.waiting import WaitReason
 from hornbeamramp.resources import Resources
@@ -152,12 +156,15 @@
     def add(self, steps: Iterable[StepRun]) -> bool:
         """Adds steps whose predecessors are done; returns whether there were any."""
         before = len(self._open_steps)
-        self._open_steps += steps
+        for step in steps:
+            step.rack_wait.begin(self._clock.boot_time())
+            self._open_steps.append(step)
         return len(self._open_steps) > before
 
     def queue(self, unit: Unit) -> None:
         """Queues a unit again."""
         unit.step.queue(unit)
+        unit.step.rack_wait.begin(self._clock.boot_time())
         if unit.step not in self._open_steps:
             self._open_steps.append(unit.step)
 
@@ -447,6 +454,7 @@
         queue = self._owner.queue_of(step.job)
         shortage = WaitReason.GANG if step.is_gang else WaitReason.CAPACITY
         if queue is None or queue.advice is None:
+            self._update_rack_wait(step, current.with_capacity(), current)
             self._launch_on(step, current.with_capacity(), current)
             if step.waiting:
                 if self._is_out_of_quota(step, current):
@@ -456,6 +464,7 @@
         grants = step.grants
         now = current.now
         with_capacity = self._granted_with_capacity(step, current)
+        self._update_rack_wait(step, with_capacity, current)
         ticketed = [s for s in with_capacity if grants.has_ticket(UpstreamId(s.worker), now)]
         self._launch_on(step, ticketed, current)
         if not step.waiting:
@@ -493,6 +502,55 @@
                 self._launcher.prefetch_tickets(step, queue, granted)
         return shortage
 
+    def _update_rack_wait(
+        self, step: StepRun, sessions: list[WorkerSession], current: SchedulingPass
+    ) -> None:
+        """Decides whether a gang that prefers one rack may start on several of these workers, which
+        have capacity."""
+        wait = step.rack_wait
+        if not prefers_one_rack(step) or (
+            wait.checked_at is not None and current.now - wait.checked_at < SEARCH_INTERVAL
+        ):
+            return
+        wait.checked_at, wait.may_spread = current.now, False
+        capacity, _ = current.capacities_for(step)
+        unit = step.waiting[0]
+        usable = [session for session in sessions if could_ever_run(step, session)]
+        if sum(count_tasks(step, capacity.free(s)) for s in usable) < len(unit.tasks):
+            wait.room_since = None
+            return
+        if wait.room_since is None:
+            wait.room_since = current.now
+        # Long-running tasks do no work that could take longer.
+        extra = timedelta(0)
+        if not step.spec.long_running:
+            extra = (self.durations.cross_rack_factor - 1) * self.durations.duration(step)
+        slack = timedelta(milliseconds=step.lateness.latest_start_ms - self._owner.now_ms())
+        wait.may_spread = is_spread_due(
+            SpreadInputs(
+                current.now,
+                wait.queued_at,
+                wait.room_since,
+                self._rack_starts_at(step, unit, capacity, current),
+                extra,
+                current.now + slack,
+                current.is_short,
+            )
+        )
+
+    def _rack_starts_at(
+        self, step: StepRun, unit: Unit, capacity: Capacity, current: SchedulingPass
+    ) -> timedelta | None:
+        """Returns the boot time at which one rack is expected to have room for a gang, ``None`` if
+        that isn't known."""
+        queue = self._owner.queue_of(step.job)
+        needs_grant = queue is not None and queue.advice is not None
+        sessions = current.granted(step) if needs_grant else list(current.usable_by_id.values())
+        plan = plan_gang(unit, sessions, capacity, self.speeds, current.runs)
+        if plan is None:
+            plan = plan_drain(unit, sessions, capacity, self.speeds, current.runs)
+        return None if plan is None else plan.starts_at
+
     @staticmethod
     def _granted_to_renew(
         step: StepRun, advice: AdviceTiming, current: SchedulingPass
@@ -761,6 +819,8 @@
                     break
                 for unit, workers in chosen:
                     self._reserve_unit(unit, workers)
+                    if is_spread(unit):
+                        self._log_spread(unit, current)
                 if self._quotas is not None:
                     self._quotas.note_start(step)
                 for _, workers in chosen:
@@ -831,6 +891,26 @@
         chosen = choose_workers(units[0], sessions, self.speeds, assigned_by_worker, available)
         return [] if chosen is None else [(units[0], chosen)]
 
+    @staticmethod
+    def _log_spread(unit: Unit, current: SchedulingPass) -> None:
+        wait = unit.step.rack_wait
+        racks = Counter(attempt.session.listing.rack for attempt in unit.attempts())
+        waited_ms = to_ms(current.now - wait.queued_at)
+        instruments.gangs_spread.add(1, {"queue": unit.step.job.record.queue})
+        _log.info(
+            "{} run {} starts on several racks after {} ms: {}",
+            unit.step.key,
+            unit.run,
+            waited_ms,
+            dict(racks),
+            extra={
+                "event": "gang_spread",
+                "job": unit.step.job.record.job_id,
+                "waited_ms": waited_ms,
+                "racks": len(racks),
+            },
+        )
+
     @staticmethod
     def _reserve_unit(unit: Unit, workers: list[WorkerSession]) -> None:
         step = unit.step
--- a/hornbeamramp/vm/adapter.py
+++ b/hornbeamramp/vm/adapter.py
@@ -52,6 +52,8 @@
         with the store or not; ``None`` if there is no such bound.
     `learns_durations`, `keeps_headroom`
         Whether pool owners learn durations from runs, and keep room for short urgent steps.
+    `cross_rack_factor`
+        Factor by which a gang that prefers one rack takes longer on several.
     """
 
     store: StateStore
@@ -65,6 +67,7 @@
     revocation_bound: timedelta | None = None
     learns_durations: bool = True
     keeps_headroom: bool = True
+    cross_rack_factor: float = 2.0
 
     @abstractmethod
     def decode_config(self, item: Item) -> Result[ClusterConfig, str]:
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -144,6 +144,7 @@
             ),
             adapter.learns_durations,
             adapter.keeps_headroom,
+            adapter.cross_rack_factor,
         )
         self.isolation = IsolationDetector(
             peers, clock, lambda: self.store.last_answer_at, self._ping_targets
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -30,6 +30,7 @@
             "after": list(step.after),
             "checkpointing": step.checkpointing,
             "gang": step.gang,
+            "same-rack": step.same_rack,
             "long-running": step.long_running,
             "target-ms": step.response_target_ms,
             "fills": step.fills,
