Count a gang's wait for a rack from when its turn came

Cause: a start that was refused queued the gang again, which began its wait for a rack anew. With tickets that are refused twice, the bound on the wait is counted from the last refusal.

Change: the wait begins when the step is opened and when a run has ended that worked; a start that is refused, and members stopped with it, don't count.

--- a/hornbeamramp/poolowner/lifecycle.py
+++ b/hornbeamramp/poolowner/lifecycle.py
@@ -110,6 +110,9 @@
             )
         self._journal.mark_dirty(job)
         if not unit.is_done:
+            # Members that are stopped, as others of their gang could not start, have done no work.
+            if outcome not in (RunOutcome.STOPPED, RunOutcome.GANG_INCOMPLETE):
+                unit.step.rack_wait.begin(self._owner.boot_time())
             self.retry(unit)
         self._open_next(unit.step)
 
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -164,7 +164,6 @@
     def queue(self, unit: Unit) -> None:
         """Queues a unit again."""
         unit.step.queue(unit)
-        unit.step.rack_wait.begin(self._clock.boot_time())
         if unit.step not in self._open_steps:
             self._open_steps.append(unit.step)
 
--- a/hornbeamramp/poolowner/rack_spread.py
+++ b/hornbeamramp/poolowner/rack_spread.py
@@ -23,7 +23,8 @@
     """State of the wait of one step for a rack.
 
     `queued_at`
-        Boot time at which the step's unit was last queued.
+        Boot time at which the turn of the step's unit came: its step was opened, or its last run
+        ended. A start that is refused doesn't begin the wait anew.
     `room_since`
         Boot time since which all members fit on several racks; ``None`` while they don't.
     `checked_at`
@@ -39,7 +40,7 @@
         self.begin(timedelta(0))
 
     def begin(self, now: timedelta) -> None:
-        """Begins the wait of a unit that has been queued."""
+        """Begins the wait of a unit whose turn has come."""
         self.queued_at = now
         self.room_since: timedelta | None = None
         self.checked_at: timedelta | None = None
--- a/tests/vm/test_same_rack_gangs.py
+++ b/tests/vm/test_same_rack_gangs.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import Counter
+from datetime import timedelta
 
 import pytest
 
@@ -91,6 +92,32 @@
     run_in_virtual_time(scenario())
 
 
+def test_refused_starts_do_not_begin_the_wait_for_a_rack_anew():
+    """Guards against a gang that waits for a rack again each time that a start on several fails."""
+
+    async def scenario():
+        async with ModelCell(vms=2, workers=4) as cell:
+            await cell.wait_for_owner()
+            is_valid = cell.fleet.ticket_valid
+            refused = []
+
+            def refuse_twice(task, worker, ticket):
+                if len(refused) < 6:
+                    refused.append(task)
+                    return False
+                return is_valid(task, worker, ticket)
+
+            cell.fleet.ticket_valid = refuse_twice
+            cell.fleet.duration = lambda task, step: 20.0
+            racks = await start_gang(cell, job(same_rack(6)), "gate")
+            assert sum(racks.values()) == 6
+            step = (await cell.wait_for_owner()).owner.job_by_id[GANG].steps_by_occurrence[0][0]
+            assert len(refused) == 6 and step.units[0].run > 1
+            assert cell.clock.boot_time() - step.rack_wait.queued_at > timedelta(seconds=2.9)
+
+    run_in_virtual_time(scenario())
+
+
 def test_gang_waits_for_a_rack_that_is_free_soon():
     """Guards against a gang that takes the longer work for want of a moment's patience."""
 
