--- a/hornbeamramp/poolowner/choice.py
+++ b/hornbeamramp/poolowner/choice.py
@@ -22,6 +22,7 @@
     "count_tasks",
     "count_tasks_of_size",
     "gang_groups",
+    "is_spread",
     "prefers_one_rack",
 ]
 
@@ -76,6 +77,13 @@
     return step.is_gang and step.spec.same_rack
 
 
+def is_spread(unit: Unit) -> bool:
+    """Returns whether a gang that prefers one rack is placed on several, where it takes longer."""
+    if not prefers_one_rack(unit.step):
+        return False
+    return len({attempt.session.listing.rack for attempt in unit.attempts()}) > 1
+
+
 def _racks(unit: Unit, sessions: list[WorkerSession]) -> list[list[WorkerSession]]:
     """Returns the groups of workers of which one is to take all tasks of the unit."""
     if not prefers_one_rack(unit.step):
--- a/hornbeamramp/poolowner/expected_ends.py
+++ b/hornbeamramp/poolowner/expected_ends.py
@@ -4,11 +4,11 @@
 
 from hornbeamramp.fleet import Attempt, AttemptPhase
 from hornbeamramp.ids import UpstreamId
-from hornbeamramp.poolowner.choice import prefers_one_rack
+from hornbeamramp.poolowner.choice import is_spread
 from hornbeamramp.poolowner.jobs import Unit
 from hornbeamramp.poolowner.learned_durations import LearnedDurations
 
-__all__ = ["NEVER", "ExpectedEnds", "is_spread"]
+__all__ = ["NEVER", "ExpectedEnds"]
 
 NEVER = timedelta.max
 
@@ -74,10 +74,3 @@
             return attempt.started_at + factor * self._durations.duration(step, worker)
         duration = self._durations.duration_of_running(step, worker, elapsed / factor)
         return attempt.started_at + factor * duration
-
-
-def is_spread(unit: Unit) -> bool:
-    """Returns whether a gang that prefers one rack runs on several, where it takes longer."""
-    if not prefers_one_rack(unit.step):
-        return False
-    return len({attempt.session.listing.rack for attempt in unit.attempts()}) > 1
--- a/hornbeamramp/poolowner/placer.py
+++ b/hornbeamramp/poolowner/placer.py
@@ -25,9 +25,9 @@
     could_all_run,
     could_ever_run,
     count_tasks,
+    is_spread,
     prefers_one_rack,
 )
-from hornbeamramp.poolowner.expected_ends import is_spread
 from hornbeamramp.poolowner.gangs import GangPlan, plan_drain, plan_gang
 from hornbeamramp.poolowner.headroom import Headroom
 from hornbeamramp.poolowner.health import WorkerHealth
--- a/hornbeamramp/poolowner/rack_spread.py
+++ b/hornbeamramp/poolowner/rack_spread.py
@@ -36,7 +36,6 @@
     __slots__ = ("checked_at", "may_spread", "queued_at", "room_since")
 
     def __init__(self) -> None:
-        self.queued_at = timedelta(0)
         self.begin(timedelta(0))
 
     def begin(self, now: timedelta) -> None:
