Log why a VM isn't ready, how late its event loop runs, slow requests and idle closes

Of a VM that fails its readiness check the logs didn't tell whether it was stopping, isolated, without its records, or whether its event loop stood still; only owners of pools measured their loops. Nor did they tell of requests that took long, or of connections closed for their idle time. Each VM now logs the reasons as they change, each second in which its loop was 250 ms late or more, and requests that took a second or more; idle closes are counted, with one line in 5 s.

--- a/hornbeamramp/guarded_http/connections.py
+++ b/hornbeamramp/guarded_http/connections.py
@@ -157,6 +157,8 @@
         self._name = name
         self._is_iteration_noted = False
         self._logged_at: dict[Refusal, float] = {}
+        self._idle_closed = 0
+        self._idle_logged_at = -LOG_PERIOD_S
         self._count_by_refusal: dict[Refusal, int] = {}
 
     def open(self, connection: "Connection") -> bool:
@@ -211,6 +213,23 @@
         self._logged_at[refusal] = now
         self._count_by_refusal[refusal] = 0
 
+    def count_idle_close(self) -> None:
+        """Counts a connection closed for its idle time, and logs at most one line in each
+        period."""
+        instruments.idle_closes.add(1, {"listener": self._name})
+        self._idle_closed += 1
+        now = asyncio.get_running_loop().time()
+        if now < self._idle_logged_at + LOG_PERIOD_S:
+            return
+        _log.info(
+            "{} closed {} idle connections",
+            self._name,
+            self._idle_closed,
+            extra={"event": "idle_closed", "count": self._idle_closed},
+        )
+        self._idle_logged_at = now
+        self._idle_closed = 0
+
 
 class _Phase(Enum):
     """What a connection waits for. A refused one only for its end."""
@@ -336,6 +355,12 @@
         self._wake(ConnectionResetError("connection lost"))
         super().connection_lost(exc)
 
+    def _process_keepalive(self) -> None:
+        was_open = not self._force_close
+        super()._process_keepalive()
+        if was_open and self._force_close:
+            self._guard.count_idle_close()
+
     def data_received(self, data: bytes) -> None:
         if not data:
             # The parser is fed as each request ends, and never stops within one.
--- a/hornbeamramp/instruments.py
+++ b/hornbeamramp/instruments.py
@@ -10,6 +10,7 @@
     "first_start_time",
     "gangs_spread",
     "headroom",
+    "idle_closes",
     "jobs_accepted",
     "jobs_beyond_share",
     "jobs_ended",
@@ -50,6 +51,9 @@
     "1",
     "Requests and connections refused unread or in part, by listener and reason",
 )
+idle_closes = _meter.create_counter(
+    "hornbeamramp.caller.idle_closes", "1", "Connections closed for their idle time, by listener"
+)
 store_calls = _meter.create_counter(
     "hornbeamramp.store.operations", "1", "Store calls by operation, way and outcome"
 )
@@ -125,5 +129,5 @@
     "hornbeamramp.job.first_start", "s", "Time from acceptance to the first start, by queue"
 )
 loop_lag = _meter.create_histogram(
-    "hornbeamramp.loop.lag", "s", "Delay of the event loop of a pool's owner, each 250 ms"
+    "hornbeamramp.loop.lag", "s", "Longest delay of a VM's event loop, each second"
 )
--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -60,6 +60,8 @@
     RefusalKind.BEYOND_SHARE: 429,
     RefusalKind.BEYOND_QUOTA: 429,
 }
+# Requests that take longer are logged. Most callers wait 3 s.
+SLOW_REQUEST = timedelta(seconds=1)
 # Iterations of the event loop from the arrival of a request until its handler runs.
 HANDLER_START_ITERATIONS = 3
 
@@ -216,6 +218,15 @@
         elapsed = (self._clock.boot_time() - open_request.started_at).total_seconds()
         instruments.requests.add(1, {"method": request.method, "status": response.status})
         instruments.request_time.record(elapsed, {"method": request.method})
+        if elapsed >= SLOW_REQUEST.total_seconds():
+            _log.info(
+                "caller request {} {} answered {} after {:.3f} s",
+                request.method,
+                request.path,
+                response.status,
+                elapsed,
+                extra={"event": "request_slow", "status": response.status},
+            )
         if self.is_draining:
             response.force_close()
         return response
--- a/hornbeamramp/poolowner/monitor.py
+++ b/hornbeamramp/poolowner/monitor.py
@@ -11,6 +11,7 @@
 from hornbeamramp import instruments
 from hornbeamramp.clock import Clock
 from hornbeamramp.durations import to_ms
+from hornbeamramp.loop_lag import longest_lag
 from hornbeamramp.poolowner.jobs import Job
 from hornbeamramp.poolowner.journal import Journal
 from hornbeamramp.poolowner.placer import Placer
@@ -23,8 +24,6 @@
 
 # Period of the line with the state of the pool.
 STATE_PERIOD = timedelta(seconds=1)
-# Period in which the delay of the event loop is measured.
-LAG_PERIOD = timedelta(milliseconds=250)
 # Waits shorter than this are not logged by themselves: every job has some.
 MIN_LOGGED_WAIT = timedelta(seconds=1)
 # Most waits logged in one period, the first in the order of placement.
@@ -53,14 +52,8 @@
     async def run(self) -> None:
         """Logs until cancelled."""
         while True:
-            started_at, started_cpu = self._clock.boot_time(), time.process_time()
-            longest = timedelta(0)
-            while self._clock.boot_time() - started_at < STATE_PERIOD:
-                slept_at = self._clock.boot_time()
-                await self._clock.sleep(LAG_PERIOD)
-                lag = max(self._clock.boot_time() - slept_at - LAG_PERIOD, timedelta(0))
-                instruments.loop_lag.record(lag.total_seconds())
-                longest = max(longest, lag)
+            started_cpu = time.process_time()
+            longest = await longest_lag(self._clock, STATE_PERIOD)
             self._log_state(longest, time.process_time() - started_cpu)
             self._log_waits()
             if self._clock.boot_time() - self._old_jobs_logged_at >= OLD_JOBS_PERIOD:
--- a/hornbeamramp/vm/node.py
+++ b/hornbeamramp/vm/node.py
@@ -48,6 +48,7 @@
 from hornbeamramp.vm.isolation import IsolationDetector
 from hornbeamramp.vm.lease import VmLease
 from hornbeamramp.vm.messages import PingRequest
+from hornbeamramp.vm.readiness import ReadinessMonitor
 from hornbeamramp.vm.relay import RelayedStore, RelayRequest
 from hornbeamramp.vm.watching import WATCH_WAIT, PrefixCache
 from hornbeamramp.workload import ClusterConfig
@@ -150,6 +151,7 @@
             peers, clock, lambda: self.store.last_answer_at, self._ping_targets
         )
         server.handle(PingRequest, self.isolation.serve)
+        self.readiness = ReadinessMonitor(self.unready_reasons, clock)
         self._background = BackgroundTasks("node", _log)
         self.config_freshness = ConfigFreshness(adapter.revocation_bound)
         self._config_cache = PrefixCache(
@@ -191,6 +193,7 @@
         self._spawn_loop("cell watch", self._cell_cache.run)
         self._spawn_loop("isolation check", self.isolation.run)
         self._spawn_loop("claim loop", self._claim_loop)
+        self._spawn_loop("readiness monitor", self.readiness.run)
 
     def _spawn_loop(self, name: str, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         self._background.spawn(run_until_done(name, run, self.clock, _log))
@@ -214,12 +217,17 @@
     def is_ready(self) -> bool:
         """Tells whether this VM can serve callers: it has a configuration, has read the cell's
         records, is not isolated and is not stopping."""
-        return (
-            not self.is_stopping
-            and self.config is not None
-            and self._cell_cache.is_loaded
-            and not self.isolation.is_isolated
-        )
+        return not self.unready_reasons()
+
+    def unready_reasons(self) -> list[str]:
+        """Returns why this VM can't serve callers, for log lines; empty if it can."""
+        problems = {
+            "stopping": self.is_stopping,
+            "no configuration": self.config is None,
+            "the cell's records have not been read": not self._cell_cache.is_loaded,
+            "isolated": self.isolation.is_isolated,
+        }
+        return [reason for reason, applies in problems.items() if applies]
 
     def is_store_unavailable(self) -> bool:
         """Tells whether neither direct nor relayed calls of the store have succeeded lately."""
