--- a/tests/model/virtual_time.py
+++ b/tests/model/virtual_time.py
@@ -8,7 +8,7 @@
 
 from hornbeamramp.clock import Clock
 
-__all__ = ["LoopClock", "run_in_virtual_time"]
+__all__ = ["LoopClock", "run_in_virtual_time", "stand_still"]
 
 START_TIME = datetime(2026, 1, 1, tzinfo=UTC)
 
@@ -32,10 +32,20 @@
         self._virtual_selector = _VirtualTimeSelector()
         super().__init__(self._virtual_selector)
 
+    def pass_time(self, seconds: float) -> None:
+        self._virtual_selector.elapsed += seconds
+
     def time(self) -> float:
         return self._virtual_selector.elapsed
 
 
+def stand_still(seconds: float) -> None:
+    """Lets time pass during which the running virtual-time loop does nothing else."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, _VirtualTimeLoop)
+    loop.pass_time(seconds)
+
+
 class LoopClock(Clock):
     """Clock that reads the time of the running event loop."""
 
--- a/tests/vm/test_isolation.py
+++ b/tests/vm/test_isolation.py
@@ -10,7 +10,9 @@
 from hornbeamramp.vm.isolation import IsolationDetector
 from hornbeamramp.vm.messages import PingReply
 from tests.model.cell import ModelCell, job
-from tests.model.virtual_time import LoopClock, run_in_virtual_time
+from tests.model.virtual_time import LoopClock, run_in_virtual_time, stand_still
+
+SECOND = timedelta(seconds=1)
 
 
 class Peers:
@@ -60,6 +62,35 @@
     assert is_isolated is expected
 
 
+class StalledPeers(Peers):
+    """Peers that answer, on an event loop that stands still while it waits for them."""
+
+    async def call(self, address, request, timeout, step):
+        stand_still(0.6)
+        await asyncio.sleep(timeout.total_seconds())
+        raise UnreachableError(Step.FORWARD, address, "no answer")
+
+
+# Guards against a busy VM that reports itself as cut off and refuses its callers, as it had no time
+# to read the answers of the store and of other VMs.
+@pytest.mark.known_red
+def test_vm_whose_event_loop_stands_still_is_not_isolated():
+    async def scenario():
+        clock = LoopClock()
+        states = []
+        detector = IsolationDetector(
+            StalledPeers(set()), clock, lambda: clock.boot_time() - SECOND, lambda: ["a", "b"]
+        )
+        task = asyncio.create_task(detector.run())
+        for _ in range(40):
+            await asyncio.sleep(0.05)
+            states.append(detector.is_isolated)
+        task.cancel()
+        assert not any(states)
+
+    run_in_virtual_time(scenario())
+
+
 def test_no_vm_is_pinged_while_the_store_answers():
     _, peers = run_in_virtual_time(detect({"a"}, ["a"], 0.4))
     assert peers.pinged == []
