Don't take a busy event loop for a network partition

A VM whose event loop stood still reported itself as isolated: its readiness check failed, and callers that it had were refused as cut off. The check compares times from before and after the stall: the answers of the store and of other VMs had arrived and waited to be read.

A check that begins or ends 250 ms late tells nothing now, and the next one decides. test_vm_whose_event_loop_stands_still_is_not_isolated failed before.

--- a/hornbeamramp/vm/isolation.py
+++ b/hornbeamramp/vm/isolation.py
@@ -26,6 +26,9 @@
 STORE_ANSWER_MAX_AGE = timedelta(milliseconds=450)
 # Other VMs answer within 2 ms; TCP retransmits a lost packet after some 200 ms.
 PING_TIMEOUT = timedelta(milliseconds=250)
+# A check that takes longer than its pings, or begins later than planned, by this much tells nothing:
+# the event loop was busy, and the answers may wait to be read.
+MAX_LAG = timedelta(milliseconds=250)
 # VMs pinged in one check. One answer is enough; more pings only cost traffic.
 MAX_PINGS = 6
 
@@ -58,13 +61,19 @@
     async def run(self) -> None:
         """Checks until cancelled."""
         while True:
+            due_at = self._clock.boot_time() + CHECK_PERIOD
+            await self._clock.sleep(CHECK_PERIOD)
+            started_at = self._clock.boot_time()
             is_isolated = await self._check()
+            lag = self._clock.boot_time() - started_at - PING_TIMEOUT
+            if is_isolated and max(lag, started_at - due_at) > MAX_LAG:
+                _log.info("isolation not checked, the event loop is busy")
+                continue
             if is_isolated != self.is_isolated:
                 self.is_isolated = is_isolated
                 age = self._clock.boot_time() - self._last_store_answer_at()
                 state = "VM isolated" if is_isolated else "VM no longer isolated"
                 _log.warning("{}: the store last answered {} ago", state, age)
-            await self._clock.sleep(CHECK_PERIOD)
 
     async def _check(self) -> bool:
         if self._clock.boot_time() - self._last_store_answer_at() < STORE_ANSWER_MAX_AGE:
--- a/tests/vm/test_isolation.py
+++ b/tests/vm/test_isolation.py
@@ -73,7 +73,6 @@
 
 # Guards against a busy VM that reports itself as cut off and refuses its callers, as it had no time
 # to read the answers of the store and of other VMs.
-@pytest.mark.known_red
 def test_vm_whose_event_loop_stands_still_is_not_isolated():
     async def scenario():
         clock = LoopClock()
