Limit the time without progress of the store's answers, not the whole transfer

Callers of a VM on a slow link got 503 for jobs that were accepted: each call to the store had 0.6 s in all, so an answer that takes longer than that on the link never arrived and was asked for again from its beginning.

While an answer goes on arriving the call goes on, 6 s at most; 0.6 s without a byte end it, so dead connections are noticed as before. test_answer_that_goes_on_arriving_outlasts_the_time_limit failed before.

--- a/hornbeamramp/http_client.py
+++ b/hornbeamramp/http_client.py
@@ -173,12 +173,17 @@
         return transport
 
 
-async def read_body(response: aiohttp.ClientResponse, limit: int) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse,
+    limit: int,
+    on_part: Callable[[], None] = lambda: None,
+) -> bytes:
     """Returns the body of a response. Raises `TooLargeError` beyond ``limit`` bytes, and the errors
-    of aiohttp."""
+    of aiohttp. ``on_part`` is called after each part that has arrived."""
     received = bytearray()
     async for part in response.content.iter_any():
         received += part
+        on_part()
         if len(received) > limit:
             raise TooLargeError(f"answer is larger than {limit} bytes")
     return bytes(received)
@@ -213,6 +218,9 @@
         the clock by which aiohttp expires idle connections.
     `max_response_bytes`
         Limit for the body of a response; `MAX_RESPONSE_BYTES` by default.
+    `transfer_timeout`
+        Limit for a whole exchange whose answer goes on arriving; ``timeout`` then limits the time
+        without any byte of it. By default, ``timeout`` limits the whole exchange.
     """
 
     def __init__(
@@ -221,8 +229,10 @@
         timeout: timedelta,
         clock: Clock,
         max_response_bytes: int | None = None,
+        transfer_timeout: timedelta | None = None,
     ) -> None:
         self.address = address
+        self._transfer_timeout = transfer_timeout
         self._timeout = timeout
         self._clock = clock
         self._max_response_bytes = max_response_bytes
@@ -260,9 +270,16 @@
         session = self._acquire_session()
         limit = (self._timeout + wait).total_seconds()
         try:
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(limit) as deadline:
                 return await self._exchange(
-                    session, state, method, path, body, headers, content_type
+                    session,
+                    state,
+                    method,
+                    path,
+                    body,
+                    headers,
+                    content_type,
+                    self._extension(deadline, wait),
                 )
         except TimeoutError as error:
             self._retire(session)
@@ -293,6 +310,20 @@
         for session in sessions:
             await session.close()
 
+    def _extension(self, deadline: asyncio.Timeout, wait: timedelta) -> Callable[[], None]:
+        """Returns what moves the deadline of an exchange as its answer arrives."""
+        loop = asyncio.get_running_loop()
+        transfer_timeout = self._transfer_timeout
+        if transfer_timeout is None:
+            return lambda: None
+        ends_at = loop.time() + (transfer_timeout + wait).total_seconds()
+
+        def extend() -> None:
+            if not deadline.expired():
+                deadline.reschedule(min(loop.time() + self._timeout.total_seconds(), ends_at))
+
+        return extend
+
     async def _exchange(
         self,
         session: aiohttp.ClientSession,
@@ -302,6 +333,7 @@
         body: bytes | None,
         headers: Mapping[str, str] | None,
         content_type: str,
+        on_part: Callable[[], None],
     ) -> HttpReply:
         data = None
         if body is not None:
@@ -316,7 +348,7 @@
             trace_request_ctx=state,
         ) as response:
             limit = self._max_response_bytes or MAX_RESPONSE_BYTES
-            content = await read_body(response, limit)
+            content = await read_body(response, limit, on_part)
             return HttpReply(response.status, response.headers, content, state.sent_at)
 
     def _acquire_session(self) -> aiohttp.ClientSession:
--- a/hornbeamramp/platform/store.py
+++ b/hornbeamramp/platform/store.py
@@ -37,6 +37,10 @@
 # for a lost packet and a busy processor. An outage is detected this much later.
 CALL_TIMEOUT = timedelta(milliseconds=600)
 
+# Longest time for an answer that goes on arriving: a page or a value of 1 MB, sent as text, takes
+# 1.2 s on a link of 10 Mbit/s, and five times as long beside other answers.
+TRANSFER_TIMEOUT = timedelta(seconds=6)
+
 T = TypeVar("T")
 
 _log = logbook.Logger("store")
@@ -101,10 +105,12 @@
 
     def __init__(self, address: str, clock: Clock) -> None:
         self._address = address
-        self._client = HttpClient(address, CALL_TIMEOUT, clock)
+        self._client = HttpClient(address, CALL_TIMEOUT, clock, transfer_timeout=TRANSFER_TIMEOUT)
         # Watches have a client of their own: a failed request retires all connections of its
         # client, and a failed watch must not retire those that commits use.
-        self._watch_client = HttpClient(address, CALL_TIMEOUT, clock)
+        self._watch_client = HttpClient(
+            address, CALL_TIMEOUT, clock, transfer_timeout=TRANSFER_TIMEOUT
+        )
 
     async def get(self, key: str) -> Item | None:
         reply = await self._call("GET", f"/kv-key?{urlencode({'key': key})}")
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -337,6 +337,69 @@
     run(scenario())
 
 
+PART = b"x" * 100
+PARTS = 8
+
+
+@contextlib.asynccontextmanager
+async def serving_parts(parts: int, pause_s: float):
+    """Sends the first ``parts`` of an answer of eight, one after each pause."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (PARTS * len(PART)))
+        with contextlib.suppress(ConnectionError):
+            for _ in range(parts):
+                await asyncio.sleep(pause_s)
+                writer.write(PART)
+            await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.close()
+
+
+# Guards against a VM on a slow link that never reads the configuration or the records of a pool, as
+# each answer takes longer than the time-out of a call and is asked for again from its beginning.
+def test_answer_that_goes_on_arriving_outlasts_the_time_limit(run):
+    async def scenario():
+        async with serving_parts(PARTS, 0.2) as address:
+            client = HttpClient(address, SECOND, SystemClock(), transfer_timeout=LONG)
+            reply = await client.request("GET", "/")
+            assert reply.body == PARTS * PART
+            await client.close()
+
+    run(scenario())
+
+
+def test_answer_that_stops_arriving_fails_after_the_time_limit(run):
+    async def scenario():
+        async with serving_parts(2, 0.2) as address:
+            client = HttpClient(address, SECOND / 2, SystemClock(), transfer_timeout=LONG)
+            started = asyncio.get_running_loop().time()
+            with pytest.raises(RequestFailedError):
+                await client.request("GET", "/")
+            assert asyncio.get_running_loop().time() - started < LONG.total_seconds() / 2
+            await client.close()
+
+    run(scenario())
+
+
+def test_answer_that_arrives_for_too_long_fails(run):
+    async def scenario():
+        async with serving_parts(PARTS, 0.2) as address:
+            client = HttpClient(address, SECOND / 2, SystemClock(), transfer_timeout=SECOND)
+            with pytest.raises(RequestFailedError):
+                await client.request("GET", "/")
+            await client.close()
+
+    run(scenario())
+
+
 def test_answer_over_the_limit_is_refused(run, monkeypatch):
     """Guards against a peer that exhausts the memory of an entry VM."""
     monkeypatch.setattr(http_client, "MAX_RESPONSE_BYTES", 1)
