List a prefix again where a watch would return more than it holds

A watch returns each version since the last one seen, with the whole configuration in each. On a link of 10 Mbit/s, about 2 MB arrive within the time of the call. A VM that had missed more got no answer, asked again from the same revision, and the answer grew with each change, while its downloads filled the link, on which leases, pings and answers to callers waited.

A list returns only the newest versions. So the prefix is listed after a failed watch, and after one whose answer was larger than the copy itself. Lists of one prefix follow one another and are shared by the calls that wait, so they don't divide the link among them.

--- a/hornbeamramp/vm/watching.py
+++ b/hornbeamramp/vm/watching.py
@@ -1,6 +1,11 @@
-"""Local copy of a prefix of the store: lists it once, then watches, and lists again after a gap."""
+"""Local copy of a prefix of the store: lists it once, then watches.
 
-from collections.abc import Callable
+A watch returns each version that the copy has missed, a list only the newest. So the prefix is
+listed again after a gap in the history, and wherever that is likely to take less time than a watch.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import logbook
@@ -56,13 +61,19 @@
         self._as_of = 0
         self._unreported: set[str] = set()
         self._is_watch_failing = False
+        # Set while a list is expected to be smaller than the answer to the next watch.
+        self._is_behind = False
+        self._listing = asyncio.Lock()
+        # Boot time at which the last list that was applied was sent.
+        self._listed_at: timedelta | None = None
 
     async def run(self) -> None:
         """Lists and watches the prefix until cancelled."""
         while True:
             try:
-                if not self.is_loaded:
-                    await self._list()
+                if not self.is_loaded or self._is_behind:
+                    await self.refresh()
+                    self._is_behind = False
                 await self._watch()
             except WatchGapError:
                 _log.info(
@@ -73,18 +84,25 @@
                 if not self._is_watch_failing:
                     _log.warning("{}: watch failed, retrying: {}", self._prefix, error)
                 self._is_watch_failing = True
+                # The same watch would return all that it did not return in time, and more.
+                self._is_behind = True
                 await self._clock.sleep(RETRY_DELAY)
 
     async def refresh(self) -> None:
-        """Lists the prefix now, for a caller that knows of a newer state.
+        """Lists the prefix, for a caller that knows of a newer state. Lists follow one another, and
+        all calls that wait meanwhile share the next one.
 
         Raises `StoreUnavailableError`.
         """
-        await self._list()
+        called_at = self._clock.boot_time()
+        async with self._listing:
+            if self._listed_at is None or self._listed_at < called_at:
+                await self._list()
 
     async def _list(self) -> None:
         sent_at = self._clock.boot_time()
         items, as_of = await self._store.range(self._prefix)
+        self._listed_at = sent_at
         # A watch may have returned newer changes meanwhile, which the older list must not undo.
         if self.is_loaded and as_of < self._as_of:
             self._report_current(sent_at)
@@ -107,6 +125,9 @@
         sent_at = self._clock.boot_time()
         reply = await self._store.watch(self._prefix, self._as_of, self._watch_wait)
         self._end_outage()
+        self._is_behind = _size(change.item for change in reply.changes) > _size(
+            self.item_by_key.values()
+        )
         changed = {change.key for change in reply.changes if self._apply(change)}
         self._as_of = max(self._as_of, reply.as_of)
         if changed or self._unreported:
@@ -141,5 +162,10 @@
             self._is_watch_failing = False
 
 
+def _size(items: Iterable[Item | None]) -> int:
+    """Returns the size of the values of items, in bytes."""
+    return sum(len(item.value) for item in items if item is not None)
+
+
 def _revision(item: Item | None) -> int:
     return 0 if item is None else item.revision
