Test the configuration's watch on a link that its answers fill

A watch answer holds each version of the configuration written since the last one, so 8 versions of 320 kB that a VM missed (1,400 queues) take 2.7 s on a link of 10 Mbit/s. The call may take its wait (1 s) and 0.6 s, fails, is repeated from the same revision, and the next answer is as long or longer. The VM stays at the old version, and once the proof is too old it refuses callers with keys (503), for as long as the store keeps its history. The proxy of the soak learns a rate that all answers of a link share.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -31,6 +31,8 @@
     `draw_answer_delay_s`
         Returns the delay of the next answer, by default none. Answers on different connections
         overtake each other; those on one connection keep their order.
+    `answer_bytes_per_s`
+        Rate that all answers share; ``None`` if it is not limited.
     """
 
     def __init__(self, host: str, target: str) -> None:
@@ -41,6 +43,9 @@
         self.state = LinkState.OPEN
         self.delay_s = 0.0
         self.draw_answer_delay_s: Callable[[], float] = lambda: 0.0
+        self.answer_bytes_per_s: float | None = None
+        # Loop time at which all answers so far have been sent.
+        self._sent_until = 0.0
         self.address = ""
 
     async def start(self) -> None:
@@ -77,6 +82,13 @@
             connection.is_end_lost = True
         self.cut_target()
 
+    async def wait_for_rate(self, count: int) -> None:
+        """Returns once ``count`` more bytes of answers have been sent at the limited rate."""
+        if self.answer_bytes_per_s is not None:
+            now = asyncio.get_running_loop().time()
+            self._sent_until = max(self._sent_until, now) + count / self.answer_bytes_per_s
+            await asyncio.sleep(self._sent_until - now)
+
     async def _on_connect(
         self, client_reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter
     ) -> None:
@@ -127,6 +139,11 @@
                     await asyncio.sleep(self._link.delay_s)
                 if is_answer and (delay_s := self._link.draw_answer_delay_s()):
                     await asyncio.sleep(delay_s)
+                if is_answer:
+                    if writer.is_closing():
+                        # What a receiver that has left doesn't take uses no link.
+                        return
+                    await self._link.wait_for_rate(len(data))
                 is_lost = state is LinkState.SILENT or (
                     state is LinkState.ANSWERS_LOST and is_answer
                 )
