--- a/tests/guarded_http/test_idle_connections.py
+++ b/tests/guarded_http/test_idle_connections.py
@@ -1,6 +1,7 @@
 """Requests that arrive on connections whose idle time ends."""
 
 import asyncio
+import socket
 from datetime import timedelta
 
 import pytest
@@ -143,3 +144,23 @@
             writer.close()
 
     serve(scenario)
+
+
+def test_request_that_arrives_right_after_a_new_connection_is_answered(serve):
+    """Guards against a connection that is closed in favour of a new one with a request of its own
+    unread in the socket."""
+
+    async def scenario(guard, connect, idle):
+        idle["s"] = 75
+        connections = [await connect() for _ in range(BOUNDS.connections)]
+        await asyncio.sleep(0.05)
+        reader, writer = connections[0]
+        # Both arrive in one iteration of the event loop.
+        newcomer = socket.create_connection(writer.get_extra_info("peername"))
+        writer.write(GET)
+        assert (await read_response(reader)).startswith(b"HTTP/1.1 200")
+        newcomer.close()
+        for _, writer in connections:
+            writer.close()
+
+    serve(scenario)
