--- a/tests/guarded_http/test_idle_connections.py
+++ b/tests/guarded_http/test_idle_connections.py
@@ -114,7 +114,7 @@
 
 
 def test_request_sent_ahead_is_answered_after_the_idle_time(serve):
-    """Guards against a second request on a connection that is lost as the time of the first ends."""
+    """Guards against a second request on a connection that is lost as its idle time ends."""
 
     async def scenario(guard, connect, idle):
         reader, writer = await connect()
--- a/tests/vm/test_phase_queries.py
+++ b/tests/vm/test_phase_queries.py
@@ -34,9 +34,7 @@
         await super().__aenter__()
         submitted = await self.submit(JOB, job(StepSpec(1, 1000, 100)), account=STUDIO)
         assert submitted is not None and not submitted.refusal
-        async with asyncio.timeout(10):
-            while await self.query(self.vm_by_name["vm0"]) is not JobPhase.COMPLETED:
-                await asyncio.sleep(0.1)
+        await self.wait_for_phase(JOB, JobPhase.COMPLETED)
         return self
 
     async def query(self, vm):
