Test the answer to a request that arrives while the process stands still

The time of a request counts from the start of its handler, so each stall before it is added to the caller's wait, though CallerServer answers each request within the time that its caller waits.

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -70,6 +71,11 @@
     await future
 
 
+def stand_still(seconds):
+    """Blocks the event loop, as a long turn of the process does."""
+    time.sleep(seconds)
+
+
 def with_server(behaviour, scenario):
     """Runs a scenario with a server and its address."""
 
@@ -255,3 +261,21 @@
     with_server(hang, scenario)
     [line] = [r.message for r in log_records if "cut off" in r.message]
     assert f"POST {PATH}" in line
+
+
+def test_request_that_arrives_while_the_process_stands_still_is_answered_within_its_deadline():
+    """Guards against an answer that is late by the time for which the request waited unread, as the
+    handler's time was counted from its start."""
+
+    async def scenario(server, address):
+        connection = await Connection.open(address)
+        await connection.request("GET", f"/none/{'a' * 16}", 1.0)
+        sending = asyncio.create_task(connection.request("GET", PATH, 1.0))
+        await asyncio.sleep(0)
+        stand_still(0.4)
+        response = await sending
+        assert response.status in (503, 504)
+        assert asyncio.get_running_loop().time() - connection.sent_at < 1.0
+        connection.close()
+
+    with_server(hang, scenario)
