--- a/tests/vm/test_slow_store_link.py
+++ b/tests/vm/test_slow_store_link.py
@@ -97,9 +97,9 @@
     longer than the call may, the next holds more, and callers with keys are refused for good."""
 
     async def scenario(watch):
-        for _ in range(30):
+        for _ in range(40):
             watch.configure()
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(0.2)
         await assert_current_in_time(watch)
 
     watch_slowly(scenario)
