--- a/tests/vm/test_watching.py
+++ b/tests/vm/test_watching.py
@@ -1,7 +1,6 @@
 """Copies of prefixes of the store on links that are slow for what changes."""
 
 import asyncio
-from datetime import timedelta
 
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.states import Step
