Find a job of a moved queue although the store refuses a read

Callers got 503 for jobs that an owner had in memory: a query of a job whose queue has moved reads the store for the queue's present pool before it asks the owners of the others, and one refused or failed read ended it.

A failed read no longer keeps the other pools' owners from being asked, and a read is repeated until the caller's deadline, unless the store counts as unavailable.

--- a/hornbeamramp/vm/caller_service.py
+++ b/hornbeamramp/vm/caller_service.py
@@ -58,6 +58,8 @@
 # Part of a state query's time that is left for the store if the owner does not answer: two reads,
 # which take some 4 ms each.
 STORE_READ_TIME = timedelta(milliseconds=300)
+# Delay before a read that the store has refused is repeated: it counts calls by the second.
+READ_RETRY_DELAY = timedelta(milliseconds=100)
 # A takeover that takes longer than ``OWNER_WAIT_TIMEOUT`` usually ends within a second more.
 OWNER_RETRY_AFTER = timedelta(seconds=1)
 # A VM that has just started reads the configuration within a second.
@@ -274,7 +276,12 @@
                 error,
             )
             unanswered = error
-        phase = await self._stored_phase(queue.pool, job_id, deadline, access)
+        phase = None
+        try:
+            phase = await self._stored_phase(queue.pool, job_id, deadline, access)
+        except UnavailableError as error:
+            # The owner of another pool may know the job without the store.
+            unanswered = error
         if phase is None:
             pools = self._other_pools(queue)
             phase = await self._find_phase(queue, pools, job_id, deadline, access)
@@ -334,28 +341,39 @@
     ) -> JobPhase | None:
         """Returns the phase of a job that is recorded in a pool, as far as other VMs than the owner
         know it. Raises `AccessDeniedError` and `UnavailableError`."""
-        store = self._node.store
         try:
             async with asyncio.timeout(self._time_left(deadline).total_seconds()):
-                progress = await store.get(progress_key(pool, job_id))
-                if progress is not None and access is None:
-                    return decode_progress(progress.value).phase
-                record = await store.get(job_key(pool, job_id))
-                may_access = (
-                    record is None
-                    or access is None
-                    or self._may_access(access, decode_record(record.value))
-                )
-                if not may_access:
-                    raise AccessDeniedError(job_id)
-                if progress is not None:
-                    return decode_progress(progress.value).phase
+                while True:
+                    try:
+                        return await self._read_phase(pool, job_id, access)
+                    except StoreUnavailableError as error:
+                        if self._node.is_store_unavailable():
+                            raise UnavailableError(str(error), False) from error
+                        _log.info("job {}: phase not read from {}, again: {}", job_id, pool, error)
+                    await self._node.clock.sleep(READ_RETRY_DELAY)
         except TimeoutError as error:
             raise UnavailableError("the store did not answer in time", False) from error
-        except StoreUnavailableError as error:
-            raise UnavailableError(str(error), False) from error
         except msgspec.MsgspecError as error:
             raise UnavailableError(f"the job's record can't be decoded: {error}", False) from error
+
+    async def _read_phase(
+        self, pool: PoolName, job_id: JobId, access: Access | None
+    ) -> JobPhase | None:
+        """Reads the records of a job. Raises `AccessDeniedError`, `StoreUnavailableError` and
+        ``MsgspecError``."""
+        store = self._node.store
+        progress = await store.get(progress_key(pool, job_id))
+        if progress is not None and access is None:
+            return decode_progress(progress.value).phase
+        record = await store.get(job_key(pool, job_id))
+        if (
+            record is not None
+            and access is not None
+            and not self._may_access(access, decode_record(record.value))
+        ):
+            raise AccessDeniedError(job_id)
+        if progress is not None:
+            return decode_progress(progress.value).phase
         return None if record is None else JobPhase.QUEUED
 
     def _submit_access(self, queue: Queue, account: AccountId) -> Access | None:
--- a/hornbeamramp/vm/isolation.py
+++ b/hornbeamramp/vm/isolation.py
@@ -26,8 +26,8 @@
 STORE_ANSWER_MAX_AGE = timedelta(milliseconds=450)
 # Other VMs answer within 2 ms; TCP retransmits a lost packet after some 200 ms.
 PING_TIMEOUT = timedelta(milliseconds=250)
-# A check that takes longer than its pings, or begins later than planned, by this much tells nothing:
-# the event loop was busy, and the answers may wait to be read.
+# A check that takes longer than its pings, or begins later than planned, by this much tells
+# nothing: the event loop was busy, and the answers may wait to be read.
 MAX_LAG = timedelta(milliseconds=250)
 # VMs pinged in one check. One answer is enough; more pings only cost traffic.
 MAX_PINGS = 6
--- a/tests/vm/test_watching.py
+++ b/tests/vm/test_watching.py
@@ -1,6 +1,7 @@
 """Copies of prefixes of the store on links that are slow for what changes."""
 
 import asyncio
+import contextlib
 
 from hornbeamramp.errors import StoreUnavailableError
 from hornbeamramp.states import Step
@@ -26,11 +27,16 @@
         self.items = [Item(KEY, VALUE, 1, 1, 0)]
         self.calls: list[str] = []
         self._link = asyncio.Lock()
+        self._written = asyncio.Event()
 
     async def write(self, count: int) -> None:
         for _ in range(count):
             await asyncio.sleep(CHANGE_PERIOD_S)
-            self.items.append(Item(KEY, VALUE, len(self.items) + 1, 1, 0))
+            self.write_now()
+
+    def write_now(self) -> None:
+        self.items.append(Item(KEY, VALUE, len(self.items) + 1, 1, 0))
+        self._written.set()
 
     async def _send(self, name: str, values: int, limit_s: float) -> None:
         self.calls.append(name)
@@ -50,9 +56,11 @@
         return [last], last.revision
 
     async def watch(self, prefix, after, wait):
-        ends_at = asyncio.get_running_loop().time() + wait.total_seconds()
-        while len(self.items) <= after and asyncio.get_running_loop().time() < ends_at:
-            await asyncio.sleep(0.01)
+        if len(self.items) <= after:
+            self._written.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait.total_seconds()):
+                    await self._written.wait()
         missed = self.items[after:]
         await self._send("watch", len(missed), CALL_TIMEOUT_S + wait.total_seconds())
         changes = tuple(Change(KEY, item.revision, item) for item in missed)
@@ -125,7 +133,7 @@
         await asyncio.sleep(1)
         first = asyncio.create_task(cache.refresh())
         await asyncio.sleep(0.05)
-        store.items.append(Item(KEY, VALUE, len(store.items) + 1, 1, 0))
+        store.write_now()
         written = len(store.items)
         await cache.refresh()
         assert cache.item_by_key[KEY].revision >= written
