Leave the direct way to the store in use when another VM's watch fails

Leases lapsed and calls were refused on VMs whose own link and store were sound: a VM that relays the watch of one that has missed much gets no answer in time either, and took its own direct way for down, so that it relayed all its calls for a second and refused those of others.

Only a VM's own calls tell now whether its direct way works. test_failed_watch_of_another_vm_leaves_the_direct_way_in_use failed before.

--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -161,7 +161,12 @@
         """Makes a call for another VM, only over the direct connection."""
         if not self._is_direct_available:
             return RelayReply(RelayOutcome.UNAVAILABLE, "the store can't be reached from here")
-        return await self._call_direct(request)
+        try:
+            return await _perform(self._direct, request)
+        except StoreUnavailableError as error:
+            # This VM's own calls tell whether its direct way is available. A watch for a VM that has
+            # missed much may be too large for this VM's link, on which others succeed.
+            return RelayReply(RelayOutcome.UNAVAILABLE, str(error), error.sent)
 
     async def _call(self, request: RelayRequest, wait: timedelta) -> RelayReply:
         reply = RelayReply(RelayOutcome.UNAVAILABLE, "the direct way failed lately")
