End a caller's connection with the refusal of a key that can't be checked

A connection stays with its VM. A caller that was told to come back came back to the one VM whose configuration may be out of date, until its time was over.

The refusal closes the connection, so that the next try reaches another VM. test_connection_ends_with_a_refusal_for_want_of_a_proof failed before.

--- a/hornbeamramp/platform/callers.py
+++ b/hornbeamramp/platform/callers.py
@@ -292,7 +292,10 @@
             problem = decided.err_value
             self._key_checks.record_refusal(config, route_match.queue, problem)
             if problem is AccessProblem.UNPROVED_CONFIG:
-                return _unavailable(problem.value, KEY_CHECK_RETRY_AFTER)
+                response = _unavailable(problem.value, KEY_CHECK_RETRY_AFTER)
+                # An open connection stays with this VM; another one may have a newer proof.
+                response.force_close()
+                return response
             return _json(401, {"error": problem.value})
         access = decided.ok_value
         try:
--- a/tests/platform/test_key_checks.py
+++ b/tests/platform/test_key_checks.py
@@ -177,6 +177,17 @@
     serve_callers(scenario, proof_age_s=age_s)
 
 
+def test_connection_ends_with_a_refusal_for_want_of_a_proof(serve_callers):
+    """Guards against a caller that comes back on its connection to the one VM that can't check its
+    key, until its time is over, although other VMs could."""
+
+    async def scenario(caller):
+        status, _, headers = await caller.call("GET", f"/gate/{JOB}", "secret-1")
+        assert (status, headers["Connection"]) == (503, "close")
+
+    serve_callers(scenario, proof_age_s=40.0)
+
+
 def test_call_is_decided_by_the_configuration_that_a_renewal_brings(serve_callers):
     """Guards against a key that was just added, or a queue just removed, and the old answer."""
 
