Keep the total time limit of commits and renewals, and of a first failed watch

Review of the two fixes before: a store that answers commits byte by byte would have held them for 6 s, and a store that cuts all watches at once would have been asked for lists by all VMs. Reads have a client of their own with the longer limit, and the prefix is listed after the second failure in a row. tests/vm/test_watching.py and test_slow_store_link.py pass as before.

--- a/hornbeamramp/platform/store.py
+++ b/hornbeamramp/platform/store.py
@@ -105,7 +105,11 @@
 
     def __init__(self, address: str, clock: Clock) -> None:
         self._address = address
-        self._client = HttpClient(address, CALL_TIMEOUT, clock, transfer_timeout=TRANSFER_TIMEOUT)
+        self._client = HttpClient(address, CALL_TIMEOUT, clock)
+        # Only answers to reads are large. Commits and renewals keep their total limit.
+        self._read_client = HttpClient(
+            address, CALL_TIMEOUT, clock, transfer_timeout=TRANSFER_TIMEOUT
+        )
         # Watches have a client of their own: a failed request retires all connections of its
         # client, and a failed watch must not retire those that commits use.
         self._watch_client = HttpClient(
@@ -179,13 +183,15 @@
 
     async def close(self) -> None:
         await self._client.close()
+        await self._read_client.close()
         await self._watch_client.close()
 
     async def _call(
         self, method: str, path: str, body: Any = None, wait: timedelta = timedelta(0)
     ) -> HttpReply:
         data = None if body is None else msgspec.json.encode(body)
-        client = self._watch_client if wait else self._client
+        client = self._client if method != "GET" else self._read_client
+        client = self._watch_client if wait else client
         try:
             reply = await client.request(method, path, data, wait=wait)
         except RequestFailedError as error:
--- a/hornbeamramp/vm/watching.py
+++ b/hornbeamramp/vm/watching.py
@@ -81,11 +81,13 @@
                 )
                 self.is_loaded = False
             except StoreUnavailableError as error:
-                if not self._is_watch_failing:
+                if self._is_watch_failing:
+                    # The same watch would return all that it did not return in time, and more. Not
+                    # after the first failure: watches may be cut on all VMs at once.
+                    self._is_behind = True
+                else:
                     _log.warning("{}: watch failed, retrying: {}", self._prefix, error)
                 self._is_watch_failing = True
-                # The same watch would return all that it did not return in time, and more.
-                self._is_behind = True
                 await self._clock.sleep(RETRY_DELAY)
 
     async def refresh(self) -> None:
