--- a/hornbeamramp/vm/relay.py
+++ b/hornbeamramp/vm/relay.py
@@ -164,8 +164,8 @@
         try:
             return await _perform(self._direct, request)
         except StoreUnavailableError as error:
-            # This VM's own calls tell whether its direct way is available. A watch for a VM that has
-            # missed much may be too large for this VM's link, on which others succeed.
+            # This VM's own calls tell whether its direct way works. A watch for a VM that has missed
+            # much may be too large for this VM's link, on which others succeed.
             return RelayReply(RelayOutcome.UNAVAILABLE, str(error), error.sent)
 
     async def _call(self, request: RelayRequest, wait: timedelta) -> RelayReply:
--- a/tests/platform/test_key_checks.py
+++ b/tests/platform/test_key_checks.py
@@ -182,7 +182,7 @@
     key, until its time is over, although other VMs could."""
 
     async def scenario(caller):
-        status, _, headers = await caller.call("GET", f"/gate/{JOB}", "secret-1")
+        status, _, headers = await caller.call("GET", JOB_PATH, "secret-1")
         assert (status, headers["Connection"]) == (503, "close")
 
     serve_callers(scenario, proof_age_s=40.0)
