--- a/tests/vm/test_ended_jobs.py
+++ b/tests/vm/test_ended_jobs.py
@@ -43,3 +43,27 @@
             assert not (await cell.submit(IDS[0], spec)).refusal
 
     run_in_virtual_time(scenario())
+
+
+# Guards against capacity that is given to another task while a stop of an ended job's run has no
+# answer.
+def test_tasks_are_kept_while_their_runs_may_go_on():
+    async def scenario():
+        async with ModelCell(vms=1, workers=1) as cell:
+            vm = await cell.wait_for_owner()
+            before = kept_tasks()
+            spec = job(StepSpec(TASKS, 100, 10, estimate_ms=60_000))
+            assert not (await cell.submit(IDS[0], spec)).refusal
+            await asyncio.sleep(2)
+            [worker] = cell.fleet.worker_by_name.values()
+            worker.unreachable_from = {vm.name}
+            await vm.service.cancel(cell.queues["batch"], IDS[0], REQUEST_TIMEOUT)
+            await cell.wait_for_phase(IDS[0], JobPhase.CANCELLED)
+            await asyncio.sleep(2)
+            assert kept_tasks() == before + TASKS
+            worker.unreachable_from = set()
+            await asyncio.sleep(5)
+            assert kept_tasks() == before
+            assert not cell.fleet.violations
+
+    run_in_virtual_time(scenario())
